--- a/include/masticstall.h
+++ b/include/masticstall.h
@@ -10,5 +10,6 @@
 #include <masticstall/message.h>
 #include <masticstall/seqset.h>
 #include <masticstall/settings.h>
+#include <masticstall/worker.h>
 
 #endif
--- a/include/masticstall/agent.h
+++ b/include/masticstall/agent.h
@@ -8,6 +8,7 @@
 
 #include <glib.h>
 #include <masticstall/message.h>
+#include <masticstall/worker.h>
 
 struct mst_agent;
 
@@ -28,6 +29,14 @@
 	int64_t fence_silence_us; /* silence before a fence is granted */
 	int64_t retention_us;     /* age of acknowledged results kept */
 	uint64_t retained_bytes_max;
+	/*
+	 * Leased: the upstream is a worker that runs tasks under leases, and
+	 * what an entry has started ends when the entry is silent.
+	 */
+	bool leased;
+	int64_t entry_lease_us; /* silence of an entry that ends its runs */
+	int64_t run_lease_us;   /* given to the worker with each order */
+	int64_t renew_us;       /* longest time between two renewals */
 };
 
 #define MST_AGENT_OPTIONS_INIT                                                 \
@@ -38,7 +47,8 @@
 		.heartbeat_us = G_USEC_PER_SEC,                                \
 		.fence_silence_us = 3 * G_USEC_PER_SEC,                        \
 		.retention_us = 120 * G_USEC_PER_SEC,                          \
-		.retained_bytes_max = 16u << 20,                               \
+		.retained_bytes_max = 16u << 20, .entry_lease_us = 500 * 1000, \
+		.run_lease_us = 600 * 1000, .renew_us = 150 * 1000,            \
 	}
 
 enum mst_agent_event_type {
@@ -47,16 +57,20 @@
 	MST_AGENT_EV_FINISHED, /* the upstream call of a run has ended */
 	MST_AGENT_EV_ENTRIES,  /* the known entries' addresses changed */
 	MST_AGENT_EV_DRAIN,    /* take no new work, stop when idle */
-	MST_AGENT_EV_FLUSH     /* send what has been collected */
+	MST_AGENT_EV_FLUSH,    /* send what has been collected */
+	MST_AGENT_EV_REPORT,   /* the worker has reported about itself */
+	MST_AGENT_EV_ORDERED   /* an order to the worker has an answer */
 };
 
 struct mst_agent_event {
 	enum mst_agent_event_type type;
 	int64_t now_us;
-	const struct mst_msg *msg;     /* MESSAGE */
-	uint64_t run;                  /* FINISHED */
-	struct mst_result_item result; /* FINISHED; seq is ignored */
-	const char *entries;           /* ENTRIES, by commas */
+	const struct mst_msg *msg;              /* MESSAGE */
+	uint64_t run;                           /* FINISHED */
+	struct mst_result_item result;          /* FINISHED; seq is ignored */
+	const char *entries;                    /* ENTRIES, by commas */
+	const struct mst_worker_report *report; /* REPORT */
+	const struct mst_order_answer *answer;  /* ORDERED */
 };
 
 enum mst_agent_effect_type {
@@ -64,7 +78,9 @@
 	MST_AGENT_FX_START,    /* call the upstream */
 	MST_AGENT_FX_CONFIG,   /* a greater configuration is in force */
 	MST_AGENT_FX_PEERS,    /* addresses of entries were named */
-	MST_AGENT_FX_STOPPED   /* drained; the process may end */
+	MST_AGENT_FX_STOPPED,  /* drained; the process may end */
+	MST_AGENT_FX_ORDER,    /* send an order to the worker */
+	MST_AGENT_FX_WORKER    /* the worker was lost, or is there again */
 };
 
 struct mst_agent_effect {
@@ -74,6 +90,8 @@
 	const struct mst_dispatch_item *task; /* START */
 	uint32_t timeout_ms;                  /* START */
 	struct mst_bytes peers;               /* PEERS */
+	struct mst_order order;               /* ORDER */
+	const char *state;                    /* WORKER */
 };
 
 /** Counters of one agent, all since its start. */
@@ -89,6 +107,10 @@
 	uint64_t results_repeated;
 	uint64_t fences;
 	uint64_t evicted;
+	uint64_t runs_lost;    /* ended without a result */
+	uint64_t runs_unknown; /* found on the worker, and stopped */
+	uint64_t leases_lapsed;
+	uint64_t orders[MST_ORDER_INVALID + 1]; /* by status */
 };
 
 /** Numbers that change both ways. */
--- a/include/masticstall/config.h
+++ b/include/masticstall/config.h
@@ -4,6 +4,7 @@
 /** The numbered configuration that operators patch. */
 
 #include <glib.h>
+#include <masticstall/message.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -35,8 +36,23 @@
 	bool unknown_teams;       /* accept teams that are not listed */
 };
 
+/** A queue: the jobs that callers hand in under one host and path prefix. */
+struct mst_queue_config {
+	const char *name;
+	const char *host;    /* of the request, without a port */
+	const char *prefix;  /* the path begins with it */
+	const char *service; /* the upstreams that run its tasks */
+	uint32_t priority;   /* 0 is the most urgent */
+	uint32_t attempts;   /* runs of a task that may end as failed */
+	uint32_t timeout_ms;
+	double stretch;     /* objective, in times of the longest task */
+	uint32_t target_ms; /* objective, added to that */
+};
+
 struct mst_config {
 	uint64_t version;
+	GArray *queues; /* struct mst_queue_config */
+	void *json;     /* owns the queues' strings */
 	struct mst_policy policy;
 	struct mst_team_config default_team;
 	GHashTable *teams; /* char * -> struct mst_team_config */
@@ -61,6 +77,22 @@
 int mst_config_parse(struct mst_config **out, const char *document,
     uint64_t version, GError **error);
 
+/**
+ * Finds the queue that a request belongs to: the one of its host whose prefix
+ * is the longest that the path begins with.
+ *
+ * @param config the configuration
+ * @param host the request's host; a port is ignored
+ * @param path the request's path
+ * @return the queue, or NULL when there is none
+ */
+const struct mst_queue_config *mst_config_queue(const struct mst_config *config,
+    struct mst_bytes host, struct mst_bytes path);
+
+/** Finds a queue by its name; NULL when there is none. */
+const struct mst_queue_config *mst_config_queue_named(
+    const struct mst_config *config, const char *name);
+
 /** Releases a configuration; NULL is allowed. */
 void mst_config_free(struct mst_config *config);
 
--- a/include/masticstall/entry.h
+++ b/include/masticstall/entry.h
@@ -27,6 +27,12 @@
 	uint32_t jobs_max;
 	uint64_t bytes_max; /* of all jobs, closed ones included */
 	int64_t adopt_us;   /* time to take over a job */
+	/*
+	 * Leased: agents end what this entry has started when it is silent, so
+	 * no roster is kept and only restartable jobs are taken.
+	 */
+	bool leased;
+	int64_t dispatch_valid_us; /* time within which a task must start */
 };
 
 #define MST_ENTRY_OPTIONS_INIT                                                 \
@@ -37,6 +43,7 @@
 		.pause_us = 60 * G_USEC_PER_SEC,                               \
 		.answer_keep_us = 60 * G_USEC_PER_SEC, .jobs_max = 100000,     \
 		.bytes_max = 1u << 30, .adopt_us = 10 * G_USEC_PER_SEC,        \
+		.dispatch_valid_us = 400 * 1000,                               \
 	}
 
 /** A job's ticket: its identity and an agent that arbitrates it. */
@@ -63,6 +70,18 @@
 	uint32_t count;
 	const struct mst_task_spec *tasks;
 	struct mst_bytes traceparent;
+	/*
+	 * Restartable: the caller waits for the answer and sends the job again
+	 * under its key when it gets none. It is given up when all that wait
+	 * for it have left.
+	 */
+	bool restartable;
+	const char *key;     /* the caller's name of the job */
+	const char *service; /* the upstreams that may run it; NULL: any */
+	uint32_t priority;   /* 0 is the most urgent */
+	uint32_t attempts;   /* runs of a task that may end as failed */
+	double stretch;      /* objective, in times of the longest task */
+	uint32_t target_ms;  /* objective, added to that */
 };
 
 enum mst_entry_event_type {
@@ -114,8 +133,10 @@
 	enum mst_reason reason;
 	const char *team;
 	uint32_t count;
-	uint32_t open;    /* tasks without a final outcome */
-	uint32_t started; /* tasks sent to an agent at least once */
+	uint32_t open;     /* tasks without a final outcome */
+	uint32_t started;  /* tasks sent to an agent at least once */
+	bool may_have_run; /* not every task is proved not to have started */
+	uint32_t retry_after_ms; /* when to come back, if it was not run */
 	int64_t submitted_us;
 	int64_t closed_us;
 	struct mst_bytes traceparent;
@@ -276,6 +297,9 @@
 bool mst_entry_peer_is_alive(
     const struct mst_entry *entry, uint64_t incarnation);
 
+/** Gives the configuration in force, or NULL; valid until the next step. */
+const struct mst_config *mst_entry_config(const struct mst_entry *entry);
+
 /** Gives the text of the configuration in force, or NULL. */
 const char *mst_entry_document(const struct mst_entry *entry);
 
--- a/include/masticstall/message.h
+++ b/include/masticstall/message.h
@@ -14,7 +14,7 @@
 #include <masticstall/seqset.h>
 
 /** Version of the message format; others are dropped. */
-#define MST_MSG_VERSION 1
+#define MST_MSG_VERSION 2
 /** Largest encoded message, bytes. */
 #define MST_MSG_MAX_BYTES (64u << 20)
 /** Most tasks in one job. */
@@ -67,6 +67,13 @@
 	MST_REASON_TASK_FAILED,       /* another task of the job failed */
 	MST_REASON_OWNER_UNREACHABLE, /* the job's entry lives elsewhere */
 	MST_REASON_HISTORY_LOST,      /* what started is no longer known */
+	MST_REASON_RUN_FAILED,        /* the run ended as failed */
+	MST_REASON_RUN_LOST,          /* the run ended without a result */
+	MST_REASON_LEASE_LAPSED,      /* the entry was silent for too long */
+	MST_REASON_STALE,             /* the dispatch arrived too late */
+	MST_REASON_GIVEN_UP,          /* its caller has left */
+	MST_REASON_NO_QUEUE,          /* no queue has this address */
+	MST_REASON_NOT_SERVED,        /* a kind of job that isn't served */
 	MST_REASON_MAX
 };
 
@@ -87,7 +94,7 @@
 
 /** Resources of a worker, or the part that a task needs. */
 struct mst_resources {
-	uint32_t cores;
+	uint32_t millicores;
 	uint32_t memory_mb;
 	uint32_t accelerators;
 };
@@ -96,12 +103,15 @@
 	struct mst_bytes name;
 	struct mst_bytes failure_domain;
 	struct mst_bytes rack;
+	struct mst_bytes service; /* what its upstream serves; may be empty */
+	uint64_t clock_us;        /* the sender's clock, for leases */
 	uint32_t slots;
 	uint32_t connections;
 	struct mst_resources resources;
 	bool draining;
 	bool fenced;             /* the receiver has been fenced here */
 	uint32_t grant;          /* tasks the receiver may have here */
+	uint32_t free_slots;     /* leased: slots without work */
 	uint32_t running;        /* over all entries */
 	uint32_t queued;         /* over all entries */
 	uint64_t roster_version; /* of the receiver's, as recorded */
@@ -112,6 +122,7 @@
 };
 
 struct mst_heartbeat {
+	uint64_t echo_us; /* the receiver's clock, as last announced */
 	uint64_t roster_version;
 	uint32_t agent_count;
 	const uint64_t *agents;     /* incarnations in the roster */
@@ -124,6 +135,8 @@
 };
 
 #define MST_TASK_IDEMPOTENT 1u
+/* May run again once an earlier run has ended, whatever became of it. */
+#define MST_TASK_RESTARTABLE 2u
 
 struct mst_dispatch_item {
 	uint64_t seq;
@@ -131,6 +144,9 @@
 	uint32_t index;
 	uint32_t flags;
 	uint32_t timeout_ms; /* from arrival at the agent */
+	uint32_t run;        /* number of this attempt, from 1 */
+	uint32_t work_us;    /* expected time on this agent's upstream */
+	struct mst_resources needs;
 	struct mst_bytes method;
 	struct mst_bytes path;
 	struct mst_bytes content_type;
@@ -139,6 +155,8 @@
 };
 
 struct mst_dispatch {
+	uint64_t echo_us;    /* the receiver's clock, as last announced */
+	uint64_t expires_us; /* on the receiver's clock; 0: never */
 	uint64_t received_frontier; /* results received, all up to here */
 	uint32_t demand;
 	uint32_t count;
@@ -158,6 +176,7 @@
 
 struct mst_results {
 	uint32_t grant;
+	uint32_t free_slots; /* leased: slots without work */
 	uint32_t count;
 	const struct mst_result_item *items;
 };
--- a/include/masticstall/settings.h
+++ b/include/masticstall/settings.h
@@ -44,6 +44,21 @@
 	uint32_t result_max_bytes;
 };
 
+/** A worker that runs tasks under leases, beside a leased agent. */
+struct mst_worker_settings {
+	const char *address;       /* ip:port */
+	const char *report_listen; /* ip:port, for its reports about itself */
+	uint32_t lease_max_ms;     /* longest lease that it grants */
+};
+
+/** Where callers hand in jobs by the platform's rules. */
+struct mst_front_settings {
+	const char *listen;       /* ip:port */
+	const char *ready_listen; /* ip:port, for the balancer's checks */
+	uint32_t grace_ms;        /* from SIGTERM until the process is killed */
+	uint32_t resend_ms; /* after which an unanswered job comes again */
+};
+
 /** Settings of one daemon; an entry and an agent use different parts. */
 struct mst_settings {
 	const char *name;
@@ -53,6 +68,12 @@
 	const char *members_listen; /* ip:port, entry only */
 	const char *advertise;      /* ip:port that members use, entry only */
 	GPtrArray *entries;         /* ip:port of some entries */
+	GPtrArray *entry_hosts;     /* hosts of some entries, ip or ip:port */
+	uint32_t members_port;      /* of the entries on entry_hosts */
+	bool trusted_network;       /* members need no keys */
+	const char *store; /* ip:port of the platform's store, or NULL */
+	struct mst_worker_settings worker;
+	struct mst_front_settings front;
 	struct mst_table_settings table;
 	GArray *operators; /* struct mst_operator_settings */
 	struct mst_curve_keys curve;
--- a/src/api/job_json.c
+++ b/src/api/job_json.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "settings/resources.h"
 #include "settings/schema.h"
 
 G_DEFINE_QUARK(mst_job_json_error, mst_job_json_error)
@@ -35,21 +36,6 @@
 	uint32_t timeout_ms;
 };
 
-static const struct schema_field needs_fields[] = {
-    {.name = "cores",
-	.kind = SCHEMA_UINT,
-	.offset = offsetof(struct mst_resources, cores),
-	.max = 4096},
-    {.name = "memory_mb",
-	.kind = SCHEMA_UINT,
-	.offset = offsetof(struct mst_resources, memory_mb),
-	.max = 1 << 30},
-    {.name = "accelerators",
-	.kind = SCHEMA_UINT,
-	.offset = offsetof(struct mst_resources, accelerators),
-	.max = 1024},
-    {0}};
-
 static const struct schema_field task_fields_table[] = {
     {.name = "method",
 	.kind = SCHEMA_STRING,
@@ -84,7 +70,7 @@
     {.name = "needs",
 	.kind = SCHEMA_OBJECT,
 	.offset = offsetof(struct task_fields, needs),
-	.fields = needs_fields},
+	.fields = schema_resource_fields},
     {0}};
 
 static bool
--- a/src/codec/codec.c
+++ b/src/codec/codec.c
@@ -5,6 +5,8 @@
 
 G_DEFINE_QUARK(mst_codec_error, mst_codec_error)
 
+#define DISPATCH_ITEM_FIELDS 16
+
 struct mst_decoder {
 	msgpack_unpacked unpacked;
 	GPtrArray *arrays; /* lists of the last message */
@@ -184,20 +186,40 @@
 	return set;
 }
 
+static void
+put_resources(msgpack_packer *pk, const struct mst_resources *resources)
+{
+	put_u64(pk, resources->millicores);
+	put_u64(pk, resources->memory_mb);
+	put_u64(pk, resources->accelerators);
+}
+
+static struct mst_resources
+get_resources(struct reader *r)
+{
+	struct mst_resources resources;
+
+	resources.millicores = get_u32(r);
+	resources.memory_mb = get_u32(r);
+	resources.accelerators = get_u32(r);
+	return resources;
+}
+
 static void
 put_announce(msgpack_packer *pk, const struct mst_announce *m)
 {
 	put_bytes(pk, m->name);
 	put_bytes(pk, m->failure_domain);
 	put_bytes(pk, m->rack);
+	put_bytes(pk, m->service);
+	put_u64(pk, m->clock_us);
 	put_u64(pk, m->slots);
 	put_u64(pk, m->connections);
-	put_u64(pk, m->resources.cores);
-	put_u64(pk, m->resources.memory_mb);
-	put_u64(pk, m->resources.accelerators);
+	put_resources(pk, &m->resources);
 	put_u64(pk, m->draining);
 	put_u64(pk, m->fenced);
 	put_u64(pk, m->grant);
+	put_u64(pk, m->free_slots);
 	put_u64(pk, m->running);
 	put_u64(pk, m->queued);
 	put_u64(pk, m->roster_version);
@@ -213,14 +235,15 @@
 	m->name = get_bytes(r);
 	m->failure_domain = get_bytes(r);
 	m->rack = get_bytes(r);
+	m->service = get_bytes(r);
+	m->clock_us = get_u64(r);
 	m->slots = get_u32(r);
 	m->connections = get_u32(r);
-	m->resources.cores = get_u32(r);
-	m->resources.memory_mb = get_u32(r);
-	m->resources.accelerators = get_u32(r);
+	m->resources = get_resources(r);
 	m->draining = get_bool(r);
 	m->fenced = get_bool(r);
 	m->grant = get_u32(r);
+	m->free_slots = get_u32(r);
 	m->running = get_u32(r);
 	m->queued = get_u32(r);
 	m->roster_version = get_u64(r);
@@ -233,6 +256,7 @@
 static void
 put_heartbeat(msgpack_packer *pk, const struct mst_heartbeat *m)
 {
+	put_u64(pk, m->echo_us);
 	put_u64(pk, m->roster_version);
 	put_u64_list(pk, m->agents, m->agent_count);
 	put_u64(pk, m->floor);
@@ -246,6 +270,7 @@
 static void
 get_heartbeat(struct reader *r, struct mst_heartbeat *m)
 {
+	m->echo_us = get_u64(r);
 	m->roster_version = get_u64(r);
 	m->agents = get_u64_list(r, &m->agent_count);
 	m->floor = get_u64(r);
@@ -262,9 +287,11 @@
 	const struct mst_dispatch_item *t;
 	uint32_t i;
 
+	put_u64(pk, m->echo_us);
+	put_u64(pk, m->expires_us);
 	put_u64(pk, m->received_frontier);
 	put_u64(pk, m->demand);
-	msgpack_pack_array(pk, (size_t)m->count * 11);
+	msgpack_pack_array(pk, (size_t)m->count * DISPATCH_ITEM_FIELDS);
 	for (i = 0; i < m->count; i++) {
 		t = &m->items[i];
 		put_u64(pk, t->seq);
@@ -273,6 +300,9 @@
 		put_u64(pk, t->index);
 		put_u64(pk, t->flags);
 		put_u64(pk, t->timeout_ms);
+		put_u64(pk, t->run);
+		put_u64(pk, t->work_us);
+		put_resources(pk, &t->needs);
 		put_bytes(pk, t->method);
 		put_bytes(pk, t->path);
 		put_bytes(pk, t->content_type);
@@ -288,14 +318,16 @@
 	struct reader nested;
 	uint32_t count, i;
 
+	m->echo_us = get_u64(r);
+	m->expires_us = get_u64(r);
 	m->received_frontier = get_u64(r);
 	m->demand = get_u32(r);
 	nested = get_array(r, &count);
-	if (nested.failed || count % 11 != 0)
+	if (nested.failed || count % DISPATCH_ITEM_FIELDS != 0)
 		r->failed = true;
 	if (r->failed)
 		return;
-	m->count = count / 11;
+	m->count = count / DISPATCH_ITEM_FIELDS;
 	items = list_alloc(r, m->count, sizeof(*items));
 	for (i = 0; items != NULL && i < m->count; i++) {
 		items[i].seq = get_u64(&nested);
@@ -304,6 +336,9 @@
 		items[i].index = get_u32(&nested);
 		items[i].flags = get_u32(&nested);
 		items[i].timeout_ms = get_u32(&nested);
+		items[i].run = get_u32(&nested);
+		items[i].work_us = get_u32(&nested);
+		items[i].needs = get_resources(&nested);
 		items[i].method = get_bytes(&nested);
 		items[i].path = get_bytes(&nested);
 		items[i].content_type = get_bytes(&nested);
@@ -356,6 +391,7 @@
 	uint32_t i;
 
 	put_u64(pk, m->grant);
+	put_u64(pk, m->free_slots);
 	msgpack_pack_array(pk, (size_t)m->count * 8);
 	for (i = 0; i < m->count; i++)
 		put_result(pk, &m->items[i]);
@@ -369,6 +405,7 @@
 	uint32_t count, i;
 
 	m->grant = get_u32(r);
+	m->free_slots = get_u32(r);
 	nested = get_array(r, &count);
 	if (nested.failed || count % 8 != 0)
 		r->failed = true;
@@ -551,10 +588,10 @@
 }
 
 static const uint8_t payload_fields[MST_MSG_MAX] = {
-    [MST_MSG_ANNOUNCE] = 18,
-    [MST_MSG_HEARTBEAT] = 8,
-    [MST_MSG_DISPATCH] = 3,
-    [MST_MSG_RESULT] = 2,
+    [MST_MSG_ANNOUNCE] = 21,
+    [MST_MSG_HEARTBEAT] = 9,
+    [MST_MSG_DISPATCH] = 5,
+    [MST_MSG_RESULT] = 3,
     [MST_MSG_WITHDRAW] = 1,
     [MST_MSG_FENCE] = 4,
     [MST_MSG_FENCED] = 10,
--- a/src/core/agent.c
+++ b/src/core/agent.c
@@ -51,6 +51,8 @@
 	g_free(agent->name);
 	g_free(agent->failure_domain);
 	g_free(agent->rack);
+	g_free(agent->worker.id);
+	g_free(agent->worker.service);
 	g_free(agent->entries);
 	g_free(agent);
 }
@@ -79,6 +81,21 @@
 	return &effect->msg;
 }
 
+static uint32_t
+agent_slots(const struct mst_agent *agent)
+{
+	return agent->options.leased ? mst_worker_slots(agent)
+				     : agent->options.slots;
+}
+
+/* A leased agent is not there for the entries before its worker is. */
+static bool
+agent_is_present(const struct mst_agent *agent)
+{
+	return !agent->options.leased ||
+	    (agent->worker.known && agent->worker.synced);
+}
+
 /* Announces to one entry, or to all when there is no session. */
 static void
 agent_announce(struct mst_agent *agent, struct session *session)
@@ -90,10 +107,12 @@
 	m->name = mst_bytes_of(agent->name);
 	m->failure_domain = mst_bytes_of(agent->failure_domain);
 	m->rack = mst_bytes_of(agent->rack);
-	m->slots = agent->options.slots;
+	m->service = mst_bytes_of(agent->worker.service);
+	m->clock_us = (uint64_t)agent->now_us;
+	m->slots = agent_slots(agent);
 	m->connections = agent->options.connections;
 	m->resources = agent->options.resources;
-	m->draining = agent->draining;
+	m->draining = agent->draining || agent->worker.draining;
 	m->running = agent->running;
 	m->queued = agent->queue.length;
 	m->config_version = agent->config_version;
@@ -103,6 +122,7 @@
 	session->announced_us = agent->now_us;
 	m->fenced = session->fenced;
 	m->grant = mst_session_grant(agent, session);
+	m->free_slots = mst_worker_free_slots(agent);
 	m->roster_version = session->roster_version;
 	m->sent_upto = session->sent_upto;
 	m->seen = session->seen;
@@ -117,6 +137,8 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	if (!agent_is_present(agent))
+		return;
 	agent_announce(agent, NULL);
 	g_hash_table_iter_init(&iter, agent->sessions);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -185,6 +207,7 @@
 			return;
 	}
 	session->heard_us = agent->now_us;
+	mst_session_echo(agent, session, heartbeat->echo_us);
 	roster_record(session, heartbeat);
 	session->sent_upto = MAX(session->sent_upto, heartbeat->sent_upto);
 	session->demand = heartbeat->demand;
@@ -196,28 +219,46 @@
 	session->heartbeat_us = agent->now_us;
 	if (agent->config_version > heartbeat->config_version)
 		agent_offer_config(agent, msg->from);
-	agent_announce(agent, session);
+	if (agent_is_present(agent))
+		agent_announce(agent, session);
 	if (heartbeat->peers.len > 0) {
 		effect = mst_agent_emit(agent, MST_AGENT_FX_PEERS);
 		effect->peers = heartbeat->peers;
 	}
 }
 
+/* True when what a dispatch brings must not start any more: it was held up, and
+ * its entry may have given it up or be gone. */
+static bool
+dispatch_is_stale(const struct mst_agent *agent, const struct session *session,
+    const struct mst_dispatch *dispatch)
+{
+	if (!agent->options.leased)
+		return false;
+	return !mst_session_is_leased(agent, session) ||
+	    (uint64_t)agent->now_us > dispatch->expires_us;
+}
+
 static void
 agent_on_dispatch(struct mst_agent *agent, const struct mst_msg *msg)
 {
 	struct session *session = mst_session_find(agent, msg->from);
+	bool stale;
 	uint32_t i;
 
 	/* No record of the entry's roster: nothing may start from it. */
-	if (session == NULL || session->roster_version == 0) {
+	if (session == NULL ||
+	    (!agent->options.leased && session->roster_version == 0)) {
 		agent->counters.sessions_refused++;
 		return;
 	}
 	session->heard_us = agent->now_us;
 	session->demand = msg->dispatch.demand;
+	mst_session_echo(agent, session, msg->dispatch.echo_us);
+	stale = dispatch_is_stale(agent, session, &msg->dispatch);
 	for (i = 0; i < msg->dispatch.count; i++)
-		mst_agent_dispatch(agent, session, &msg->dispatch.items[i]);
+		mst_agent_dispatch(
+		    agent, session, &msg->dispatch.items[i], stale);
 	mst_agent_start_queued(agent);
 }
 
@@ -347,6 +388,10 @@
 	if (agent->tick_us > 0 && gap_us > AGENT_PAUSE_US)
 		agent_discount_pause(agent, gap_us);
 	agent->tick_us = agent->now_us;
+	if (agent->options.leased) {
+		mst_agent_check_leases(agent);
+		mst_worker_tick(agent);
+	}
 	mst_agent_start_queued(agent);
 	if (agent->now_us >= agent->next_scan_us) {
 		agent->next_scan_us = agent->now_us + AGENT_SCAN_US;
@@ -385,6 +430,14 @@
 	case MST_AGENT_EV_DRAIN:
 		agent_on_drain(agent);
 		break;
+	case MST_AGENT_EV_REPORT:
+		mst_worker_report(agent, event->report);
+		break;
+	case MST_AGENT_EV_ORDERED:
+		mst_worker_answer(agent, event->answer);
+		mst_worker_tick(agent);
+		mst_agent_start_queued(agent);
+		break;
 	case MST_AGENT_EV_FLUSH:
 		mst_agent_flush(agent);
 		break;
--- a/src/core/agent_internal.h
+++ b/src/core/agent_internal.h
@@ -6,6 +6,7 @@
 #define AGENT_SESSIONS_MAX     1024
 #define AGENT_CLAIMS_MAX       65536
 #define AGENT_PREFETCH_MAX     64
+#define AGENT_LEASED_QUEUE     2 /* tasks that wait for the next slot */
 #define AGENT_SESSION_KEEP_US  (INT64_C(21600) * G_USEC_PER_SEC)
 #define AGENT_PAUSE_US         (500 * 1000)
 #define AGENT_STOP_LINGER_US   (10 * G_USEC_PER_SEC)
@@ -14,6 +15,36 @@
 #define AGENT_BYTES_PER_RESULT 256
 #define AGENT_FENCED_BYTES_MAX (32u << 20)
 
+/* How far a leased run's orders have come. */
+enum order_state {
+	ORDER_NONE = 0,
+	ORDER_STARTING, /* no answer yet */
+	ORDER_STARTED,
+	ORDER_STOPPING, /* no answer yet */
+	ORDER_STOPPED   /* its end is not listed yet */
+};
+
+/* The worker of a leased agent. */
+struct worker {
+	bool known;  /* has reported about itself */
+	bool synced; /* its list was read in this life, and it answers */
+	bool draining;
+	char *id;
+	char *service;
+	uint64_t life;
+	uint64_t report_seq;
+	uint64_t fence;
+	uint64_t ends_seen;
+	int64_t clock_ms; /* as of clock_us */
+	int64_t clock_us;
+	int64_t lapse_us; /* by then all has lapsed unless renewed */
+	bool holding;     /* a HOLD has no answer yet */
+	uint64_t hold_id;
+	int64_t hold_due_us;
+	unsigned hold_failures; /* in a row */
+	struct mst_resources used;
+};
+
 enum run_state { RUN_QUEUED = 1, RUN_RUNNING, RUN_FINISHED };
 
 /* One sequence of one session, from its arrival until its eviction. */
@@ -28,7 +59,14 @@
 	int64_t sent_us;
 	struct mst_dispatch_item task; /* strings owned until finished */
 	struct mst_result_item result; /* strings owned */
-	GList link; /* in the queue, then unacked, then retained */
+	uint32_t number;               /* leased: the run's number */
+	uint8_t order_state;           /* leased: enum order_state */
+	uint8_t order_tries;
+	bool unanswered; /* an order to start it may still be on its way */
+	enum mst_reason stop_reason;
+	int64_t order_us;
+	int64_t confirmed_us; /* the worker must list it from then on */
+	GList link;           /* in the queue, then unacked, then retained */
 	struct run *next_in_job;
 };
 
@@ -39,6 +77,7 @@
 	uint64_t sent_upto;
 	int64_t heard_us;
 	int64_t heartbeat_us; /* arrival of the last heartbeat */
+	int64_t echo_us;      /* own clock that the entry has seen */
 	int64_t announced_us;
 	uint64_t roster_version;
 	GArray *roster; /* uint64_t */
@@ -75,7 +114,9 @@
 	int64_t drain_us;
 	bool stopped;
 	uint32_t running;
-	double service_us; /* moving average */
+	double service_us;      /* moving average */
+	double task_millicores; /* moving average */
+	struct worker worker;   /* leased */
 	uint64_t next_handle;
 	GHashTable *sessions; /* entry incarnation -> struct session */
 	GHashTable *active;   /* handle -> running struct run */
@@ -100,7 +141,7 @@
 
 /* agent_run.c */
 void mst_agent_dispatch(struct mst_agent *agent, struct session *session,
-    const struct mst_dispatch_item *item);
+    const struct mst_dispatch_item *item, bool stale);
 void mst_agent_withdraw(
     struct mst_agent *agent, struct session *session, uint64_t seq);
 void mst_agent_finished(struct mst_agent *agent, uint64_t handle,
@@ -116,6 +157,40 @@
 void mst_agent_flush(struct mst_agent *agent);
 void mst_run_free(struct run *run);
 
+/* Reports a run's end; the result's strings are copied. */
+void mst_run_finish(struct mst_agent *agent, struct run *run,
+    const struct mst_result_item *result);
+/* Reports the end of a run that has started. */
+void mst_run_ended(struct mst_agent *agent, struct run *run,
+    const struct mst_result_item *result);
+
+/* agent_worker.c */
+void mst_worker_report(
+    struct mst_agent *agent, const struct mst_worker_report *report);
+void mst_worker_start(struct mst_agent *agent, struct run *run);
+void mst_worker_stop(
+    struct mst_agent *agent, struct run *run, enum mst_reason reason);
+void mst_worker_answer(
+    struct mst_agent *agent, const struct mst_order_answer *answer);
+void mst_worker_tick(struct mst_agent *agent);
+/* True when the worker may be given new tasks. */
+bool mst_worker_ready(const struct mst_agent *agent);
+/* True when a task fits beside those that run. */
+bool mst_worker_has_room(
+    const struct mst_agent *agent, const struct mst_resources *needs);
+/* Tasks of the usual size that fit in, or still fit beside the others. */
+uint32_t mst_worker_slots(const struct mst_agent *agent);
+uint32_t mst_worker_free_slots(const struct mst_agent *agent);
+
+/* agent_lease.c */
+/* Takes note of the entry's echo of this agent's clock. */
+void mst_session_echo(
+    struct mst_agent *agent, struct session *session, uint64_t echo_us);
+bool mst_session_is_leased(
+    const struct mst_agent *agent, const struct session *session);
+/* Ends the runs of entries whose lease has lapsed. */
+void mst_agent_check_leases(struct mst_agent *agent);
+
 /* agent_session.c */
 struct session *mst_session_find(const struct mst_agent *agent, uint64_t entry);
 struct session *mst_session_open(struct mst_agent *agent, uint64_t entry);
--- /dev/null
+++ b/src/core/agent_lease.c
@@ -0,0 +1,58 @@
+/*
+ * Leases of entries at a leased agent. An entry holds one while it echoes this
+ * agent's clock in time; without it, what it has started is stopped.
+ */
+
+#include "core/agent_internal.h"
+
+void
+mst_session_echo(
+    struct mst_agent *agent, struct session *session, uint64_t echo_us)
+{
+	/* A clock that was never announced is no echo. */
+	if (echo_us > (uint64_t)agent->now_us)
+		return;
+	session->echo_us = MAX(session->echo_us, (int64_t)echo_us);
+}
+
+bool
+mst_session_is_leased(
+    const struct mst_agent *agent, const struct session *session)
+{
+	return session->echo_us > 0 &&
+	    agent->now_us - session->echo_us <= agent->options.entry_lease_us;
+}
+
+static void
+stop_runs_of(struct mst_agent *agent, const struct session *session)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, agent->active);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct run *run = value;
+
+		if (run->session == session)
+			mst_worker_stop(agent, run, MST_REASON_LEASE_LAPSED);
+	}
+}
+
+void
+mst_agent_check_leases(struct mst_agent *agent)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, agent->sessions);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct session *session = value;
+
+		if (session->open == 0 || mst_session_is_leased(agent, session))
+			continue;
+		agent->counters.leases_lapsed++;
+		mst_agent_refuse_queued(
+		    agent, session, MST_REASON_LEASE_LAPSED);
+		stop_runs_of(agent, session);
+	}
+}
--- a/src/core/agent_run.c
+++ b/src/core/agent_run.c
@@ -103,8 +103,8 @@
 	g_ptr_array_add(run->session->outbox, run);
 }
 
-static void
-run_finish(struct mst_agent *agent, struct run *run,
+void
+mst_run_finish(struct mst_agent *agent, struct run *run,
     const struct mst_result_item *result)
 {
 	run->state = RUN_FINISHED;
@@ -114,7 +114,9 @@
 	run->result.seq = run->task.seq;
 	run->result.content_type.data = mst_bytes_dup(result->content_type);
 	run->result.body.data = mst_bytes_dup(result->body);
-	task_release(&run->task);
+	/* A leased run's orders of this step may still name the task. */
+	if (!agent->options.leased)
+		task_release(&run->task);
 	if (result->outcome == MST_OUTCOME_NOT_RUN)
 		agent->counters.refused[result->reason]++;
 	run_report(run);
@@ -127,7 +129,7 @@
 	    .reason = (uint8_t)reason,
 	    .queue_us = (uint32_t)(agent->now_us - run->arrived_us)};
 
-	run_finish(agent, run, &result);
+	mst_run_finish(agent, run, &result);
 }
 
 static void
@@ -139,7 +141,7 @@
 
 void
 mst_agent_dispatch(struct mst_agent *agent, struct session *session,
-    const struct mst_dispatch_item *item)
+    const struct mst_dispatch_item *item, bool stale)
 {
 	struct run *run;
 
@@ -162,7 +164,9 @@
 	run_index_by_job(run);
 	if (session->fenced) {
 		run_refuse(agent, run, MST_REASON_FENCED);
-	} else if (agent->draining) {
+	} else if (stale) {
+		run_refuse(agent, run, MST_REASON_STALE);
+	} else if (agent->draining || agent->worker.draining) {
 		run_refuse(agent, run, MST_REASON_DRAINING);
 	} else if (agent->queue.length >= agent->options.queue_max) {
 		run_refuse(agent, run, MST_REASON_BUSY);
@@ -195,8 +199,13 @@
 		break;
 	}
 	run = g_hash_table_lookup(session->runs, mst_key(seq));
-	if (run == NULL || run->state == RUN_RUNNING)
+	if (run == NULL)
+		return;
+	if (run->state == RUN_RUNNING) {
+		if (agent->options.leased)
+			mst_worker_stop(agent, run, MST_REASON_WITHDRAWN);
 		return;
+	}
 	if (run->state == RUN_FINISHED) {
 		run_report(run);
 		return;
@@ -218,6 +227,10 @@
 	agent->running++;
 	agent->counters.starts++;
 	g_hash_table_insert(agent->active, mst_key(run->handle), run);
+	if (agent->options.leased) {
+		mst_worker_start(agent, run);
+		return;
+	}
 	effect = mst_agent_emit(agent, MST_AGENT_FX_START);
 	effect->run = run->handle;
 	effect->task = &run->task;
@@ -225,14 +238,23 @@
 	    run->task.timeout_ms - (uint32_t)(waited_us / 1000);
 }
 
+static bool
+agent_has_room(const struct mst_agent *agent, const struct run *run)
+{
+	if (agent->options.leased)
+		return mst_worker_ready(agent) &&
+		    mst_worker_has_room(agent, &run->task.needs);
+	return agent->running < agent->options.slots;
+}
+
 void
 mst_agent_start_queued(struct mst_agent *agent)
 {
 	struct run *run;
 	int64_t limit_us;
 
-	while (agent->running < agent->options.slots &&
-	    (run = g_queue_peek_head(&agent->queue)) != NULL) {
+	while ((run = g_queue_peek_head(&agent->queue)) != NULL &&
+	    agent_has_room(agent, run)) {
 		queue_remove(agent, run);
 		limit_us = (int64_t)run->task.timeout_ms * 1000;
 		if (agent->now_us - run->arrived_us >= limit_us)
@@ -264,13 +286,20 @@
 mst_agent_finished(struct mst_agent *agent, uint64_t handle,
     const struct mst_result_item *result)
 {
-	struct mst_result_item timed = *result;
 	struct run *run = g_hash_table_lookup(agent->active, mst_key(handle));
+
+	if (run != NULL)
+		mst_run_ended(agent, run, result);
+}
+
+void
+mst_run_ended(struct mst_agent *agent, struct run *run,
+    const struct mst_result_item *result)
+{
+	struct mst_result_item timed = *result;
 	int64_t service_us;
 
-	if (run == NULL)
-		return;
-	g_hash_table_remove(agent->active, mst_key(handle));
+	g_hash_table_remove(agent->active, mst_key(run->handle));
 	agent->running--;
 	run->session->open--;
 	agent->counters.finished++;
@@ -279,7 +308,7 @@
 	timed.queue_us = (uint32_t)(run->started_us - run->arrived_us);
 	if (result->outcome == MST_OUTCOME_DONE)
 		agent->service_us += (service_us - agent->service_us) / 16;
-	run_finish(agent, run, &timed);
+	mst_run_finish(agent, run, &timed);
 }
 
 static void
@@ -381,6 +410,7 @@
 	}
 	msg = mst_agent_emit_msg(agent, session->entry, MST_MSG_RESULT);
 	msg->results.grant = mst_session_grant(agent, session);
+	msg->results.free_slots = mst_worker_free_slots(agent);
 	msg->results.count = session->outbox->len;
 	/* An index for now: the array may still move. */
 	msg->results.items = (const void *)(uintptr_t)first;
--- a/src/core/agent_session.c
+++ b/src/core/agent_session.c
@@ -95,6 +95,21 @@
 	return (uint32_t)CLAMP(round(tasks), 0, AGENT_PREFETCH_MAX);
 }
 
+/* What an entry may have at a leased agent: what it has, the free slots, and a
+ * few more that wait for the next slot. Entries are told of the same slots; who
+ * comes second waits for the next one. */
+static uint32_t
+leased_grant(const struct mst_agent *agent, const struct session *session)
+{
+	uint32_t waiting = agent->queue.length;
+	uint32_t ahead =
+	    waiting < AGENT_LEASED_QUEUE ? AGENT_LEASED_QUEUE - waiting : 0;
+
+	if (!mst_worker_ready(agent))
+		return 0;
+	return session->open + mst_worker_free_slots(agent) + ahead;
+}
+
 uint32_t
 mst_session_grant(const struct mst_agent *agent, const struct session *session)
 {
@@ -105,6 +120,8 @@
 
 	if (agent->draining || session->fenced)
 		return 0;
+	if (agent->options.leased)
+		return leased_grant(agent, session);
 	g_hash_table_iter_init(&iter, agent->sessions);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct session *other = value;
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -28,6 +28,7 @@
 	entry->generations = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	entry->free_slots = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	entry->by_id = g_hash_table_new(mst_job_id_hash, mst_job_id_equal);
+	entry->by_key = g_hash_table_new(g_str_hash, g_str_equal);
 	entry->requests = g_hash_table_new(g_direct_hash, g_direct_equal);
 	entry->teams = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, (GDestroyNotify)mst_team_free);
@@ -65,6 +66,7 @@
 	g_hash_table_unref(entry->teams);
 	g_ptr_array_unref(entry->active_teams);
 	g_hash_table_unref(entry->by_id);
+	g_hash_table_unref(entry->by_key);
 	g_hash_table_unref(entry->requests);
 	g_hash_table_unref(entry->by_member);
 	g_hash_table_unref(entry->peers);
@@ -336,6 +338,8 @@
 	    .started = job->started,
 	    .submitted_us = job->submitted_us,
 	    .closed_us = job->closed_us,
+	    .may_have_run = mst_job_may_have_run(job),
+	    .retry_after_ms = job->retry_after_ms,
 	    .traceparent = mst_span_bytes(job, job->traceparent)};
 	return 0;
 }
@@ -422,6 +426,12 @@
 	return gauges;
 }
 
+const struct mst_config *
+mst_entry_config(const struct mst_entry *entry)
+{
+	return entry->config;
+}
+
 const char *
 mst_entry_document(const struct mst_entry *entry)
 {
--- a/src/core/entry_flush.c
+++ b/src/core/entry_flush.c
@@ -34,6 +34,11 @@
 		    .index = (uint32_t)(tag & 0xffff),
 		    .flags = task->flags,
 		    .timeout_ms = timeout_left_ms(entry, job),
+		    .run = task->attempts,
+		    .work_us = (uint32_t)MIN(
+			mst_task_work_us(job, task) * member->slowness,
+			UINT32_MAX),
+		    .needs = task->needs,
 		    .method = mst_span_bytes(job, task->method),
 		    .path = mst_span_bytes(job, task->path),
 		    .content_type = mst_span_bytes(job, task->content_type),
@@ -57,6 +62,20 @@
 	member->withdrawals = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 }
 
+static void
+dispatch_set_lease(const struct mst_entry *entry, const struct member *member,
+    struct mst_dispatch *dispatch)
+{
+	int64_t clock_us = member->clock_us;
+
+	if (!entry->options.leased)
+		return;
+	dispatch->echo_us = (uint64_t)clock_us;
+	dispatch->expires_us =
+	    (uint64_t)(clock_us + (entry->now_us - member->clock_heard_us) +
+		entry->options.dispatch_valid_us);
+}
+
 void
 mst_entry_flush(struct mst_entry *entry)
 {
@@ -79,6 +98,7 @@
 			continue;
 		msg = mst_entry_emit_msg(
 		    entry, member->incarnation, MST_MSG_DISPATCH);
+		dispatch_set_lease(entry, member, &msg->dispatch);
 		msg->dispatch.received_frontier = member->received.frontier;
 		msg->dispatch.demand = entry->waiting;
 		msg->dispatch.count = entry->scratch_items->len - first;
--- a/src/core/entry_internal.h
+++ b/src/core/entry_internal.h
@@ -40,6 +40,7 @@
 	uint8_t attempts;
 	bool withdrawing;
 	bool maybe_started; /* an earlier attempt has, or may have */
+	uint8_t failures;   /* runs that ended as failed */
 	uint16_t status;
 	uint32_t declared_us;
 	uint32_t queue_us;
@@ -82,6 +83,14 @@
 	char *arena;
 	size_t arena_len;
 	struct span traceparent;
+	bool restartable;
+	char *key;
+	GQuark service; /* 0: any */
+	uint32_t priority;
+	uint32_t attempts;
+	double stretch;
+	int64_t target_us;
+	uint32_t retry_after_ms;
 	uint64_t bytes;
 	GList kept; /* in the list of closed jobs */
 	struct adoption *adoption;
@@ -118,6 +127,10 @@
 	enum member_state state;
 	uint32_t slots;
 	struct mst_resources resources;
+	GQuark service;
+	int64_t clock_us;       /* its clock, as last announced */
+	int64_t clock_heard_us; /* and when that was heard */
+	uint32_t free_slots;    /* leased: as last told, less what was sent */
 	uint32_t grant;
 	uint32_t outstanding;
 	uint32_t withdrawing;
@@ -186,6 +199,7 @@
 	GArray *generations;  /* uint32_t per slot */
 	GArray *free_slots;   /* uint32_t */
 	GHashTable *by_id;    /* struct mst_job_id -> struct job */
+	GHashTable *by_key;   /* char * -> open restartable struct job */
 	GHashTable *requests; /* request -> struct job */
 	GQueue kept;          /* closed jobs, oldest first */
 	uint32_t jobs_open;
@@ -251,6 +265,8 @@
 void mst_task_close(struct mst_entry *entry, struct job *job, uint32_t index,
     enum mst_outcome outcome, enum mst_reason reason);
 void mst_task_requeue(struct mst_entry *entry, struct job *job, uint32_t index);
+/* True unless every task is proved not to have started. */
+bool mst_job_may_have_run(const struct job *job);
 void mst_entry_expire_jobs(struct mst_entry *entry);
 void mst_job_free(struct mst_entry *entry, struct job *job);
 void mst_job_queue_all(struct mst_entry *entry, struct job *job);
@@ -289,6 +305,7 @@
 bool mst_member_has_room(
     const struct mst_entry *entry, const struct member *member);
 double mst_task_work_us(const struct job *job, const struct task *task);
+bool mst_member_serves(const struct member *member, const struct job *job);
 bool mst_member_fits(const struct member *member, const struct task *task);
 bool mst_member_usable(
     const struct mst_entry *entry, const struct member *member);
--- a/src/core/entry_job.c
+++ b/src/core/entry_job.c
@@ -88,6 +88,7 @@
 	g_array_unref(job->waiting);
 	g_array_unref(job->requests);
 	g_free(job->tasks);
+	g_free(job->key);
 	g_free(job->arena);
 	g_free(job);
 }
@@ -123,6 +124,46 @@
 	return (gint)right - (gint)left;
 }
 
+static void
+job_set_terms(
+    struct mst_entry *entry, struct job *job, const struct mst_job_spec *spec)
+{
+	job->restartable = spec->restartable;
+	job->service = spec->service ? g_quark_from_string(spec->service) : 0;
+	job->priority = spec->priority;
+	job->attempts = MAX(spec->attempts, 1);
+	job->stretch = spec->stretch;
+	job->target_us = (int64_t)spec->target_ms * 1000;
+	if (spec->key == NULL)
+		return;
+	job->key = g_strdup(spec->key);
+	g_hash_table_replace(entry->by_key, job->key, job);
+}
+
+static void
+job_drop_key(struct mst_entry *entry, struct job *job)
+{
+	if (job->key != NULL &&
+	    g_hash_table_lookup(entry->by_key, job->key) == job)
+		g_hash_table_remove(entry->by_key, job->key);
+}
+
+bool
+mst_job_may_have_run(const struct job *job)
+{
+	uint32_t i;
+
+	for (i = 0; i < job->count; i++) {
+		const struct task *task = &job->tasks[i];
+
+		if (task->state == TASK_SENT || task->maybe_started ||
+		    (task->state == TASK_CLOSED &&
+			task->outcome != MST_OUTCOME_NOT_RUN))
+			return true;
+	}
+	return false;
+}
+
 struct job *
 mst_job_new(
     struct mst_entry *entry, const struct mst_job_spec *spec, struct team *team)
@@ -150,6 +191,7 @@
 	job->arena = g_malloc(MAX(arena, 1));
 	job->kept.data = job;
 	job->traceparent = arena_put(job, spec->traceparent);
+	job_set_terms(entry, job, spec);
 	for (i = 0; i < spec->count; i++)
 		task_init(job, i, &spec->tasks[i]);
 	job->bytes = sizeof(*job) + arena +
@@ -270,6 +312,7 @@
 	} else {
 		entry->counters.jobs_complete++;
 	}
+	job_drop_key(entry, job);
 	job->state = state;
 	job->reason = reason;
 	job->team->open -= job->open;
@@ -327,6 +370,8 @@
 
 		if (member->state == MEMBER_GONE)
 			continue;
+		if (!mst_member_serves(member, job))
+			continue;
 		any = true;
 		if (mst_member_fits(member, &job->tasks[index]))
 			return false;
@@ -368,6 +413,7 @@
 mst_job_discard(struct mst_entry *entry, struct job *job)
 {
 	entry->jobs_open--;
+	job_drop_key(entry, job);
 	job->team->open -= job->open;
 	job_drop_waiting(entry, job);
 	mst_job_free(entry, job);
--- a/src/core/entry_member.c
+++ b/src/core/entry_member.c
@@ -90,9 +90,11 @@
 	    mst_entry_emit_msg(entry, member->incarnation, MST_MSG_HEARTBEAT);
 	struct mst_heartbeat *heartbeat = &msg->heartbeat;
 
+	heartbeat->echo_us = (uint64_t)member->clock_us;
 	heartbeat->roster_version = entry->roster_version;
 	member->told_version = entry->roster_version;
-	if (member->roster_version < entry->roster_version) {
+	if (!entry->options.leased &&
+	    member->roster_version < entry->roster_version) {
 		heartbeat->agents = (const uint64_t *)entry->roster->data;
 		heartbeat->agent_count = entry->roster->len;
 		heartbeat->floor = entry->roster_floor;
@@ -123,6 +125,8 @@
 {
 	guint i;
 
+	if (entry->options.leased)
+		return true;
 	if (joining->roster_version < joining->join_version)
 		return false;
 	if (joining->join_version == 1)
@@ -198,6 +202,8 @@
 	member_seek_witness(entry, member);
 }
 
+static void member_lose(struct mst_entry *entry, struct member *member);
+
 static struct member *
 member_new(struct mst_entry *entry, uint64_t incarnation)
 {
@@ -216,12 +222,25 @@
 	return member;
 }
 
+static void
+member_set_service(struct member *member, struct mst_bytes name)
+{
+	char *text;
+
+	if (name.len == 0)
+		return;
+	text = mst_bytes_string(name);
+	member->service = g_quark_from_string(text);
+	g_free(text);
+}
+
 static void
 member_describe(struct member *member, const struct mst_announce *m)
 {
 	mst_text_set(&member->name, m->name);
 	mst_text_set(&member->failure_domain, m->failure_domain);
 	mst_text_set(&member->rack, m->rack);
+	member_set_service(member, m->service);
 	member->slots = m->slots;
 	member->resources = m->resources;
 	member->config_version = m->config_version;
@@ -326,6 +345,7 @@
 {
 	if (addressed) {
 		member->grant = m->grant;
+		member->free_slots = m->free_slots;
 		member->roster_version =
 		    MAX(member->roster_version, m->roster_version);
 		member_repeat_lost(entry, member, m);
@@ -335,10 +355,41 @@
 	}
 	if (m->draining)
 		member_set_state(entry, member, MEMBER_LEAVING);
-	else if (member->state == MEMBER_SUSPECT)
+	else if (member->state == MEMBER_SUSPECT ||
+	    (entry->options.leased && member->state == MEMBER_LEAVING))
 		member_set_state(entry, member, MEMBER_ACTIVE);
 }
 
+/* The greatest clock counts: an announcement that was held up tells less. */
+static void
+member_hear_clock(struct mst_entry *entry, struct member *member,
+    const struct mst_announce *m)
+{
+	if ((int64_t)m->clock_us <= member->clock_us)
+		return;
+	member->clock_us = (int64_t)m->clock_us;
+	member->clock_heard_us = entry->now_us;
+}
+
+/* A new incarnation under the name of another one: the earlier is dead, and
+ * a leased agent ends what it finds before it announces itself. */
+static void
+member_succeed(struct mst_entry *entry, struct member *member)
+{
+	guint i;
+
+	for (i = 0; i < entry->members->len; i++) {
+		struct member *old = entry->members->pdata[i];
+
+		if (old == member || g_strcmp0(old->name, member->name) != 0)
+			continue;
+		member->speed = old->speed;
+		member->service_us = old->service_us;
+		if (old->state != MEMBER_GONE)
+			member_lose(entry, old);
+	}
+}
+
 void
 mst_entry_announce(struct mst_entry *entry, const struct mst_msg *msg)
 {
@@ -356,6 +407,8 @@
 			return;
 		member_describe(member, m);
 		mst_member_report(entry, member);
+		if (entry->options.leased)
+			member_succeed(entry, member);
 		member_enlist(entry, member);
 	} else if (member->state == MEMBER_GONE) {
 		member_set_state(entry, member, MEMBER_JOINING);
@@ -363,6 +416,7 @@
 	}
 	member_describe(member, m);
 	member->heard_us = entry->now_us;
+	member_hear_clock(entry, member, m);
 	member_update(entry, member, m, msg->to == entry->incarnation);
 	if (m->entries.len > 0) {
 		effect = mst_entry_emit(entry, MST_ENTRY_FX_PEERS);
@@ -453,7 +507,7 @@
 	else if (silent_us > entry->options.suspect_us &&
 	    member->state == MEMBER_ACTIVE)
 		member_set_state(entry, member, MEMBER_SUSPECT);
-	if (member->state == MEMBER_SUSPECT)
+	if (member->state == MEMBER_SUSPECT && !entry->options.leased)
 		member_retry_elsewhere(entry, member);
 	if (member->ejected_until_us != 0 &&
 	    entry->now_us >= member->ejected_until_us) {
--- a/src/core/entry_place.c
+++ b/src/core/entry_place.c
@@ -16,11 +16,17 @@
 bool
 mst_member_fits(const struct member *member, const struct task *task)
 {
-	return member->resources.cores >= task->needs.cores &&
+	return member->resources.millicores >= task->needs.millicores &&
 	    member->resources.memory_mb >= task->needs.memory_mb &&
 	    member->resources.accelerators >= task->needs.accelerators;
 }
 
+bool
+mst_member_serves(const struct member *member, const struct job *job)
+{
+	return job->service == 0 || job->service == member->service;
+}
+
 bool
 mst_member_usable(const struct mst_entry *entry, const struct member *member)
 {
@@ -60,9 +66,10 @@
  * the task before is left out while there are others. */
 static bool
 is_candidate(const struct mst_entry *entry, const struct member *member,
-    const struct task *task)
+    const struct job *job, const struct task *task)
 {
-	if (!mst_member_has_room(entry, member) ||
+	if (!mst_member_serves(member, job) ||
+	    !mst_member_has_room(entry, member) ||
 	    !mst_member_fits(member, task))
 		return false;
 	return task->avoid != member || usable_members(entry) < 2;
@@ -239,7 +246,7 @@
 		struct member *member = entry->members->pdata[i];
 		double finish_us;
 
-		if (!is_candidate(entry, member, task))
+		if (!is_candidate(entry, member, job, task))
 			continue;
 		finish_us = member_finish_us(member, work_us);
 		if (finish_us <= slack_us && finish_us > in_time_us) {
@@ -260,7 +267,8 @@
 }
 
 static struct member *
-choose_random(struct mst_entry *entry, const struct task *task)
+choose_random(
+    struct mst_entry *entry, const struct job *job, const struct task *task)
 {
 	struct member *chosen = NULL;
 	gint32 seen = 0;
@@ -269,7 +277,7 @@
 	for (i = 0; i < entry->members->len; i++) {
 		struct member *member = entry->members->pdata[i];
 
-		if (!is_candidate(entry, member, task))
+		if (!is_candidate(entry, member, job, task))
 			continue;
 		seen++;
 		if (g_rand_int_range(entry->rand, 0, seen) == 0)
@@ -279,7 +287,8 @@
 }
 
 static struct member *
-choose_round_robin(struct mst_entry *entry, const struct task *task)
+choose_round_robin(
+    struct mst_entry *entry, const struct job *job, const struct task *task)
 {
 	guint n = entry->members->len;
 	guint i;
@@ -288,7 +297,7 @@
 		guint at = (entry->round_robin + i) % n;
 		struct member *member = entry->members->pdata[at];
 
-		if (!is_candidate(entry, member, task))
+		if (!is_candidate(entry, member, job, task))
 			continue;
 		entry->round_robin = at + 1;
 		return member;
@@ -297,7 +306,8 @@
 }
 
 static struct member *
-choose_least_outstanding(struct mst_entry *entry, const struct task *task)
+choose_least_outstanding(
+    struct mst_entry *entry, const struct job *job, const struct task *task)
 {
 	struct member *best = NULL;
 	guint i;
@@ -305,7 +315,7 @@
 	for (i = 0; i < entry->members->len; i++) {
 		struct member *member = entry->members->pdata[i];
 
-		if (!is_candidate(entry, member, task))
+		if (!is_candidate(entry, member, job, task))
 			continue;
 		if (best == NULL || member->outstanding < best->outstanding)
 			best = member;
@@ -319,11 +329,11 @@
 {
 	switch (entry->config->policy.placement) {
 	case MST_PLACEMENT_RANDOM:
-		return choose_random(entry, task);
+		return choose_random(entry, job, task);
 	case MST_PLACEMENT_ROUND_ROBIN:
-		return choose_round_robin(entry, task);
+		return choose_round_robin(entry, job, task);
 	case MST_PLACEMENT_LEAST_OUTSTANDING:
-		return choose_least_outstanding(entry, task);
+		return choose_least_outstanding(entry, job, task);
 	case MST_PLACEMENT_FINISH:
 		break;
 	}
--- a/src/core/entry_result.c
+++ b/src/core/entry_result.c
@@ -77,12 +77,30 @@
 	task_retry_later(entry, job, index);
 }
 
+/* A restartable task's run has ended without success: another may follow,
+ * elsewhere if there is a choice. */
+static void
+task_run_again(struct mst_entry *entry, struct job *job, uint32_t index,
+    struct member *member)
+{
+	struct task *task = &job->tasks[index];
+
+	task->maybe_started = true;
+	task->avoid = member;
+	entry->counters.retries++;
+	mst_task_requeue(entry, job, index);
+}
+
 void
 mst_task_unknown(struct mst_entry *entry, struct job *job, uint32_t index,
     enum mst_reason reason)
 {
 	struct task *task = &job->tasks[index];
 
+	if (job->restartable) {
+		task_run_again(entry, job, index, task->member);
+		return;
+	}
 	if (task_may_repeat(entry, job, task)) {
 		task_retry_later(entry, job, index);
 		return;
@@ -154,6 +172,20 @@
 	mst_task_take_result(entry, job, index, result);
 }
 
+static void
+task_failed(struct mst_entry *entry, struct job *job, uint32_t index,
+    struct member *member)
+{
+	struct task *task = &job->tasks[index];
+
+	task->failures++;
+	if (task->failures < job->attempts)
+		task_run_again(entry, job, index, member);
+	else
+		mst_task_close(
+		    entry, job, index, MST_OUTCOME_DONE, MST_REASON_RUN_FAILED);
+}
+
 static void
 task_result(struct mst_entry *entry, struct job *job, uint32_t index,
     struct member *member, const struct mst_result_item *result)
@@ -164,6 +196,10 @@
 	case MST_OUTCOME_DONE:
 		mst_member_judge(
 		    entry, member, result->status >= STATUS_FAILED);
+		if (job->restartable && result->status >= STATUS_FAILED) {
+			task_failed(entry, job, index, member);
+			break;
+		}
 		if (result->status < STATUS_FAILED)
 			speed_learn(member, job, task, result->service_us);
 		task_done(entry, job, index, result);
@@ -178,6 +214,10 @@
 	case MST_OUTCOME_UNKNOWN:
 	case MST_OUTCOME_NONE:
 		mst_member_judge(entry, member, true);
+		if (job->restartable) {
+			task_run_again(entry, job, index, member);
+			break;
+		}
 		mst_task_unknown(entry, job, index, result->reason);
 		break;
 	}
@@ -223,6 +263,7 @@
 	uint32_t i;
 
 	member->grant = results->grant;
+	member->free_slots = results->free_slots;
 	for (i = 0; i < results->count; i++) {
 		result_apply(entry, member, &results->items[i]);
 		if (entry->incarnation != incarnation)
--- a/src/core/entry_submit.c
+++ b/src/core/entry_submit.c
@@ -243,6 +243,7 @@
 	enum mst_reason reason;
 	uint32_t retry_ms = 1000;
 	struct team *team = NULL;
+	struct job *known;
 	int fresh = 1;
 
 	if (event->type == MST_ENTRY_EV_MINT) {
@@ -252,6 +253,11 @@
 	spec = *event->spec;
 	if (spec.ticket.job.minter != 0 && submit_known_ticket(entry, event))
 		return;
+	known = spec.key ? g_hash_table_lookup(entry->by_key, spec.key) : NULL;
+	if (known != NULL) {
+		request_attach(entry, known, event->request);
+		return;
+	}
 	reason = readiness_reason(entry);
 	if (reason == MST_REASON_NONE) {
 		team = mst_team_get(entry, spec.team);
@@ -323,6 +329,8 @@
 		if (g_array_index(job->requests, uint64_t, i) != request)
 			continue;
 		g_array_remove_index_fast(job->requests, i);
-		return;
+		break;
 	}
+	if (job->restartable && job->requests->len == 0)
+		mst_job_close(entry, job, MST_JOB_FAILED, MST_REASON_GIVEN_UP);
 }
--- a/src/core/message.c
+++ b/src/core/message.c
@@ -28,6 +28,13 @@
     [MST_REASON_TASK_FAILED] = "task-failed",
     [MST_REASON_OWNER_UNREACHABLE] = "owner-unreachable",
     [MST_REASON_HISTORY_LOST] = "history-lost",
+    [MST_REASON_RUN_FAILED] = "run-failed",
+    [MST_REASON_RUN_LOST] = "run-lost",
+    [MST_REASON_LEASE_LAPSED] = "lease-lapsed",
+    [MST_REASON_STALE] = "stale",
+    [MST_REASON_GIVEN_UP] = "given-up",
+    [MST_REASON_NO_QUEUE] = "no-queue",
+    [MST_REASON_NOT_SERVED] = "not-served",
 };
 
 static const char *const type_names[MST_MSG_MAX] = {
--- a/src/net/bus.c
+++ b/src/net/bus.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <zmq.h>
 
+#include "base/clock.h"
 #include "base/log.h"
 #include "base/random.h"
 #include "codec/codec.h"
@@ -58,7 +59,7 @@
 static int64_t
 bus_now_us(void)
 {
-	return (int64_t)(uv_hrtime() / 1000);
+	return mst_clock_us();
 }
 
 static void
@@ -426,6 +427,30 @@
 	return 0;
 }
 
+int
+mst_bus_connect_all(
+    struct mst_bus *bus, const struct mst_settings *settings, GError **error)
+{
+	guint i;
+
+	for (i = 0; i < settings->entries->len; i++) {
+		if (mst_bus_connect(bus, settings->entries->pdata[i], error) <
+		    0)
+			return -1;
+	}
+	for (i = 0; i < settings->entry_hosts->len; i++) {
+		const char *host = settings->entry_hosts->pdata[i];
+		char *address = g_strdup_printf("%.*s:%u",
+		    (int)strcspn(host, ":"), host, settings->members_port);
+		int rc = mst_bus_connect(bus, address, error);
+
+		g_free(address);
+		if (rc < 0)
+			return -1;
+	}
+	return 0;
+}
+
 static void
 link_send(struct link *link, const char *identity, size_t identity_len,
     const GByteArray *bytes)
--- a/src/net/bus.h
+++ b/src/net/bus.h
@@ -51,6 +51,10 @@
 /* Connects to an entry unless that is done already. */
 int mst_bus_connect(struct mst_bus *bus, const char *address, GError **error);
 
+/* Connects to the entries that the settings name. */
+int mst_bus_connect_all(
+    struct mst_bus *bus, const struct mst_settings *settings, GError **error);
+
 /*
  * Sends to msg->to, or where that is 0: an announcement to each entry that
  * has not been heard lately, anything else to every entry.
--- a/src/net/http_call.c
+++ b/src/net/http_call.c
@@ -1,6 +1,9 @@
 #include "net/http_call.h"
 
 #include <curl/curl.h>
+#include <errno.h>
+
+#define HANDLES_KEPT_MAX 16
 
 struct transfer {
 	struct mst_http_caller *caller;
@@ -22,32 +25,52 @@
 	uv_timer_t timer;
 	CURLM *multi;
 	GHashTable *transfers;
+	GPtrArray *idle; /* CURL handles to be used again */
 };
 
 static void
 transfer_free(struct transfer *transfer)
 {
-	curl_multi_remove_handle(transfer->caller->multi, transfer->easy);
-	curl_easy_cleanup(transfer->easy);
+	struct mst_http_caller *caller = transfer->caller;
+
+	curl_multi_remove_handle(caller->multi, transfer->easy);
+	if (caller->idle->len < HANDLES_KEPT_MAX)
+		g_ptr_array_add(caller->idle, transfer->easy);
+	else
+		curl_easy_cleanup(transfer->easy);
 	curl_slist_free_all(transfer->headers);
 	g_byte_array_unref(transfer->body);
 	g_free(transfer);
 }
 
+static int
+transfer_status(const struct transfer *transfer, CURLcode result)
+{
+	long value = 0;
+
+	if (result == CURLE_OK) {
+		curl_easy_getinfo(
+		    transfer->easy, CURLINFO_RESPONSE_CODE, &value);
+		return (int)value;
+	}
+	curl_easy_getinfo(transfer->easy, CURLINFO_OS_ERRNO, &value);
+	if (result == CURLE_COULDNT_CONNECT && value == ECONNREFUSED)
+		return MST_HTTP_REFUSED;
+	return MST_HTTP_NO_ANSWER;
+}
+
 static void
 transfer_end(struct mst_http_caller *caller, const CURLMsg *message)
 {
 	struct transfer *transfer = NULL;
-	long status = 0;
+	int status;
 
 	curl_easy_getinfo(
 	    message->easy_handle, CURLINFO_PRIVATE, (char **)&transfer);
-	if (message->data.result == CURLE_OK)
-		curl_easy_getinfo(
-		    transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+	status = transfer_status(transfer, message->data.result);
 	g_hash_table_remove(caller->transfers, transfer);
 	g_byte_array_append(transfer->body, (const guint8 *)"", 1);
-	transfer->on_done((int)status, (const char *)transfer->body->data,
+	transfer->on_done(status, (const char *)transfer->body->data,
 	    transfer->body->len - 1, transfer->ctx);
 	transfer_free(transfer);
 }
@@ -144,6 +167,7 @@
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	caller->loop = loop;
 	caller->transfers = g_hash_table_new(g_direct_hash, g_direct_equal);
+	caller->idle = g_ptr_array_new_with_free_func(curl_easy_cleanup);
 	uv_timer_init(loop, &caller->timer);
 	caller->timer.data = caller;
 	caller->multi = curl_multi_init();
@@ -171,6 +195,7 @@
 	while (g_hash_table_iter_next(&iter, &key, NULL))
 		transfer_free(key);
 	g_hash_table_unref(caller->transfers);
+	g_ptr_array_unref(caller->idle);
 	curl_multi_cleanup(caller->multi);
 	uv_close((uv_handle_t *)&caller->timer, on_caller_closed);
 }
@@ -185,12 +210,26 @@
 	return size * count;
 }
 
+static CURL *
+easy_take(struct mst_http_caller *caller)
+{
+	CURL *easy;
+
+	if (caller->idle->len == 0)
+		return curl_easy_init();
+	easy = caller->idle->pdata[caller->idle->len - 1];
+	caller->idle->pdata[caller->idle->len - 1] = NULL;
+	g_ptr_array_set_size(caller->idle, (gint)caller->idle->len - 1);
+	curl_easy_reset(easy);
+	return easy;
+}
+
 void
 mst_http_caller_start(
     struct mst_http_caller *caller, const struct mst_http_call *call)
 {
 	struct transfer *transfer = g_new0(struct transfer, 1);
-	CURL *easy = curl_easy_init();
+	CURL *easy = easy_take(caller);
 	int i;
 
 	transfer->caller = caller;
--- a/src/net/http_call.h
+++ b/src/net/http_call.h
@@ -1,14 +1,18 @@
 #ifndef MST_HTTP_CALL_H
 #define MST_HTTP_CALL_H
 
-/* Calls to the platform's services, by libcurl on the libuv loop. */
+/* HTTP calls by libcurl on the libuv loop, over connections that are kept. */
 
 #include <glib.h>
 #include <uv.h>
 
 struct mst_http_caller;
 
-/* status is 0 when there was no answer; the body ends with a NUL. */
+/* In place of a status. */
+#define MST_HTTP_NO_ANSWER 0    /* the request may have been received */
+#define MST_HTTP_REFUSED   (-1) /* nothing listens there */
+
+/* The body ends with a NUL. */
 typedef void (*mst_http_call_cb)(
     int status, const char *body, size_t len, void *ctx);
 
--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -62,6 +62,7 @@
 	request->id = ++httpd->next_id;
 	request->internal = exchange;
 	request->method = iovec_bytes(req->method);
+	request->host = iovec_bytes(req->input.authority);
 	request->path = iovec_bytes(req->path);
 	if (req->query_at != SIZE_MAX) {
 		request->path.len = req->query_at;
@@ -183,6 +184,10 @@
 	req->res.status = status;
 	req->res.reason = "";
 	for (i = 0; i < count; i++) {
+		if (strcmp(headers[i].name, "connection") == 0) {
+			req->http1_is_persistent = 0;
+			continue;
+		}
 		h2o_iovec_t value = h2o_strdup(
 		    &req->pool, headers[i].value, strlen(headers[i].value));
 
--- a/src/net/httpd.h
+++ b/src/net/httpd.h
@@ -12,6 +12,7 @@
 /* One request; valid until it is answered or its caller has gone. */
 struct mst_http_request {
 	struct mst_bytes method;
+	struct mst_bytes host;  /* that the caller named, with its port */
 	struct mst_bytes path;  /* without the query */
 	struct mst_bytes query; /* after the question mark */
 	struct mst_bytes body;
--- a/src/runtime/agent_runtime.c
+++ b/src/runtime/agent_runtime.c
@@ -14,9 +14,14 @@
 #include "runtime/loop.h"
 #include "runtime/metrics.h"
 #include "runtime/operators.h"
+#include "runtime/ports.h"
+#include "runtime/store_watch.h"
 
-#define AGENT_GRACE_MS 300
-#define AGENT_HTTP_MAX (64 * 1024)
+#define AGENT_GRACE_MS     300
+#define AGENT_HTTP_MAX     (64 * 1024)
+#define AGENT_REPORT_MAX   (5 << 20)
+#define AGENT_WATCH_MS     10000
+#define AGENT_RETENTION_US (2 * G_USEC_PER_SEC)
 
 /* The end of a call that was reported while the reducer was at work. */
 struct ended {
@@ -34,6 +39,15 @@
 	bool stepping;
 	GQueue ended;    /* struct ended */
 	char *addresses; /* as the reducer knows them */
+
+	/* Leased only. */
+	const struct mst_ports *ports;
+	struct mst_http_caller *caller;       /* to the worker */
+	struct mst_http_caller *store_caller; /* to the store */
+	struct mst_httpd *reports;
+	void *worker;
+	void *store;
+	struct store_watch entries_watch;
 };
 
 static void agent_step(struct agent_runtime *rt, struct mst_agent_event *event);
@@ -100,6 +114,12 @@
 	case MST_AGENT_FX_STOPPED:
 		agent_stop(rt);
 		break;
+	case MST_AGENT_FX_ORDER:
+		rt->ports->worker->order(rt->worker, &effect->order);
+		break;
+	case MST_AGENT_FX_WORKER:
+		mst_log(MST_LOG_INFO, "worker", "state=%s", effect->state);
+		break;
 	}
 }
 
@@ -190,7 +210,8 @@
 	struct agent_runtime *rt = ctx;
 	struct mst_agent_event event = {.type = MST_AGENT_EV_TICK};
 
-	mst_upstream_expire(rt->upstream);
+	if (rt->upstream != NULL)
+		mst_upstream_expire(rt->upstream);
 	agent_step(rt, &event);
 }
 
@@ -250,6 +271,97 @@
 {
 }
 
+static void
+on_worker_answer(const struct mst_order_answer *answer, void *ctx)
+{
+	struct mst_agent_event event = {
+	    .type = MST_AGENT_EV_ORDERED, .answer = answer};
+
+	agent_step(ctx, &event);
+}
+
+static void
+on_report(struct mst_http_request *request, void *ctx)
+{
+	struct agent_runtime *rt = ctx;
+	const struct worker_port *port = rt->ports->worker;
+	struct mst_worker_report report;
+	struct mst_agent_event event = {
+	    .type = MST_AGENT_EV_REPORT, .report = &report};
+	const char *fault = NULL;
+	void *internal;
+
+	if (port->read_report(&report, &internal, &fault, request)) {
+		agent_step(rt, &event);
+		mst_http_answer(
+		    rt->reports, request->id, 200, NULL, 0, "{}", 2);
+	} else {
+		mst_log(MST_LOG_WARNING, "report-refused", "fault=%s",
+		    mst_log_quote(fault));
+		mst_http_answer(
+		    rt->reports, request->id, 400, NULL, 0, "{}", 2);
+	}
+	port->release_report(internal);
+}
+
+static void
+on_entries_news(const struct store_news *news, void *ctx)
+{
+	guint i;
+
+	for (i = 0; i < news->entries->len; i++)
+		connect_entries(ctx, mst_bytes_of(news->entries->pdata[i]));
+}
+
+static int
+agent_worker_open(struct agent_runtime *rt, GError **error)
+{
+	const struct mst_worker_settings *settings = &rt->settings->worker;
+	struct worker_port_options worker = {.address = settings->address,
+	    .now_us = runtime_now_us,
+	    .on_answer = on_worker_answer,
+	    .ctx = rt};
+	struct mst_httpd_options reports = {.loop = &rt->loop.uv,
+	    .listen = settings->report_listen,
+	    .body_max_bytes = AGENT_REPORT_MAX,
+	    .on_request = on_report,
+	    .on_gone = on_gone,
+	    .ctx = rt};
+
+	if (mst_httpd_new(&rt->reports, &reports, error) < 0)
+		return -1;
+	rt->caller = mst_http_caller_new(&rt->loop.uv);
+	worker.caller = rt->caller;
+	rt->worker = rt->ports->worker->open(&worker);
+	if (rt->settings->store == NULL)
+		return 0;
+	rt->store_caller = mst_http_caller_new(&rt->loop.uv);
+	rt->store =
+	    rt->ports->store->open(rt->store_caller, rt->settings->store);
+	rt->entries_watch = (struct store_watch){.port = rt->ports->store,
+	    .store = rt->store,
+	    .subject = STORE_ENTRIES,
+	    .wait_ms = AGENT_WATCH_MS,
+	    .on_news = on_entries_news,
+	    .ctx = rt};
+	store_watch_start(&rt->entries_watch, &rt->loop.uv);
+	return 0;
+}
+
+/* The worker grants no longer leases than its settings say. */
+static void
+options_set_leased(struct mst_agent_options *options,
+    const struct mst_worker_settings *settings)
+{
+	int64_t max_us = (int64_t)settings->lease_max_ms * 1000;
+
+	options->leased = true;
+	options->run_lease_us = MIN(options->run_lease_us, max_us);
+	options->renew_us = MIN(options->renew_us, options->run_lease_us / 4);
+	options->heartbeat_us = INT64_C(500) * 1000;
+	options->retention_us = AGENT_RETENTION_US;
+}
+
 static int
 agent_open(struct agent_runtime *rt, GError **error)
 {
@@ -271,7 +383,6 @@
 	    .result_max_bytes = settings->upstream.result_max_bytes,
 	    .on_done = on_call_done,
 	    .ctx = rt};
-	guint i;
 
 	options.incarnation = mst_random_u64();
 	options.name = settings->name;
@@ -280,26 +391,31 @@
 	options.slots = settings->upstream.slots;
 	options.connections = settings->upstream.connections;
 	options.resources = settings->resources;
+	if (settings->worker.address != NULL)
+		options_set_leased(&options, &settings->worker);
 	mst_agent_new(&rt->agent, &options);
-	mst_upstream_new(&rt->upstream, &upstream);
+	if (settings->upstream.address != NULL)
+		mst_upstream_new(&rt->upstream, &upstream);
 	if (mst_bus_new(&rt->bus, &bus, error) < 0 ||
 	    mst_httpd_new(&rt->httpd, &http, error) < 0)
 		return -1;
-	for (i = 0; i < settings->entries->len; i++) {
-		if (mst_bus_connect(
-			rt->bus, settings->entries->pdata[i], error) < 0)
-			return -1;
-	}
+	if (mst_bus_connect_all(rt->bus, settings, error) < 0)
+		return -1;
+	if (settings->worker.address != NULL &&
+	    agent_worker_open(rt, error) < 0)
+		return -1;
 	runtime_loop_start(&rt->loop);
 	connect_entries(rt, (struct mst_bytes){0});
 	mst_log(MST_LOG_INFO, "started",
 	    "incarnation=%016" PRIx64 " upstream=%s", options.incarnation,
-	    settings->upstream.address);
+	    settings->upstream.address ? settings->upstream.address
+				       : settings->worker.address);
 	return 0;
 }
 
 int
-mst_agentd_run(const struct mst_settings *settings, GError **error)
+mst_agentd_run(const struct mst_settings *settings,
+    const struct mst_ports *ports, GError **error)
 {
 	static const struct runtime_loop_callbacks callbacks = {
 	    .on_tick = on_tick, .on_flush = on_flush, .on_drain = on_drain};
@@ -307,6 +423,7 @@
 	int rc;
 
 	rt->settings = settings;
+	rt->ports = ports;
 	runtime_loop_init(&rt->loop, &callbacks, rt);
 	rc = agent_open(rt, error);
 	if (rc == 0) {
--- a/src/runtime/daemon_main.c
+++ b/src/runtime/daemon_main.c
@@ -25,7 +25,8 @@
 
 static int
 load_and_run(const char *path, bool check, const char *program,
-    enum mst_settings_role role, mst_daemon_run_cb run)
+    enum mst_settings_role role, mst_daemon_run_cb run,
+    const struct mst_ports *ports)
 {
 	struct mst_settings *settings;
 	GError *error = NULL;
@@ -38,7 +39,7 @@
 		return 2;
 	}
 	mst_log_open(program, (enum mst_log_level)settings->log_level);
-	if (!check && run(settings, &error) < 0) {
+	if (!check && run(settings, ports, &error) < 0) {
 		mst_log(MST_LOG_ERROR, "failed", "reason=%s",
 		    mst_log_quote(error->message));
 		g_clear_error(&error);
@@ -50,7 +51,8 @@
 
 int
 mst_daemon_main(int argc, char **argv, const char *program,
-    enum mst_settings_role role, mst_daemon_run_cb run)
+    enum mst_settings_role role, mst_daemon_run_cb run,
+    const struct mst_ports *ports)
 {
 	static const struct option options[] = {
 	    {"settings", required_argument, NULL, 's'},
@@ -80,5 +82,5 @@
 		usage(stderr, program);
 		return 2;
 	}
-	return load_and_run(path, check, program, role, run);
+	return load_and_run(path, check, program, role, run, ports);
 }
--- /dev/null
+++ b/src/runtime/entry_front.c
@@ -0,0 +1,279 @@
+/* An entry on a platform: callers by the front port, the store's news. */
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "runtime/entry_runtime.h"
+
+#define FRONT_BODY_MAX   (1 << 20)
+#define STORE_WAIT_MS    1500 /* a change must be seen within 2 s */
+#define STORE_CALL_MS    700
+#define PUBLISH_RETRY_MS 500
+/* Share of the time to stop in which jobs are still taken: the balancer needs
+ * a while to send new connections elsewhere. */
+#define FRONT_SERVE_SHARE 0.4
+#define FRONT_RETRY_MS    1000 /* where nothing better is known */
+
+static void
+front_answer(struct entry_runtime *rt, struct mst_httpd *httpd, uint64_t id,
+    const struct front_answer *answer)
+{
+	struct front_reply reply;
+
+	rt->ports->front->write(&reply, answer);
+	mst_http_answer(httpd, id, reply.status, reply.headers,
+	    reply.header_count, reply.body, strlen(reply.body));
+}
+
+static void
+front_answer_pending(struct entry_runtime *rt, struct pending *pending,
+    struct front_answer *answer)
+{
+	answer->close = rt->leaving;
+	front_answer(rt, rt->front, pending->id & ~RUNTIME_FRONT_BIT, answer);
+	g_hash_table_remove(rt->pending, (gpointer)pending->id);
+}
+
+static enum front_outcome
+outcome_of_job(const struct mst_job_view *view)
+{
+	if (view->state == MST_JOB_COMPLETE)
+		return FRONT_COMPLETED;
+	if (view->reason == MST_REASON_TASK_FAILED)
+		return FRONT_FAILED;
+	return view->may_have_run ? FRONT_MAY_HAVE_RUN : FRONT_NOT_RUN;
+}
+
+void
+runtime_front_job(struct entry_runtime *rt, struct pending *pending,
+    const struct mst_job_view *view)
+{
+	struct front_answer answer = {.outcome = outcome_of_job(view)};
+
+	if (answer.outcome == FRONT_NOT_RUN)
+		answer.retry_after_ms =
+		    MAX(view->retry_after_ms, FRONT_RETRY_MS);
+	front_answer_pending(rt, pending, &answer);
+}
+
+void
+runtime_front_refusal(struct entry_runtime *rt, struct pending *pending,
+    const struct mst_entry_effect *effect)
+{
+	struct front_answer answer = {.outcome = FRONT_NOT_RUN,
+	    .retry_after_ms = MAX(effect->retry_after_ms, FRONT_RETRY_MS)};
+
+	mst_log(MST_LOG_INFO, "job-refused", "request=%" PRIu64 " reason=%s",
+	    effect->request & ~RUNTIME_FRONT_BIT,
+	    mst_reason_name(effect->reason));
+	front_answer_pending(rt, pending, &answer);
+}
+
+static void
+front_submit(struct entry_runtime *rt, const struct mst_http_request *request,
+    const struct front_request *asked)
+{
+	struct mst_entry_event event = {.type = MST_ENTRY_EV_SUBMIT,
+	    .request = request->id | RUNTIME_FRONT_BIT,
+	    .spec = &asked->spec};
+	struct front_answer answer = {
+	    .outcome = FRONT_NOT_RUN, .retry_after_ms = FRONT_RETRY_MS};
+	struct pending *pending;
+
+	if (asked->stored) {
+		mst_log(MST_LOG_INFO, "job-refused", "job=%s reason=%s",
+		    asked->key, mst_reason_name(MST_REASON_NOT_SERVED));
+		front_answer(rt, rt->front, request->id, &answer);
+		return;
+	}
+	pending = runtime_pending_new(rt, event.request);
+	pending->front = true;
+	runtime_step(rt, &event);
+}
+
+static void
+on_front_request(struct mst_http_request *request, void *ctx)
+{
+	struct entry_runtime *rt = ctx;
+	const struct mst_config *config = mst_entry_config(rt->entry);
+	struct front_request asked;
+	struct front_answer answer = {0};
+
+	rt->ports->front->read(&asked, request, config);
+	switch (asked.kind) {
+	case FRONT_SUBMIT:
+		front_submit(rt, request, &asked);
+		break;
+	case FRONT_READY:
+		answer.outcome =
+		    mst_entry_gauges(rt->entry).ready && !rt->leaving
+		    ? FRONT_IS_READY
+		    : FRONT_IS_NOT_READY;
+		break;
+	case FRONT_NO_QUEUE:
+		answer.outcome =
+		    config != NULL ? FRONT_UNKNOWN_QUEUE : FRONT_NOT_RUN;
+		answer.retry_after_ms = config != NULL ? 0 : FRONT_RETRY_MS;
+		break;
+	case FRONT_STATE:
+	case FRONT_CANCEL:
+		/* No job is stored; those that aren't are not asked for. */
+		answer.outcome = FRONT_UNKNOWN_JOB;
+		break;
+	case FRONT_QUEUE:
+		answer.outcome = FRONT_QUEUE_LENGTH;
+		break;
+	case FRONT_MALFORMED:
+		answer.outcome = FRONT_WRONG;
+		mst_log(MST_LOG_INFO, "request-malformed", "fault=%s",
+		    mst_log_quote(asked.fault));
+		break;
+	}
+	if (answer.outcome != 0)
+		front_answer(rt, rt->front, request->id, &answer);
+	rt->ports->front->release(&asked);
+}
+
+static void
+on_front_gone(uint64_t id, void *ctx)
+{
+	runtime_on_gone(id | RUNTIME_FRONT_BIT, ctx);
+}
+
+/* The balancer's checks come to an address of their own. */
+static void
+on_ready_request(struct mst_http_request *request, void *ctx)
+{
+	struct entry_runtime *rt = ctx;
+	struct front_answer answer = {.outcome = FRONT_IS_NOT_READY};
+
+	if (mst_entry_gauges(rt->entry).ready && !rt->leaving)
+		answer.outcome = FRONT_IS_READY;
+	front_answer(rt, rt->ready, request->id, &answer);
+}
+
+static void
+on_ready_gone(uint64_t id, void *ctx)
+{
+}
+
+static void
+on_config_news(const struct store_news *news, void *ctx)
+{
+	if (news->fault != NULL)
+		mst_log(MST_LOG_ERROR, "config-rejected", "reason=%s",
+		    mst_log_quote(news->fault));
+	if (news->document != NULL)
+		runtime_config_apply(ctx, news->version, news->document);
+}
+
+static void
+on_entries_news(const struct store_news *news, void *ctx)
+{
+	guint i;
+
+	for (i = 0; i < news->entries->len; i++)
+		runtime_connect_peers(
+		    ctx, mst_bytes_of(news->entries->pdata[i]));
+}
+
+static void
+on_published(enum store_status status, void *ctx)
+{
+	struct entry_runtime *rt = ctx;
+
+	if (status == STORE_OK || rt->leaving)
+		return;
+	mst_log(MST_LOG_DEBUG, "publish-failed", "address=%s",
+	    rt->settings->advertise);
+	uv_timer_start(
+	    &rt->publish_timer, runtime_publish, PUBLISH_RETRY_MS, 0);
+}
+
+void
+runtime_publish(uv_timer_t *timer)
+{
+	struct entry_runtime *rt = timer->data;
+
+	rt->ports->store->put_entry(rt->store, rt->settings->advertise,
+	    STORE_CALL_MS, on_published, rt);
+}
+
+static void
+on_serve_end(uv_timer_t *timer)
+{
+	struct mst_entry_event event = {.type = MST_ENTRY_EV_DRAIN};
+
+	runtime_step(timer->data, &event);
+}
+
+static void
+on_retracted(enum store_status status, void *ctx)
+{
+	if (status != STORE_OK)
+		mst_log(MST_LOG_INFO, "retract-failed", "status=%d", status);
+}
+
+void
+runtime_front_drain(struct entry_runtime *rt)
+{
+	uint64_t serve_ms =
+	    (uint64_t)(rt->settings->front.grace_ms * FRONT_SERVE_SHARE);
+
+	if (rt->leaving)
+		return;
+	rt->leaving = true;
+	rt->ports->store->remove_entry(rt->store, rt->settings->advertise,
+	    STORE_CALL_MS, on_retracted, rt);
+	uv_timer_start(&rt->publish_timer, on_serve_end, serve_ms, 0);
+}
+
+static void
+watch_start(struct entry_runtime *rt, struct store_watch *watch,
+    enum store_subject subject, store_news_cb on_news)
+{
+	*watch = (struct store_watch){.port = rt->ports->store,
+	    .store = rt->store,
+	    .subject = subject,
+	    .wait_ms = STORE_WAIT_MS,
+	    .on_news = on_news,
+	    .ctx = rt};
+	store_watch_start(watch, &rt->loop.uv);
+}
+
+int
+runtime_front_open(struct entry_runtime *rt, GError **error)
+{
+	const struct mst_front_settings *settings = &rt->settings->front;
+	struct mst_httpd_options front = {.loop = &rt->loop.uv,
+	    .listen = settings->listen,
+	    .body_max_bytes = FRONT_BODY_MAX,
+	    .on_request = on_front_request,
+	    .on_gone = on_front_gone,
+	    .ctx = rt};
+	struct mst_httpd_options ready = {.loop = &rt->loop.uv,
+	    .listen = settings->ready_listen,
+	    .body_max_bytes = FRONT_BODY_MAX,
+	    .on_request = on_ready_request,
+	    .on_gone = on_ready_gone,
+	    .ctx = rt};
+
+	if (mst_httpd_new(&rt->front, &front, error) < 0 ||
+	    mst_httpd_new(&rt->ready, &ready, error) < 0)
+		return -1;
+	rt->store = rt->ports->store->open(rt->caller, rt->settings->store);
+	watch_start(rt, &rt->config_watch, STORE_CONFIG, on_config_news);
+	watch_start(rt, &rt->entries_watch, STORE_ENTRIES, on_entries_news);
+	uv_timer_init(&rt->loop.uv, &rt->publish_timer);
+	rt->publish_timer.data = rt;
+	uv_timer_start(&rt->publish_timer, runtime_publish, 0, 0);
+	return 0;
+}
+
+void
+runtime_front_shutdown(struct entry_runtime *rt)
+{
+	mst_httpd_shutdown(rt->front);
+	mst_httpd_shutdown(rt->ready);
+}
--- a/src/runtime/entry_http.c
+++ b/src/runtime/entry_http.c
@@ -60,8 +60,15 @@
 runtime_answer_refusal(struct entry_runtime *rt, struct pending *pending,
     const struct mst_entry_effect *effect)
 {
-	struct mst_problem problem = mst_problem_of_refusal(effect);
-	char *text = mst_problem_json(&problem);
+	struct mst_problem problem;
+	char *text;
+
+	if (pending->front) {
+		runtime_front_refusal(rt, pending, effect);
+		return;
+	}
+	problem = mst_problem_of_refusal(effect);
+	text = mst_problem_json(&problem);
 
 	runtime_answer(rt, pending, problem.status, PROBLEM_TYPE, text,
 	    strlen(text), problem.retry_after_s);
@@ -115,6 +122,10 @@
 		return;
 	if (view.state != MST_JOB_OPEN)
 		trace_job(rt->traces, &view);
+	if (pending->front) {
+		runtime_front_job(rt, pending, &view);
+		return;
+	}
 	mst_entry_task(&task, rt->entry, job, 0);
 	if (pending->single && view.state != MST_JOB_OPEN &&
 	    task.outcome == MST_OUTCOME_DONE) {
--- a/src/runtime/entry_runtime.c
+++ b/src/runtime/entry_runtime.c
@@ -80,8 +80,8 @@
 	g_hash_table_remove(rt->pending, (gpointer)pending->id);
 }
 
-static void
-connect_peers(struct entry_runtime *rt, struct mst_bytes peers)
+void
+runtime_connect_peers(struct entry_runtime *rt, struct mst_bytes peers)
 {
 	char *text = mst_bytes_string(peers);
 	char **list = g_strsplit(text, ",", 64);
@@ -172,7 +172,7 @@
 			runtime_forward(rt, pending, effect->peer);
 		break;
 	case MST_ENTRY_FX_PEERS:
-		connect_peers(rt, effect->peers);
+		runtime_connect_peers(rt, effect->peers);
 		break;
 	case MST_ENTRY_FX_TASK:
 		effect_task(rt, effect);
@@ -193,6 +193,8 @@
 		return;
 	mst_log(MST_LOG_INFO, "stopped", "jobs_open=0");
 	mst_httpd_shutdown(rt->httpd);
+	if (rt->front != NULL)
+		runtime_front_shutdown(rt);
 	/* Answers are written out and peers told before the end. */
 	runtime_loop_stop(&rt->loop, RUNTIME_GRACE_MS);
 }
@@ -296,7 +298,7 @@
 	guint i;
 
 	for (i = 0; i < addresses->len; i++)
-		connect_peers(ctx, mst_bytes_of(addresses->pdata[i]));
+		runtime_connect_peers(ctx, mst_bytes_of(addresses->pdata[i]));
 }
 
 static void
@@ -326,6 +328,10 @@
 
 	mst_log(MST_LOG_INFO, "draining", "jobs_open=%u",
 	    mst_entry_gauges(rt->entry).jobs_open);
+	if (rt->front != NULL) {
+		runtime_front_drain(rt);
+		return;
+	}
 	runtime_step(rt, &event);
 }
 
@@ -338,6 +344,18 @@
 	    &rt->members_timer, on_members_timer, 0, RUNTIME_MEMBERS_MS);
 }
 
+/* Times of entries whose work is held by leases; docs/PLATFORM.md has the sum
+ * that they must stay under. */
+static void
+options_set_leased(struct mst_entry_options *options)
+{
+	options->leased = true;
+	options->heartbeat_us = INT64_C(150) * 1000;
+	options->suspect_us = INT64_C(500) * 1000;
+	options->remove_us = INT64_C(1300) * 1000;
+	options->answer_keep_us = G_USEC_PER_SEC / 2;
+}
+
 static int
 runtime_open(struct entry_runtime *rt, GError **error)
 {
@@ -355,29 +373,32 @@
 	    .on_request = runtime_on_request,
 	    .on_gone = runtime_on_gone,
 	    .ctx = rt};
-	guint i;
 
 	options.incarnation = mst_random_u64();
 	options.seed = (uint32_t)mst_random_u64();
 	options.address = settings->advertise;
 	options.jobs_max = settings->limits.jobs_max;
 	options.bytes_max = (uint64_t)settings->limits.memory_max_mb << 20;
+	if (settings->front.listen != NULL)
+		options_set_leased(&options);
 	mst_entry_new(&rt->entry, &options);
 	rt->caller = mst_http_caller_new(&rt->loop.uv);
-	rt->table = mst_table_new(rt->caller, &settings->table);
+	if (settings->table.endpoint != NULL)
+		rt->table = mst_table_new(rt->caller, &settings->table);
 	rt->traces =
 	    trace_store_new(rt->caller, &settings->trace, settings->name);
 	if (mst_bus_new(&rt->bus, &bus, error) < 0 ||
 	    mst_httpd_new(&rt->httpd, &http, error) < 0)
 		return -1;
-	for (i = 0; i < settings->entries->len; i++) {
-		if (mst_bus_connect(
-			rt->bus, settings->entries->pdata[i], error) < 0)
-			return -1;
-	}
+	if (mst_bus_connect_all(rt->bus, settings, error) < 0)
+		return -1;
 	runtime_loop_start(&rt->loop);
-	members_timer_start(rt);
-	runtime_config_start(rt);
+	if (rt->table != NULL) {
+		members_timer_start(rt);
+		runtime_config_start(rt);
+	} else if (runtime_front_open(rt, error) < 0) {
+		return -1;
+	}
 	mst_log(MST_LOG_INFO, "started",
 	    "incarnation=%016" PRIx64 " http=%s members=%s",
 	    options.incarnation, settings->http_listen,
@@ -386,7 +407,8 @@
 }
 
 int
-mst_entryd_run(const struct mst_settings *settings, GError **error)
+mst_entryd_run(const struct mst_settings *settings,
+    const struct mst_ports *ports, GError **error)
 {
 	static const struct runtime_loop_callbacks callbacks = {
 	    .on_tick = on_tick, .on_flush = on_flush, .on_drain = on_drain};
@@ -394,6 +416,7 @@
 	int rc;
 
 	rt->settings = settings;
+	rt->ports = ports;
 	rt->pending = g_hash_table_new_full(
 	    g_direct_hash, g_direct_equal, NULL, (GDestroyNotify)pending_free);
 	runtime_loop_init(&rt->loop, &callbacks, rt);
--- a/src/runtime/entry_runtime.h
+++ b/src/runtime/entry_runtime.h
@@ -12,14 +12,20 @@
 #include "net/httpd.h"
 #include "net/table.h"
 #include "runtime/loop.h"
+#include "runtime/ports.h"
+#include "runtime/store_watch.h"
 #include "runtime/trace.h"
 
 /* Set in the ids of requests that other entries have forwarded. */
 #define RUNTIME_FORWARDED_BIT (UINT64_C(1) << 63)
 
+/* Set in the ids of requests that came by the platform's front. */
+#define RUNTIME_FRONT_BIT (UINT64_C(1) << 62)
+
 /* A request that waits for the reducer's or another entry's answer. */
 struct pending {
 	uint64_t id;
+	bool front;            /* came by the platform's front */
 	bool single;           /* answered with the task's own answer */
 	bool has_body;         /* kept for a forward */
 	struct mst_bytes body; /* the server's memory, or owned */
@@ -47,6 +53,16 @@
 	unsigned ticks;
 	uint32_t config_failures;
 	int64_t started_us;
+
+	/* On a platform only. */
+	const struct mst_ports *ports;
+	struct mst_httpd *front;
+	struct mst_httpd *ready;
+	void *store;
+	struct store_watch config_watch;
+	struct store_watch entries_watch;
+	uv_timer_t publish_timer;
+	bool leaving; /* not ready any more, but still serving */
 };
 
 /* Steps the reducer and executes its effects. */
@@ -82,6 +98,20 @@
 void runtime_config_history(
     struct entry_runtime *rt, const struct mst_http_request *request);
 
+/* entry_front.c */
+int runtime_front_open(struct entry_runtime *rt, GError **error);
+void runtime_front_shutdown(struct entry_runtime *rt);
+/* Leaves the balancer's rotation, then drains. */
+void runtime_front_drain(struct entry_runtime *rt);
+void runtime_front_job(struct entry_runtime *rt, struct pending *pending,
+    const struct mst_job_view *view);
+void runtime_front_refusal(struct entry_runtime *rt, struct pending *pending,
+    const struct mst_entry_effect *effect);
+void runtime_publish(uv_timer_t *timer);
+
+/* Connects to entries whose addresses were named, by commas. */
+void runtime_connect_peers(struct entry_runtime *rt, struct mst_bytes peers);
+
 /* metrics.c */
 GString *runtime_entry_metrics(const struct entry_runtime *rt);
 
--- a/src/runtime/loop.c
+++ b/src/runtime/loop.c
@@ -2,12 +2,14 @@
 
 #include <signal.h>
 
+#include "base/clock.h"
+
 #define LOOP_TICK_MS 10
 
 int64_t
 runtime_now_us(void)
 {
-	return (int64_t)(uv_hrtime() / 1000);
+	return mst_clock_us();
 }
 
 void
--- a/src/settings/config.c
+++ b/src/settings/config.c
@@ -9,8 +9,10 @@
 
 G_DEFINE_QUARK(mst_config_error, mst_config_error)
 
-#define TEAM_NAME_MAX 64
-#define TEAMS_MAX     4096
+#define TEAM_NAME_MAX  64
+#define TEAMS_MAX      4096
+#define QUEUES_MAX     16384
+#define QUEUE_TEXT_MAX 255
 
 static const char *const placement_names[] = {[MST_PLACEMENT_FINISH] = "finish",
     [MST_PLACEMENT_RANDOM] = "random",
@@ -96,6 +98,53 @@
 	}
 }
 
+#define QUEUE_STRING(field, json, low)                                         \
+	{                                                                      \
+		.name = (json), .kind = SCHEMA_STRING,                         \
+		.offset = offsetof(struct mst_queue_config, field),            \
+		.min = (low), .max = QUEUE_TEXT_MAX, .required = true          \
+	}
+
+static const struct schema_field queue_fields[] = {
+    QUEUE_STRING(name, "name", 1), QUEUE_STRING(host, "host", 1),
+    QUEUE_STRING(prefix, "prefix", 1), QUEUE_STRING(service, "service", 1),
+    SCHEMA_UINT_FIELD(
+	"priority", struct mst_queue_config, priority, 0, 1000000),
+    SCHEMA_UINT_FIELD("attempts", struct mst_queue_config, attempts, 1, 1000),
+    SCHEMA_UINT_FIELD(
+	"timeout_ms", struct mst_queue_config, timeout_ms, 1, 3600000),
+    SCHEMA_NUMBER_FIELD("stretch", struct mst_queue_config, stretch, 0, 1000),
+    SCHEMA_UINT_FIELD(
+	"target_ms", struct mst_queue_config, target_ms, 0, 3600000),
+    {0}};
+
+static const struct mst_queue_config queue_defaults = {
+    .attempts = 1, .timeout_ms = 30000, .stretch = 1};
+
+static void
+read_queues(void *out, const cJSON *value, const char *pointer,
+    struct schema_faults *faults)
+{
+	struct mst_config *config = out;
+	struct mst_queue_config queue;
+	const cJSON *item;
+	char *at;
+	int i = 0;
+
+	if (!cJSON_IsArray(value) || cJSON_GetArraySize(value) > QUEUES_MAX) {
+		schema_fault(faults, pointer,
+		    "is not an array of at most %d queues", QUEUES_MAX);
+		return;
+	}
+	cJSON_ArrayForEach (item, value) {
+		at = g_strdup_printf("%s/%d", pointer, i++);
+		queue = queue_defaults;
+		schema_read(&queue, item, queue_fields, at, faults);
+		g_array_append_val(config->queues, queue);
+		g_free(at);
+	}
+}
+
 static const struct schema_field document_fields[] = {
     {.name = "policy",
 	.kind = SCHEMA_OBJECT,
@@ -105,7 +154,8 @@
 	.kind = SCHEMA_OBJECT,
 	.offset = offsetof(struct mst_config, default_team),
 	.fields = team_fields},
-    {.name = "teams", .kind = SCHEMA_CUSTOM, .custom = read_teams}, {0}};
+    {.name = "teams", .kind = SCHEMA_CUSTOM, .custom = read_teams},
+    {.name = "queues", .kind = SCHEMA_CUSTOM, .custom = read_queues}, {0}};
 
 int
 mst_config_parse(struct mst_config **out, const char *document,
@@ -118,6 +168,9 @@
 
 	*out = NULL;
 	config->version = version;
+	config->json = json;
+	config->queues =
+	    g_array_new(FALSE, TRUE, sizeof(struct mst_queue_config));
 	config->policy = policy_defaults;
 	config->default_team = team_defaults;
 	config->teams =
@@ -138,7 +191,6 @@
 	rc = 0;
 cleanup:
 	mst_config_free(config);
-	cJSON_Delete(json);
 	g_string_free(faults.text, TRUE);
 	return rc;
 }
@@ -149,5 +201,57 @@
 	if (config == NULL)
 		return;
 	g_hash_table_unref(config->teams);
+	g_array_unref(config->queues);
+	cJSON_Delete(config->json);
 	g_free(config);
 }
+
+static bool
+host_matches(const char *host, struct mst_bytes asked)
+{
+	const char *port = memchr(asked.data, ':', asked.len);
+	size_t len = port ? (size_t)(port - asked.data) : asked.len;
+
+	return strlen(host) == len &&
+	    g_ascii_strncasecmp(host, asked.data, len) == 0;
+}
+
+const struct mst_queue_config *
+mst_config_queue(const struct mst_config *config, struct mst_bytes host,
+    struct mst_bytes path)
+{
+	const struct mst_queue_config *best = NULL;
+	size_t best_len = 0;
+	guint i;
+
+	if (host.data == NULL || path.data == NULL)
+		return NULL;
+	for (i = 0; i < config->queues->len; i++) {
+		const struct mst_queue_config *queue =
+		    &g_array_index(config->queues, struct mst_queue_config, i);
+		size_t len = strlen(queue->prefix);
+
+		if (len <= best_len || len > path.len ||
+		    memcmp(queue->prefix, path.data, len) != 0 ||
+		    !host_matches(queue->host, host))
+			continue;
+		best = queue;
+		best_len = len;
+	}
+	return best;
+}
+
+const struct mst_queue_config *
+mst_config_queue_named(const struct mst_config *config, const char *name)
+{
+	guint i;
+
+	for (i = 0; i < config->queues->len; i++) {
+		const struct mst_queue_config *queue =
+		    &g_array_index(config->queues, struct mst_queue_config, i);
+
+		if (strcmp(queue->name, name) == 0)
+			return queue;
+	}
+	return NULL;
+}
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -5,14 +5,16 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "settings/resources.h"
 #include "settings/schema.h"
 
 G_DEFINE_QUARK(mst_settings_error, mst_settings_error)
 
-#define TEXT_MAX   255
-#define KEY_LEN    40
-#define SHA256_LEN 64
-#define PORT_MAX   65535
+#define TEXT_MAX     255
+#define KEY_LEN      40
+#define SHA256_LEN   64
+#define PORT_MAX     65535
+#define LEASE_MIN_MS 200 /* shorter ones lapse between two renewals */
 
 #define STRING_FIELD(type, field, json, low, high, need)                       \
 	{                                                                      \
@@ -20,6 +22,13 @@
 		.offset = offsetof(type, field), .min = (low), .max = (high),  \
 		.required = (need)                                             \
 	}
+#define ADDRESS_FIELD(type, field, json, need)                                 \
+	{                                                                      \
+		.name = (json), .kind = SCHEMA_CUSTOM,                         \
+		.offset = offsetof(type, field), .required = (need),           \
+		.custom = read_address                                         \
+	}
+
 static bool
 address_parse(const char *text, struct sockaddr_in *out)
 {
@@ -76,6 +85,26 @@
 	}
 }
 
+static void
+read_hosts(void *out, const cJSON *value, const char *pointer,
+    struct schema_faults *faults)
+{
+	GPtrArray *list = *(GPtrArray **)out;
+	const cJSON *item;
+
+	if (!cJSON_IsArray(value)) {
+		schema_fault(faults, pointer, "is not an array");
+		return;
+	}
+	cJSON_ArrayForEach (item, value) {
+		if (cJSON_IsString(item))
+			g_ptr_array_add(list, item->valuestring);
+		else
+			schema_fault(
+			    faults, pointer, "has a host that is no string");
+	}
+}
+
 static const struct schema_field operator_fields[] = {
     STRING_FIELD(struct mst_operator_settings, name, "name", 1, 64, true),
     STRING_FIELD(struct mst_operator_settings, token_sha256, "token_sha256",
@@ -160,15 +189,35 @@
 	result_max_bytes, 1, MST_BODY_MAX_BYTES),
     {0}};
 
-static const struct schema_field resource_fields[] = {
-    SCHEMA_UINT_FIELD("cores", struct mst_resources, cores, 0, 4096),
-    SCHEMA_UINT_FIELD("memory_mb", struct mst_resources, memory_mb, 0, 1 << 30),
+static const struct schema_field worker_fields[] = {
+    ADDRESS_FIELD(struct mst_worker_settings, address, "address", true),
+    ADDRESS_FIELD(
+	struct mst_worker_settings, report_listen, "report_listen", true),
+    SCHEMA_UINT_FIELD("lease_max_ms", struct mst_worker_settings, lease_max_ms,
+	LEASE_MIN_MS, 3600000),
+    {0}};
+
+static const struct schema_field front_fields[] = {
+    ADDRESS_FIELD(struct mst_front_settings, listen, "listen", true),
+    ADDRESS_FIELD(
+	struct mst_front_settings, ready_listen, "ready_listen", true),
     SCHEMA_UINT_FIELD(
-	"accelerators", struct mst_resources, accelerators, 0, 1024),
+	"grace_ms", struct mst_front_settings, grace_ms, 100, 3600000),
+    SCHEMA_UINT_FIELD(
+	"resend_ms", struct mst_front_settings, resend_ms, 100, 3600000),
     {0}};
 
 #define COMMON_FIELDS                                                          \
-	STRING_FIELD(struct mst_settings, name, "name", 1, 64, true),          \
+	ADDRESS_FIELD(struct mst_settings, store, "store", false),             \
+	    {.name = "entry_hosts",                                            \
+		.kind = SCHEMA_CUSTOM,                                         \
+		.offset = offsetof(struct mst_settings, entry_hosts),          \
+		.custom = read_hosts},                                         \
+	    SCHEMA_UINT_FIELD("members_port", struct mst_settings,             \
+		members_port, 1, PORT_MAX),                                    \
+	    SCHEMA_BOOL_FIELD(                                                 \
+		"trusted_network", struct mst_settings, trusted_network),      \
+	    STRING_FIELD(struct mst_settings, name, "name", 1, 64, true),      \
 	    STRING_FIELD(struct mst_settings, failure_domain,                  \
 		"failure_domain", 1, 64, true),                                \
 	    STRING_FIELD(struct mst_settings, rack, "rack", 1, 64, false),     \
@@ -208,8 +257,11 @@
     {.name = "table",
 	.kind = SCHEMA_OBJECT,
 	.offset = offsetof(struct mst_settings, table),
-	.required = true,
 	.fields = table_fields},
+    {.name = "front",
+	.kind = SCHEMA_OBJECT,
+	.offset = offsetof(struct mst_settings, front),
+	.fields = front_fields},
     {.name = "trace",
 	.kind = SCHEMA_OBJECT,
 	.offset = offsetof(struct mst_settings, trace),
@@ -224,12 +276,15 @@
     {.name = "upstream",
 	.kind = SCHEMA_OBJECT,
 	.offset = offsetof(struct mst_settings, upstream),
-	.required = true,
 	.fields = upstream_fields},
+    {.name = "worker",
+	.kind = SCHEMA_OBJECT,
+	.offset = offsetof(struct mst_settings, worker),
+	.fields = worker_fields},
     {.name = "resources",
 	.kind = SCHEMA_OBJECT,
 	.offset = offsetof(struct mst_settings, resources),
-	.fields = resource_fields},
+	.fields = schema_resource_fields},
     {0}};
 
 static struct mst_settings *
@@ -239,6 +294,10 @@
 
 	settings->rack = "";
 	settings->entries = g_ptr_array_new();
+	settings->entry_hosts = g_ptr_array_new();
+	settings->worker.lease_max_ms = 1000;
+	settings->front.grace_ms = 6000;
+	settings->front.resend_ms = 1300;
 	settings->operators =
 	    g_array_new(FALSE, TRUE, sizeof(struct mst_operator_settings));
 	settings->log_level = 2;
@@ -263,18 +322,42 @@
 
 /* Checks that span several fields. */
 static void
-settings_cross_check(
-    const struct mst_settings *settings, struct schema_faults *faults)
+check_sides(const struct mst_settings *settings, enum mst_settings_role role,
+    struct schema_faults *faults)
+{
+	bool entry = role == MST_SETTINGS_ENTRY;
+
+	if (entry &&
+	    (settings->table.endpoint == NULL) ==
+		(settings->front.listen == NULL))
+		schema_fault(
+		    faults, "", "needs either /table, or /front with /store");
+	if (entry && settings->front.listen != NULL && settings->store == NULL)
+		schema_fault(faults, "/store", "is missing beside /front");
+	if (!entry &&
+	    (settings->upstream.address == NULL) ==
+		(settings->worker.address == NULL))
+		schema_fault(faults, "", "needs either /upstream or /worker");
+	if (settings->entry_hosts->len > 0 && settings->members_port == 0)
+		schema_fault(
+		    faults, "/members_port", "is missing beside /entry_hosts");
+}
+
+static void
+settings_cross_check(const struct mst_settings *settings,
+    enum mst_settings_role role, struct schema_faults *faults)
 {
 	bool loopback = is_loopback(settings->members_listen);
 	guint i;
 
+	check_sides(settings, role, faults);
 	if (settings->upstream.slots > settings->upstream.connections)
 		schema_fault(
 		    faults, "/upstream/slots", "is more than the connections");
 	for (i = 0; i < settings->entries->len; i++)
 		loopback &= is_loopback(settings->entries->pdata[i]);
-	if (!loopback && settings->curve.secret_key == NULL)
+	if (!loopback && settings->curve.secret_key == NULL &&
+	    !settings->trusted_network)
 		schema_fault(faults, "/curve", "is required outside loopback");
 }
 
@@ -297,13 +380,15 @@
 	settings->json = schema_parse(text, &faults);
 	if (settings->json != NULL) {
 		if (role == 0)
-			role = cJSON_HasObjectItem(settings->json, "upstream")
+			role =
+			    cJSON_HasObjectItem(settings->json, "upstream") ||
+				cJSON_HasObjectItem(settings->json, "worker")
 			    ? MST_SETTINGS_AGENT
 			    : MST_SETTINGS_ENTRY;
 		schema_read(settings, settings->json,
 		    role == MST_SETTINGS_ENTRY ? entry_fields : agent_fields,
 		    "", &faults);
-		settings_cross_check(settings, &faults);
+		settings_cross_check(settings, role, &faults);
 	}
 	if (faults.count > 0) {
 		g_set_error(error, MST_SETTINGS_ERROR,
@@ -329,6 +414,7 @@
 	if (settings == NULL)
 		return;
 	g_ptr_array_unref(settings->entries);
+	g_ptr_array_unref(settings->entry_hosts);
 	g_array_unref(settings->operators);
 	cJSON_Delete(settings->json);
 	g_free(settings);
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -48,17 +48,22 @@
 static void
 codec__other_version_is_refused(void)
 {
-	/* [2, 2, 1, 2]: version 2 */
-	static const uint8_t bytes[] = {0x94, 2, 2, 1, 2};
+	/* [version, 2, 1, 2] */
+	static const uint8_t messages[][5] = {
+	    {0x94, MST_MSG_VERSION - 1, 2, 1, 2},
+	    {0x94, MST_MSG_VERSION + 1, 2, 1, 2}};
 	struct mst_decoder *decoder = mst_decoder_new();
 	GError *error = NULL;
 	struct mst_msg msg;
+	size_t i;
 
-	g_assert_cmpint(
-	    mst_decoder_decode(&msg, decoder, bytes, sizeof(bytes), &error), ==,
-	    -1);
-	g_assert_error(error, MST_CODEC_ERROR, MST_CODEC_ERROR_VERSION);
-	g_clear_error(&error);
+	for (i = 0; i < G_N_ELEMENTS(messages); i++) {
+		g_assert_cmpint(mst_decoder_decode(&msg, decoder, messages[i],
+				    sizeof(messages[i]), &error),
+		    ==, -1);
+		g_assert_error(error, MST_CODEC_ERROR, MST_CODEC_ERROR_VERSION);
+		g_clear_error(&error);
+	}
 	mst_decoder_free(decoder);
 }
 
