Place leased tasks by their job's objective; move overdue ones; take SIGHUP

Causes: short tasks waited for fast runners while slow ones that would have been in time stood idle; tasks on a runner that had turned slow were waited for until the deadline; daemons ended on SIGHUP; each burst of starts opened new connections to its runner.

A restartable job has an objective (stretch times its longest task and the target); jobs go by the latest start that meets it, those that can't meet it any more go behind. A task takes the slowest member that is in time when the members are busy, the fastest when they are not. Tasks at three times their expected time are withdrawn and run elsewhere. Three connections start runs and one waits for ends.

--- a/include/masticstall/settings.h
+++ b/include/masticstall/settings.h
@@ -59,8 +59,12 @@
 	uint32_t resend_ms; /* after which an unanswered job comes again */
 };
 
+enum mst_settings_role { MST_SETTINGS_ENTRY = 1, MST_SETTINGS_AGENT };
+
 /** Settings of one daemon; an entry and an agent use different parts. */
 struct mst_settings {
+	char *path; /* of the file */
+	enum mst_settings_role role;
 	const char *name;
 	const char *failure_domain;
 	const char *rack;
@@ -85,8 +89,6 @@
 	void *json;    /* owns the strings */
 };
 
-enum mst_settings_role { MST_SETTINGS_ENTRY = 1, MST_SETTINGS_AGENT };
-
 #define MST_SETTINGS_ERROR mst_settings_error_quark()
 
 enum mst_settings_error { MST_SETTINGS_ERROR_READ, MST_SETTINGS_ERROR_INVALID };
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -23,6 +23,7 @@
 	entry->incarnation = options->incarnation;
 	entry->rand = g_rand_new_with_seed(options->seed);
 	entry->retry_tokens = ENTRY_RETRY_BURST;
+	entry->fastest = 1;
 	entry->counters.incarnations = 1;
 	entry->jobs = g_ptr_array_new();
 	entry->generations = g_array_new(FALSE, FALSE, sizeof(uint32_t));
@@ -270,6 +271,7 @@
 		mst_entry_run_retries(entry);
 		mst_entry_expire_jobs(entry);
 		mst_entry_withdraw_stuck(entry);
+		mst_entry_scan_overdue(entry);
 	}
 	if (entry->now_us >= entry->next_heartbeat_us) {
 		entry->next_heartbeat_us =
--- a/src/core/entry_internal.h
+++ b/src/core/entry_internal.h
@@ -90,6 +90,10 @@
 	uint32_t attempts;
 	double stretch;
 	int64_t target_us;
+	int64_t in_time_us; /* the objective */
+	int64_t useful_us;  /* answers after this are worth nothing */
+	int64_t urgent_us;  /* latest start for the objective; order of jobs */
+	bool demoted;       /* can't be in time any more */
 	uint32_t retry_after_ms;
 	uint64_t bytes;
 	GList kept; /* in the list of closed jobs */
@@ -130,6 +134,8 @@
 	GQuark service;
 	int64_t clock_us;       /* its clock, as last announced */
 	int64_t clock_heard_us; /* and when that was heard */
+	uint32_t queued;        /* over all entries, as last told */
+	bool overdue;           /* most of its tasks take too long */
 	uint32_t free_slots;    /* leased: as last told, less what was sent */
 	uint32_t grant;
 	uint32_t outstanding;
@@ -296,7 +302,28 @@
 void mst_entry_flush(struct mst_entry *entry);
 void mst_entry_withdraw_stuck(struct mst_entry *entry);
 
+/* Puts a job whose urgency has changed in its place. */
+void mst_team_resort(struct mst_entry *entry, struct job *job);
+
+/* entry_objective.c */
+void mst_job_set_objective(struct mst_entry *entry, struct job *job);
+/* Lets jobs that can still be in time go before one that can't. */
+void mst_job_demote_late(struct mst_entry *entry, struct job *job);
+
+/* entry_choose.c */
+/* The member for a task, or NULL when it should wait for a better one. */
+struct member *mst_choose_leased(struct mst_entry *entry, const struct job *job,
+    const struct task *task, double work_us);
+
+/* entry_overdue.c */
+void mst_entry_scan_overdue(struct mst_entry *entry);
+
 /* entry_place.c */
+/* True when a task may be sent to a member now. A member that has failed the
+ * task before is left out while there are others. */
+bool mst_member_is_candidate(const struct mst_entry *entry,
+    const struct member *member, const struct job *job,
+    const struct task *task);
 void mst_entry_place(struct mst_entry *entry);
 /* Orders the members by what is learnt of their speeds. */
 void mst_entry_rank_members(struct mst_entry *entry);
--- a/src/core/entry_job.c
+++ b/src/core/entry_job.c
@@ -194,6 +194,7 @@
 	job_set_terms(entry, job, spec);
 	for (i = 0; i < spec->count; i++)
 		task_init(job, i, &spec->tasks[i]);
+	mst_job_set_objective(entry, job);
 	job->bytes = sizeof(*job) + arena +
 	    spec->count * (sizeof(struct task) + sizeof(uint16_t));
 	entry->bytes += job->bytes;
@@ -391,7 +392,7 @@
 	longest = g_array_index(job->waiting, uint16_t, job->waiting->len - 1);
 	work_us = mst_task_work_us(job, &job->tasks[longest]);
 	return entry->now_us + (int64_t)(work_us * entry->fastest) >
-	    job->deadline_us;
+	    job->useful_us;
 }
 
 static void
@@ -403,6 +404,8 @@
 		mst_job_close(entry, job, MST_JOB_FAILED, MST_REASON_DEADLINE);
 	else if (job->adoption != NULL)
 		mst_adoption_scan(entry, job);
+	else if (job->restartable)
+		mst_job_demote_late(entry, job);
 	else if (entry->now_us - job->submitted_us > settle_us &&
 	    job_fits_nobody(entry, job))
 		mst_job_close(entry, job, MST_JOB_FAILED, MST_REASON_NO_FIT);
--- a/src/core/entry_member.c
+++ b/src/core/entry_member.c
@@ -346,6 +346,7 @@
 	if (addressed) {
 		member->grant = m->grant;
 		member->free_slots = m->free_slots;
+		member->queued = m->queued;
 		member->roster_version =
 		    MAX(member->roster_version, m->roster_version);
 		member_repeat_lost(entry, member, m);
--- /dev/null
+++ b/src/core/entry_overdue.c
@@ -0,0 +1,86 @@
+/*
+ * Tasks that take much longer than expected at a leased member: the member has
+ * become slow, or the task stands still. What is known of it is corrected
+ * before any result comes, and the task is tried elsewhere if that ends sooner.
+ */
+
+#include "core/entry_internal.h"
+
+#define OVERDUE_FACTOR   3.0 /* of the expected time: well past its errors */
+#define OVERDUE_SLACK_US (INT64_C(60) * 1000)
+#define OVERDUE_SHARE    0.5 /* of a member's tasks: the member is slow */
+#define OVERDUE_MIN      2
+
+static bool
+task_is_overdue(const struct mst_entry *entry, const struct member *member,
+    const struct job *job, const struct task *task)
+{
+	double expected_us = mst_task_work_us(job, task) * member->slowness;
+
+	return (double)(entry->now_us - task->sent_us) >
+	    expected_us * OVERDUE_FACTOR + OVERDUE_SLACK_US;
+}
+
+/* True when another member would end the task sooner than the job is of any
+ * use, and the job may still gain by it. */
+static bool
+worth_moving(const struct mst_entry *entry, const struct member *member,
+    const struct job *job, const struct task *task)
+{
+	double work_us = mst_task_work_us(job, task);
+
+	return job->restartable && !task->withdrawing &&
+	    entry->now_us + (int64_t)(work_us * entry->fastest) <
+	    job->useful_us;
+}
+
+static void
+task_withdraw(struct mst_entry *entry, struct member *member, struct task *task)
+{
+	task->withdrawing = true;
+	task->withdrawn_us = entry->now_us;
+	entry->counters.withdrawals++;
+	g_array_append_val(member->withdrawals, task->seq);
+}
+
+static void
+member_scan_overdue(struct mst_entry *entry, struct member *member)
+{
+	uint32_t overdue = 0, sent = 0;
+	GHashTableIter iter;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&iter, member->sent);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		uint64_t tag = (uint64_t)(uintptr_t)value;
+		struct job *job;
+		struct task *task = mst_sent_task(
+		    entry, member, (uint64_t)(uintptr_t)key, tag, &job);
+
+		if (task == NULL)
+			continue;
+		sent++;
+		if (!task_is_overdue(entry, member, job, task))
+			continue;
+		overdue++;
+		if (worth_moving(entry, member, job, task))
+			task_withdraw(entry, member, task);
+	}
+	member->overdue =
+	    overdue >= OVERDUE_MIN && overdue >= sent * OVERDUE_SHARE;
+}
+
+void
+mst_entry_scan_overdue(struct mst_entry *entry)
+{
+	guint i;
+
+	if (!entry->options.leased)
+		return;
+	for (i = 0; i < entry->members->len; i++) {
+		struct member *member = entry->members->pdata[i];
+
+		if (member->state == MEMBER_ACTIVE)
+			member_scan_overdue(entry, member);
+	}
+}
--- a/src/core/entry_place.c
+++ b/src/core/entry_place.c
@@ -46,7 +46,7 @@
 {
 	if (!mst_member_usable(entry, member))
 		return false;
-	if (member->probing)
+	if (member->probing || member->overdue)
 		return member->outstanding == 0;
 	return member->outstanding < member->grant;
 }
@@ -62,11 +62,9 @@
 	return usable;
 }
 
-/* True when a task may be sent to a member now. A member that has failed
- * the task before is left out while there are others. */
-static bool
-is_candidate(const struct mst_entry *entry, const struct member *member,
-    const struct job *job, const struct task *task)
+bool
+mst_member_is_candidate(const struct mst_entry *entry,
+    const struct member *member, const struct job *job, const struct task *task)
 {
 	if (!mst_member_serves(member, job) ||
 	    !mst_member_has_room(entry, member) ||
@@ -246,7 +244,7 @@
 		struct member *member = entry->members->pdata[i];
 		double finish_us;
 
-		if (!is_candidate(entry, member, job, task))
+		if (!mst_member_is_candidate(entry, member, job, task))
 			continue;
 		finish_us = member_finish_us(member, work_us);
 		if (finish_us <= slack_us && finish_us > in_time_us) {
@@ -277,7 +275,7 @@
 	for (i = 0; i < entry->members->len; i++) {
 		struct member *member = entry->members->pdata[i];
 
-		if (!is_candidate(entry, member, job, task))
+		if (!mst_member_is_candidate(entry, member, job, task))
 			continue;
 		seen++;
 		if (g_rand_int_range(entry->rand, 0, seen) == 0)
@@ -297,7 +295,7 @@
 		guint at = (entry->round_robin + i) % n;
 		struct member *member = entry->members->pdata[at];
 
-		if (!is_candidate(entry, member, job, task))
+		if (!mst_member_is_candidate(entry, member, job, task))
 			continue;
 		entry->round_robin = at + 1;
 		return member;
@@ -315,7 +313,7 @@
 	for (i = 0; i < entry->members->len; i++) {
 		struct member *member = entry->members->pdata[i];
 
-		if (!is_candidate(entry, member, job, task))
+		if (!mst_member_is_candidate(entry, member, job, task))
 			continue;
 		if (best == NULL || member->outstanding < best->outstanding)
 			best = member;
@@ -337,6 +335,8 @@
 	case MST_PLACEMENT_FINISH:
 		break;
 	}
+	if (entry->options.leased)
+		return mst_choose_leased(entry, job, task, work_us);
 	return choose_by_finish(entry, job, task, work_us, ahead_us);
 }
 
@@ -363,6 +363,10 @@
 	task->seq = ++member->next_seq;
 	task->sent_us = entry->now_us;
 	job->expected_end_us = MAX(job->expected_end_us, end_us);
+	if (member->free_slots > 0)
+		member->free_slots--;
+	else
+		member->queued++;
 	if (member->outstanding++ == 0)
 		member->progress_us = entry->now_us;
 	entry->sent++;
--- a/src/core/entry_result.c
+++ b/src/core/entry_result.c
@@ -4,6 +4,7 @@
 
 #define RESULT_MEMBER_WINDOW 32
 #define RESULT_TEAM_WINDOW   128
+#define RESULT_LEASED_WINDOW 16 /* a worker may turn slow within seconds */
 #define STATUS_FAILED        500
 #define RETRY_MIN_US         (INT64_C(20) * 1000)
 #define RETRY_DOUBLINGS      6
@@ -131,7 +132,8 @@
 
 	member->service_us += (observed_us - member->service_us) / 8;
 	mst_speed_learn(&member->speed, observed_us,
-	    declared_us * mst_speed_ratio(bias), RESULT_MEMBER_WINDOW);
+	    declared_us * mst_speed_ratio(bias),
+	    job->restartable ? RESULT_LEASED_WINDOW : RESULT_MEMBER_WINDOW);
 	mst_speed_learn(bias, observed_us,
 	    declared_us * mst_speed_ratio(&member->speed), RESULT_TEAM_WINDOW);
 }
@@ -172,6 +174,15 @@
 	mst_task_take_result(entry, job, index, result);
 }
 
+/* True when this entry has ended the run, so that it tells nothing of the
+ * member. */
+static bool
+own_doing(uint8_t reason)
+{
+	return reason == MST_REASON_WITHDRAWN ||
+	    reason == MST_REASON_LEASE_LAPSED;
+}
+
 static void
 task_failed(struct mst_entry *entry, struct job *job, uint32_t index,
     struct member *member)
@@ -213,7 +224,8 @@
 		break;
 	case MST_OUTCOME_UNKNOWN:
 	case MST_OUTCOME_NONE:
-		mst_member_judge(entry, member, true);
+		if (!own_doing(result->reason))
+			mst_member_judge(entry, member, true);
 		if (job->restartable) {
 			task_run_again(entry, job, index, member);
 			break;
--- a/src/core/entry_team.c
+++ b/src/core/entry_team.c
@@ -10,8 +10,8 @@
 	const struct job *left = a;
 	const struct job *right = b;
 
-	if (left->deadline_us != right->deadline_us)
-		return left->deadline_us < right->deadline_us ? -1 : 1;
+	if (left->urgent_us != right->urgent_us)
+		return left->urgent_us < right->urgent_us ? -1 : 1;
 	if (left->submitted_us != right->submitted_us)
 		return left->submitted_us < right->submitted_us ? -1 : 1;
 	return left->handle < right->handle ? -1 : left->handle > right->handle;
@@ -96,6 +96,13 @@
 	g_ptr_array_add(entry->active_teams, team);
 }
 
+void
+mst_team_resort(struct mst_entry *entry, struct job *job)
+{
+	if (job->queued != NULL)
+		g_sequence_sort_changed(job->queued, job_compare, NULL);
+}
+
 void
 mst_team_dequeue(struct mst_entry *entry, struct job *job)
 {
@@ -122,6 +129,21 @@
 		job->team->waiting_us = 0;
 }
 
+/* True when a team's turn comes before another's. Leased: by the urgency of
+ * their first jobs; the runners' owners are one. Else by fair shares. */
+static bool
+team_is_before(const struct mst_entry *entry, const struct team *team,
+    const struct team *other)
+{
+	const struct job *first, *other_first;
+
+	if (!entry->options.leased)
+		return team->virtual_time < other->virtual_time;
+	first = g_sequence_get(g_sequence_get_begin_iter(team->jobs));
+	other_first = g_sequence_get(g_sequence_get_begin_iter(other->jobs));
+	return job_compare(first, other_first, NULL) < 0;
+}
+
 struct team *
 mst_team_next(const struct mst_entry *entry)
 {
@@ -133,7 +155,7 @@
 
 		if (team->skipped_round == entry->place_round)
 			continue;
-		if (best == NULL || team->virtual_time < best->virtual_time)
+		if (best == NULL || team_is_before(entry, team, best))
 			best = team;
 	}
 	return best;
--- a/src/net/bus.c
+++ b/src/net/bus.c
@@ -451,6 +451,25 @@
 	return 0;
 }
 
+void
+mst_bus_reload(struct mst_bus *bus, const struct mst_settings *settings)
+{
+	struct mst_settings *fresh = NULL;
+	GError *error = NULL;
+
+	if (mst_settings_load(&fresh, settings->path, settings->role, &error) <
+		0 ||
+	    mst_bus_connect_all(bus, fresh, &error) < 0) {
+		mst_log(MST_LOG_ERROR, "reload-failed", "reason=%s",
+		    mst_log_quote(error->message));
+		g_clear_error(&error);
+	} else {
+		mst_log(MST_LOG_INFO, "reloaded", "entries=%u",
+		    fresh->entries->len + fresh->entry_hosts->len);
+	}
+	mst_settings_free(fresh);
+}
+
 static void
 link_send(struct link *link, const char *identity, size_t identity_len,
     const GByteArray *bytes)
--- a/src/net/bus.h
+++ b/src/net/bus.h
@@ -55,6 +55,10 @@
 int mst_bus_connect_all(
     struct mst_bus *bus, const struct mst_settings *settings, GError **error);
 
+/* Reads the settings again and connects to the entries that they name now; a
+ * fault leaves all as it was. */
+void mst_bus_reload(struct mst_bus *bus, const struct mst_settings *settings);
+
 /*
  * Sends to msg->to, or where that is 0: an announcement to each entry that
  * has not been heard lately, anything else to every entry.
--- a/src/net/http_call.c
+++ b/src/net/http_call.c
@@ -3,7 +3,8 @@
 #include <curl/curl.h>
 #include <errno.h>
 
-#define HANDLES_KEPT_MAX 16
+#define HANDLES_KEPT_MAX     16
+#define CONNECTIONS_KEPT_MAX 64L
 
 struct transfer {
 	struct mst_http_caller *caller;
@@ -160,7 +161,7 @@
 }
 
 struct mst_http_caller *
-mst_http_caller_new(uv_loop_t *loop)
+mst_http_caller_new(uv_loop_t *loop, unsigned connections)
 {
 	struct mst_http_caller *caller = g_new0(struct mst_http_caller, 1);
 
@@ -171,6 +172,10 @@
 	uv_timer_init(loop, &caller->timer);
 	caller->timer.data = caller;
 	caller->multi = curl_multi_init();
+	curl_multi_setopt(
+	    caller->multi, CURLMOPT_MAX_HOST_CONNECTIONS, (long)connections);
+	curl_multi_setopt(
+	    caller->multi, CURLMOPT_MAXCONNECTS, CONNECTIONS_KEPT_MAX);
 	curl_multi_setopt(
 	    caller->multi, CURLMOPT_SOCKETFUNCTION, on_curl_socket);
 	curl_multi_setopt(caller->multi, CURLMOPT_SOCKETDATA, caller);
--- a/src/net/http_call.h
+++ b/src/net/http_call.h
@@ -28,7 +28,10 @@
 	void *ctx;
 };
 
-struct mst_http_caller *mst_http_caller_new(uv_loop_t *loop);
+/* connections: most at once to one host, 0 for any number; further calls wait.
+ */
+struct mst_http_caller *mst_http_caller_new(
+    uv_loop_t *loop, unsigned connections);
 
 /* Ends all calls without reporting them; the loop must run once more. */
 void mst_http_caller_close(struct mst_http_caller *caller);
--- a/src/runtime/agent_runtime.c
+++ b/src/runtime/agent_runtime.c
@@ -17,11 +17,12 @@
 #include "runtime/ports.h"
 #include "runtime/store_watch.h"
 
-#define AGENT_GRACE_MS     300
-#define AGENT_HTTP_MAX     (64 * 1024)
-#define AGENT_REPORT_MAX   (5 << 20)
-#define AGENT_WATCH_MS     10000
-#define AGENT_RETENTION_US (2 * G_USEC_PER_SEC)
+#define AGENT_GRACE_MS           300
+#define AGENT_HTTP_MAX           (64 * 1024)
+#define AGENT_REPORT_MAX         (5 << 20)
+#define AGENT_WATCH_MS           10000
+#define AGENT_WORKER_CONNECTIONS 4 /* one of them waits for ends */
+#define AGENT_RETENTION_US       (2 * G_USEC_PER_SEC)
 
 /* The end of a call that was reported while the reducer was at work. */
 struct ended {
@@ -215,6 +216,14 @@
 	agent_step(rt, &event);
 }
 
+static void
+on_reload(void *ctx)
+{
+	struct agent_runtime *rt = ctx;
+
+	mst_bus_reload(rt->bus, rt->settings);
+}
+
 static void
 on_drain(void *ctx)
 {
@@ -330,12 +339,13 @@
 
 	if (mst_httpd_new(&rt->reports, &reports, error) < 0)
 		return -1;
-	rt->caller = mst_http_caller_new(&rt->loop.uv);
+	rt->caller =
+	    mst_http_caller_new(&rt->loop.uv, AGENT_WORKER_CONNECTIONS);
 	worker.caller = rt->caller;
 	rt->worker = rt->ports->worker->open(&worker);
 	if (rt->settings->store == NULL)
 		return 0;
-	rt->store_caller = mst_http_caller_new(&rt->loop.uv);
+	rt->store_caller = mst_http_caller_new(&rt->loop.uv, 0);
 	rt->store =
 	    rt->ports->store->open(rt->store_caller, rt->settings->store);
 	rt->entries_watch = (struct store_watch){.port = rt->ports->store,
@@ -418,7 +428,10 @@
     const struct mst_ports *ports, GError **error)
 {
 	static const struct runtime_loop_callbacks callbacks = {
-	    .on_tick = on_tick, .on_flush = on_flush, .on_drain = on_drain};
+	    .on_tick = on_tick,
+	    .on_flush = on_flush,
+	    .on_drain = on_drain,
+	    .on_reload = on_reload};
 	struct agent_runtime *rt = g_new0(struct agent_runtime, 1);
 	int rc;
 
--- a/src/runtime/entry_runtime.c
+++ b/src/runtime/entry_runtime.c
@@ -320,6 +320,14 @@
 	mst_table_list_entries(rt->table, now_s, on_entries, rt);
 }
 
+static void
+on_reload(void *ctx)
+{
+	struct entry_runtime *rt = ctx;
+
+	mst_bus_reload(rt->bus, rt->settings);
+}
+
 static void
 on_drain(void *ctx)
 {
@@ -382,7 +390,7 @@
 	if (settings->front.listen != NULL)
 		options_set_leased(&options);
 	mst_entry_new(&rt->entry, &options);
-	rt->caller = mst_http_caller_new(&rt->loop.uv);
+	rt->caller = mst_http_caller_new(&rt->loop.uv, 0);
 	if (settings->table.endpoint != NULL)
 		rt->table = mst_table_new(rt->caller, &settings->table);
 	rt->traces =
@@ -411,7 +419,10 @@
     const struct mst_ports *ports, GError **error)
 {
 	static const struct runtime_loop_callbacks callbacks = {
-	    .on_tick = on_tick, .on_flush = on_flush, .on_drain = on_drain};
+	    .on_tick = on_tick,
+	    .on_flush = on_flush,
+	    .on_drain = on_drain,
+	    .on_reload = on_reload};
 	struct entry_runtime *rt = g_new0(struct entry_runtime, 1);
 	int rc;
 
--- a/src/runtime/loop.c
+++ b/src/runtime/loop.c
@@ -46,7 +46,10 @@
 {
 	struct runtime_loop *loop = signal->data;
 
-	loop->callbacks.on_drain(loop->ctx);
+	if (number == SIGHUP)
+		loop->callbacks.on_reload(loop->ctx);
+	else
+		loop->callbacks.on_drain(loop->ctx);
 }
 
 void
@@ -65,6 +68,9 @@
 	uv_signal_init(&loop->uv, &loop->interrupt);
 	loop->interrupt.data = loop;
 	uv_signal_start(&loop->interrupt, on_signal, SIGINT);
+	uv_signal_init(&loop->uv, &loop->hangup);
+	loop->hangup.data = loop;
+	uv_signal_start(&loop->hangup, on_signal, SIGHUP);
 }
 
 static void
--- a/src/runtime/loop.h
+++ b/src/runtime/loop.h
@@ -9,8 +9,9 @@
 
 struct runtime_loop_callbacks {
 	void (*on_tick)(void *ctx);
-	void (*on_flush)(void *ctx); /* once a turn, when flush_due was set */
-	void (*on_drain)(void *ctx); /* SIGTERM or SIGINT */
+	void (*on_flush)(void *ctx);  /* once a turn, when flush_due was set */
+	void (*on_drain)(void *ctx);  /* SIGTERM or SIGINT */
+	void (*on_reload)(void *ctx); /* SIGHUP */
 };
 
 struct runtime_loop {
@@ -20,6 +21,7 @@
 	uv_prepare_t prepare;
 	uv_signal_t term;
 	uv_signal_t interrupt;
+	uv_signal_t hangup;
 	struct runtime_loop_callbacks callbacks;
 	void *ctx;
 	bool flush_due;
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -397,6 +397,8 @@
 	}
 	if (settings->advertise == NULL)
 		settings->advertise = settings->members_listen;
+	settings->path = g_strdup(path);
+	settings->role = role;
 	*out = settings;
 	settings = NULL;
 	rc = 0;
@@ -416,6 +418,7 @@
 	g_ptr_array_unref(settings->entries);
 	g_ptr_array_unref(settings->entry_hosts);
 	g_array_unref(settings->operators);
+	g_free(settings->path);
 	cJSON_Delete(settings->json);
 	g_free(settings);
 }
