Learn tasks' times by regression and workers' speeds at their agents

Each queue learns a line from declared to observed times (declarations that follow the truth badly are drawn towards the mean), and a job's ended tasks speak for the others. Agents learn their worker's speed from all entries' runs and announce it; runs that are late count before they end. An entry accepts a slow member only if the task is in time there at 1.5 times its expected work, too, and spreads over members that are alike. An agent that is full bounces what comes. One line for each job's end, one for each task where it was late or failed.

--- a/include/masticstall/entry.h
+++ b/include/masticstall/entry.h
@@ -118,6 +118,8 @@
 	enum mst_reason reason;
 	uint16_t status;
 	uint32_t attempts;
+	uint32_t declared_us;
+	uint64_t member; /* where it was sent last; 0: nowhere */
 	uint32_t queue_us;
 	uint32_t service_us;
 	int64_t sent_us;
@@ -132,6 +134,8 @@
 	enum mst_job_state state;
 	enum mst_reason reason;
 	const char *team;
+	const char *key;      /* the caller's, or NULL */
+	int64_t objective_us; /* time in which it should have ended */
 	uint32_t count;
 	uint32_t open;     /* tasks without a final outcome */
 	uint32_t started;  /* tasks sent to an agent at least once */
--- a/include/masticstall/message.h
+++ b/include/masticstall/message.h
@@ -109,11 +109,13 @@
 	uint32_t connections;
 	struct mst_resources resources;
 	bool draining;
-	bool fenced;             /* the receiver has been fenced here */
-	uint32_t grant;          /* tasks the receiver may have here */
-	uint32_t free_slots;     /* leased: slots without work */
-	uint32_t running;        /* over all entries */
-	uint32_t queued;         /* over all entries */
+	bool fenced;         /* the receiver has been fenced here */
+	uint32_t grant;      /* tasks the receiver may have here */
+	uint32_t free_slots; /* leased: slots without work */
+	uint32_t
+	    slowness_milli; /* leased: against a usual worker; 0: unknown */
+	uint32_t running;   /* over all entries */
+	uint32_t queued;    /* over all entries */
 	uint64_t roster_version; /* of the receiver's, as recorded */
 	uint64_t sent_upto;      /* from the receiver's last heartbeat */
 	struct mst_seqset seen;  /* the receiver's sequences seen here */
@@ -145,7 +147,7 @@
 	uint32_t flags;
 	uint32_t timeout_ms; /* from arrival at the agent */
 	uint32_t run;        /* number of this attempt, from 1 */
-	uint32_t work_us;    /* expected time on this agent's upstream */
+	uint32_t work_us;    /* expected time on a usual upstream */
 	struct mst_resources needs;
 	struct mst_bytes method;
 	struct mst_bytes path;
--- a/src/codec/codec.c
+++ b/src/codec/codec.c
@@ -220,6 +220,7 @@
 	put_u64(pk, m->fenced);
 	put_u64(pk, m->grant);
 	put_u64(pk, m->free_slots);
+	put_u64(pk, m->slowness_milli);
 	put_u64(pk, m->running);
 	put_u64(pk, m->queued);
 	put_u64(pk, m->roster_version);
@@ -244,6 +245,7 @@
 	m->fenced = get_bool(r);
 	m->grant = get_u32(r);
 	m->free_slots = get_u32(r);
+	m->slowness_milli = get_u32(r);
 	m->running = get_u32(r);
 	m->queued = get_u32(r);
 	m->roster_version = get_u64(r);
@@ -588,7 +590,7 @@
 }
 
 static const uint8_t payload_fields[MST_MSG_MAX] = {
-    [MST_MSG_ANNOUNCE] = 21,
+    [MST_MSG_ANNOUNCE] = 22,
     [MST_MSG_HEARTBEAT] = 9,
     [MST_MSG_DISPATCH] = 5,
     [MST_MSG_RESULT] = 3,
--- a/src/core/agent.c
+++ b/src/core/agent.c
@@ -123,6 +123,7 @@
 	m->fenced = session->fenced;
 	m->grant = mst_session_grant(agent, session);
 	m->free_slots = mst_worker_free_slots(agent);
+	m->slowness_milli = mst_worker_slowness_milli(agent);
 	m->roster_version = session->roster_version;
 	m->sent_upto = session->sent_upto;
 	m->seen = session->seen;
--- a/src/core/agent_internal.h
+++ b/src/core/agent_internal.h
@@ -3,6 +3,8 @@
 
 #include <masticstall/agent.h>
 
+#include "core/speed.h"
+
 #define AGENT_SESSIONS_MAX     1024
 #define AGENT_CLAIMS_MAX       65536
 #define AGENT_PREFETCH_MAX     64
@@ -43,6 +45,7 @@
 	int64_t hold_due_us;
 	unsigned hold_failures; /* in a row */
 	struct mst_resources used;
+	struct mst_speed speed; /* observed over expected times */
 };
 
 enum run_state { RUN_QUEUED = 1, RUN_RUNNING, RUN_FINISHED };
@@ -181,6 +184,8 @@
 /* Tasks of the usual size that fit in, or still fit beside the others. */
 uint32_t mst_worker_slots(const struct mst_agent *agent);
 uint32_t mst_worker_free_slots(const struct mst_agent *agent);
+/* Its times over the expected ones, in thousandths; 0: not known yet. */
+uint32_t mst_worker_slowness_milli(const struct mst_agent *agent);
 
 /* agent_lease.c */
 /* Takes note of the entry's echo of this agent's clock. */
--- a/src/core/agent_run.c
+++ b/src/core/agent_run.c
@@ -139,6 +139,15 @@
 	run->session->open--;
 }
 
+/* A leased agent's queue is short: an entry knows better where to go. */
+static uint32_t
+agent_queue_max(const struct mst_agent *agent)
+{
+	return agent->options.leased
+	    ? mst_worker_free_slots(agent) + AGENT_LEASED_QUEUE + 1
+	    : agent->options.queue_max;
+}
+
 void
 mst_agent_dispatch(struct mst_agent *agent, struct session *session,
     const struct mst_dispatch_item *item, bool stale)
@@ -168,7 +177,7 @@
 		run_refuse(agent, run, MST_REASON_STALE);
 	} else if (agent->draining || agent->worker.draining) {
 		run_refuse(agent, run, MST_REASON_DRAINING);
-	} else if (agent->queue.length >= agent->options.queue_max) {
+	} else if (agent->queue.length >= agent_queue_max(agent)) {
 		run_refuse(agent, run, MST_REASON_BUSY);
 	} else {
 		run->state = RUN_QUEUED;
--- a/src/core/agent_worker.c
+++ b/src/core/agent_worker.c
@@ -19,6 +19,11 @@
 #define WORKER_MILLICORES_MIN   1.0
 #define WORKER_SIZE_WINDOW      64 /* tasks that the usual size is of */
 #define WORKER_SLOTS_MAX        4096
+#define WORKER_SPEED_WINDOW     12 /* runs; it may turn slow within a second */
+#define WORKER_SPEED_SAMPLES    3
+#define WORKER_SPEED_LEAK       0.002
+#define WORKER_LAG              1.5
+#define WORKER_LAG_RUNS         3
 
 static const char *const status_names[] = {[MST_ORDER_DONE] = "done",
     [MST_ORDER_NO_ANSWER] = "no-answer",
@@ -89,6 +94,40 @@
 	    : 0;
 }
 
+/* Time that the present runs have taken over what was expected of them: near
+ * one half on a worker that is as fast as it was. */
+static double
+worker_lag(const struct mst_agent *agent)
+{
+	double elapsed_us = 0, expected_us = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, agent->active);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct run *run = value;
+
+		elapsed_us += (double)(agent->now_us - run->started_us);
+		expected_us += run->task.work_us;
+	}
+	return expected_us > 0 ? elapsed_us / expected_us : 0;
+}
+
+uint32_t
+mst_worker_slowness_milli(const struct mst_agent *agent)
+{
+	const struct mst_speed *speed = &agent->worker.speed;
+	double slowness = mst_speed_ratio(speed);
+	double lag = worker_lag(agent);
+
+	/* Runs that are late tell of a slow worker before they end. */
+	if (agent->running >= WORKER_LAG_RUNS && lag > slowness * WORKER_LAG)
+		slowness = lag;
+	else if (speed->samples < WORKER_SPEED_SAMPLES)
+		return 0;
+	return (uint32_t)CLAMP(slowness * 1000, 1, UINT32_MAX);
+}
+
 static void
 resources_change(
     struct mst_resources *used, const struct mst_resources *needs, int sign)
@@ -382,6 +421,19 @@
 	return NULL;
 }
 
+static void
+worker_learn_speed(struct mst_agent *agent, const struct run *run)
+{
+	struct mst_speed *speed = &agent->worker.speed;
+
+	if (run->task.work_us == 0)
+		return;
+	mst_speed_learn(speed, (double)(agent->now_us - run->started_us),
+	    run->task.work_us, WORKER_SPEED_WINDOW);
+	/* Keeps the usual worker at one, as entries measure against it. */
+	speed->log_ratio *= 1 - WORKER_SPEED_LEAK;
+}
+
 static void
 take_end(struct mst_agent *agent, const struct mst_worker_end *end)
 {
@@ -394,6 +446,7 @@
 		return;
 	switch (end->how) {
 	case MST_RUN_DONE:
+		worker_learn_speed(agent, run);
 		run_over(agent, run, &result);
 		break;
 	case MST_RUN_FAILED:
--- a/src/core/entry_choose.c
+++ b/src/core/entry_choose.c
@@ -5,11 +5,15 @@
 
 #include "core/entry_internal.h"
 
-#define CHOOSE_OVERHEAD_US (INT64_C(6) * 1000) /* orders and messages */
-#define CHOOSE_MARGIN      0.85 /* share of the time left that is planned */
-#define CHOOSE_CALM        0.35 /* below this share busy: the fastest */
-#define CHOOSE_CROWDED     0.75 /* above: the slowest that is in time */
-#define CHOOSE_SERVICE_US  (150.0 * 1000) /* where none is known */
+#define CHOOSE_OVERHEAD_US  (INT64_C(6) * 1000) /* orders and messages */
+#define CHOOSE_MARGIN       0.85 /* share of the time left that is planned */
+#define CHOOSE_CALM         0.35 /* below this share busy: the fastest */
+#define CHOOSE_CROWDED      0.75 /* above: the slowest that is in time */
+#define CHOOSE_LONGER       1.5  /* work against what is expected of it */
+#define CHOOSE_STRETCH_MAX  2.0  /* of the first finish, when crowded */
+#define CHOOSE_TAKEN_WEIGHT 0.1
+#define CHOOSE_NOISE        0.1
+#define CHOOSE_SERVICE_US   (150.0 * 1000) /* where none is known */
 
 /* Time until a member has a slot for one more task. */
 static double
@@ -30,6 +34,18 @@
 	    work_us * member->slowness;
 }
 
+/* Spreads tasks over members that are alike: entries that choose at the same
+ * moment should not all choose the same one. */
+static double
+spread(const struct mst_entry *entry, const struct member *member)
+{
+	double taken = 1 -
+	    MIN(member->free_slots, member->slots) / MAX(member->slots, 1.0);
+
+	return 1 + CHOOSE_TAKEN_WEIGHT * taken +
+	    g_rand_double_range(entry->rand, 0, CHOOSE_NOISE);
+}
+
 /* Share of the members' speed that is in use. */
 static double
 leased_busy_share(const struct mst_entry *entry)
@@ -72,17 +88,38 @@
 	return best_us;
 }
 
-/* How late a task may end: what is left of its job's objective, used the more
- * the busier the members are. */
+/* True when a task ends in time at a member, also when its work turns out to
+ * be longer than expected: the objective grows with it, the deadline not. */
+static bool
+ends_in_time(const struct mst_entry *entry, const struct member *member,
+    const struct job *job, double work_us)
+{
+	static const double factors[] = {1, CHOOSE_LONGER};
+	double elapsed_us = (double)(entry->now_us - job->submitted_us);
+	double given_us = (double)(job->deadline_us - job->submitted_us);
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(factors); i++) {
+		double objective_us = factors[i] * job->stretch * work_us +
+		    (double)job->target_us;
+		double end_us =
+		    elapsed_us + finish_us(member, factors[i] * work_us);
+
+		if (end_us > MIN(objective_us, given_us) * CHOOSE_MARGIN)
+			return false;
+	}
+	return true;
+}
+
+/* Longest finish that is accepted: the first one when there is plenty of room,
+ * any that is in time when there is not. */
 static double
-limit_us(const struct mst_entry *entry, const struct job *job, double first_us)
+accepted_us(const struct mst_entry *entry, double first_us)
 {
-	double left_us = (double)(job->in_time_us - entry->now_us);
 	double crowd =
 	    (entry->busy - CHOOSE_CALM) / (CHOOSE_CROWDED - CHOOSE_CALM);
 
-	left_us *= CHOOSE_MARGIN;
-	return first_us + (left_us - first_us) * CLAMP(crowd, 0, 1);
+	return first_us * (1 + CHOOSE_STRETCH_MAX * CLAMP(crowd, 0, 1));
 }
 
 struct member *
@@ -90,7 +127,7 @@
     const struct task *task, double work_us)
 {
 	struct member *first = NULL, *slowest = NULL;
-	double first_us = 0, slowest_us = 0, allowed_us;
+	double first_us = 0, slowest_us = 0, limit_us;
 	guint i;
 
 	entry->busy = leased_busy_share(entry);
@@ -100,7 +137,7 @@
 
 		if (!mst_member_is_candidate(entry, member, job, task))
 			continue;
-		us = finish_us(member, work_us);
+		us = finish_us(member, work_us) * spread(entry, member);
 		if (first == NULL || us < first_us) {
 			first = member;
 			first_us = us;
@@ -108,21 +145,23 @@
 	}
 	if (first == NULL)
 		return NULL;
-	allowed_us = limit_us(entry, job, first_us);
-	if (first_us > allowed_us &&
-	    later_finish_us(entry, job, task, work_us) < first_us)
+	if (!ends_in_time(entry, first, job, work_us) &&
+	    later_finish_us(entry, job, task, work_us) <
+		finish_us(first, work_us))
 		return NULL;
+	limit_us = accepted_us(entry, first_us);
 	for (i = 0; i < entry->members->len; i++) {
 		struct member *member = entry->members->pdata[i];
 		double us;
 
 		if (!mst_member_is_candidate(entry, member, job, task))
 			continue;
-		us = finish_us(member, work_us);
-		if (us <= allowed_us && us > slowest_us) {
-			slowest = member;
-			slowest_us = us;
-		}
+		us = finish_us(member, work_us) * spread(entry, member);
+		if (us > limit_us || us <= slowest_us ||
+		    !ends_in_time(entry, member, job, work_us))
+			continue;
+		slowest = member;
+		slowest_us = us;
 	}
 	return slowest != NULL ? slowest : first;
 }
--- a/src/core/entry_internal.h
+++ b/src/core/entry_internal.h
@@ -4,6 +4,7 @@
 #include <masticstall/entry.h>
 
 #include "core/agent_internal.h"
+#include "core/estimate.h"
 #include "core/speed.h"
 
 #define ENTRY_SCAN_US        (50 * 1000)
@@ -46,6 +47,7 @@
 	uint32_t queue_us;
 	uint32_t service_us;
 	struct member *member;      /* while sent */
+	uint64_t last_member;       /* incarnation; 0: never sent */
 	const struct member *avoid; /* has failed it */
 	uint64_t seq;
 	int64_t sent_us;
@@ -90,6 +92,7 @@
 	uint32_t attempts;
 	double stretch;
 	int64_t target_us;
+	double observed_us; /* longest work of a task that has ended */
 	int64_t in_time_us; /* the objective */
 	int64_t useful_us;  /* answers after this are worth nothing */
 	int64_t urgent_us;  /* latest start for the objective; order of jobs */
@@ -111,7 +114,8 @@
 	double sent_us;        /* work sent since the last measure */
 	double rate;           /* moving average of work sent a unit of time */
 	struct mst_speed bias; /* observed over declared time */
-	bool active;           /* in the list of teams with waiting tasks */
+	struct mst_estimate estimate; /* leased: the same, for rough ones */
+	bool active; /* in the list of teams with waiting tasks */
 	uint32_t skipped_round;
 };
 
@@ -157,10 +161,11 @@
 	uint64_t config_version;
 	uint64_t config_sent;
 	struct mst_speed speed;
-	double service_us;  /* moving average */
-	double slowness;    /* as of the last ranking */
-	double faster_rate; /* work a unit of time of the faster ones */
-	uint32_t failures;  /* in a row */
+	double told_slowness; /* leased: by its agent; 0: not known */
+	double service_us;    /* moving average */
+	double slowness;      /* as of the last ranking */
+	double faster_rate;   /* work a unit of time of the faster ones */
+	uint32_t failures;    /* in a row */
 	int64_t ejected_until_us;
 	uint32_t ejections; /* in a row */
 	bool probing;
--- a/src/core/entry_job.c
+++ b/src/core/entry_job.c
@@ -287,6 +287,7 @@
 		entry->sent--;
 	}
 	task->state = TASK_CLOSED;
+	task->closed_us = entry->now_us;
 	task->outcome = (uint8_t)outcome;
 	task->reason = (uint8_t)reason;
 	entry->counters.outcomes[outcome]++;
--- a/src/core/entry_member.c
+++ b/src/core/entry_member.c
@@ -347,6 +347,7 @@
 		member->grant = m->grant;
 		member->free_slots = m->free_slots;
 		member->queued = m->queued;
+		member->told_slowness = m->slowness_milli / 1000.0;
 		member->roster_version =
 		    MAX(member->roster_version, m->roster_version);
 		member_repeat_lost(entry, member, m);
@@ -385,6 +386,7 @@
 		if (old == member || g_strcmp0(old->name, member->name) != 0)
 			continue;
 		member->speed = old->speed;
+		member->told_slowness = old->told_slowness;
 		member->service_us = old->service_us;
 		if (old->state != MEMBER_GONE)
 			member_lose(entry, old);
--- a/src/core/entry_place.c
+++ b/src/core/entry_place.c
@@ -10,7 +10,13 @@
 double
 mst_task_work_us(const struct job *job, const struct task *task)
 {
-	return task->declared_us * mst_speed_ratio(&job->team->bias);
+	double work_us;
+
+	if (!job->restartable)
+		return task->declared_us * mst_speed_ratio(&job->team->bias);
+	/* Tasks of one job are alike. */
+	work_us = mst_estimate_us(&job->team->estimate, task->declared_us);
+	return MAX(work_us, job->observed_us);
 }
 
 bool
@@ -75,8 +81,11 @@
 
 /* Learnt slowness; a member without results counts as the fastest. */
 static double
-learnt_slowness(const struct member *member, double fastest)
+learnt_slowness(
+    const struct mst_entry *entry, const struct member *member, double fastest)
 {
+	if (entry->options.leased)
+		return member->told_slowness > 0 ? member->told_slowness : 1;
 	if (member->speed.samples < PLACE_SAMPLES_MIN)
 		return fastest;
 	return mst_speed_ratio(&member->speed);
@@ -90,10 +99,14 @@
 
 	for (i = 0; i < entry->members->len; i++) {
 		const struct member *member = entry->members->pdata[i];
-		double ratio = mst_speed_ratio(&member->speed);
-
-		if (member->speed.samples < PLACE_SAMPLES_MIN ||
-		    !mst_member_usable(entry, member))
+		double ratio = entry->options.leased
+		    ? member->told_slowness
+		    : mst_speed_ratio(&member->speed);
+
+		if (!mst_member_usable(entry, member) ||
+		    (entry->options.leased
+			    ? ratio <= 0
+			    : member->speed.samples < PLACE_SAMPLES_MIN))
 			continue;
 		if (fastest == 0 || ratio < fastest)
 			fastest = ratio;
@@ -151,7 +164,8 @@
 	for (i = 0; i < entry->members->len; i++) {
 		struct member *member = entry->members->pdata[i];
 
-		member->slowness = learnt_slowness(member, entry->fastest);
+		member->slowness =
+		    learnt_slowness(entry, member, entry->fastest);
 		if (mst_member_usable(entry, member))
 			g_ptr_array_add(entry->ranked, member);
 	}
@@ -360,6 +374,7 @@
 	task->state = TASK_SENT;
 	task->withdrawing = false;
 	task->member = member;
+	task->last_member = member->incarnation;
 	task->seq = ++member->next_seq;
 	task->sent_us = entry->now_us;
 	job->expected_end_us = MAX(job->expected_end_us, end_us);
--- a/src/core/entry_result.c
+++ b/src/core/entry_result.c
@@ -4,7 +4,6 @@
 
 #define RESULT_MEMBER_WINDOW 32
 #define RESULT_TEAM_WINDOW   128
-#define RESULT_LEASED_WINDOW 16 /* a worker may turn slow within seconds */
 #define STATUS_FAILED        500
 #define RETRY_MIN_US         (INT64_C(20) * 1000)
 #define RETRY_DOUBLINGS      6
@@ -124,16 +123,30 @@
 }
 
 static void
-speed_learn(struct member *member, const struct job *job,
+estimate_learn(const struct member *member, struct job *job,
     const struct task *task, double observed_us)
+{
+	double work_us = observed_us / member->slowness;
+
+	mst_estimate_learn(&job->team->estimate, task->declared_us, work_us,
+	    RESULT_TEAM_WINDOW);
+	job->observed_us = MAX(job->observed_us, work_us);
+}
+
+static void
+speed_learn(struct member *member, struct job *job, const struct task *task,
+    double observed_us)
 {
 	struct mst_speed *bias = &job->team->bias;
 	double declared_us = task->declared_us;
 
 	member->service_us += (observed_us - member->service_us) / 8;
+	if (job->restartable) {
+		estimate_learn(member, job, task, observed_us);
+		return;
+	}
 	mst_speed_learn(&member->speed, observed_us,
-	    declared_us * mst_speed_ratio(bias),
-	    job->restartable ? RESULT_LEASED_WINDOW : RESULT_MEMBER_WINDOW);
+	    declared_us * mst_speed_ratio(bias), RESULT_MEMBER_WINDOW);
 	mst_speed_learn(bias, observed_us,
 	    declared_us * mst_speed_ratio(&member->speed), RESULT_TEAM_WINDOW);
 }
--- a/src/runtime/entry_front.c
+++ b/src/runtime/entry_front.c
@@ -15,6 +15,11 @@
 #define FRONT_SERVE_SHARE 0.4
 #define FRONT_RETRY_MS    1000 /* where nothing better is known */
 
+static const char *const outcome_names[] = {[FRONT_COMPLETED] = "completed",
+    [FRONT_FAILED] = "failed",
+    [FRONT_NOT_RUN] = "not-run",
+    [FRONT_MAY_HAVE_RUN] = "may-have-run"};
+
 static void
 front_answer(struct entry_runtime *rt, struct mst_httpd *httpd, uint64_t id,
     const struct front_answer *answer)
@@ -45,12 +50,49 @@
 	return view->may_have_run ? FRONT_MAY_HAVE_RUN : FRONT_NOT_RUN;
 }
 
+/* One line for a job's end; where it failed, one for each task, too. */
+static void
+log_job(const struct entry_runtime *rt, const struct mst_job_view *view,
+    uint64_t handle, enum front_outcome outcome)
+{
+	int64_t took_us = view->closed_us - view->submitted_us;
+	uint32_t i;
+
+	mst_log(MST_LOG_INFO, "job-ended",
+	    "job=%s queue=%s outcome=%s reason=%s tasks=%" PRIu32
+	    " sent=%" PRIu32 " took_ms=%" PRId64 " objective_ms=%" PRId64,
+	    view->key, view->team, outcome_names[outcome],
+	    mst_reason_name(view->reason), view->count, view->started,
+	    took_us / 1000, view->objective_us / 1000);
+	if (outcome == FRONT_COMPLETED && took_us <= view->objective_us)
+		return;
+	for (i = 0; i < view->count; i++) {
+		struct mst_task_view task;
+
+		if (mst_entry_task(&task, rt->entry, handle, i) < 0)
+			return;
+		mst_log(MST_LOG_INFO, "task",
+		    "job=%s task=%" PRIu32
+		    " outcome=%s reason=%s agent=%016" PRIx64
+		    " attempts=%" PRIu32 " declared_ms=%" PRIu32
+		    " sent_ms=%" PRId64 " closed_ms=%" PRId64
+		    " queue_ms=%" PRIu32 " run_ms=%" PRIu32,
+		    view->key, i, mst_outcome_name(task.outcome),
+		    mst_reason_name(task.reason), task.member, task.attempts,
+		    task.declared_us / 1000,
+		    (task.sent_us - view->submitted_us) / 1000,
+		    (task.closed_us - view->submitted_us) / 1000,
+		    task.queue_us / 1000, task.service_us / 1000);
+	}
+}
+
 void
 runtime_front_job(struct entry_runtime *rt, struct pending *pending,
-    const struct mst_job_view *view)
+    const struct mst_job_view *view, uint64_t handle)
 {
 	struct front_answer answer = {.outcome = outcome_of_job(view)};
 
+	log_job(rt, view, handle, answer.outcome);
 	if (answer.outcome == FRONT_NOT_RUN)
 		answer.retry_after_ms =
 		    MAX(view->retry_after_ms, FRONT_RETRY_MS);
--- a/src/runtime/entry_http.c
+++ b/src/runtime/entry_http.c
@@ -123,7 +123,7 @@
 	if (view.state != MST_JOB_OPEN)
 		trace_job(rt->traces, &view);
 	if (pending->front) {
-		runtime_front_job(rt, pending, &view);
+		runtime_front_job(rt, pending, &view, job);
 		return;
 	}
 	mst_entry_task(&task, rt->entry, job, 0);
--- a/src/runtime/entry_runtime.h
+++ b/src/runtime/entry_runtime.h
@@ -104,7 +104,7 @@
 /* Leaves the balancer's rotation, then drains. */
 void runtime_front_drain(struct entry_runtime *rt);
 void runtime_front_job(struct entry_runtime *rt, struct pending *pending,
-    const struct mst_job_view *view);
+    const struct mst_job_view *view, uint64_t handle);
 void runtime_front_refusal(struct entry_runtime *rt, struct pending *pending,
     const struct mst_entry_effect *effect);
 void runtime_publish(uv_timer_t *timer);
