--- a/include/masticstall/agent.h
+++ b/include/masticstall/agent.h
@@ -124,6 +124,14 @@
 	bool draining;
 };
 
+/**
+ * Sets the times of a leased agent; docs/PLATFORM.md has the sum that they must
+ * stay under.
+ *
+ * @param options changed
+ */
+void mst_agent_options_lease(struct mst_agent_options *options);
+
 /**
  * Creates an agent.
  *
--- a/include/masticstall/entry.h
+++ b/include/masticstall/entry.h
@@ -234,6 +234,14 @@
 	uint64_t config_version;
 };
 
+/**
+ * Sets the times of a leased entry; docs/PLATFORM.md has the sum that they must
+ * stay under.
+ *
+ * @param options changed
+ */
+void mst_entry_options_lease(struct mst_entry_options *options);
+
 /**
  * Creates an entry.
  *
--- a/src/core/agent.c
+++ b/src/core/agent.c
@@ -6,6 +6,14 @@
 
 #define AGENT_SCAN_US (100 * 1000)
 
+void
+mst_agent_options_lease(struct mst_agent_options *options)
+{
+	options->leased = true;
+	options->heartbeat_us = INT64_C(200) * 1000;
+	options->retention_us = 2 * G_USEC_PER_SEC;
+}
+
 int
 mst_agent_new(struct mst_agent **out, const struct mst_agent_options *options)
 {
--- a/src/core/agent_internal.h
+++ b/src/core/agent_internal.h
@@ -23,9 +23,12 @@
 	ORDER_STARTING, /* no answer yet */
 	ORDER_STARTED,
 	ORDER_STOPPING, /* no answer yet */
+	ORDER_STOP_DUE, /* to be sent once the worker is there */
 	ORDER_STOPPED   /* its end is not listed yet */
 };
 
+#define WORKER_HOLDS 2 /* at once; the second only while answers get lost */
+
 /* The worker of a leased agent. */
 struct worker {
 	bool known;  /* has reported about itself */
@@ -40,9 +43,10 @@
 	int64_t clock_ms; /* as of clock_us */
 	int64_t clock_us;
 	int64_t lapse_us; /* by then all has lapsed unless renewed */
-	bool holding;     /* a HOLD has no answer yet */
-	uint64_t hold_id;
+	uint64_t
+	    holds[WORKER_HOLDS]; /* ids of those without an answer; 0: none */
 	int64_t hold_due_us;
+	int64_t flaky_until_us; /* it left an order unanswered lately */
 	unsigned hold_failures; /* in a row */
 	struct mst_resources used;
 	struct mst_speed speed; /* observed over expected times */
--- a/src/core/agent_worker.c
+++ b/src/core/agent_worker.c
@@ -9,9 +9,12 @@
 
 #include <string.h>
 
-#define WORKER_ORDER_TIMEOUT_MS 80
-#define WORKER_HOLD_SLACK_MS    150 /* an answer may take longer than asked */
-#define WORKER_START_TRIES      5
+#define WORKER_ORDER_TIMEOUT_MS 50
+#define WORKER_HOLD_SLACK_MS    50 /* an answer may take longer than asked */
+#define WORKER_HOLD_FAILURES    4  /* in a row: the worker is lost */
+#define WORKER_FLAKY_US         (3 * G_USEC_PER_SEC)
+#define WORKER_FLAKY_WAIT_US    (40 * 1000)
+#define WORKER_START_TRIES      6
 #define WORKER_HOLD_RETRY_US    (20 * 1000)
 #define WORKER_UNKNOWN_MAX      64   /* stopped at once after one list */
 #define WORKER_DRIFT            0.04 /* clocks are up to 2 % apart */
@@ -50,7 +53,7 @@
 	const struct worker *worker = &agent->worker;
 
 	return worker->known && worker->synced && !worker->draining &&
-	    worker->hold_failures == 0;
+	    worker->hold_failures < WORKER_HOLD_FAILURES;
 }
 
 bool
@@ -249,8 +252,7 @@
 mst_worker_stop(
     struct mst_agent *agent, struct run *run, enum mst_reason reason)
 {
-	if (run->order_state == ORDER_STOPPING ||
-	    run->order_state == ORDER_STOPPED)
+	if (run->order_state >= ORDER_STOPPING)
 		return;
 	run->stop_reason = reason;
 	stop_send(agent, run);
@@ -298,14 +300,25 @@
 	return g_hash_table_get_values(agent->active);
 }
 
+/* Ends the runs of a worker that runs nothing any more. An order to start that
+ * has no answer yet, or never got one, may still reach its next life: such a
+ * run ends only when that has been told to stop it. */
 static void
 lose_all_runs(struct mst_agent *agent)
 {
 	GList *runs = active_runs(agent);
 	GList *link;
 
-	for (link = runs; link != NULL; link = link->next)
-		run_lost(agent, link->data, MST_REASON_RUN_LOST);
+	for (link = runs; link != NULL; link = link->next) {
+		struct run *run = link->data;
+
+		if (run->order_state == ORDER_STARTING)
+			continue;
+		if (run->unanswered)
+			mst_worker_stop(agent, run, MST_REASON_RUN_LOST);
+		else
+			run_lost(agent, run, MST_REASON_RUN_LOST);
+	}
 	g_list_free(runs);
 }
 
@@ -318,19 +331,18 @@
 	effect->state = state;
 }
 
-/* Another life of the worker: it runs nothing of before. */
+/* Another life of the worker: it runs nothing of before, but it may have been
+ * given work since; its first list tells. */
 static void
 worker_reborn(struct mst_agent *agent, uint64_t life)
 {
 	struct worker *worker = &agent->worker;
 
-	lose_all_runs(agent);
 	worker->life = life;
 	worker->synced = false;
 	worker->fence = 0;
 	worker->ends_seen = 0;
 	worker->clock_ms = 0;
-	worker->lapse_us = 0;
 	worker->hold_due_us = agent->now_us;
 	worker_tell(agent, "restarted");
 }
@@ -398,6 +410,8 @@
 	agent->rack = mst_bytes_string(report->rack);
 	agent->options.resources = report->capacity;
 	worker->draining = report->draining;
+	if (!worker->known)
+		agent->next_heartbeat_us = agent->now_us;
 	worker->known = true;
 	if (worker->draining)
 		mst_agent_refuse_queued(agent, NULL, MST_REASON_DRAINING);
@@ -490,7 +504,9 @@
 	}
 }
 
-static void
+/* Takes what the worker lists; returns how many runs there are not this
+ * agent's. */
+static uint32_t
 take_lists(struct mst_agent *agent, const struct mst_order_answer *answer)
 {
 	GList *unlisted;
@@ -519,25 +535,61 @@
 	}
 	lose_unlisted(agent, answer, unlisted);
 	g_list_free(unlisted);
+	return unknown;
+}
+
+static bool
+worker_is_flaky(const struct mst_agent *agent)
+{
+	return agent->now_us < agent->worker.flaky_until_us;
+}
+
+static uint64_t *
+hold_find(struct worker *worker, uint64_t id)
+{
+	size_t i;
+
+	for (i = 0; i < WORKER_HOLDS; i++) {
+		if (worker->holds[i] == id)
+			return &worker->holds[i];
+	}
+	return NULL;
+}
+
+/* A place for one more HOLD, or NULL. While answers get lost, a second one
+ * learns of ends that the first may never tell. */
+static uint64_t *
+hold_place(struct mst_agent *agent)
+{
+	struct worker *worker = &agent->worker;
+
+	if (worker->synced && worker_is_flaky(agent))
+		return hold_find(worker, 0);
+	return worker->holds[0] == 0 && worker->holds[1] == 0
+	    ? &worker->holds[0]
+	    : NULL;
 }
 
 static void
-hold_send(struct mst_agent *agent)
+hold_send(struct mst_agent *agent, uint64_t *place)
 {
 	struct worker *worker = &agent->worker;
+	int64_t wait_us = worker_is_flaky(agent) ? WORKER_FLAKY_WAIT_US
+						 : agent->options.renew_us;
 	struct mst_order *order;
 
 	/* What has no lease any more must not get a new one. */
 	mst_agent_check_leases(agent);
-	worker->holding = true;
-	worker->hold_id = ++agent->next_handle;
-	order = order_emit(agent, MST_ORDER_HOLD, worker->hold_id);
+	*place = ++agent->next_handle;
+	order = order_emit(agent, MST_ORDER_HOLD, *place);
 	order->ends_seen = worker->ends_seen;
 	if (worker->synced && worker->hold_failures == 0)
-		order->wait_ms = (uint32_t)(agent->options.renew_us / 1000);
+		order->wait_ms = (uint32_t)(wait_us / 1000);
 	order->timeout_ms = order->wait_ms + WORKER_HOLD_SLACK_MS;
-	if (worker->fence != 0)
+	/* What an earlier life of this agent has left is not renewed. */
+	if (worker->synced)
 		order_renews(agent, order);
+	worker->hold_due_us = agent->now_us + wait_us / WORKER_HOLDS;
 }
 
 static void
@@ -545,36 +597,66 @@
 {
 	struct worker *worker = &agent->worker;
 
-	if (worker->hold_failures++ == 0 && worker->synced)
+	if (++worker->hold_failures == WORKER_HOLD_FAILURES && worker->synced)
 		worker_tell(agent, mst_order_status_name(status));
-	worker->hold_due_us = agent->now_us + WORKER_HOLD_RETRY_US;
+	worker->hold_due_us = agent->now_us;
+	if (worker->hold_failures > 1)
+		worker->hold_due_us += WORKER_HOLD_RETRY_US;
+}
+
+static void
+send_due_stops(struct mst_agent *agent)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, agent->active);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct run *run = value;
+
+		if (run->order_state == ORDER_STOP_DUE)
+			stop_send(agent, run);
+	}
 }
 
 static void
 hold_done(struct mst_agent *agent, const struct mst_order_answer *answer)
 {
 	struct worker *worker = &agent->worker;
+	bool lost = worker->hold_failures >= WORKER_HOLD_FAILURES;
+	uint32_t unknown;
 
 	worker->hold_due_us = agent->now_us;
 	if (worker->fence == 0) {
 		worker_raise_fence(agent);
 		return;
 	}
-	take_lists(agent, answer);
-	if (!worker->synced || worker->hold_failures > 0)
+	unknown = take_lists(agent, answer);
+	send_due_stops(agent);
+	worker->hold_failures = 0;
+	/* Entries may have what an earlier life of this agent has started tried
+	 * elsewhere as soon as they hear of this one. */
+	if (!worker->synced && unknown > 0) {
+		worker->hold_due_us = agent->now_us + WORKER_HOLD_RETRY_US;
+		return;
+	}
+	if (!worker->synced || lost)
 		worker_tell(agent, "answers");
+	/* The entries hear at once of a worker that is there again. */
+	if (!worker->synced)
+		agent->next_heartbeat_us = agent->now_us;
 	worker->synced = true;
-	worker->hold_failures = 0;
 }
 
 static void
 hold_answer(struct mst_agent *agent, const struct mst_order_answer *answer)
 {
 	struct worker *worker = &agent->worker;
+	uint64_t *place = hold_find(worker, answer->id);
 
-	if (answer->id != worker->hold_id)
+	if (place == NULL)
 		return;
-	worker->holding = false;
+	*place = 0;
 	switch (answer->status) {
 	case MST_ORDER_DONE:
 		hold_done(agent, answer);
@@ -634,6 +716,7 @@
 		start_repeat(agent, run);
 		break;
 	case MST_ORDER_DOWN:
+		run_not_started(agent, run, MST_REASON_UPSTREAM_DOWN);
 		worker_gone(agent);
 		break;
 	case MST_ORDER_NO_ROOM:
@@ -660,6 +743,10 @@
 		stop_send(agent, run);
 		return;
 	}
+	if (answer->status == MST_ORDER_DOWN) {
+		run->order_state = ORDER_STOP_DUE;
+		return;
+	}
 	run->order_state = ORDER_STOPPED;
 	run->confirmed_us = agent->now_us;
 	/* Where nothing was started, no list will ever name it. */
@@ -670,13 +757,16 @@
 mst_worker_answer(
     struct mst_agent *agent, const struct mst_order_answer *answer)
 {
+	uint64_t *place;
 	struct run *run;
 
 	agent->counters.orders[answer->status]++;
+	if (answer->status == MST_ORDER_NO_ANSWER)
+		agent->worker.flaky_until_us = agent->now_us + WORKER_FLAKY_US;
 	if (!worker_check_life(agent, answer->life)) {
-		if (answer->kind == MST_ORDER_HOLD &&
-		    answer->id == agent->worker.hold_id)
-			agent->worker.holding = false;
+		place = hold_find(&agent->worker, answer->id);
+		if (answer->kind == MST_ORDER_HOLD && place != NULL)
+			*place = 0;
 		return;
 	}
 	worker_learn_clock(agent, answer->clock_ms);
@@ -699,9 +789,13 @@
 mst_worker_tick(struct mst_agent *agent)
 {
 	struct worker *worker = &agent->worker;
+	uint64_t *place;
 
 	if (agent->running > 0 && agent->now_us > worker->lapse_us)
 		lose_all_runs(agent);
-	if (!worker->holding && agent->now_us >= worker->hold_due_us)
-		hold_send(agent);
+	if (agent->now_us < worker->hold_due_us)
+		return;
+	place = hold_place(agent);
+	if (place != NULL)
+		hold_send(agent, place);
 }
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -9,6 +9,16 @@
 #define INCARNATION_FACTOR 0x9e3779b97f4a7c15u
 #define TICKET_LEN         (2 + 16 + 1 + 16 + 1 + 16)
 
+void
+mst_entry_options_lease(struct mst_entry_options *options)
+{
+	options->leased = true;
+	options->heartbeat_us = INT64_C(150) * 1000;
+	options->suspect_us = INT64_C(500) * 1000;
+	options->remove_us = INT64_C(1300) * 1000;
+	options->answer_keep_us = G_USEC_PER_SEC / 2;
+}
+
 int
 mst_entry_new(struct mst_entry **out, const struct mst_entry_options *options)
 {
--- a/src/core/entry_internal.h
+++ b/src/core/entry_internal.h
@@ -92,10 +92,12 @@
 	uint32_t attempts;
 	double stretch;
 	int64_t target_us;
+	double waiting_us;  /* expected work of its waiting tasks */
 	double observed_us; /* longest work of a task that has ended */
 	int64_t in_time_us; /* the objective */
 	int64_t useful_us;  /* answers after this are worth nothing */
-	int64_t urgent_us;  /* latest start for the objective; order of jobs */
+	int64_t latest_us;  /* latest start for the objective */
+	int64_t urgent_us;  /* order of jobs: the same, by priority */
 	bool demoted;       /* can't be in time any more */
 	uint32_t retry_after_ms;
 	uint64_t bytes;
@@ -312,7 +314,13 @@
 
 /* entry_objective.c */
 void mst_job_set_objective(struct mst_entry *entry, struct job *job);
-/* Lets jobs that can still be in time go before one that can't. */
+/* Expected time until a job of some urgency would have its turn. */
+double mst_entry_wait_us(const struct mst_entry *entry, int64_t urgent_us);
+/* True when a new job can't be expected to end in time. */
+bool mst_job_would_be_late(const struct mst_entry *entry,
+    const struct mst_job_spec *spec, const struct team *team, double *wait_us);
+/* Lets jobs that can still be in time go before one that can't, and closes it
+ * when its turn would come too late for any use. */
 void mst_job_demote_late(struct mst_entry *entry, struct job *job);
 
 /* entry_choose.c */
--- a/src/core/entry_objective.c
+++ b/src/core/entry_objective.c
@@ -7,6 +7,9 @@
 #include "core/entry_internal.h"
 
 #define OBJECTIVE_LATE 3.0 /* in objectives: later answers are worth little */
+#define PRIORITY_US    (INT64_C(100) * 1000) /* of slack for each level */
+#define PRIORITY_MAX   10
+#define RATE_SHARE_MIN 0.5 /* of an entry's share of the capacity */
 
 /* Expected work of the longest task that has not ended. */
 static double
@@ -25,30 +28,117 @@
 	return longest_us;
 }
 
+/* Time for the objective and time of any use, from the start. */
+struct terms {
+	int64_t in_time_us;
+	int64_t useful_us;
+	int64_t urgent_us;
+};
+
+static struct terms
+terms_of(const struct mst_entry *entry, double work_us, double stretch,
+    int64_t target_us, int64_t given_us, uint32_t priority)
+{
+	int64_t objective_us = (int64_t)(stretch * work_us) + target_us;
+	struct terms terms;
+
+	if (objective_us <= 0)
+		objective_us = given_us;
+	terms.in_time_us = MIN(objective_us, given_us);
+	terms.useful_us =
+	    MIN((int64_t)((double)objective_us * OBJECTIVE_LATE), given_us);
+	terms.urgent_us = terms.in_time_us -
+	    (int64_t)(work_us * entry->fastest) +
+	    MIN(priority, PRIORITY_MAX) * PRIORITY_US;
+	return terms;
+}
+
 void
 mst_job_set_objective(struct mst_entry *entry, struct job *job)
 {
-	double work_us = longest_work_us(job);
 	int64_t given_us = job->deadline_us - job->submitted_us;
-	int64_t objective_us =
-	    (int64_t)(job->stretch * work_us) + job->target_us;
+	double work_us = longest_work_us(job);
+	struct terms terms = terms_of(entry, work_us, job->stretch,
+	    job->target_us, given_us, job->priority);
 
-	if (!job->restartable || objective_us <= 0)
-		objective_us = given_us;
-	job->in_time_us = job->submitted_us + MIN(objective_us, given_us);
-	job->useful_us = job->submitted_us +
-	    MIN((int64_t)((double)objective_us * OBJECTIVE_LATE), given_us);
-	job->urgent_us = job->in_time_us - (int64_t)(work_us * entry->fastest);
+	if (!job->restartable)
+		terms = (struct terms){given_us, given_us, given_us};
+	job->in_time_us = job->submitted_us + terms.in_time_us;
+	job->useful_us = job->submitted_us + terms.useful_us;
+	job->urgent_us = job->submitted_us + terms.urgent_us;
+	job->latest_us = job->in_time_us - (int64_t)(work_us * entry->fastest);
+}
+
+/* Work of a team's waiting jobs that go before some urgency. */
+static double
+work_ahead_us(const struct team *team, int64_t urgent_us)
+{
+	GSequenceIter *iter = g_sequence_get_begin_iter(team->jobs);
+	double ahead_us = 0;
+
+	while (!g_sequence_iter_is_end(iter)) {
+		const struct job *job = g_sequence_get(iter);
+
+		if (job->urgent_us > urgent_us)
+			break;
+		ahead_us += job->waiting_us;
+		iter = g_sequence_iter_next(iter);
+	}
+	return ahead_us;
+}
+
+double
+mst_entry_wait_us(const struct mst_entry *entry, int64_t urgent_us)
+{
+	double share =
+	    mst_entry_capacity(entry) / mst_entry_live_entries(entry);
+	double ahead_us = 0, rate = 0;
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	for (i = 0; i < entry->active_teams->len; i++)
+		ahead_us +=
+		    work_ahead_us(entry->active_teams->pdata[i], urgent_us);
+	if (ahead_us == 0)
+		return 0;
+	g_hash_table_iter_init(&iter, entry->teams);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		rate += ((const struct team *)value)->rate;
+	return ahead_us / MAX(MAX(rate, share * RATE_SHARE_MIN), 1e-3);
+}
+
+bool
+mst_job_would_be_late(const struct mst_entry *entry,
+    const struct mst_job_spec *spec, const struct team *team, double *wait_us)
+{
+	double work_us = 0;
+	struct terms terms;
+	uint32_t i;
+
+	for (i = 0; i < spec->count; i++)
+		work_us = MAX(work_us,
+		    mst_estimate_us(&team->estimate,
+			spec->tasks[i].declared_us ? spec->tasks[i].declared_us
+						   : ENTRY_DECLARED_US));
+	terms = terms_of(entry, work_us, spec->stretch,
+	    (int64_t)spec->target_ms * 1000, (int64_t)spec->timeout_ms * 1000,
+	    spec->priority);
+	*wait_us = mst_entry_wait_us(entry, entry->now_us + terms.urgent_us);
+	return *wait_us + work_us * entry->fastest > (double)terms.in_time_us;
 }
 
 void
 mst_job_demote_late(struct mst_entry *entry, struct job *job)
 {
 	if (!job->restartable || job->demoted || job->started > 0 ||
-	    entry->now_us <= job->urgent_us)
+	    entry->now_us <= job->latest_us)
 		return;
 	/* It goes behind those that can still be in time. */
 	job->demoted = true;
-	job->urgent_us = job->useful_us;
+	job->urgent_us = job->useful_us + PRIORITY_MAX * PRIORITY_US;
 	mst_team_resort(entry, job);
+	if (entry->now_us + (int64_t)mst_entry_wait_us(entry, job->urgent_us) >
+	    job->useful_us)
+		mst_job_close(entry, job, MST_JOB_FAILED, MST_REASON_OVERLOAD);
 }
--- a/src/core/entry_submit.c
+++ b/src/core/entry_submit.c
@@ -41,6 +41,12 @@
 		return MST_REASON_OVERLOAD;
 	if (team->open + spec->count > quota)
 		return MST_REASON_QUOTA;
+	if (spec->restartable) {
+		if (!mst_job_would_be_late(entry, spec, team, &wait_us))
+			return MST_REASON_NONE;
+		*retry_ms = retry_after_ms(wait_us);
+		return MST_REASON_OVERLOAD;
+	}
 	if (spec->timeout_ms == 0 || mst_entry_capacity(entry) <= 0)
 		return MST_REASON_NONE;
 	/* Estimates are rough: a job that waits for most of its time would
--- a/src/core/entry_team.c
+++ b/src/core/entry_team.c
@@ -125,6 +125,7 @@
 	job->team->waiting += change;
 	entry->waiting += change;
 	job->team->waiting_us += change * work_us;
+	job->waiting_us = MAX(job->waiting_us + change * work_us, 0);
 	if (job->team->waiting == 0)
 		job->team->waiting_us = 0;
 }
--- a/src/net/bus.c
+++ b/src/net/bus.c
@@ -11,13 +11,16 @@
 
 G_DEFINE_QUARK(mst_bus_error, mst_bus_error)
 
-#define BUS_LINKS_MAX    1024
-#define BUS_ROUTES_MAX   32768
-#define BUS_DRAIN_MAX    256
-#define BUS_QUIET_US     (2500 * 1000)
-#define BUS_HWM_MESSAGES 100000
-#define BUS_ZAP_ENDPOINT "inproc://zeromq.zap.01"
-#define BUS_ID_BYTES     9
+#define BUS_LINKS_MAX  1024
+#define BUS_ROUTES_MAX 32768
+/* A host without power answers nothing; it may be back within a second. */
+#define BUS_CONNECT_MS        300
+#define BUS_UNACKNOWLEDGED_MS 700 /* until a connection counts as dead */
+#define BUS_DRAIN_MAX         256
+#define BUS_QUIET_US          (2500 * 1000)
+#define BUS_HWM_MESSAGES      100000
+#define BUS_ZAP_ENDPOINT      "inproc://zeromq.zap.01"
+#define BUS_ID_BYTES          9
 
 /* One ZeroMQ socket with its poll handle. */
 struct link {
@@ -226,8 +229,10 @@
 	int hwm = BUS_HWM_MESSAGES;
 	int heartbeat_ms = 10000;
 	int timeout_ms = 20000;
-	int reconnect_ms = 50;
-	int reconnect_max_ms = 2000;
+	int reconnect_ms = 20;
+	int reconnect_max_ms = 200;
+	int connect_ms = BUS_CONNECT_MS;
+	int unacknowledged_ms = BUS_UNACKNOWLEDGED_MS;
 	int64_t size = MST_MSG_MAX_BYTES;
 
 	zmq_setsockopt(socket, ZMQ_LINGER, &linger, sizeof(linger));
@@ -238,6 +243,10 @@
 	    socket, ZMQ_HEARTBEAT_IVL, &heartbeat_ms, sizeof(heartbeat_ms));
 	zmq_setsockopt(
 	    socket, ZMQ_HEARTBEAT_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
+	zmq_setsockopt(
+	    socket, ZMQ_CONNECT_TIMEOUT, &connect_ms, sizeof(connect_ms));
+	zmq_setsockopt(socket, ZMQ_TCP_MAXRT, &unacknowledged_ms,
+	    sizeof(unacknowledged_ms));
 	zmq_setsockopt(
 	    socket, ZMQ_RECONNECT_IVL, &reconnect_ms, sizeof(reconnect_ms));
 	zmq_setsockopt(socket, ZMQ_RECONNECT_IVL_MAX, &reconnect_max_ms,
--- a/src/runtime/agent_runtime.c
+++ b/src/runtime/agent_runtime.c
@@ -22,7 +22,6 @@
 #define AGENT_REPORT_MAX         (5 << 20)
 #define AGENT_WATCH_MS           10000
 #define AGENT_WORKER_CONNECTIONS 4 /* one of them waits for ends */
-#define AGENT_RETENTION_US       (2 * G_USEC_PER_SEC)
 
 /* The end of a call that was reported while the reducer was at work. */
 struct ended {
@@ -365,11 +364,9 @@
 {
 	int64_t max_us = (int64_t)settings->lease_max_ms * 1000;
 
-	options->leased = true;
+	mst_agent_options_lease(options);
 	options->run_lease_us = MIN(options->run_lease_us, max_us);
 	options->renew_us = MIN(options->renew_us, options->run_lease_us / 4);
-	options->heartbeat_us = INT64_C(500) * 1000;
-	options->retention_us = AGENT_RETENTION_US;
 }
 
 static int
--- a/src/runtime/entry_front.c
+++ b/src/runtime/entry_front.c
@@ -12,7 +12,7 @@
 #define PUBLISH_RETRY_MS 500
 /* Share of the time to stop in which jobs are still taken: the balancer needs
  * a while to send new connections elsewhere. */
-#define FRONT_SERVE_SHARE 0.4
+#define FRONT_SERVE_SHARE 0.65
 #define FRONT_RETRY_MS    1000 /* where nothing better is known */
 
 static const char *const outcome_names[] = {[FRONT_COMPLETED] = "completed",
--- a/src/runtime/entry_runtime.c
+++ b/src/runtime/entry_runtime.c
@@ -6,10 +6,11 @@
 #include "base/log.h"
 #include "base/random.h"
 
-#define RUNTIME_MEMBERS_MS   10000
-#define RUNTIME_ROW_S        60
-#define RUNTIME_GRACE_MS     1500
-#define RUNTIME_EXPORT_TICKS 200
+#define RUNTIME_MEMBERS_MS     10000
+#define RUNTIME_ROW_S          60
+#define RUNTIME_GRACE_MS       1500
+#define RUNTIME_FRONT_GRACE_MS 300
+#define RUNTIME_EXPORT_TICKS   200
 
 void
 pending_free(struct pending *pending)
@@ -196,7 +197,8 @@
 	if (rt->front != NULL)
 		runtime_front_shutdown(rt);
 	/* Answers are written out and peers told before the end. */
-	runtime_loop_stop(&rt->loop, RUNTIME_GRACE_MS);
+	runtime_loop_stop(&rt->loop,
+	    rt->front != NULL ? RUNTIME_FRONT_GRACE_MS : RUNTIME_GRACE_MS);
 }
 
 void
@@ -352,18 +354,6 @@
 	    &rt->members_timer, on_members_timer, 0, RUNTIME_MEMBERS_MS);
 }
 
-/* Times of entries whose work is held by leases; docs/PLATFORM.md has the sum
- * that they must stay under. */
-static void
-options_set_leased(struct mst_entry_options *options)
-{
-	options->leased = true;
-	options->heartbeat_us = INT64_C(150) * 1000;
-	options->suspect_us = INT64_C(500) * 1000;
-	options->remove_us = INT64_C(1300) * 1000;
-	options->answer_keep_us = G_USEC_PER_SEC / 2;
-}
-
 static int
 runtime_open(struct entry_runtime *rt, GError **error)
 {
@@ -388,7 +378,7 @@
 	options.jobs_max = settings->limits.jobs_max;
 	options.bytes_max = (uint64_t)settings->limits.memory_max_mb << 20;
 	if (settings->front.listen != NULL)
-		options_set_leased(&options);
+		mst_entry_options_lease(&options);
 	mst_entry_new(&rt->entry, &options);
 	rt->caller = mst_http_caller_new(&rt->loop.uv, 0);
 	if (settings->table.endpoint != NULL)
--- /dev/null
+++ b/tests/test_leases.c
@@ -0,0 +1,429 @@
+/*
+ * Leased entries and agents under faults: callers send a job again when its
+ * answer fails to come, hosts die, freeze and are cut off, workers answer late
+ * or are restarted. No task may run twice at once, nothing may run of what was
+ * refused as not run, and everything gets an answer.
+ *
+ * MST_TEST_SEED=N plays one seed, MST_TEST_SEEDS=N as many from 1 on;
+ * MST_TEST_LOG=1 writes what happens to standard error.
+ */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "world/worker.h"
+#include "world/world.h"
+
+#define MS            INT64_C(1000)
+#define ENTRIES       3
+#define WORKERS       4
+#define RESEND_MS     1300 /* a caller comes back after a broken connection */
+#define DEADLINE_MS   1500
+#define SEEDS         250
+#define DAY_MS        12000
+#define FAULTS_END_MS 8000
+#define JOB_EVERY_MS  40
+#define TASKS_MAX     5
+#define CLOCK_STEP_MS 10
+
+/* One job of a caller, over all its attempts. */
+struct caller {
+	char key[20];
+	uint32_t count;
+	uint32_t work_ms;
+	uint64_t request; /* the present attempt; 0: none */
+	int entry;
+	int64_t due_ms; /* next attempt, or 0 */
+	int64_t gives_up_ms;
+	unsigned attempts;
+	bool may_have_run; /* by any attempt's answer, or by none */
+	bool settled;
+};
+
+struct day {
+	struct world *world;
+	GRand *rand;
+	int entries[ENTRIES];
+	int agents[WORKERS];
+	int64_t restart_ms[ENTRIES + WORKERS]; /* 0: is up */
+	int64_t resume_ms[ENTRIES + WORKERS];
+	int64_t heal_ms;
+	int64_t now_ms;
+	GPtrArray *callers;
+	GHashTable *starts; /* key -> count */
+	unsigned answered;
+	unsigned completed;
+	const char *story; /* of the seed, for failures */
+};
+
+static struct world_service
+serve(
+    void *ctx, int agent, const struct mst_dispatch_item *task, int64_t now_us)
+{
+	struct day *day = ctx;
+	char *key = g_strndup(task->path.data, 16);
+	guint count = GPOINTER_TO_UINT(g_hash_table_lookup(day->starts, key));
+	struct world_service service = {.outcome = MST_OUTCOME_DONE,
+	    .status = 200,
+	    .us = (20 + g_rand_int_range(day->rand, 0, 600)) * MS};
+
+	if (g_rand_int_range(day->rand, 0, 50) == 0)
+		service.status = 500;
+	if (g_rand_int_range(day->rand, 0, 100) == 0)
+		service.us = -1;
+	g_hash_table_replace(day->starts, key, GUINT_TO_POINTER(count + 1));
+	return service;
+}
+
+static int
+node_of(const struct day *day, int at)
+{
+	return at < ENTRIES ? day->entries[at] : day->agents[at - ENTRIES];
+}
+
+static void
+submit(struct day *day, struct caller *caller)
+{
+	struct mst_task_spec tasks[TASKS_MAX] = {0};
+	char names[TASKS_MAX][40];
+	struct mst_job_spec spec = {.team = "queue",
+	    .timeout_ms = DEADLINE_MS,
+	    .count = caller->count,
+	    .tasks = tasks,
+	    .restartable = true,
+	    .key = caller->key,
+	    .service = "service",
+	    .attempts = 2,
+	    .stretch = 1.6,
+	    .target_ms = 60};
+	uint32_t i;
+
+	for (i = 0; i < caller->count; i++) {
+		snprintf(
+		    names[i], sizeof(names[i]), "%s.0.0.%u", caller->key, i);
+		tasks[i] =
+		    (struct mst_task_spec){.path = mst_bytes_of(names[i]),
+			.flags = MST_TASK_RESTARTABLE,
+			.declared_us = caller->work_ms * 1000,
+			.needs = {.millicores = 1000}};
+	}
+	caller->attempts++;
+	caller->due_ms = 0;
+	caller->gives_up_ms = day->now_ms + DEADLINE_MS;
+	caller->request =
+	    world_submit(day->world, day->entries[caller->entry], &spec);
+}
+
+static void
+send_again(struct day *day, struct caller *caller)
+{
+	caller->request = 0;
+	caller->may_have_run = true;
+	if (caller->attempts >= 3)
+		caller->settled = true;
+	else
+		caller->due_ms = day->now_ms + RESEND_MS;
+}
+
+static void
+caller_take_answer(
+    struct day *day, struct caller *caller, const struct world_request *request)
+{
+	bool not_run = request->refused ||
+	    (request->state == MST_JOB_FAILED && !request->may_have_run);
+
+	day->answered++;
+	day->completed += request->state == MST_JOB_COMPLETE;
+	caller->may_have_run |= !not_run;
+	caller->settled = true;
+}
+
+static void
+caller_advance(struct day *day, struct caller *caller)
+{
+	const struct world_request *request;
+
+	if (caller->settled)
+		return;
+	if (caller->request == 0) {
+		if (day->now_ms < caller->due_ms)
+			return;
+		caller->entry = g_rand_int_range(day->rand, 0, ENTRIES);
+		if (day->restart_ms[caller->entry] == 0 &&
+		    day->resume_ms[caller->entry] == 0)
+			submit(day, caller);
+		return;
+	}
+	request = world_request(day->world, caller->request);
+	if (request->answered_us != 0)
+		caller_take_answer(day, caller, request);
+	else if (day->restart_ms[caller->entry] != 0)
+		send_again(day, caller); /* the connection broke */
+	else if (g_rand_int_range(day->rand, 0, 2000) == 0) {
+		world_gone(day->world, caller->request);
+		send_again(day, caller);
+	} else if (day->now_ms >= caller->gives_up_ms + 200) {
+		/* Its entry is frozen; the caller has left for good. */
+		caller->may_have_run = true;
+		caller->settled = true;
+	}
+}
+
+static void
+caller_new(struct day *day)
+{
+	struct caller *caller = g_new0(struct caller, 1);
+
+	snprintf(
+	    caller->key, sizeof(caller->key), "%016x", day->callers->len + 1);
+	caller->count = (uint32_t)g_rand_int_range(day->rand, 1, TASKS_MAX + 1);
+	caller->work_ms = (uint32_t)g_rand_int_range(day->rand, 20, 600);
+	caller->due_ms = day->now_ms;
+	g_ptr_array_add(day->callers, caller);
+}
+
+static void
+cut_some(struct day *day)
+{
+	int a = node_of(day, g_rand_int_range(day->rand, 0, ENTRIES + WORKERS));
+	bool one_way = g_rand_boolean(day->rand);
+	int n;
+
+	for (n = 0; n < ENTRIES + WORKERS; n++) {
+		int b = node_of(day, n);
+
+		if (a == b || g_rand_int_range(day->rand, 0, 3) == 0)
+			continue;
+		world_link(day->world, a, b)->cut = true;
+		if (!one_way)
+			world_link(day->world, b, a)->cut = true;
+	}
+	day->heal_ms = day->now_ms + g_rand_int_range(day->rand, 200, 3000);
+}
+
+static void
+heal_all(struct day *day)
+{
+	int a, b;
+
+	for (a = 0; a < ENTRIES + WORKERS; a++) {
+		for (b = 0; b < ENTRIES + WORKERS; b++)
+			world_link(day->world, node_of(day, a), node_of(day, b))
+			    ->cut = false;
+	}
+	day->heal_ms = 0;
+}
+
+static void
+one_fault(struct day *day)
+{
+	int at = g_rand_int_range(day->rand, 0, ENTRIES + WORKERS);
+	int agent = day->agents[g_rand_int_range(day->rand, 0, WORKERS)];
+	struct sim_worker *worker = world_worker(day->world, agent);
+	int64_t until_ms = day->now_ms + g_rand_int_range(day->rand, 50, 4000);
+
+	switch (g_rand_int_range(day->rand, 0, 6)) {
+	case 0:
+		if (day->restart_ms[at] != 0 || day->resume_ms[at] != 0)
+			break;
+		world_kill(day->world, node_of(day, at));
+		day->restart_ms[at] = until_ms;
+		break;
+	case 1:
+		if (day->restart_ms[at] != 0 || day->resume_ms[at] != 0)
+			break;
+		world_pause(day->world, node_of(day, at));
+		day->resume_ms[at] = until_ms;
+		break;
+	case 2:
+		if (day->heal_ms == 0)
+			cut_some(day);
+		break;
+	case 3:
+		sim_worker_reborn(worker);
+		break;
+	case 4:
+		sim_worker_set_late(worker, 0.15);
+		break;
+	case 5:
+		sim_worker_set_away(worker, g_rand_boolean(day->rand));
+		break;
+	}
+}
+
+static void
+repair(struct day *day, bool all)
+{
+	int at;
+
+	for (at = 0; at < ENTRIES + WORKERS; at++) {
+		if (day->restart_ms[at] != 0 &&
+		    (all || day->now_ms >= day->restart_ms[at])) {
+			world_restart(day->world, node_of(day, at));
+			if (at < ENTRIES)
+				world_configure(
+				    day->world, day->entries[at], 1, "{}");
+			day->restart_ms[at] = 0;
+		}
+		if (day->resume_ms[at] != 0 &&
+		    (all || day->now_ms >= day->resume_ms[at])) {
+			world_resume(day->world, node_of(day, at));
+			day->resume_ms[at] = 0;
+		}
+	}
+	if (day->heal_ms != 0 && (all || day->now_ms >= day->heal_ms))
+		heal_all(day);
+	for (at = 0; all && at < WORKERS; at++) {
+		struct sim_worker *worker =
+		    world_worker(day->world, day->agents[at]);
+
+		sim_worker_set_late(worker, 0);
+		sim_worker_set_away(worker, false);
+	}
+}
+
+static void
+on_log(void *ctx, const char *line)
+{
+	if (getenv("MST_TEST_LOG") != NULL)
+		fprintf(stderr, "%s\n", line);
+}
+
+static struct day *
+day_new(uint32_t seed)
+{
+	const struct mst_resources capacity = {
+	    .millicores = 8000, .memory_mb = 1024};
+	struct day *day = g_new0(struct day, 1);
+	struct world_options options = {.seed = seed,
+	    .latency_us = 500,
+	    .jitter_us = 300,
+	    .leased = true,
+	    .service = serve,
+	    .on_log = on_log,
+	    .ctx = day};
+	char name[16];
+	int i;
+
+	day->rand = g_rand_new_with_seed(seed);
+	day->starts =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	day->callers = g_ptr_array_new_with_free_func(g_free);
+	day->world = world_new(&options);
+	for (i = 0; i < ENTRIES; i++) {
+		snprintf(name, sizeof(name), "entry%d", i + 1);
+		day->entries[i] = world_add_entry(day->world, name);
+		world_configure(day->world, day->entries[i], 1, "{}");
+	}
+	for (i = 0; i < WORKERS; i++) {
+		snprintf(name, sizeof(name), "agent%d", i + 1);
+		day->agents[i] = world_add_leased(day->world, name, &capacity);
+	}
+	return day;
+}
+
+static void
+day_free(struct day *day)
+{
+	world_free(day->world);
+	g_hash_table_unref(day->starts);
+	g_ptr_array_unref(day->callers);
+	g_rand_free(day->rand);
+	g_free(day);
+}
+
+static void
+day_step(struct day *day, bool faults)
+{
+	guint i;
+
+	day->now_ms += CLOCK_STEP_MS;
+	world_run(day->world, G_USEC_PER_SEC + day->now_ms * MS);
+	repair(day, false);
+	if (faults && g_rand_int_range(day->rand, 0, 30) == 0)
+		one_fault(day);
+	if (day->now_ms % JOB_EVERY_MS == 0 && day->now_ms < FAULTS_END_MS)
+		caller_new(day);
+	for (i = 0; i < day->callers->len; i++)
+		caller_advance(day, day->callers->pdata[i]);
+}
+
+static void
+check_refusals(const struct day *day)
+{
+	guint i;
+
+	for (i = 0; i < day->callers->len; i++) {
+		const struct caller *caller = day->callers->pdata[i];
+		guint starts = GPOINTER_TO_UINT(
+		    g_hash_table_lookup(day->starts, caller->key));
+
+		g_assert_true(caller->settled);
+		if (!caller->may_have_run)
+			g_assert_cmpuint(starts, ==, 0);
+	}
+}
+
+static void
+play(uint32_t seed, bool faults, unsigned *completed)
+{
+	struct day *day = day_new(seed);
+	int i;
+
+	while (day->now_ms < FAULTS_END_MS)
+		day_step(day, faults && day->now_ms > 1000);
+	repair(day, true);
+	while (day->now_ms < DAY_MS)
+		day_step(day, false);
+	if (world_overlaps(day->world) > 0)
+		g_test_message("seed %u: a task ran twice at once", seed);
+	g_assert_cmpuint(world_overlaps(day->world), ==, 0);
+	check_refusals(day);
+	for (i = 0; i < WORKERS; i++)
+		g_assert_cmpuint(sim_worker_running(
+				     world_worker(day->world, day->agents[i])),
+		    ==, 0);
+	*completed += day->completed;
+	day_free(day);
+}
+
+static void
+leases__calm_day_serves_all(void)
+{
+	unsigned completed = 0;
+
+	play(1, false, &completed);
+	/* One in 200 tasks stands still or fails twice. */
+	g_assert_cmpuint(completed, >, FAULTS_END_MS / JOB_EVERY_MS * 9 / 10);
+}
+
+static void
+leases__no_task_runs_twice_at_once(void)
+{
+	const char *only = getenv("MST_TEST_SEED");
+	const char *count = getenv("MST_TEST_SEEDS");
+	uint32_t seeds =
+	    count != NULL ? (uint32_t)strtoul(count, NULL, 10) : SEEDS;
+	unsigned completed = 0;
+	uint32_t seed;
+
+	if (only != NULL) {
+		play((uint32_t)strtoul(only, NULL, 10), true, &completed);
+		return;
+	}
+	for (seed = 1; seed <= seeds; seed++)
+		play(seed, true, &completed);
+	/* The faults take much, but the system must not stand still. */
+	g_assert_cmpuint(
+	    completed, >, seeds * FAULTS_END_MS / JOB_EVERY_MS / 3);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/leases/calm", leases__calm_day_serves_all);
+	g_test_add_func("/leases/faults", leases__no_task_runs_twice_at_once);
+	return g_test_run();
+}
--- a/tests/world/agenda.c
+++ b/tests/world/agenda.c
@@ -1,8 +1,58 @@
 #include "world/agenda.h"
 
+struct answer_copy {
+	struct mst_order_answer answer;
+	GStringChunk *texts;
+};
+
+struct answer_copy *
+answer_copy_new(const struct mst_order_answer *answer)
+{
+	struct answer_copy *copy = g_new0(struct answer_copy, 1);
+	struct mst_worker_run *running =
+	    g_new0(struct mst_worker_run, answer->running_count + 1);
+	struct mst_worker_end *ended =
+	    g_new0(struct mst_worker_end, answer->ended_count + 1);
+	uint32_t i;
+
+	copy->answer = *answer;
+	copy->texts = g_string_chunk_new(256);
+	for (i = 0; i < answer->running_count; i++) {
+		running[i] = answer->running[i];
+		running[i].task.data = g_string_chunk_insert_len(copy->texts,
+		    running[i].task.data, (gssize)running[i].task.len);
+	}
+	for (i = 0; i < answer->ended_count; i++) {
+		ended[i] = answer->ended[i];
+		ended[i].task.data = g_string_chunk_insert_len(
+		    copy->texts, ended[i].task.data, (gssize)ended[i].task.len);
+	}
+	copy->answer.running = running;
+	copy->answer.ended = ended;
+	return copy;
+}
+
+const struct mst_order_answer *
+answer_copy_get(const struct answer_copy *copy)
+{
+	return &copy->answer;
+}
+
+static void
+answer_copy_free(struct answer_copy *copy)
+{
+	if (copy == NULL)
+		return;
+	g_free((gpointer)copy->answer.running);
+	g_free((gpointer)copy->answer.ended);
+	g_string_chunk_free(copy->texts);
+	g_free(copy);
+}
+
 void
 happening_free(struct happening *h)
 {
+	answer_copy_free(h->answer);
 	if (h->bytes != NULL)
 		g_byte_array_unref(h->bytes);
 	g_free(h->body);
--- a/tests/world/agenda.h
+++ b/tests/world/agenda.h
@@ -5,7 +5,15 @@
 
 #include "world/world.h"
 
-enum happening_type { HAPPEN_TICK = 1, HAPPEN_MESSAGE, HAPPEN_FINISH };
+enum happening_type {
+	HAPPEN_TICK = 1,
+	HAPPEN_MESSAGE,
+	HAPPEN_FINISH,
+	HAPPEN_WAKE,  /* of a worker, whatever became of its agent */
+	HAPPEN_ANSWER /* of a worker to its agent */
+};
+
+struct answer_copy;
 
 /* Something due at a time. */
 struct happening {
@@ -17,6 +25,7 @@
 	GByteArray *bytes;
 	uint64_t run;
 	struct world_service service;
+	struct answer_copy *answer;
 	char *body;
 };
 
@@ -32,6 +41,10 @@
 /* Takes what is due first, if it is due by a time; else NULL. */
 struct happening *agenda_pop(struct agenda *agenda, int64_t until_us);
 
+/* An answer with memory of its own. */
+struct answer_copy *answer_copy_new(const struct mst_order_answer *answer);
+const struct mst_order_answer *answer_copy_get(const struct answer_copy *copy);
+
 void happening_free(struct happening *h);
 
 #endif
--- a/tests/world/requests.c
+++ b/tests/world/requests.c
@@ -37,6 +37,7 @@
 	request->reason = view.reason;
 	request->count = view.count;
 	request->ticket = view.ticket;
+	request->may_have_run = view.may_have_run;
 	for (i = 0; i < view.count; i++) {
 		mst_entry_task(&task, entry, job, i);
 		outcomes[i] = "?dnu"[task.outcome];
@@ -161,6 +162,17 @@
 	world_step_entry(world, entry, &event);
 }
 
+void
+world_gone(struct world *world, uint64_t id)
+{
+	const struct world_request *request = world_request(world, id);
+	struct mst_entry_event event = {
+	    .type = MST_ENTRY_EV_GONE, .request = id};
+
+	if (request->answered_us == 0)
+		world_step_entry(world, request->entry, &event);
+}
+
 const struct world_request *
 world_request(const struct world *world, uint64_t id)
 {
--- /dev/null
+++ b/tests/world/worker.h
@@ -0,0 +1,52 @@
+#ifndef MST_WORLD_WORKER_H
+#define MST_WORLD_WORKER_H
+
+/*
+ * A worker beside a leased agent: it runs tasks under one lease, keeps fences
+ * and lists, and may answer late, never, or start a new life. It outlives its
+ * agent, and orders that are on their way reach it all the same.
+ */
+
+#include "world/world.h"
+
+struct sim_worker;
+
+/* What a worker needs of its world. */
+struct sim_worker_host {
+	int64_t (*now_us)(void *world);
+	/* Calls back at a time. */
+	void (*call_at)(void *world, int node, int64_t at_us);
+	void (*answer)(void *world, int node,
+	    const struct mst_order_answer *answer, int64_t at_us);
+	struct world_service (*serve)(
+	    void *world, int node, struct mst_bytes task);
+	void (*started)(void *world, int node, struct mst_bytes task);
+	void (*ended)(void *world, int node, struct mst_bytes task);
+	double (*chance)(void *world);
+	void *world;
+	int node;
+};
+
+struct sim_worker *sim_worker_new(
+    const struct sim_worker_host *host, const struct mst_resources *capacity);
+void sim_worker_free(struct sim_worker *worker);
+
+/* An order has left the agent. */
+void sim_worker_order(struct sim_worker *worker, const struct mst_order *order);
+
+/* A time that was asked for has come. */
+void sim_worker_wake(struct sim_worker *worker);
+
+/* A new life: it runs nothing, has seen no fence, and its clock starts anew. */
+void sim_worker_reborn(struct sim_worker *worker);
+
+/* Stands still or is gone: no order arrives, runs go on until they lapse. */
+void sim_worker_set_away(struct sim_worker *worker, bool away);
+
+/* Share of the orders that get no answer and are carried out seconds later. */
+void sim_worker_set_late(struct sim_worker *worker, double share);
+
+uint64_t sim_worker_life(const struct sim_worker *worker);
+unsigned sim_worker_running(const struct sim_worker *worker);
+
+#endif
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -6,7 +6,8 @@
 
 #include "codec/codec.h"
 
-#define WORLD_TICK_US (10 * 1000)
+#define WORLD_TICK_US   (10 * 1000)
+#define WORLD_REPORT_US (500 * 1000)
 
 static void node_execute_entry(
     struct world *world, int at, const GArray *effects);
@@ -39,11 +40,16 @@
 	world->requests = g_hash_table_new(g_direct_hash, g_direct_equal);
 	world->starts =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	world->running =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	world->idempotent =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return world;
 }
 
+static void step_agent(
+    struct world *world, int at, struct mst_agent_event *event);
+
 static void
 node_clear(struct node *node)
 {
@@ -67,6 +73,7 @@
 	agenda_clear(&world->agenda);
 	for (n = 0; n < world->count; n++) {
 		node_clear(&world->nodes[n]);
+		sim_worker_free(world->nodes[n].worker);
 		g_free(world->nodes[n].name);
 	}
 	g_hash_table_iter_init(&iter, world->requests);
@@ -75,6 +82,7 @@
 	g_hash_table_unref(world->requests);
 	g_hash_table_unref(world->starts);
 	g_hash_table_unref(world->idempotent);
+	g_hash_table_unref(world->running);
 	mst_decoder_free(world->decoder);
 	g_rand_free(world->rand);
 	g_free(world);
@@ -95,6 +103,8 @@
 		entry.incarnation = node->incarnation;
 		entry.seed = world->options.seed + (uint32_t)at;
 		entry.address = node->name;
+		if (world->options.leased)
+			mst_entry_options_lease(&entry);
 		mst_entry_new(&node->entry, &entry);
 	} else {
 		node->agent_options.incarnation = node->incarnation;
@@ -136,6 +146,126 @@
 	return at;
 }
 
+static int64_t
+worker_now_us(void *ctx)
+{
+	return ((const struct world *)ctx)->now_us;
+}
+
+static void
+worker_call_at(void *ctx, int node, int64_t at_us)
+{
+	happen(ctx, node, HAPPEN_WAKE, at_us);
+}
+
+static void
+worker_answer(
+    void *ctx, int node, const struct mst_order_answer *answer, int64_t at_us)
+{
+	struct happening *h = happen(ctx, node, HAPPEN_ANSWER, at_us);
+
+	h->answer = answer_copy_new(answer);
+}
+
+static struct world_service
+worker_serve(void *ctx, int node, struct mst_bytes task)
+{
+	struct world *world = ctx;
+	const struct mst_dispatch_item item = {.path = task};
+
+	return world->options.service(
+	    world->options.ctx, node, &item, world->now_us);
+}
+
+static void
+count_running(struct world *world, struct mst_bytes task, int change)
+{
+	char *key = mst_bytes_string(task);
+	int count =
+	    GPOINTER_TO_INT(g_hash_table_lookup(world->running, key)) + change;
+
+	if (count > 1) {
+		world->overlaps++;
+		world_log(world, "OVERLAP of %s", key);
+	}
+	g_hash_table_replace(world->running, key, GINT_TO_POINTER(count));
+}
+
+static void
+worker_started(void *ctx, int node, struct mst_bytes task)
+{
+	struct world *world = ctx;
+
+	world_log(world, "%s runs %.*s", world->nodes[node].name, (int)task.len,
+	    task.data);
+	world->starts_total++;
+	count_running(world, task, 1);
+}
+
+static void
+worker_ended(void *ctx, int node, struct mst_bytes task)
+{
+	count_running(ctx, task, -1);
+}
+
+static double
+worker_chance(void *ctx)
+{
+	return g_rand_double(((struct world *)ctx)->rand);
+}
+
+int
+world_add_leased(
+    struct world *world, const char *name, const struct mst_resources *capacity)
+{
+	struct mst_agent_options options = MST_AGENT_OPTIONS_INIT;
+	struct sim_worker_host host = {.now_us = worker_now_us,
+	    .call_at = worker_call_at,
+	    .answer = worker_answer,
+	    .serve = worker_serve,
+	    .started = worker_started,
+	    .ended = worker_ended,
+	    .chance = worker_chance,
+	    .world = world};
+	int at;
+
+	mst_agent_options_lease(&options);
+	at = world_add_agent(world, name, &options);
+	host.node = at;
+	world->nodes[at].capacity = *capacity;
+	world->nodes[at].worker = sim_worker_new(&host, capacity);
+	return at;
+}
+
+struct sim_worker *
+world_worker(const struct world *world, int at)
+{
+	return world->nodes[at].worker;
+}
+
+unsigned
+world_overlaps(const struct world *world)
+{
+	return world->overlaps;
+}
+
+/* The worker beside a leased agent reports about itself. */
+static void
+worker_report(struct world *world, int at)
+{
+	struct node *node = &world->nodes[at];
+	struct mst_worker_report report = {.id = mst_bytes_of(node->name),
+	    .service = mst_bytes_of("service"),
+	    .life = sim_worker_life(node->worker),
+	    .seq = ++node->reports,
+	    .capacity = node->capacity};
+	struct mst_agent_event event = {
+	    .type = MST_AGENT_EV_REPORT, .report = &report};
+
+	node->report_us = world->now_us + WORLD_REPORT_US;
+	step_agent(world, at, &event);
+}
+
 int
 world_node_by_incarnation(const struct world *world, uint64_t incarnation)
 {
@@ -293,6 +423,8 @@
 			node_send(world, at, &effect->msg);
 		else if (effect->type == MST_AGENT_FX_START)
 			node_start_task(world, at, effect);
+		else if (effect->type == MST_AGENT_FX_ORDER)
+			sim_worker_order(node->worker, &effect->order);
 		else if (effect->type == MST_AGENT_FX_STOPPED)
 			node->stopped = true;
 	}
@@ -398,6 +530,15 @@
 	step_agent(world, h->node, &event);
 }
 
+static void
+happen_answer(struct world *world, struct happening *h)
+{
+	struct mst_agent_event event = {
+	    .type = MST_AGENT_EV_ORDERED, .answer = answer_copy_get(h->answer)};
+
+	step_agent(world, h->node, &event);
+}
+
 static void
 happen_tick(struct world *world, int at)
 {
@@ -408,6 +549,9 @@
 		world_step_entry(world, at, &entry);
 	else
 		step_agent(world, at, &agent);
+	if (world->nodes[at].worker != NULL &&
+	    world->now_us >= world->nodes[at].report_us)
+		worker_report(world, at);
 	happen(world, at, HAPPEN_TICK, world->now_us + WORLD_TICK_US);
 }
 
@@ -416,6 +560,11 @@
 {
 	struct node *node = &world->nodes[h->node];
 
+	if (h->type == HAPPEN_WAKE) {
+		sim_worker_wake(node->worker);
+		happening_free(h);
+		return;
+	}
 	if (!node->alive || h->life != node->life) {
 		happening_free(h);
 		return;
@@ -434,6 +583,11 @@
 	case HAPPEN_FINISH:
 		happen_finish(world, h);
 		break;
+	case HAPPEN_ANSWER:
+		happen_answer(world, h);
+		break;
+	case HAPPEN_WAKE:
+		break;
 	}
 	happening_free(h);
 }
@@ -483,6 +637,7 @@
 	if (world->nodes[at].alive)
 		world_kill(world, at);
 	world_log(world, "%s starts anew", world->nodes[at].name);
+	world->nodes[at].report_us = 0;
 	node_start(world, at);
 }
 
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -63,6 +63,7 @@
 	double drop;       /* share of messages lost */
 	double repeat;     /* share of messages delivered twice */
 	bool keep_bodies;
+	bool leased;  /* entries hold their work by leases */
 	bool verbose; /* the log tells of members and heartbeats, too */
 	struct world_service (*service)(void *ctx, int agent,
 	    const struct mst_dispatch_item *task, int64_t now_us);
@@ -78,6 +79,19 @@
 int world_add_agent(struct world *world, const char *name,
     const struct mst_agent_options *options);
 
+/* Adds a leased agent and its worker. */
+int world_add_leased(struct world *world, const char *name,
+    const struct mst_resources *capacity);
+
+struct sim_worker;
+struct sim_worker *world_worker(const struct world *world, int node);
+
+/* Times that a task was run twice at once. */
+unsigned world_overlaps(const struct world *world);
+
+/* A caller leaves without an answer. */
+void world_gone(struct world *world, uint64_t request);
+
 /* Puts a configuration into force at an entry. */
 void world_configure(
     struct world *world, int entry, uint64_t version, const char *document);
--- a/tests/world/world_internal.h
+++ b/tests/world/world_internal.h
@@ -2,6 +2,7 @@
 #define MST_WORLD_INTERNAL_H
 
 #include "world/agenda.h"
+#include "world/worker.h"
 
 struct node {
 	enum world_kind kind;
@@ -14,7 +15,11 @@
 	bool alive;
 	bool paused;
 	bool stopped;
-	GQueue backlog; /* struct happening, while paused */
+	GQueue backlog;            /* struct happening, while paused */
+	struct sim_worker *worker; /* beside a leased agent */
+	struct mst_resources capacity;
+	int64_t report_us; /* when it reports about itself next */
+	uint64_t reports;
 };
 
 struct world {
@@ -30,6 +35,8 @@
 	uint64_t next_request;
 	GHashTable *starts; /* "minter-counter-index" -> count */
 	GHashTable *idempotent;
+	GHashTable *running; /* task's name -> runs at this moment */
+	unsigned overlaps;   /* two runs of one task at once */
 	uint64_t starts_total;
 	uint64_t messages[MST_MSG_MAX];
 	uint64_t message_bytes;
