--- a/src/core/agent_worker.c
+++ b/src/core/agent_worker.c
@@ -164,15 +164,17 @@
 	worker->clock_us = agent->now_us;
 }
 
-/* Gives orders a fence above those of this agent's earlier lives: the
- * worker's clock rises as long as it remembers any. */
+/* Gives orders a fence above those of this agent's earlier lives, without a
+ * store: the worker's time rises as long as it remembers any. Counted from the
+ * start of its life it also rises over its lives, so that an order that was
+ * held up since an earlier one is refused. */
 static void
 worker_raise_fence(struct mst_agent *agent)
 {
 	struct worker *worker = &agent->worker;
 
-	worker->fence =
-	    MAX(worker->fence + 1, (uint64_t)MAX(worker_clock_ms(agent), 1));
+	worker->fence = MAX(worker->fence + 1,
+	    worker->life + (uint64_t)MAX(worker_clock_ms(agent), 1));
 }
 
 static struct mst_order *
