End runs whose job is forgotten; stop again what starts after its stop

The message that withdrew it was lost with a connection, its job was forgotten half a second later, and withdrawals were repeated only for jobs that are still known. An entry now names what a member has of forgotten jobs with each announcement. Ruled out on the way, by the orders that reached the worker: a lost order to stop (none was sent) and a start after the stop, which is mended too: a run that is listed although its stop was confirmed is stopped again.

--- a/src/core/agent_worker.c
+++ b/src/core/agent_worker.c
@@ -533,6 +533,10 @@
 		if (run->order_state == ORDER_STARTING) {
 			run->order_state = ORDER_STARTED;
 			run->confirmed_us = agent->now_us;
+		} else if (run->order_state == ORDER_STOPPED &&
+		    run->confirmed_us < answer->sent_us) {
+			/* A start that was held up came after the stop. */
+			stop_send(agent, run);
 		}
 	}
 	lose_unlisted(agent, answer, unlisted);
--- a/src/core/entry_member.c
+++ b/src/core/entry_member.c
@@ -314,6 +314,9 @@
 		struct job *job = mst_job_find(entry, tag >> 16);
 		struct task *task = job ? &job->tasks[tag & 0xffff] : NULL;
 
+		/* Its job is forgotten, but the member still has it. */
+		if (task == NULL && entry->options.leased)
+			g_array_append_val(member->withdrawals, seq);
 		if (task == NULL || !task->withdrawing || task->seq != seq ||
 		    entry->now_us - task->withdrawn_us < MEMBER_REPEAT_US)
 			continue;
--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -389,7 +389,10 @@
 		if (sim_worker_running(
 			world_worker(day->world, day->agents[i])) > 0)
 			g_test_message(
-			    "seed %u: agent%d's worker goes on", seed, i + 1);
+			    "seed %u: agent%d's worker goes on with %s", seed,
+			    i + 1,
+			    sim_worker_first(
+				world_worker(day->world, day->agents[i])));
 		g_assert_cmpuint(sim_worker_running(
 				     world_worker(day->world, day->agents[i])),
 		    ==, 0);
--- a/tests/world/worker.c
+++ b/tests/world/worker.c
@@ -450,3 +450,11 @@
 {
 	return worker->runs->len;
 }
+
+const char *
+sim_worker_first(const struct sim_worker *worker)
+{
+	return worker->runs->len > 0
+	    ? ((const struct sim_run *)worker->runs->pdata[0])->task
+	    : "";
+}
--- a/tests/world/worker.h
+++ b/tests/world/worker.h
@@ -47,6 +47,8 @@
 void sim_worker_set_late(struct sim_worker *worker, double share);
 
 uint64_t sim_worker_life(const struct sim_worker *worker);
+/* Name of a task that runs, or "". */
+const char *sim_worker_first(const struct sim_worker *worker);
 unsigned sim_worker_running(const struct sim_worker *worker);
 
 #endif
