--- a/cli/cli.h
+++ b/cli/cli.h
@@ -61,6 +61,8 @@
 enum cli_exit cli_drain(const struct cli *cli, int argc, char **argv);
 enum cli_exit cli_trace(const struct cli *cli, int argc, char **argv);
 enum cli_exit cli_check(const struct cli *cli, int argc, char **argv);
+enum cli_exit cli_explain(const struct cli *cli, int argc, char **argv);
+enum cli_exit cli_top(const struct cli *cli, int argc, char **argv);
 enum cli_exit cli_load(const struct cli *cli, int argc, char **argv);
 
 #endif
--- a/cli/main.c
+++ b/cli/main.c
@@ -25,6 +25,8 @@
     {"members", "list the agents that an entry knows", cli_members},
     {"drain", "take an upstream out of service", cli_drain},
     {"trace", "show the spans of a trace", cli_trace},
+    {"explain", "tell a job's story from the logs", cli_explain},
+    {"top", "show what several daemons do", cli_top},
     {"load", "put load on a system and measure it", cli_load}, {0}};
 
 static void
--- a/include/masticstall/agent.h
+++ b/include/masticstall/agent.h
@@ -80,7 +80,9 @@
 	MST_AGENT_FX_PEERS,    /* addresses of entries were named */
 	MST_AGENT_FX_STOPPED,  /* drained; the process may end */
 	MST_AGENT_FX_ORDER,    /* send an order to the worker */
-	MST_AGENT_FX_WORKER    /* the worker was lost, or is there again */
+	MST_AGENT_FX_WORKER,   /* the worker was lost, or is there again */
+	MST_AGENT_FX_RUN,      /* a run has ended other than well */
+	MST_AGENT_FX_LEASE     /* an entry's lease has lapsed */
 };
 
 struct mst_agent_effect {
@@ -92,6 +94,11 @@
 	struct mst_bytes peers;               /* PEERS */
 	struct mst_order order;               /* ORDER */
 	const char *state;                    /* WORKER */
+	uint64_t entry;                       /* RUN, LEASE: incarnation */
+	uint32_t number;                      /* RUN: of the task's runs */
+	struct mst_result_item result;        /* RUN */
+	int64_t silent_us; /* LEASE: age of the entry's echo */
+	uint32_t open;     /* LEASE: tasks that it had here */
 };
 
 /** Counters of one agent, all since its start. */
--- a/src/core/agent_internal.h
+++ b/src/core/agent_internal.h
@@ -83,8 +83,9 @@
 	struct mst_seqset seen;
 	uint64_t sent_upto;
 	int64_t heard_us;
-	int64_t heartbeat_us; /* arrival of the last heartbeat */
-	int64_t echo_us;      /* own clock that the entry has seen */
+	int64_t heartbeat_us;   /* arrival of the last heartbeat */
+	int64_t echo_us;        /* own clock that the entry has seen */
+	int64_t lapsed_echo_us; /* with which its lease lapsed last */
 	int64_t announced_us;
 	uint64_t roster_version;
 	GArray *roster; /* uint64_t */
--- a/src/core/agent_lease.c
+++ b/src/core/agent_lease.c
@@ -38,6 +38,22 @@
 	}
 }
 
+/* Counts and tells a lapse once, not with each check after it. */
+static void
+tell_lapsed(struct mst_agent *agent, struct session *session)
+{
+	struct mst_agent_effect *effect;
+
+	if (session->lapsed_echo_us == session->echo_us)
+		return;
+	session->lapsed_echo_us = session->echo_us;
+	agent->counters.leases_lapsed++;
+	effect = mst_agent_emit(agent, MST_AGENT_FX_LEASE);
+	effect->entry = session->entry;
+	effect->silent_us = agent->now_us - session->echo_us;
+	effect->open = session->open;
+}
+
 void
 mst_agent_check_leases(struct mst_agent *agent)
 {
@@ -50,7 +66,7 @@
 
 		if (session->open == 0 || mst_session_is_leased(agent, session))
 			continue;
-		agent->counters.leases_lapsed++;
+		tell_lapsed(agent, session);
 		mst_agent_refuse_queued(
 		    agent, session, MST_REASON_LEASE_LAPSED);
 		stop_runs_of(agent, session);
--- a/src/core/agent_run.c
+++ b/src/core/agent_run.c
@@ -103,6 +103,23 @@
 	g_ptr_array_add(run->session->outbox, run);
 }
 
+/* Tells of a leased run that did not end well. */
+static void
+run_tell(struct mst_agent *agent, const struct run *run)
+{
+	struct mst_agent_effect *effect;
+
+	if (!agent->options.leased || run->task.path.len == 0 ||
+	    (run->result.outcome == MST_OUTCOME_DONE &&
+		run->result.reason == MST_REASON_NONE))
+		return;
+	effect = mst_agent_emit(agent, MST_AGENT_FX_RUN);
+	effect->task = &run->task;
+	effect->entry = run->session->entry;
+	effect->number = run->number;
+	effect->result = run->result;
+}
+
 void
 mst_run_finish(struct mst_agent *agent, struct run *run,
     const struct mst_result_item *result)
@@ -112,6 +129,7 @@
 	g_queue_push_tail_link(&run->session->unacked, &run->link);
 	run->result = *result;
 	run->result.seq = run->task.seq;
+	run_tell(agent, run);
 	run->result.content_type.data = mst_bytes_dup(result->content_type);
 	run->result.body.data = mst_bytes_dup(result->body);
 	/* A leased run's orders of this step may still name the task. */
--- a/src/core/agent_worker.c
+++ b/src/core/agent_worker.c
@@ -19,8 +19,8 @@
 #define WORKER_UNKNOWN_MAX      64   /* stopped at once after one list */
 #define WORKER_DRIFT            0.04 /* clocks are up to 2 % apart */
 #define WORKER_LAPSE_SLACK_US   (30 * 1000)
-#define WORKER_MILLICORES_MIN   1.0
-#define WORKER_SIZE_WINDOW      64 /* tasks that the usual size is of */
+#define WORKER_TASK_MILLICORES  2000.0 /* of a task, before any was seen */
+#define WORKER_SIZE_WINDOW      64     /* tasks that the usual size is of */
 #define WORKER_SLOTS_MAX        4096
 #define WORKER_SPEED_WINDOW     12 /* runs; it may turn slow within a second */
 #define WORKER_SPEED_SAMPLES    3
@@ -71,7 +71,8 @@
 static uint32_t
 slots_of(const struct mst_agent *agent, uint32_t millicores)
 {
-	double size = MAX(agent->task_millicores, WORKER_MILLICORES_MIN);
+	double size = agent->task_millicores > 0 ? agent->task_millicores
+						 : WORKER_TASK_MILLICORES;
 
 	return (uint32_t)MIN(millicores / size, WORKER_SLOTS_MAX);
 }
--- a/src/runtime/agent_runtime.c
+++ b/src/runtime/agent_runtime.c
@@ -95,6 +95,23 @@
 	    effect->msg.config.version);
 }
 
+/* The task's name begins with the job's. */
+static void
+log_run(const struct mst_agent_effect *effect)
+{
+	const struct mst_bytes *name = &effect->task->path;
+	const char *dot = memchr(name->data, '.', name->len);
+	int job_len = (int)(dot ? dot - name->data : (ssize_t)name->len);
+
+	mst_log(MST_LOG_INFO, "run-ended",
+	    "job=%.*s task=%.*s run=%" PRIu32 " entry=%016" PRIx64
+	    " outcome=%s reason=%s queue_ms=%" PRIu32 " run_ms=%" PRIu32,
+	    job_len, name->data, (int)name->len, name->data, effect->number,
+	    effect->entry, mst_outcome_name(effect->result.outcome),
+	    mst_reason_name(effect->result.reason),
+	    effect->result.queue_us / 1000, effect->result.service_us / 1000);
+}
+
 static void
 effect_execute(struct agent_runtime *rt, const struct mst_agent_effect *effect)
 {
@@ -117,6 +134,14 @@
 	case MST_AGENT_FX_ORDER:
 		rt->ports->worker->order(rt->worker, &effect->order);
 		break;
+	case MST_AGENT_FX_RUN:
+		log_run(effect);
+		break;
+	case MST_AGENT_FX_LEASE:
+		mst_log(MST_LOG_WARNING, "entry-lease-lapsed",
+		    "entry=%016" PRIx64 " silent_ms=%" PRId64 " tasks=%" PRIu32,
+		    effect->entry, effect->silent_us / 1000, effect->open);
+		break;
 	case MST_AGENT_FX_WORKER:
 		mst_log(MST_LOG_INFO, "worker", "state=%s", effect->state);
 		break;
@@ -259,6 +284,7 @@
 	} else if (strcmp(path, "/metrics") == 0) {
 		text = runtime_agent_metrics(mst_agent_counters(rt->agent),
 		    &gauges, mst_bus_counters(rt->bus));
+		metric_process(text, &rt->loop.lag);
 		answer(rt, request->id, 200, text->str);
 		g_string_free(text, TRUE);
 	} else if (post && strcmp(path, "/v1/drain") == 0 &&
--- a/src/runtime/daemon_main.c
+++ b/src/runtime/daemon_main.c
@@ -45,6 +45,7 @@
 		g_clear_error(&error);
 		rc = EXIT_FAILURE;
 	}
+	mst_log_close();
 	mst_settings_free(settings);
 	return rc;
 }
--- a/src/runtime/entry_config.c
+++ b/src/runtime/entry_config.c
@@ -55,6 +55,7 @@
 		return;
 	}
 	mst_log(MST_LOG_INFO, "config", "version=%" PRIu64, version);
+	rt->config_us = runtime_now_us();
 	runtime_step(rt, &event);
 }
 
--- a/src/runtime/entry_front.c
+++ b/src/runtime/entry_front.c
@@ -20,6 +20,14 @@
     [FRONT_NOT_RUN] = "not-run",
     [FRONT_MAY_HAVE_RUN] = "may-have-run"};
 
+const char *
+runtime_outcome_name(int outcome)
+{
+	return outcome >= FRONT_COMPLETED && outcome <= FRONT_MAY_HAVE_RUN
+	    ? outcome_names[outcome]
+	    : "none";
+}
+
 static void
 front_answer(struct entry_runtime *rt, struct mst_httpd *httpd, uint64_t id,
     const struct front_answer *answer)
@@ -93,6 +101,8 @@
 	struct front_answer answer = {.outcome = outcome_of_job(view)};
 
 	log_job(rt, view, handle, answer.outcome);
+	mst_histogram_add(&rt->job_times[answer.outcome],
+	    view->closed_us - view->submitted_us);
 	if (answer.outcome == FRONT_NOT_RUN)
 		answer.retry_after_ms =
 		    MAX(view->retry_after_ms, FRONT_RETRY_MS);
@@ -106,9 +116,14 @@
 	struct front_answer answer = {.outcome = FRONT_NOT_RUN,
 	    .retry_after_ms = MAX(effect->retry_after_ms, FRONT_RETRY_MS)};
 
-	mst_log(MST_LOG_INFO, "job-refused", "request=%" PRIu64 " reason=%s",
-	    effect->request & ~RUNTIME_FRONT_BIT,
-	    mst_reason_name(effect->reason));
+	struct mst_entry_gauges gauges = mst_entry_gauges(rt->entry);
+
+	mst_log(MST_LOG_INFO, "job-refused",
+	    "job=%s reason=%s wait_ms=%" PRIu32 " tasks_waiting=%" PRIu32
+	    " tasks_sent=%" PRIu32 " agents=%" PRIu32 " config=%" PRIu64,
+	    pending->job, mst_reason_name(effect->reason),
+	    effect->retry_after_ms, gauges.tasks_waiting, gauges.tasks_sent,
+	    gauges.members_active, gauges.config_version);
 	front_answer_pending(rt, pending, &answer);
 }
 
@@ -131,9 +146,24 @@
 	}
 	pending = runtime_pending_new(rt, event.request);
 	pending->front = true;
+	pending->job = g_strdup(asked->key);
 	runtime_step(rt, &event);
 }
 
+static void
+log_unrouted(
+    const struct mst_http_request *request, const struct mst_config *config)
+{
+	char *host = mst_bytes_string(request->host);
+	char *path = mst_bytes_string(request->path);
+
+	mst_log(MST_LOG_INFO, "request-unrouted",
+	    "host=%s path=%s config=%" PRIu64, mst_log_quote(host),
+	    mst_log_quote(path), config ? config->version : 0);
+	g_free(host);
+	g_free(path);
+}
+
 static void
 on_front_request(struct mst_http_request *request, void *ctx)
 {
@@ -154,6 +184,7 @@
 		    : FRONT_IS_NOT_READY;
 		break;
 	case FRONT_NO_QUEUE:
+		log_unrouted(request, config);
 		answer.outcome =
 		    config != NULL ? FRONT_UNKNOWN_QUEUE : FRONT_NOT_RUN;
 		answer.retry_after_ms = config != NULL ? 0 : FRONT_RETRY_MS;
--- a/src/runtime/entry_runtime.c
+++ b/src/runtime/entry_runtime.c
@@ -18,6 +18,7 @@
 	if (pending->origin != 0)
 		g_free((char *)pending->body.data);
 	g_free(pending->ticket);
+	g_free(pending->job);
 	g_free(pending->traceparent);
 	g_free(pending);
 }
--- a/src/runtime/entry_runtime.h
+++ b/src/runtime/entry_runtime.h
@@ -26,6 +26,7 @@
 struct pending {
 	uint64_t id;
 	bool front;            /* came by the platform's front */
+	char *job;             /* by its caller's name, or NULL */
 	bool single;           /* answered with the task's own answer */
 	bool has_body;         /* kept for a forward */
 	struct mst_bytes body; /* the server's memory, or owned */
@@ -62,7 +63,9 @@
 	struct store_watch config_watch;
 	struct store_watch entries_watch;
 	uv_timer_t publish_timer;
-	bool leaving; /* not ready any more, but still serving */
+	bool leaving;      /* not ready any more, but still serving */
+	int64_t config_us; /* when the configuration came into force */
+	struct mst_histogram job_times[FRONT_OUTCOMES];
 };
 
 /* Steps the reducer and executes its effects. */
@@ -108,6 +111,8 @@
 void runtime_front_refusal(struct entry_runtime *rt, struct pending *pending,
     const struct mst_entry_effect *effect);
 void runtime_publish(uv_timer_t *timer);
+/* Name of an enum front_outcome, for logs and metrics. */
+const char *runtime_outcome_name(int outcome);
 
 /* Connects to entries whose addresses were named, by commas. */
 void runtime_connect_peers(struct entry_runtime *rt, struct mst_bytes peers);
--- a/src/runtime/loop.c
+++ b/src/runtime/loop.c
@@ -3,6 +3,7 @@
 #include <signal.h>
 
 #include "base/clock.h"
+#include "base/log.h"
 
 #define LOOP_TICK_MS 10
 
@@ -26,7 +27,11 @@
 on_tick(uv_timer_t *timer)
 {
 	struct runtime_loop *loop = timer->data;
+	int64_t now_us = runtime_now_us();
 
+	mst_histogram_add(
+	    &loop->lag, MAX(now_us - loop->tick_us - LOOP_TICK_MS * 1000, 0));
+	loop->tick_us = now_us;
 	loop->callbacks.on_tick(loop->ctx);
 }
 
@@ -35,10 +40,11 @@
 {
 	struct runtime_loop *loop = prepare->data;
 
-	if (!loop->flush_due)
-		return;
-	loop->flush_due = false;
-	loop->callbacks.on_flush(loop->ctx);
+	if (loop->flush_due) {
+		loop->flush_due = false;
+		loop->callbacks.on_flush(loop->ctx);
+	}
+	mst_log_flush();
 }
 
 static void
@@ -57,6 +63,7 @@
 {
 	uv_timer_init(&loop->uv, &loop->tick);
 	loop->tick.data = loop;
+	loop->tick_us = runtime_now_us();
 	uv_timer_start(&loop->tick, on_tick, LOOP_TICK_MS, LOOP_TICK_MS);
 	uv_timer_init(&loop->uv, &loop->stop);
 	uv_prepare_init(&loop->uv, &loop->prepare);
--- a/src/runtime/loop.h
+++ b/src/runtime/loop.h
@@ -7,6 +7,8 @@
 #include <stdint.h>
 #include <uv.h>
 
+#include "base/histogram.h"
+
 struct runtime_loop_callbacks {
 	void (*on_tick)(void *ctx);
 	void (*on_flush)(void *ctx);  /* once a turn, when flush_due was set */
@@ -26,6 +28,8 @@
 	void *ctx;
 	bool flush_due;
 	bool stopping;
+	int64_t tick_us;          /* the last tick */
+	struct mst_histogram lag; /* of ticks */
 };
 
 /* Microseconds of the clock that only goes forward. */
--- a/src/runtime/metrics.c
+++ b/src/runtime/metrics.c
@@ -1,5 +1,9 @@
 #include "runtime/metrics.h"
 
+#include <inttypes.h>
+
+#include "base/log.h"
+
 #include "runtime/entry_runtime.h"
 
 void
@@ -30,6 +34,46 @@
 	metric_sample(out, name, NULL, NULL, value);
 }
 
+void
+metric_histogram(GString *out, const char *name, const char *label,
+    const char *value_of_label, const struct mst_histogram *histogram)
+{
+	uint64_t upto = 0;
+	int i;
+
+	for (i = 0; i < MST_HISTOGRAM_BOUNDS; i++) {
+		upto += histogram->counts[i];
+		g_string_append_printf(out,
+		    "masticstall_%s_bucket{%s=\"%s\",le=\"%g\"} %" PRIu64 "\n",
+		    name, label, value_of_label,
+		    (double)mst_histogram_bounds_us[i] / G_USEC_PER_SEC, upto);
+	}
+	g_string_append_printf(out,
+	    "masticstall_%s_bucket{%s=\"%s\",le=\"+Inf\"} %" PRIu64 "\n"
+	    "masticstall_%s_sum{%s=\"%s\"} %.6f\n"
+	    "masticstall_%s_count{%s=\"%s\"} %" PRIu64 "\n",
+	    name, label, value_of_label, histogram->count, name, label,
+	    value_of_label, histogram->sum_us / G_USEC_PER_SEC, name, label,
+	    value_of_label, histogram->count);
+}
+
+void
+metric_process(GString *out, const struct mst_histogram *lag)
+{
+	const struct mst_log_counters *log = mst_log_counters();
+
+	metric_family(out, "loop_lag_seconds", "histogram",
+	    "Time by which the loop's ticks were late.");
+	metric_histogram(out, "loop_lag_seconds", "timer", "tick", lag);
+	metric_single(out, "log_lines_total", "counter", "Lines logged.",
+	    (double)log->lines);
+	metric_single(out, "log_summed_total", "counter",
+	    "Lines left out as their event came too often.",
+	    (double)log->summed);
+	metric_single(out, "log_dropped_total", "counter",
+	    "Lines left out as nobody read them.", (double)log->dropped);
+}
+
 static void
 by_reason(
     GString *out, const char *name, const char *help, const uint64_t *counts)
@@ -135,16 +179,53 @@
 	    "Bytes of messages received.", (double)c->bytes_received);
 }
 
+static void
+store_calls(GString *out, const struct store_watch *watch, const char *subject)
+{
+	metric_sample(out, "store_failures_in_a_row", "subject", subject,
+	    watch->failures);
+}
+
+static void
+entry_front(GString *out, const struct entry_runtime *rt)
+{
+	int i;
+
+	if (rt->front == NULL)
+		return;
+	metric_family(out, "job_seconds", "histogram",
+	    "Time from a job's arrival to its answer, by outcome.");
+	for (i = 0; i < FRONT_OUTCOMES; i++) {
+		if (rt->job_times[i].count > 0)
+			metric_histogram(out, "job_seconds", "outcome",
+			    runtime_outcome_name(i), &rt->job_times[i]);
+	}
+	metric_family(out, "store_failures_in_a_row", "gauge",
+	    "Calls to the store that have failed since the last success.");
+	store_calls(out, &rt->config_watch, "config");
+	store_calls(out, &rt->entries_watch, "entries");
+	metric_single(out, "config_age_seconds", "gauge",
+	    "Time since the configuration came into force.",
+	    rt->config_us == 0
+		? 0
+		: (double)(runtime_now_us() - rt->config_us) / G_USEC_PER_SEC);
+}
+
 GString *
 runtime_entry_metrics(const struct entry_runtime *rt)
 {
 	GString *out = g_string_new(NULL);
 	struct mst_entry_gauges gauges = mst_entry_gauges(rt->entry);
-	const struct mst_table_counters *table = mst_table_counters(rt->table);
+	const struct mst_table_counters *table;
 
 	entry_counters(out, mst_entry_counters(rt->entry));
 	entry_gauges(out, &gauges);
 	bus_counters(out, mst_bus_counters(rt->bus));
+	metric_process(out, &rt->loop.lag);
+	entry_front(out, rt);
+	if (rt->table == NULL)
+		return out;
+	table = mst_table_counters(rt->table);
 	metric_single(out, "table_reads_total", "counter",
 	    "Reads of the platform's table.", (double)table->reads);
 	metric_single(out, "table_writes_total", "counter",
@@ -160,6 +241,7 @@
     const struct mst_agent_gauges *g, const struct mst_bus_counters *bus)
 {
 	GString *out = g_string_new(NULL);
+	int i;
 
 	metric_single(out, "dispatches_received_total", "counter",
 	    "Tasks received.", (double)c->dispatches);
@@ -177,6 +259,19 @@
 	    "Results sent again.", (double)c->results_repeated);
 	metric_single(out, "fences_total", "counter", "Fences asked for.",
 	    (double)c->fences);
+	metric_single(out, "runs_lost_total", "counter",
+	    "Runs that ended without a result.", (double)c->runs_lost);
+	metric_single(out, "runs_unknown_total", "counter",
+	    "Runs found on the worker that are nobody's, and stopped.",
+	    (double)c->runs_unknown);
+	metric_single(out, "entry_leases_lapsed_total", "counter",
+	    "Times that an entry's work was ended for its silence.",
+	    (double)c->leases_lapsed);
+	metric_family(
+	    out, "orders_total", "counter", "Orders to the worker, by answer.");
+	for (i = MST_ORDER_DONE; i <= MST_ORDER_INVALID; i++)
+		metric_sample(out, "orders_total", "answer",
+		    mst_order_status_name(i), (double)c->orders[i]);
 	metric_single(out, "running", "gauge", "Calls running.", g->running);
 	metric_single(out, "queued", "gauge", "Tasks that wait.", g->queued);
 	metric_single(out, "sessions", "gauge", "Entries known.", g->sessions);
--- a/src/runtime/ports.h
+++ b/src/runtime/ports.h
@@ -45,7 +45,8 @@
 	FRONT_UNKNOWN_QUEUE, /* nothing was run; there is no such queue */
 	FRONT_UNKNOWN_JOB,
 	FRONT_QUEUE_LENGTH, /* no stored job waits */
-	FRONT_WRONG         /* the request makes no sense */
+	FRONT_WRONG,        /* the request makes no sense */
+	FRONT_OUTCOMES
 };
 
 struct front_answer {
--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -20,7 +20,7 @@
 #define WORKERS       4
 #define RESEND_MS     1300 /* a caller comes back after a broken connection */
 #define DEADLINE_MS   1500
-#define SEEDS         250
+#define SEEDS         120
 #define DAY_MS        12000
 #define FAULTS_END_MS 8000
 #define JOB_EVERY_MS  40
