Drive the platform's adapter from recorded bytes

Every message that callers, operators, the store and runners send, with wrong types, missing fields, unreadable bytes, heartbeats of 5 MiB and unknown states: each is named, none is fatal; orders and changes are compared with the expected bytes. A request without a connection behind it has no headers, so that the adapter can be driven by itself.

--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -158,9 +158,12 @@
 mst_http_header(const struct mst_http_request *request, const char *name)
 {
 	const struct exchange *exchange = request->internal;
-	ssize_t at = h2o_find_header_by_str(
-	    &exchange->req->headers, name, strlen(name), -1);
+	ssize_t at;
 
+	if (exchange == NULL)
+		return (struct mst_bytes){0};
+	at = h2o_find_header_by_str(
+	    &exchange->req->headers, name, strlen(name), -1);
 	if (at < 0)
 		return (struct mst_bytes){0};
 	return iovec_bytes(exchange->req->headers.entries[at].value);
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,562 @@
+/*
+ * The adapter to the platform, driven from recorded bytes: what callers, the
+ * operators, the store and runners send, and what goes to them. Whatever is
+ * malformed is named and never fatal.
+ */
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "platform.h"
+#include "runtime/loop.h"
+
+#define LISTEN "127.0.0.1:18790"
+
+static const char document[] =
+    "{\"queues\":["
+    "{\"name\":\"push\",\"host\":\"a.example\",\"prefix\":\"/p/\","
+    "\"service\":\"s\",\"priority\":1,\"attempts\":2,\"timeout_ms\":1500,"
+    "\"stretch\":1.6,\"target_ms\":60},"
+    "{\"name\":\"deep\",\"host\":\"a.example\",\"prefix\":\"/p/q/\","
+    "\"service\":\"s\"}]}";
+
+static struct mst_config *
+config_new(void)
+{
+	struct mst_config *config;
+	GError *error = NULL;
+
+	mst_config_parse(&config, document, 7, &error);
+	g_assert_no_error(error);
+	return config;
+}
+
+static void
+ask(struct front_request *out, const struct mst_config *config,
+    const char *method, const char *path, const char *body)
+{
+	const struct mst_http_request request = {.method = mst_bytes_of(method),
+	    .host = mst_bytes_of("A.example:8161"),
+	    .path = mst_bytes_of(path),
+	    .body = mst_bytes_of(body)};
+
+	platform_front.read(out, &request, config);
+}
+
+static void
+front__job_is_read(void)
+{
+	struct mst_config *config = config_new();
+	struct front_request job;
+
+	ask(&job, config, "POST", "/p/5c0e7a21d94b36f8",
+	    "{\"spec\":\"text\",\"bestEffort\":true,\"steps\":[{\"count\":3,"
+	    "\"cpu\":1600,\"memMb\":64,\"estimateMs\":60}]}");
+	g_assert_cmpint(job.kind, ==, FRONT_SUBMIT);
+	g_assert_false(job.stored);
+	g_assert_cmpstr(job.key, ==, "5c0e7a21d94b36f8");
+	g_assert_cmpstr(job.spec.team, ==, "push");
+	g_assert_cmpstr(job.spec.service, ==, "s");
+	g_assert_cmpuint(job.spec.count, ==, 3);
+	g_assert_cmpuint(job.spec.timeout_ms, ==, 1500);
+	g_assert_cmpuint(job.spec.attempts, ==, 2);
+	g_assert_cmpuint(job.spec.tasks[2].needs.millicores, ==, 1600);
+	g_assert_cmpuint(job.spec.tasks[2].declared_us, ==, 60000);
+	g_assert_cmpint(
+	    strncmp(job.spec.tasks[2].path.data, "5c0e7a21d94b36f8.0.0.2", 22),
+	    ==, 0);
+	platform_front.release(&job);
+	mst_config_free(config);
+}
+
+static void
+front__requests_are_told_apart(void)
+{
+	static const struct {
+		const char *method;
+		const char *path;
+		const char *body;
+		enum front_request_kind kind;
+		bool stored;
+	} rows[] = {{"GET", "/v1/readiness", "", FRONT_READY, false},
+	    {"GET", "/p/5c0e7a21d94b36f8", "", FRONT_STATE, false},
+	    {"DELETE", "/p/5c0e7a21d94b36f8", "", FRONT_CANCEL, false},
+	    {"GET", "/p/", "", FRONT_QUEUE, false},
+	    {"POST", "/x/5c0e7a21d94b36f8", "{}", FRONT_NO_QUEUE, false},
+	    {"POST", "/p/5c0e7a21d94b36f", "{}", FRONT_MALFORMED, false},
+	    {"POST", "/p/5c0e7a21d94b36fZ", "{}", FRONT_MALFORMED, false},
+	    {"POST", "/p/5c0e7a21d94b36f8", "", FRONT_MALFORMED, false},
+	    {"POST", "/p/5c0e7a21d94b36f8", "\xff\xfe{", FRONT_MALFORMED,
+		false},
+	    {"POST", "/p/5c0e7a21d94b36f8", "{\"steps\":7}", FRONT_MALFORMED,
+		false},
+	    {"POST", "/p/5c0e7a21d94b36f8",
+		"{\"steps\":[{\"count\":\"many\"}]}", FRONT_MALFORMED, false},
+	    {"POST", "/p/5c0e7a21d94b36f8", "{\"steps\":[{\"count\":1e9}]}",
+		FRONT_MALFORMED, false},
+	    {"POST", "/p/5c0e7a21d94b36f8", "{\"steps\":[{\"count\":1}]}",
+		FRONT_SUBMIT, true},
+	    {"POST", "/p/5c0e7a21d94b36f8",
+		"{\"bestEffort\":true,\"steps\":[{\"count\":1,"
+		"\"gang\":true}]}",
+		FRONT_SUBMIT, true},
+	    {"POST", "/p/5c0e7a21d94b36f8",
+		"{\"bestEffort\":true,\"steps\":[{\"count\":1},"
+		"{\"count\":1,\"after\":[0]}]}",
+		FRONT_SUBMIT, true}};
+	struct mst_config *config = config_new();
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct front_request asked;
+
+		ask(&asked, config, rows[i].method, rows[i].path, rows[i].body);
+		g_assert_cmpint(asked.kind, ==, rows[i].kind);
+		g_assert_cmpint(asked.stored, ==, rows[i].stored);
+		if (asked.kind == FRONT_MALFORMED)
+			g_assert_nonnull(asked.fault);
+		platform_front.release(&asked);
+	}
+	mst_config_free(config);
+}
+
+static void
+front__longest_prefix_wins(void)
+{
+	struct mst_config *config = config_new();
+	struct front_request asked;
+
+	ask(&asked, config, "POST", "/p/q/5c0e7a21d94b36f8",
+	    "{\"bestEffort\":true,\"steps\":[{\"count\":1}]}");
+	g_assert_cmpstr(asked.spec.team, ==, "deep");
+	platform_front.release(&asked);
+	ask(&asked, NULL, "POST", "/p/q/5c0e7a21d94b36f8", "{}");
+	g_assert_cmpint(asked.kind, ==, FRONT_NO_QUEUE);
+	platform_front.release(&asked);
+	mst_config_free(config);
+}
+
+static void
+front__answers_are_written(void)
+{
+	static const struct {
+		enum front_outcome outcome;
+		int status;
+		const char *body;
+	} rows[] = {{FRONT_IS_READY, 200, ""}, {FRONT_IS_NOT_READY, 503, ""},
+	    {FRONT_COMPLETED, 200, "{\"state\":\"completed\"}"},
+	    {FRONT_FAILED, 200, "{\"state\":\"failed\"}"},
+	    {FRONT_NOT_RUN, 503, ""}, {FRONT_MAY_HAVE_RUN, 504, ""},
+	    {FRONT_UNKNOWN_QUEUE, 404, ""}, {FRONT_UNKNOWN_JOB, 410, ""},
+	    {FRONT_QUEUE_LENGTH, 200, "{\"pending\":0}"},
+	    {FRONT_WRONG, 400, ""}};
+	struct front_answer answer = {0};
+	struct front_reply reply;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		answer.outcome = rows[i].outcome;
+		platform_front.write(&reply, &answer);
+		g_assert_cmpint(reply.status, ==, rows[i].status);
+		g_assert_cmpstr(reply.body, ==, rows[i].body);
+	}
+	answer = (struct front_answer){
+	    .outcome = FRONT_NOT_RUN, .retry_after_ms = 1200, .close = true};
+	platform_front.write(&reply, &answer);
+	g_assert_cmpuint(reply.header_count, ==, 3);
+	g_assert_cmpstr(reply.headers[1].name, ==, "retry-after");
+	g_assert_cmpstr(reply.retry_after, ==, "2");
+}
+
+static void
+config__routes_become_queues(void)
+{
+	static const char text[] =
+	    "{\"version\":9,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+	    "\"prefix\":\"/x/\",\"service\":\"s\",\"timeoutMs\":1500,"
+	    "\"targetLatencyMs\":60,\"priority\":2,\"attempts\":3,"
+	    "\"stretch\":1.6}],\"services\":[]}";
+	static const char *const wrong[] = {"{}", "[]", "{\"version\":9}",
+	    "{\"version\":\"x\",\"routes\":[]}",
+	    "{\"version\":9,\"routes\":{}}"};
+	const struct mst_queue_config *queue;
+	struct mst_config *config;
+	const char *fault = NULL;
+	uint64_t version;
+	cJSON *json = cJSON_Parse(text);
+	char *translated = platform_config_translate(&version, &fault, json);
+	size_t i;
+
+	g_assert_cmpuint(version, ==, 9);
+	g_assert_cmpint(
+	    mst_config_parse(&config, translated, version, NULL), ==, 0);
+	queue = mst_config_queue_named(config, "r");
+	g_assert_nonnull(queue);
+	g_assert_cmpuint(queue->timeout_ms, ==, 1500);
+	g_assert_cmpuint(queue->target_ms, ==, 60);
+	g_assert_cmpuint(queue->attempts, ==, 3);
+	mst_config_free(config);
+	cJSON_free(translated);
+	cJSON_Delete(json);
+	for (i = 0; i < G_N_ELEMENTS(wrong); i++) {
+		json = cJSON_Parse(wrong[i]);
+		fault = NULL;
+		g_assert_null(
+		    platform_config_translate(&version, &fault, json));
+		g_assert_nonnull(fault);
+		cJSON_Delete(json);
+	}
+}
+
+static bool
+report(struct mst_worker_report *out, const char *method, const char *path,
+    const char *body, const char **fault)
+{
+	const struct mst_http_request request = {.method = mst_bytes_of(method),
+	    .path = mst_bytes_of(path),
+	    .body = mst_bytes_of(body)};
+	void *internal;
+	bool ok = platform_worker.read_report(out, &internal, fault, &request);
+
+	platform_worker.release_report(internal);
+	return ok;
+}
+
+#define REPORT_REST                                                            \
+	"\"capacity\":{\"cpu\":16000,\"memMb\":32768},"                        \
+	"\"labels\":[\"a\",\"r1-3\"],\"clockMs\":482113,\"seq\":4,"            \
+	"\"born\":1700000000123}"
+
+static void
+worker__reports_are_read(void)
+{
+	static const char good[] =
+	    "{\"service\":\"huvo\",\"state\":\"draining\"," REPORT_REST;
+	static const char *const wrong[] = {"", "\xff", "[]", "{}",
+	    "{\"service\":\"huvo\",\"state\":\"asleep\"," REPORT_REST,
+	    "{\"service\":7,\"state\":\"ready\"," REPORT_REST,
+	    "{\"service\":\"huvo\",\"state\":\"ready\"}",
+	    "{\"service\":\"huvo\",\"state\":\"ready\",\"capacity\":9}"};
+	struct mst_worker_report out;
+	const char *fault = NULL;
+	char *huge;
+	size_t i;
+
+	g_assert_true(
+	    report(&out, "PUT", "/v1/instances/i-7f3a", good, &fault));
+	g_assert_true(out.draining);
+	g_assert_cmpuint(out.capacity.millicores, ==, 16000);
+	g_assert_cmpuint(out.life, ==, 1700000000123);
+	g_assert_cmpuint(out.seq, ==, 4);
+	g_assert_cmpuint(out.id.len, ==, 6);
+	g_assert_true(
+	    report(&out, "DELETE", "/v1/instances/i-7f3a", "", &fault));
+	g_assert_true(out.gone);
+	for (i = 0; i < G_N_ELEMENTS(wrong); i++) {
+		fault = NULL;
+		g_assert_false(report(
+		    &out, "PUT", "/v1/instances/i-7f3a", wrong[i], &fault));
+		g_assert_nonnull(fault);
+	}
+	g_assert_false(report(&out, "PUT", "/v1/instances/", good, &fault));
+	g_assert_false(report(&out, "PUT", "/elsewhere", good, &fault));
+	huge = g_strnfill(5 << 20, ' ');
+	g_assert_false(report(&out, "PUT", "/v1/instances/i", huge, &fault));
+	g_free(huge);
+}
+
+/* A server that records what comes and answers as told. */
+struct peer {
+	uv_loop_t loop;
+	struct mst_httpd *httpd;
+	struct mst_http_caller *caller;
+	uv_timer_t limit;
+	int status;
+	const char *body;
+	char *path;
+	char *received;
+	bool done;
+	struct mst_order_answer answer;
+	struct store_news news;
+	char *document;
+	uint32_t first_run;
+	char *first_entry;
+};
+
+static void
+on_request(struct mst_http_request *request, void *ctx)
+{
+	struct peer *peer = ctx;
+
+	g_free(peer->path);
+	g_free(peer->received);
+	peer->path = mst_bytes_string(request->path);
+	peer->received = mst_bytes_string(request->body);
+	if (peer->status != 0)
+		mst_http_answer(peer->httpd, request->id, peer->status, NULL, 0,
+		    peer->body, strlen(peer->body));
+}
+
+static void
+on_gone(uint64_t id, void *ctx)
+{
+}
+
+static void
+on_limit(uv_timer_t *timer)
+{
+	g_error("no answer within 5 s");
+}
+
+static struct peer *
+peer_new(void)
+{
+	struct peer *peer = g_new0(struct peer, 1);
+	struct mst_httpd_options options = {.loop = &peer->loop,
+	    .listen = LISTEN,
+	    .body_max_bytes = 1 << 20,
+	    .on_request = on_request,
+	    .on_gone = on_gone,
+	    .ctx = peer};
+	GError *error = NULL;
+
+	uv_loop_init(&peer->loop);
+	mst_httpd_new(&peer->httpd, &options, &error);
+	g_assert_no_error(error);
+	peer->caller = mst_http_caller_new(&peer->loop, 4);
+	uv_timer_init(&peer->loop, &peer->limit);
+	uv_timer_start(&peer->limit, on_limit, 5000, 0);
+	return peer;
+}
+
+static void
+peer_wait(struct peer *peer)
+{
+	while (!peer->done)
+		uv_run(&peer->loop, UV_RUN_ONCE);
+	peer->done = false;
+}
+
+/* The loop itself goes with the process: the server has no end. */
+static void
+peer_stop(struct peer *peer)
+{
+	uv_timer_stop(&peer->limit);
+	mst_httpd_shutdown(peer->httpd);
+	mst_http_caller_close(peer->caller);
+	uv_run(&peer->loop, UV_RUN_NOWAIT);
+}
+
+static void
+on_answer(const struct mst_order_answer *answer, void *ctx)
+{
+	struct peer *peer = ctx;
+
+	peer->answer = *answer;
+	if (answer->running_count > 0)
+		peer->first_run = answer->running[0].run;
+	peer->done = true;
+}
+
+static void
+order_answers(struct peer *peer, void *worker)
+{
+	static const struct {
+		int status;
+		const char *body;
+		enum mst_order_status want;
+	} rows[] = {{200, "{\"clockMs\":482113}", MST_ORDER_DONE},
+	    {409, "{\"clockMs\":5,\"reason\":\"fence\"}", MST_ORDER_FENCED},
+	    {409, "{\"clockMs\":5,\"reason\":\"old\"}", MST_ORDER_OLD_RUN},
+	    {409, "{\"clockMs\":5,\"reason\":\"late\"}", MST_ORDER_LAPSED},
+	    {409, "{\"clockMs\":5,\"reason\":\"room\"}", MST_ORDER_NO_ROOM},
+	    {409, "{\"clockMs\":5,\"reason\":\"else\"}", MST_ORDER_INVALID},
+	    {421, "", MST_ORDER_OTHER_LIFE}, {429, "", MST_ORDER_UNHEALTHY},
+	    {503, "", MST_ORDER_UNHEALTHY}, {400, "", MST_ORDER_INVALID},
+	    {200, "\xff not json", MST_ORDER_NO_ANSWER},
+	    {0, "", MST_ORDER_NO_ANSWER}};
+	const struct mst_order order = {.kind = MST_ORDER_START,
+	    .id = 42,
+	    .task = mst_bytes_of("5c0e7a21d94b36f8.0.0.1"),
+	    .run = 2,
+	    .spec = mst_bytes_of("text"),
+	    .until_ms = 486000,
+	    .fence = 7,
+	    .timeout_ms = 100};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		peer->status = rows[i].status;
+		peer->body = rows[i].body;
+		platform_worker.order(worker, &order);
+		peer_wait(peer);
+		g_assert_cmpint(peer->answer.status, ==, rows[i].want);
+		g_assert_cmpuint(peer->answer.id, ==, 42);
+		g_assert_cmpstr(peer->path, ==, "/v1/run-start");
+		g_assert_cmpstr(peer->received, ==,
+		    "{\"task\":\"5c0e7a21d94b36f8.0.0.1\",\"run\":2,"
+		    "\"spec\":\"text\",\"untilMs\":486000,\"fence\":7}");
+	}
+}
+
+static void
+hold_answers(struct peer *peer, void *worker)
+{
+	const struct mst_order order = {.kind = MST_ORDER_HOLD,
+	    .until_ms = 486000,
+	    .fence = 7,
+	    .ends_seen = 57,
+	    .wait_ms = 150,
+	    .timeout_ms = 500};
+
+	peer->status = 200;
+	peer->body =
+	    "{\"clockMs\":482113,\"born\":1700000000123,"
+	    "\"running\":[[\"5c0e7a21d94b36f8.0.1.17\",2,\"\",41]],"
+	    "\"ended\":[[58,\"5c0e7a21d94b36f8.0.1.9\",1,\"done\",\"\"],"
+	    "7,[\"x\"]]}";
+	platform_worker.order(worker, &order);
+	peer_wait(peer);
+	g_assert_cmpint(peer->answer.status, ==, MST_ORDER_DONE);
+	g_assert_cmpuint(peer->answer.life, ==, 1700000000123);
+	g_assert_cmpuint(peer->answer.clock_ms, ==, 482113);
+	g_assert_cmpuint(peer->answer.running_count, ==, 1);
+	g_assert_cmpuint(peer->first_run, ==, 2);
+	g_assert_cmpuint(peer->answer.ended_count, ==, 3);
+	g_assert_cmpstr(peer->received, ==,
+	    "{\"lastSeen\":57,\"waitMs\":150,\"untilMs\":486000,\"fence\":7}");
+	/* Lists that are none leave nothing to look at. */
+	peer->body = "{\"running\":3,\"ended\":\"x\"}";
+	platform_worker.order(worker, &order);
+	peer_wait(peer);
+	g_assert_cmpuint(peer->answer.running_count, ==, 0);
+	g_assert_cmpuint(peer->answer.ended_count, ==, 0);
+}
+
+static void
+worker__orders_and_answers(void)
+{
+	struct peer *peer = peer_new();
+	struct worker_port_options options = {.caller = peer->caller,
+	    .address = LISTEN,
+	    .now_us = runtime_now_us,
+	    .on_answer = on_answer,
+	    .ctx = peer};
+	void *worker = platform_worker.open(&options);
+
+	order_answers(peer, worker);
+	hold_answers(peer, worker);
+	platform_worker.close(worker);
+	options.address = "127.0.0.1:1";
+	worker = platform_worker.open(&options);
+	platform_worker.order(worker,
+	    &(struct mst_order){.kind = MST_ORDER_STOP, .timeout_ms = 500});
+	peer_wait(peer);
+	g_assert_cmpint(peer->answer.status, ==, MST_ORDER_DOWN);
+	platform_worker.close(worker);
+	peer_stop(peer);
+}
+
+static void
+on_news(const struct store_news *news, void *ctx)
+{
+	struct peer *peer = ctx;
+
+	peer->news = *news;
+	g_free(peer->document);
+	g_free(peer->first_entry);
+	peer->document = g_strdup(news->document);
+	peer->first_entry =
+	    news->entries->len > 0 ? g_strdup(news->entries->pdata[0]) : NULL;
+	peer->done = true;
+}
+
+static void
+on_done(enum store_status status, void *ctx)
+{
+	struct peer *peer = ctx;
+
+	peer->news.status = status;
+	peer->done = true;
+}
+
+static void
+store_statuses(struct peer *peer, void *store)
+{
+	static const struct {
+		int status;
+		const char *body;
+		enum store_status want;
+	} rows[] = {{410, "", STORE_COMPACTED}, {429, "", STORE_BUSY},
+	    {503, "", STORE_BUSY}, {200, "\xff", STORE_INVALID},
+	    {200, "{\"rows\":7}", STORE_INVALID}, {500, "", STORE_INVALID},
+	    {0, "", STORE_AWAY}};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		peer->status = rows[i].status;
+		peer->body = rows[i].body;
+		platform_store.watch(
+		    store, STORE_CONFIG, 5, 10, 100, on_news, peer);
+		peer_wait(peer);
+		g_assert_cmpint(peer->news.status, ==, rows[i].want);
+	}
+}
+
+static void
+store__news_and_changes(void)
+{
+	struct peer *peer = peer_new();
+	void *store = platform_store.open(peer->caller, LISTEN);
+
+	store_statuses(peer, store);
+	peer->status = 200;
+	/* {"version":9,"routes":[]}, beside a row of another kind */
+	peer->body = "{\"rows\":[{\"table\":\"op\",\"key\":\"wave/1\","
+		     "\"value\":\"e30=\"},{\"key\":\"config\",\"value\":"
+		     "\"eyJ2ZXJzaW9uIjo5LCJyb3V0ZXMiOltdfQ==\"}],\"ver\":412}";
+	platform_store.read(store, STORE_CONFIG, 500, on_news, peer);
+	peer_wait(peer);
+	g_assert_cmpint(peer->news.status, ==, STORE_OK);
+	g_assert_cmpuint(peer->news.version, ==, 9);
+	g_assert_cmpuint(peer->news.revision, ==, 412);
+	g_assert_cmpstr(peer->document, ==, "{\"queues\":[]}");
+	/* Bytes that can't be read are named and change nothing. */
+	peer->body = "{\"rows\":[{\"key\":\"config\",\"value\":\"!!!!\"}]}";
+	platform_store.read(store, STORE_CONFIG, 500, on_news, peer);
+	peer_wait(peer);
+	g_assert_null(peer->document);
+	g_assert_nonnull(peer->news.fault);
+	peer->body = "{\"rows\":[{\"key\":\"10.0.0.1:7000\",\"value\":\"\"},"
+		     "{\"key\":\"10.0.0.2:7000\",\"removed\":true},{}],"
+		     "\"ver\":5}";
+	platform_store.watch(store, STORE_ENTRIES, 4, 10, 500, on_news, peer);
+	peer_wait(peer);
+	g_assert_cmpstr(peer->first_entry, ==, "10.0.0.1:7000");
+	peer->body = "{\"ver\":6}";
+	platform_store.put_entry(store, "10.0.0.1:7000", 500, on_done, peer);
+	peer_wait(peer);
+	g_assert_cmpint(peer->news.status, ==, STORE_OK);
+	g_assert_cmpstr(peer->received, ==,
+	    "{\"expectedRev\":[],\"setKeys\":[{\"table\":"
+	    "\"masticstall-entries\",\"part\":\"\",\"key\":"
+	    "\"10.0.0.1:7000\",\"value\":\"\"}],\"remove\":[]}");
+	platform_store.close(store);
+	peer_stop(peer);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/front/job", front__job_is_read);
+	g_test_add_func("/front/kinds", front__requests_are_told_apart);
+	g_test_add_func("/front/prefix", front__longest_prefix_wins);
+	g_test_add_func("/front/answers", front__answers_are_written);
+	g_test_add_func("/config/routes", config__routes_become_queues);
+	g_test_add_func("/worker/reports", worker__reports_are_read);
+	g_test_add_func("/worker/orders", worker__orders_and_answers);
+	g_test_add_func("/store/news", store__news_and_changes);
+	return g_test_run();
+}
