Take jobs right after a start; overlap HOLDs only when one is overdue

A leased entry takes jobs for its first second also without members; its capacity is its members' slots.

--- a/src/core/agent_worker.c
+++ b/src/core/agent_worker.c
@@ -596,7 +596,7 @@
 	/* What an earlier life of this agent has left is not renewed. */
 	if (worker->synced)
 		order_renews(agent, order);
-	worker->hold_due_us = agent->now_us + wait_us / WORKER_HOLDS;
+	worker->hold_due_us = agent->now_us + wait_us;
 }
 
 static void
@@ -634,6 +634,9 @@
 	uint32_t unknown;
 
 	worker->hold_due_us = agent->now_us;
+	/* The other one tells of the next end. */
+	if (worker->holds[0] != 0 || worker->holds[1] != 0)
+		worker->hold_due_us += WORKER_FLAKY_WAIT_US / 2;
 	if (worker->fence == 0) {
 		worker_raise_fence(agent);
 		return;
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -300,6 +300,8 @@
 
 	g_array_set_size(entry->effects, 0);
 	entry->now_us = MAX(entry->now_us, event->now_us);
+	if (entry->started_us == 0)
+		entry->started_us = entry->now_us;
 	switch (event->type) {
 	case MST_ENTRY_EV_TICK:
 		entry_on_tick(entry, last_us);
--- a/src/core/entry_internal.h
+++ b/src/core/entry_internal.h
@@ -18,6 +18,7 @@
 #define ENTRY_TRIM_US        (600 * G_USEC_PER_SEC)
 #define ENTRY_PEERS_EVERY    10 /* heartbeats between two lists of peers */
 #define ENTRY_RETRY_BURST    10.0
+#define ENTRY_WARM_UP_US     (1000 * 1000) /* agents are heard of by then */
 #define ENTRY_STOP_LINGER_US (30 * G_USEC_PER_SEC)
 
 enum task_state {
@@ -137,6 +138,7 @@
 	enum member_state state;
 	uint32_t slots;
 	struct mst_resources resources;
+	bool leased;
 	GQuark service;
 	int64_t clock_us;       /* its clock, as last announced */
 	int64_t clock_heard_us; /* and when that was heard */
@@ -197,6 +199,7 @@
 	uint64_t incarnation;
 	GRand *rand;
 	int64_t now_us;
+	int64_t started_us;
 	int64_t next_heartbeat_us;
 	int64_t next_scan_us;
 	int64_t scanned_us;
--- a/src/core/entry_member.c
+++ b/src/core/entry_member.c
@@ -214,6 +214,7 @@
 	member = g_new0(struct member, 1);
 	member->incarnation = incarnation;
 	member->state = MEMBER_JOINING;
+	member->leased = entry->options.leased;
 	member->sent = g_hash_table_new(g_direct_hash, g_direct_equal);
 	member->outbox = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	member->withdrawals = g_array_new(FALSE, FALSE, sizeof(uint64_t));
--- a/src/core/entry_objective.c
+++ b/src/core/entry_objective.c
@@ -124,6 +124,10 @@
 	terms = terms_of(entry, work_us, spec->stretch,
 	    (int64_t)spec->target_ms * 1000, (int64_t)spec->timeout_ms * 1000,
 	    spec->priority);
+	*wait_us = 0;
+	if (mst_entry_capacity(entry) <= 0 &&
+	    entry->now_us - entry->started_us <= ENTRY_WARM_UP_US)
+		return false;
 	*wait_us = mst_entry_wait_us(entry, entry->now_us + terms.urgent_us);
 	return *wait_us + work_us * entry->fastest > (double)terms.in_time_us;
 }
--- a/src/core/entry_place.c
+++ b/src/core/entry_place.c
@@ -44,7 +44,9 @@
 uint32_t
 mst_member_slots(const struct member *member)
 {
-	return MIN(member->slots, member->grant);
+	/* The grant of a leased member changes with what it runs. */
+	return member->leased ? member->slots
+			      : MIN(member->slots, member->grant);
 }
 
 bool
--- a/src/core/entry_submit.c
+++ b/src/core/entry_submit.c
@@ -80,7 +80,11 @@
 		return MST_REASON_STOPPING;
 	if (entry->config == NULL)
 		return MST_REASON_NO_CONFIG;
-	if (!entry_has_members(entry))
+	/* A leased entry that has just started hears of its agents soon, and
+	 * closes what has waited for too long by itself. */
+	if (!entry_has_members(entry) &&
+	    (!entry->options.leased ||
+		entry->now_us - entry->started_us > ENTRY_WARM_UP_US))
 		return MST_REASON_NO_MEMBERS;
 	return MST_REASON_NONE;
 }
