Name the life that a start is meant for; forget members that are gone

Leased entries forget a member 60 s after its loss, agents an entry after 70 s. test_leases /forgotten failed before (44 members known of 4) and passes now. A start names the runner's id, so that one with another id refuses what was held up since before it.

--- a/include/masticstall/worker.h
+++ b/include/masticstall/worker.h
@@ -18,14 +18,15 @@
 /** One order. */
 struct mst_order {
 	enum mst_order_kind kind;
-	uint64_t id;           /* comes back with the answer */
-	struct mst_bytes task; /* START, STOP: the task's name */
-	uint32_t run;          /* START, STOP: number of the task's run */
-	struct mst_bytes spec; /* START */
-	int64_t until_ms;      /* lease, on the worker's clock; 0: no change */
-	uint64_t fence;        /* orders with a lower one are ignored */
-	uint64_t ends_seen;    /* HOLD: ends up to here are forgotten */
-	uint32_t wait_ms;      /* HOLD: time to wait for an end */
+	uint64_t id;             /* comes back with the answer */
+	struct mst_bytes task;   /* START, STOP: the task's name */
+	uint32_t run;            /* START, STOP: number of the task's run */
+	struct mst_bytes spec;   /* START */
+	struct mst_bytes worker; /* START: id of the life that is meant */
+	int64_t until_ms;   /* lease, on the worker's clock; 0: no change */
+	uint64_t fence;     /* orders with a lower one are ignored */
+	uint64_t ends_seen; /* HOLD: ends up to here are forgotten */
+	uint32_t wait_ms;   /* HOLD: time to wait for an end */
 	uint32_t timeout_ms;
 };
 
--- a/src/core/agent_internal.h
+++ b/src/core/agent_internal.h
@@ -10,6 +10,7 @@
 #define AGENT_PREFETCH_MAX     64
 #define AGENT_LEASED_QUEUE     2 /* tasks that wait for the next slot */
 #define AGENT_SESSION_KEEP_US  (INT64_C(21600) * G_USEC_PER_SEC)
+#define AGENT_LEASED_KEEP_US   (INT64_C(70) * G_USEC_PER_SEC)
 #define AGENT_PAUSE_US         (500 * 1000)
 #define AGENT_STOP_LINGER_US   (10 * G_USEC_PER_SEC)
 #define AGENT_SILENT_US        (5 * G_USEC_PER_SEC)
--- a/src/core/agent_session.c
+++ b/src/core/agent_session.c
@@ -75,11 +75,13 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct session *session = value;
 		int64_t silent_us = agent->now_us - session->heard_us;
+		int64_t keep_us = agent->options.leased ? AGENT_LEASED_KEEP_US
+							: AGENT_SESSION_KEEP_US;
 
 		if (silent_us > AGENT_ABANDONED_US)
 			mst_agent_retain_all(agent, session);
 		/* Its runs leave by eviction, which is sooner. */
-		if (silent_us > AGENT_SESSION_KEEP_US &&
+		if (silent_us > keep_us &&
 		    g_hash_table_size(session->runs) == 0)
 			g_hash_table_iter_remove(&iter);
 	}
--- a/src/core/agent_worker.c
+++ b/src/core/agent_worker.c
@@ -223,6 +223,7 @@
 	run->order_tries++;
 	order_names_run(order, run);
 	order->spec = run->task.body;
+	order->worker = mst_bytes_of(agent->worker.id);
 	order_renews(agent, order);
 }
 
@@ -342,6 +343,7 @@
 	struct worker *worker = &agent->worker;
 
 	worker->life = life;
+	g_clear_pointer(&worker->id, g_free);
 	worker->synced = false;
 	worker->fence = 0;
 	worker->ends_seen = 0;
@@ -401,9 +403,9 @@
 
 	if (!worker_check_life(agent, report->life))
 		return;
-	same = worker->known && report->id.len == strlen(worker->id) &&
+	same = worker->id != NULL && report->id.len == strlen(worker->id) &&
 	    memcmp(worker->id, report->id.data, report->id.len) == 0;
-	if (worker->known && !same && report->life == 0)
+	if (worker->id != NULL && !same && report->life == 0)
 		worker_reborn(agent, 0);
 	if (same && report->life == worker->life &&
 	    report->seq < worker->report_seq)
--- a/src/core/entry_internal.h
+++ b/src/core/entry_internal.h
@@ -18,6 +18,7 @@
 #define ENTRY_TRIM_US        (600 * G_USEC_PER_SEC)
 #define ENTRY_PEERS_EVERY    10 /* heartbeats between two lists of peers */
 #define ENTRY_RETRY_BURST    10.0
+#define ENTRY_GONE_KEEP_US   (60 * G_USEC_PER_SEC) /* leased */
 #define ENTRY_WARM_UP_US     (1000 * 1000) /* agents are heard of by then */
 #define ENTRY_STOP_LINGER_US (30 * G_USEC_PER_SEC)
 
@@ -47,9 +48,9 @@
 	uint32_t declared_us;
 	uint32_t queue_us;
 	uint32_t service_us;
-	struct member *member;      /* while sent */
-	uint64_t last_member;       /* incarnation; 0: never sent */
-	const struct member *avoid; /* has failed it */
+	struct member *member; /* while sent */
+	uint64_t last_member;  /* incarnation; 0: never sent */
+	uint64_t avoid;        /* member that has failed it, or 0 */
 	uint64_t seq;
 	int64_t sent_us;
 	int64_t closed_us;
--- a/src/core/entry_member.c
+++ b/src/core/entry_member.c
@@ -561,11 +561,33 @@
 		mst_entry_new_incarnation(entry);
 }
 
+/* Forgets members that will not come back: a leased agent's next life is
+ * another member. */
+static void
+members_forget_gone(struct mst_entry *entry)
+{
+	guint i = 0;
+
+	while (entry->options.leased && i < entry->members->len) {
+		struct member *member = entry->members->pdata[i];
+
+		if (member->state != MEMBER_GONE ||
+		    entry->now_us - member->gone_us < ENTRY_GONE_KEEP_US) {
+			i++;
+			continue;
+		}
+		g_hash_table_remove(
+		    entry->by_member, mst_key(member->incarnation));
+		g_ptr_array_remove_index(entry->members, i);
+	}
+}
+
 void
 mst_entry_scan_members(struct mst_entry *entry)
 {
 	guint i;
 
+	members_forget_gone(entry);
 	for (i = 0; i < entry->members->len; i++)
 		member_scan(entry, entry->members->pdata[i]);
 	scan_witness(entry);
--- a/src/core/entry_place.c
+++ b/src/core/entry_place.c
@@ -78,7 +78,7 @@
 	    !mst_member_has_room(entry, member) ||
 	    !mst_member_fits(member, task))
 		return false;
-	return task->avoid != member || usable_members(entry) < 2;
+	return task->avoid != member->incarnation || usable_members(entry) < 2;
 }
 
 /* Learnt slowness; a member without results counts as the fastest. */
--- a/src/core/entry_result.c
+++ b/src/core/entry_result.c
@@ -38,7 +38,7 @@
 
 	entry->counters.retries++;
 	task->maybe_started = true;
-	task->avoid = task->member;
+	task->avoid = task->member->incarnation;
 	task->member = NULL;
 	task->state = TASK_DELAYED;
 	retry.due_us = entry->now_us + wait_us / 2 +
@@ -86,7 +86,7 @@
 	struct task *task = &job->tasks[index];
 
 	task->maybe_started = true;
-	task->avoid = member;
+	task->avoid = member->incarnation;
 	entry->counters.retries++;
 	mst_task_requeue(entry, job, index);
 }
--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -432,11 +432,36 @@
 	    completed, >, seeds * FAULTS_END_MS / JOB_EVERY_MS / 3);
 }
 
+static void
+leases__what_is_gone_is_forgotten(void)
+{
+	struct day *day = day_new(7);
+	struct mst_entry_gauges entry;
+	struct mst_agent_gauges agent;
+	int i;
+
+	for (i = 0; i < 40; i++) {
+		day->now_ms += 3000;
+		world_run(day->world, G_USEC_PER_SEC + day->now_ms * MS);
+		world_restart(day->world, day->agents[0]);
+		world_restart(day->world, day->entries[0]);
+	}
+	day->now_ms += 90000;
+	world_run(day->world, G_USEC_PER_SEC + day->now_ms * MS);
+	entry = mst_entry_gauges(world_entry(day->world, day->entries[1]));
+	agent = mst_agent_gauges(world_agent(day->world, day->agents[1]));
+	g_assert_cmpuint(entry.members, ==, WORKERS);
+	g_assert_cmpuint(entry.members_active, ==, WORKERS);
+	g_assert_cmpuint(agent.sessions, <=, ENTRIES);
+	day_free(day);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/leases/calm", leases__calm_day_serves_all);
+	g_test_add_func("/leases/forgotten", leases__what_is_gone_is_forgotten);
 	g_test_add_func("/leases/faults", leases__no_task_runs_twice_at_once);
 	return g_test_run();
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -276,6 +276,7 @@
 	const char *body;
 	char *path;
 	char *received;
+	char *meant; /* life of the worker, by the header */
 	bool done;
 	struct mst_order_answer answer;
 	struct store_news news;
@@ -293,6 +294,9 @@
 	g_free(peer->received);
 	peer->path = mst_bytes_string(request->path);
 	peer->received = mst_bytes_string(request->body);
+	g_free(peer->meant);
+	peer->meant =
+	    mst_bytes_string(mst_http_header(request, "x-expect-instance"));
 	if (peer->status != 0)
 		mst_http_answer(peer->httpd, request->id, peer->status, NULL, 0,
 		    peer->body, strlen(peer->body));
@@ -382,6 +386,7 @@
 	    .run = 2,
 	    .spec = mst_bytes_of("text"),
 	    .until_ms = 486000,
+	    .worker = mst_bytes_of("i-7f3a"),
 	    .fence = 7,
 	    .timeout_ms = 100};
 	size_t i;
@@ -394,6 +399,7 @@
 		g_assert_cmpint(peer->answer.status, ==, rows[i].want);
 		g_assert_cmpuint(peer->answer.id, ==, 42);
 		g_assert_cmpstr(peer->path, ==, "/v1/run-start");
+		g_assert_cmpstr(peer->meant, ==, "i-7f3a");
 		g_assert_cmpstr(peer->received, ==,
 		    "{\"task\":\"5c0e7a21d94b36f8.0.0.1\",\"run\":2,"
 		    "\"spec\":\"text\",\"untilMs\":486000,\"fence\":7}");
