--- a/src/codec/codec.c
+++ b/src/codec/codec.c
@@ -1,5 +1,6 @@
 #include "codec/bounds.h"
 #include "codec/codec.h"
+#include "codec/fields.h"
 
 #include <msgpack.h>
 
@@ -7,191 +8,12 @@
 
 #define DISPATCH_ITEM_FIELDS 16
 
-struct mst_decoder {
-	msgpack_unpacked unpacked;
-	GPtrArray *arrays; /* lists of the last message */
-};
-
-/* Walks the fields of one array; the first fault makes all later reads 0. */
-struct reader {
-	struct mst_decoder *decoder;
-	const msgpack_object *next;
-	const msgpack_object *end;
-	bool failed;
-};
-
-static int
-pack_append(void *data, const char *buf, size_t len)
-{
-	g_byte_array_append(data, (const guint8 *)buf, len);
-	return 0;
-}
-
-static void
-put_u64(msgpack_packer *pk, uint64_t value)
-{
-	msgpack_pack_uint64(pk, value);
-}
-
-static void
-put_bytes(msgpack_packer *pk, struct mst_bytes bytes)
-{
-	msgpack_pack_bin(pk, bytes.len);
-	if (bytes.len > 0)
-		msgpack_pack_bin_body(pk, bytes.data, bytes.len);
-}
-
-static void
-put_u64_list(msgpack_packer *pk, const uint64_t *list, uint32_t count)
-{
-	uint32_t i;
-
-	msgpack_pack_array(pk, count);
-	for (i = 0; i < count; i++)
-		put_u64(pk, list[i]);
-}
-
-static void
-put_seqset(msgpack_packer *pk, const struct mst_seqset *set)
-{
-	uint32_t i;
-
-	msgpack_pack_array(pk, 1 + 2 * (size_t)set->count);
-	put_u64(pk, set->frontier);
-	for (i = 0; i < set->count; i++) {
-		put_u64(pk, set->ranges[i].first);
-		put_u64(pk, set->ranges[i].last);
-	}
-}
-
-static const msgpack_object *
-get(struct reader *r, msgpack_object_type type)
-{
-	if (r->failed || r->next == r->end || r->next->type != type) {
-		r->failed = true;
-		return NULL;
-	}
-	return r->next++;
-}
-
-static uint64_t
-get_u64(struct reader *r)
-{
-	const msgpack_object *o = get(r, MSGPACK_OBJECT_POSITIVE_INTEGER);
-
-	return o ? o->via.u64 : 0;
-}
-
-static uint32_t
-get_u32(struct reader *r)
-{
-	uint64_t value = get_u64(r);
-
-	if (value > UINT32_MAX)
-		r->failed = true;
-	return (uint32_t)value;
-}
-
-static bool
-get_bool(struct reader *r)
-{
-	return get_u64(r) != 0;
-}
-
-static struct mst_bytes
-get_bytes(struct reader *r)
-{
-	const msgpack_object *o = get(r, MSGPACK_OBJECT_BIN);
-
-	if (o == NULL)
-		return (struct mst_bytes){0};
-	return (struct mst_bytes){
-	    .data = o->via.bin.ptr, .len = o->via.bin.size};
-}
-
-/* Opens a nested array; its reader fails when the outer one has. */
-static struct reader
-get_array(struct reader *r, uint32_t *count)
-{
-	const msgpack_object *o = get(r, MSGPACK_OBJECT_ARRAY);
-
-	*count = 0;
-	if (o == NULL)
-		return (struct reader){.failed = true};
-	*count = o->via.array.size;
-	return (struct reader){.decoder = r->decoder,
-	    .next = o->via.array.ptr,
-	    .end = o->via.array.ptr + o->via.array.size};
-}
-
-static void *
-list_alloc(struct reader *r, uint32_t count, size_t size)
-{
-	void *list;
-
-	if (count > MST_LIST_MAX) {
-		r->failed = true;
-		return NULL;
-	}
-	list = g_malloc0_n(MAX(count, 1), size);
-	g_ptr_array_add(r->decoder->arrays, list);
-	return list;
-}
-
-static const uint64_t *
-get_u64_list(struct reader *r, uint32_t *count)
-{
-	struct reader nested = get_array(r, count);
-	uint64_t *list;
-	uint32_t i;
-
-	if (nested.failed)
-		return NULL;
-	list = list_alloc(r, *count, sizeof(*list));
-	if (list == NULL)
-		return NULL;
-	for (i = 0; i < *count; i++)
-		list[i] = get_u64(&nested);
-	r->failed |= nested.failed;
-	return list;
-}
-
-static struct mst_seqset
-get_seqset(struct reader *r)
-{
-	struct mst_seqset set = {0};
-	struct reader nested;
-	uint64_t floor;
-	uint32_t count, i;
-
-	nested = get_array(r, &count);
-	if (nested.failed || count % 2 == 0 ||
-	    count / 2 > MST_SEQSET_RANGES_MAX) {
-		r->failed = true;
-		return set;
-	}
-	set.frontier = get_u64(&nested);
-	set.count = count / 2;
-	set.ranges = list_alloc(r, set.count, sizeof(*set.ranges));
-	floor = set.frontier;
-	for (i = 0; i < set.count; i++) {
-		set.ranges[i].first = get_u64(&nested);
-		set.ranges[i].last = get_u64(&nested);
-		if (set.ranges[i].first <= floor ||
-		    set.ranges[i].last < set.ranges[i].first)
-			r->failed = true;
-		floor = set.ranges[i].last;
-	}
-	r->failed |= nested.failed;
-	return set;
-}
-
 static void
 put_resources(msgpack_packer *pk, const struct mst_resources *resources)
 {
-	put_u64(pk, resources->millicores);
-	put_u64(pk, resources->memory_mb);
-	put_u64(pk, resources->accelerators);
+	codec_put_u64(pk, resources->millicores);
+	codec_put_u64(pk, resources->memory_mb);
+	codec_put_u64(pk, resources->accelerators);
 }
 
 static struct mst_resources
@@ -199,92 +21,92 @@
 {
 	struct mst_resources resources;
 
-	resources.millicores = get_u32(r);
-	resources.memory_mb = get_u32(r);
-	resources.accelerators = get_u32(r);
+	resources.millicores = codec_get_u32(r);
+	resources.memory_mb = codec_get_u32(r);
+	resources.accelerators = codec_get_u32(r);
 	return resources;
 }
 
 static void
 put_announce(msgpack_packer *pk, const struct mst_announce *m)
 {
-	put_bytes(pk, m->name);
-	put_bytes(pk, m->failure_domain);
-	put_bytes(pk, m->rack);
-	put_bytes(pk, m->service);
-	put_u64(pk, m->description);
-	put_u64(pk, m->clock_us);
-	put_u64(pk, m->slots);
-	put_u64(pk, m->connections);
+	codec_put_bytes(pk, m->name);
+	codec_put_bytes(pk, m->failure_domain);
+	codec_put_bytes(pk, m->rack);
+	codec_put_bytes(pk, m->service);
+	codec_put_u64(pk, m->description);
+	codec_put_u64(pk, m->clock_us);
+	codec_put_u64(pk, m->slots);
+	codec_put_u64(pk, m->connections);
 	put_resources(pk, &m->resources);
-	put_u64(pk, m->draining);
-	put_u64(pk, m->fenced);
-	put_u64(pk, m->grant);
-	put_u64(pk, m->free_slots);
-	put_u64(pk, m->slowness_milli);
-	put_u64(pk, m->running);
-	put_u64(pk, m->queued);
-	put_u64(pk, m->roster_version);
-	put_u64(pk, m->sent_upto);
-	put_seqset(pk, &m->seen);
-	put_u64(pk, m->config_version);
-	put_bytes(pk, m->entries);
+	codec_put_u64(pk, m->draining);
+	codec_put_u64(pk, m->fenced);
+	codec_put_u64(pk, m->grant);
+	codec_put_u64(pk, m->free_slots);
+	codec_put_u64(pk, m->slowness_milli);
+	codec_put_u64(pk, m->running);
+	codec_put_u64(pk, m->queued);
+	codec_put_u64(pk, m->roster_version);
+	codec_put_u64(pk, m->sent_upto);
+	codec_put_seqset(pk, &m->seen);
+	codec_put_u64(pk, m->config_version);
+	codec_put_bytes(pk, m->entries);
 }
 
 static void
 get_announce(struct reader *r, struct mst_announce *m)
 {
-	m->name = get_bytes(r);
-	m->failure_domain = get_bytes(r);
-	m->rack = get_bytes(r);
-	m->service = get_bytes(r);
-	m->description = get_u32(r);
-	m->clock_us = get_u64(r);
-	m->slots = get_u32(r);
-	m->connections = get_u32(r);
+	m->name = codec_get_bytes(r);
+	m->failure_domain = codec_get_bytes(r);
+	m->rack = codec_get_bytes(r);
+	m->service = codec_get_bytes(r);
+	m->description = codec_get_u32(r);
+	m->clock_us = codec_get_u64(r);
+	m->slots = codec_get_u32(r);
+	m->connections = codec_get_u32(r);
 	m->resources = get_resources(r);
-	m->draining = get_bool(r);
-	m->fenced = get_bool(r);
-	m->grant = get_u32(r);
-	m->free_slots = get_u32(r);
-	m->slowness_milli = get_u32(r);
-	m->running = get_u32(r);
-	m->queued = get_u32(r);
-	m->roster_version = get_u64(r);
-	m->sent_upto = get_u64(r);
-	m->seen = get_seqset(r);
-	m->config_version = get_u64(r);
-	m->entries = get_bytes(r);
+	m->draining = codec_get_bool(r);
+	m->fenced = codec_get_bool(r);
+	m->grant = codec_get_u32(r);
+	m->free_slots = codec_get_u32(r);
+	m->slowness_milli = codec_get_u32(r);
+	m->running = codec_get_u32(r);
+	m->queued = codec_get_u32(r);
+	m->roster_version = codec_get_u64(r);
+	m->sent_upto = codec_get_u64(r);
+	m->seen = codec_get_seqset(r);
+	m->config_version = codec_get_u64(r);
+	m->entries = codec_get_bytes(r);
 }
 
 static void
 put_heartbeat(msgpack_packer *pk, const struct mst_heartbeat *m)
 {
-	put_u64(pk, m->echo_us);
-	put_u64(pk, m->description);
-	put_u64(pk, m->roster_version);
-	put_u64_list(pk, m->agents, m->agent_count);
-	put_u64(pk, m->floor);
-	put_u64(pk, m->sent_upto);
-	put_seqset(pk, &m->received);
-	put_u64(pk, m->demand);
-	put_u64(pk, m->config_version);
-	put_bytes(pk, m->peers);
+	codec_put_u64(pk, m->echo_us);
+	codec_put_u64(pk, m->description);
+	codec_put_u64(pk, m->roster_version);
+	codec_put_u64_list(pk, m->agents, m->agent_count);
+	codec_put_u64(pk, m->floor);
+	codec_put_u64(pk, m->sent_upto);
+	codec_put_seqset(pk, &m->received);
+	codec_put_u64(pk, m->demand);
+	codec_put_u64(pk, m->config_version);
+	codec_put_bytes(pk, m->peers);
 }
 
 static void
 get_heartbeat(struct reader *r, struct mst_heartbeat *m)
 {
-	m->echo_us = get_u64(r);
-	m->description = get_u32(r);
-	m->roster_version = get_u64(r);
-	m->agents = get_u64_list(r, &m->agent_count);
-	m->floor = get_u64(r);
-	m->sent_upto = get_u64(r);
-	m->received = get_seqset(r);
-	m->demand = get_u32(r);
-	m->config_version = get_u64(r);
-	m->peers = get_bytes(r);
+	m->echo_us = codec_get_u64(r);
+	m->description = codec_get_u32(r);
+	m->roster_version = codec_get_u64(r);
+	m->agents = codec_get_u64_list(r, &m->agent_count);
+	m->floor = codec_get_u64(r);
+	m->sent_upto = codec_get_u64(r);
+	m->received = codec_get_seqset(r);
+	m->demand = codec_get_u32(r);
+	m->config_version = codec_get_u64(r);
+	m->peers = codec_get_bytes(r);
 }
 
 static void
@@ -293,27 +115,27 @@
 	const struct mst_dispatch_item *t;
 	uint32_t i;
 
-	put_u64(pk, m->echo_us);
-	put_u64(pk, m->expires_us);
-	put_u64(pk, m->received_frontier);
-	put_u64(pk, m->demand);
+	codec_put_u64(pk, m->echo_us);
+	codec_put_u64(pk, m->expires_us);
+	codec_put_u64(pk, m->received_frontier);
+	codec_put_u64(pk, m->demand);
 	msgpack_pack_array(pk, (size_t)m->count * DISPATCH_ITEM_FIELDS);
 	for (i = 0; i < m->count; i++) {
 		t = &m->items[i];
-		put_u64(pk, t->seq);
-		put_u64(pk, t->job.minter);
-		put_u64(pk, t->job.counter);
-		put_u64(pk, t->index);
-		put_u64(pk, t->flags);
-		put_u64(pk, t->timeout_ms);
-		put_u64(pk, t->run);
-		put_u64(pk, t->work_us);
+		codec_put_u64(pk, t->seq);
+		codec_put_u64(pk, t->job.minter);
+		codec_put_u64(pk, t->job.counter);
+		codec_put_u64(pk, t->index);
+		codec_put_u64(pk, t->flags);
+		codec_put_u64(pk, t->timeout_ms);
+		codec_put_u64(pk, t->run);
+		codec_put_u64(pk, t->work_us);
 		put_resources(pk, &t->needs);
-		put_bytes(pk, t->method);
-		put_bytes(pk, t->path);
-		put_bytes(pk, t->content_type);
-		put_bytes(pk, t->body);
-		put_bytes(pk, t->traceparent);
+		codec_put_bytes(pk, t->method);
+		codec_put_bytes(pk, t->path);
+		codec_put_bytes(pk, t->content_type);
+		codec_put_bytes(pk, t->body);
+		codec_put_bytes(pk, t->traceparent);
 	}
 }
 
@@ -324,32 +146,32 @@
 	struct reader nested;
 	uint32_t count, i;
 
-	m->echo_us = get_u64(r);
-	m->expires_us = get_u64(r);
-	m->received_frontier = get_u64(r);
-	m->demand = get_u32(r);
-	nested = get_array(r, &count);
+	m->echo_us = codec_get_u64(r);
+	m->expires_us = codec_get_u64(r);
+	m->received_frontier = codec_get_u64(r);
+	m->demand = codec_get_u32(r);
+	nested = codec_get_array(r, &count);
 	if (nested.failed || count % DISPATCH_ITEM_FIELDS != 0)
 		r->failed = true;
 	if (r->failed)
 		return;
 	m->count = count / DISPATCH_ITEM_FIELDS;
-	items = list_alloc(r, m->count, sizeof(*items));
+	items = codec_list_alloc(r, m->count, sizeof(*items));
 	for (i = 0; items != NULL && i < m->count; i++) {
-		items[i].seq = get_u64(&nested);
-		items[i].job.minter = get_u64(&nested);
-		items[i].job.counter = get_u64(&nested);
-		items[i].index = get_u32(&nested);
-		items[i].flags = get_u32(&nested);
-		items[i].timeout_ms = get_u32(&nested);
-		items[i].run = get_u32(&nested);
-		items[i].work_us = get_u32(&nested);
+		items[i].seq = codec_get_u64(&nested);
+		items[i].job.minter = codec_get_u64(&nested);
+		items[i].job.counter = codec_get_u64(&nested);
+		items[i].index = codec_get_u32(&nested);
+		items[i].flags = codec_get_u32(&nested);
+		items[i].timeout_ms = codec_get_u32(&nested);
+		items[i].run = codec_get_u32(&nested);
+		items[i].work_us = codec_get_u32(&nested);
 		items[i].needs = get_resources(&nested);
-		items[i].method = get_bytes(&nested);
-		items[i].path = get_bytes(&nested);
-		items[i].content_type = get_bytes(&nested);
-		items[i].body = get_bytes(&nested);
-		items[i].traceparent = get_bytes(&nested);
+		items[i].method = codec_get_bytes(&nested);
+		items[i].path = codec_get_bytes(&nested);
+		items[i].content_type = codec_get_bytes(&nested);
+		items[i].body = codec_get_bytes(&nested);
+		items[i].traceparent = codec_get_bytes(&nested);
 		if (items[i].seq == 0 || items[i].index >= MST_JOB_TASKS_MAX)
 			r->failed = true;
 	}
@@ -360,14 +182,14 @@
 static void
 put_result(msgpack_packer *pk, const struct mst_result_item *t)
 {
-	put_u64(pk, t->seq);
-	put_u64(pk, t->outcome);
-	put_u64(pk, t->reason);
-	put_u64(pk, t->status);
-	put_u64(pk, t->queue_us);
-	put_u64(pk, t->service_us);
-	put_bytes(pk, t->content_type);
-	put_bytes(pk, t->body);
+	codec_put_u64(pk, t->seq);
+	codec_put_u64(pk, t->outcome);
+	codec_put_u64(pk, t->reason);
+	codec_put_u64(pk, t->status);
+	codec_put_u64(pk, t->queue_us);
+	codec_put_u64(pk, t->service_us);
+	codec_put_bytes(pk, t->content_type);
+	codec_put_bytes(pk, t->body);
 }
 
 static void
@@ -375,14 +197,14 @@
 {
 	uint64_t outcome, reason, status;
 
-	t->seq = get_u64(r);
-	outcome = get_u64(r);
-	reason = get_u64(r);
-	status = get_u64(r);
-	t->queue_us = get_u32(r);
-	t->service_us = get_u32(r);
-	t->content_type = get_bytes(r);
-	t->body = get_bytes(r);
+	t->seq = codec_get_u64(r);
+	outcome = codec_get_u64(r);
+	reason = codec_get_u64(r);
+	status = codec_get_u64(r);
+	t->queue_us = codec_get_u32(r);
+	t->service_us = codec_get_u32(r);
+	t->content_type = codec_get_bytes(r);
+	t->body = codec_get_bytes(r);
 	if (outcome > MST_OUTCOME_UNKNOWN || reason >= MST_REASON_MAX ||
 	    status > 999)
 		r->failed = true;
@@ -396,8 +218,8 @@
 {
 	uint32_t i;
 
-	put_u64(pk, m->grant);
-	put_u64(pk, m->free_slots);
+	codec_put_u64(pk, m->grant);
+	codec_put_u64(pk, m->free_slots);
 	msgpack_pack_array(pk, (size_t)m->count * 8);
 	for (i = 0; i < m->count; i++)
 		put_result(pk, &m->items[i]);
@@ -410,15 +232,15 @@
 	struct reader nested;
 	uint32_t count, i;
 
-	m->grant = get_u32(r);
-	m->free_slots = get_u32(r);
-	nested = get_array(r, &count);
+	m->grant = codec_get_u32(r);
+	m->free_slots = codec_get_u32(r);
+	nested = codec_get_array(r, &count);
 	if (nested.failed || count % 8 != 0)
 		r->failed = true;
 	if (r->failed)
 		return;
 	m->count = count / 8;
-	items = list_alloc(r, m->count, sizeof(*items));
+	items = codec_list_alloc(r, m->count, sizeof(*items));
 	for (i = 0; items != NULL && i < m->count; i++)
 		get_result(&nested, &items[i]);
 	m->items = items;
@@ -430,19 +252,19 @@
 {
 	uint32_t i;
 
-	put_u64(pk, m->victim);
-	put_u64(pk, m->job.minter);
-	put_u64(pk, m->job.counter);
-	put_u64(pk, m->known);
-	put_u64(pk, m->alive);
-	put_u64(pk, m->forgotten);
-	put_u64(pk, m->adopter);
-	put_u64_list(pk, m->lineage, m->lineage_count);
-	put_u64_list(pk, m->agents, m->agent_count);
+	codec_put_u64(pk, m->victim);
+	codec_put_u64(pk, m->job.minter);
+	codec_put_u64(pk, m->job.counter);
+	codec_put_u64(pk, m->known);
+	codec_put_u64(pk, m->alive);
+	codec_put_u64(pk, m->forgotten);
+	codec_put_u64(pk, m->adopter);
+	codec_put_u64_list(pk, m->lineage, m->lineage_count);
+	codec_put_u64_list(pk, m->agents, m->agent_count);
 	msgpack_pack_array(pk, (size_t)m->count * 10);
 	for (i = 0; i < m->count; i++) {
-		put_u64(pk, m->items[i].index);
-		put_u64(pk, m->items[i].finished);
+		codec_put_u64(pk, m->items[i].index);
+		codec_put_u64(pk, m->items[i].finished);
 		put_result(pk, &m->items[i].result);
 	}
 }
@@ -454,25 +276,25 @@
 	struct reader nested;
 	uint32_t count, i;
 
-	m->victim = get_u64(r);
-	m->job.minter = get_u64(r);
-	m->job.counter = get_u64(r);
-	m->known = get_bool(r);
-	m->alive = get_bool(r);
-	m->forgotten = get_bool(r);
-	m->adopter = get_u64(r);
-	m->lineage = get_u64_list(r, &m->lineage_count);
-	m->agents = get_u64_list(r, &m->agent_count);
-	nested = get_array(r, &count);
+	m->victim = codec_get_u64(r);
+	m->job.minter = codec_get_u64(r);
+	m->job.counter = codec_get_u64(r);
+	m->known = codec_get_bool(r);
+	m->alive = codec_get_bool(r);
+	m->forgotten = codec_get_bool(r);
+	m->adopter = codec_get_u64(r);
+	m->lineage = codec_get_u64_list(r, &m->lineage_count);
+	m->agents = codec_get_u64_list(r, &m->agent_count);
+	nested = codec_get_array(r, &count);
 	if (nested.failed || count % 10 != 0)
 		r->failed = true;
 	if (r->failed)
 		return;
 	m->count = count / 10;
-	items = list_alloc(r, m->count, sizeof(*items));
+	items = codec_list_alloc(r, m->count, sizeof(*items));
 	for (i = 0; items != NULL && i < m->count; i++) {
-		items[i].index = get_u32(&nested);
-		items[i].finished = get_bool(&nested);
+		items[i].index = codec_get_u32(&nested);
+		items[i].finished = codec_get_bool(&nested);
 		get_result(&nested, &items[i].result);
 		if (items[i].index >= MST_JOB_TASKS_MAX)
 			r->failed = true;
@@ -498,39 +320,39 @@
 		put_results(pk, &msg->results);
 		break;
 	case MST_MSG_WITHDRAW:
-		put_u64_list(pk, msg->withdraw.seqs, msg->withdraw.count);
+		codec_put_u64_list(pk, msg->withdraw.seqs, msg->withdraw.count);
 		break;
 	case MST_MSG_FENCE:
-		put_u64(pk, msg->fence.victim);
-		put_u64(pk, msg->fence.job.minter);
-		put_u64(pk, msg->fence.job.counter);
-		put_u64(pk, msg->fence.claim);
+		codec_put_u64(pk, msg->fence.victim);
+		codec_put_u64(pk, msg->fence.job.minter);
+		codec_put_u64(pk, msg->fence.job.counter);
+		codec_put_u64(pk, msg->fence.claim);
 		break;
 	case MST_MSG_FENCED:
 		put_fenced(pk, &msg->fenced);
 		break;
 	case MST_MSG_PEER:
-		put_bytes(pk, msg->peer.address);
-		put_u64(pk, msg->peer.config_version);
-		put_u64(pk, msg->peer.leaving);
-		put_u64(pk, msg->peer.reply);
+		codec_put_bytes(pk, msg->peer.address);
+		codec_put_u64(pk, msg->peer.config_version);
+		codec_put_u64(pk, msg->peer.leaving);
+		codec_put_u64(pk, msg->peer.reply);
 		break;
 	case MST_MSG_CONFIG:
-		put_u64(pk, msg->config.version);
-		put_bytes(pk, msg->config.document);
+		codec_put_u64(pk, msg->config.version);
+		codec_put_bytes(pk, msg->config.document);
 		break;
 	case MST_MSG_FORWARD:
-		put_u64(pk, msg->forward.id);
-		put_u64(pk, msg->forward.kind);
-		put_bytes(pk, msg->forward.ticket);
-		put_bytes(pk, msg->forward.body);
-		put_bytes(pk, msg->forward.traceparent);
+		codec_put_u64(pk, msg->forward.id);
+		codec_put_u64(pk, msg->forward.kind);
+		codec_put_bytes(pk, msg->forward.ticket);
+		codec_put_bytes(pk, msg->forward.body);
+		codec_put_bytes(pk, msg->forward.traceparent);
 		break;
 	case MST_MSG_FORWARDED:
-		put_u64(pk, msg->forwarded.id);
-		put_u64(pk, msg->forwarded.status);
-		put_u64(pk, msg->forwarded.retry_after_s);
-		put_bytes(pk, msg->forwarded.body);
+		codec_put_u64(pk, msg->forwarded.id);
+		codec_put_u64(pk, msg->forwarded.status);
+		codec_put_u64(pk, msg->forwarded.retry_after_s);
+		codec_put_bytes(pk, msg->forwarded.body);
 		break;
 	case MST_MSG_MAX:
 		break;
@@ -554,39 +376,40 @@
 		get_results(r, &msg->results);
 		break;
 	case MST_MSG_WITHDRAW:
-		msg->withdraw.seqs = get_u64_list(r, &msg->withdraw.count);
+		msg->withdraw.seqs =
+		    codec_get_u64_list(r, &msg->withdraw.count);
 		break;
 	case MST_MSG_FENCE:
-		msg->fence.victim = get_u64(r);
-		msg->fence.job.minter = get_u64(r);
-		msg->fence.job.counter = get_u64(r);
-		msg->fence.claim = get_bool(r);
+		msg->fence.victim = codec_get_u64(r);
+		msg->fence.job.minter = codec_get_u64(r);
+		msg->fence.job.counter = codec_get_u64(r);
+		msg->fence.claim = codec_get_bool(r);
 		break;
 	case MST_MSG_FENCED:
 		get_fenced(r, &msg->fenced);
 		break;
 	case MST_MSG_PEER:
-		msg->peer.address = get_bytes(r);
-		msg->peer.config_version = get_u64(r);
-		msg->peer.leaving = get_bool(r);
-		msg->peer.reply = get_bool(r);
+		msg->peer.address = codec_get_bytes(r);
+		msg->peer.config_version = codec_get_u64(r);
+		msg->peer.leaving = codec_get_bool(r);
+		msg->peer.reply = codec_get_bool(r);
 		break;
 	case MST_MSG_CONFIG:
-		msg->config.version = get_u64(r);
-		msg->config.document = get_bytes(r);
+		msg->config.version = codec_get_u64(r);
+		msg->config.document = codec_get_bytes(r);
 		break;
 	case MST_MSG_FORWARD:
-		msg->forward.id = get_u64(r);
-		msg->forward.kind = get_u32(r);
-		msg->forward.ticket = get_bytes(r);
-		msg->forward.body = get_bytes(r);
-		msg->forward.traceparent = get_bytes(r);
+		msg->forward.id = codec_get_u64(r);
+		msg->forward.kind = codec_get_u32(r);
+		msg->forward.ticket = codec_get_bytes(r);
+		msg->forward.body = codec_get_bytes(r);
+		msg->forward.traceparent = codec_get_bytes(r);
 		break;
 	case MST_MSG_FORWARDED:
-		msg->forwarded.id = get_u64(r);
-		msg->forwarded.status = get_u32(r);
-		msg->forwarded.retry_after_s = get_u32(r);
-		msg->forwarded.body = get_bytes(r);
+		msg->forwarded.id = codec_get_u64(r);
+		msg->forwarded.status = codec_get_u32(r);
+		msg->forwarded.retry_after_s = codec_get_u32(r);
+		msg->forwarded.body = codec_get_bytes(r);
 		break;
 	default:
 		r->failed = true;
@@ -612,12 +435,12 @@
 {
 	msgpack_packer pk;
 
-	msgpack_packer_init(&pk, out, pack_append);
+	msgpack_packer_init(&pk, out, codec_pack_append);
 	msgpack_pack_array(&pk, 4 + (size_t)payload_fields[msg->type]);
-	put_u64(&pk, MST_MSG_VERSION);
-	put_u64(&pk, msg->type);
-	put_u64(&pk, msg->from);
-	put_u64(&pk, msg->to);
+	codec_put_u64(&pk, MST_MSG_VERSION);
+	codec_put_u64(&pk, msg->type);
+	codec_put_u64(&pk, msg->from);
+	codec_put_u64(&pk, msg->to);
 	put_payload(&pk, msg);
 }
 
@@ -648,7 +471,7 @@
 	struct reader r = {.decoder = decoder,
 	    .next = root->via.array.ptr,
 	    .end = root->via.array.ptr + root->via.array.size};
-	uint64_t version = get_u64(&r);
+	uint64_t version = codec_get_u64(&r);
 	uint64_t type;
 
 	if (r.failed || version != MST_MSG_VERSION) {
@@ -657,9 +480,9 @@
 		    MST_MSG_VERSION);
 		return -1;
 	}
-	type = get_u64(&r);
-	msg->from = get_u64(&r);
-	msg->to = get_u64(&r);
+	type = codec_get_u64(&r);
+	msg->from = codec_get_u64(&r);
+	msg->to = codec_get_u64(&r);
 	if (type == 0 || type >= MST_MSG_MAX) {
 		g_set_error(error, MST_CODEC_ERROR, MST_CODEC_ERROR_MALFORMED,
 		    "message type %" G_GUINT64_FORMAT " does not exist", type);
--- /dev/null
+++ b/src/codec/fields.c
@@ -0,0 +1,167 @@
+#include "codec/fields.h"
+
+int
+codec_pack_append(void *data, const char *buf, size_t len)
+{
+	g_byte_array_append(data, (const guint8 *)buf, len);
+	return 0;
+}
+
+void
+codec_put_u64(msgpack_packer *pk, uint64_t value)
+{
+	msgpack_pack_uint64(pk, value);
+}
+
+void
+codec_put_bytes(msgpack_packer *pk, struct mst_bytes bytes)
+{
+	msgpack_pack_bin(pk, bytes.len);
+	if (bytes.len > 0)
+		msgpack_pack_bin_body(pk, bytes.data, bytes.len);
+}
+
+void
+codec_put_u64_list(msgpack_packer *pk, const uint64_t *list, uint32_t count)
+{
+	uint32_t i;
+
+	msgpack_pack_array(pk, count);
+	for (i = 0; i < count; i++)
+		codec_put_u64(pk, list[i]);
+}
+
+void
+codec_put_seqset(msgpack_packer *pk, const struct mst_seqset *set)
+{
+	uint32_t i;
+
+	msgpack_pack_array(pk, 1 + 2 * (size_t)set->count);
+	codec_put_u64(pk, set->frontier);
+	for (i = 0; i < set->count; i++) {
+		codec_put_u64(pk, set->ranges[i].first);
+		codec_put_u64(pk, set->ranges[i].last);
+	}
+}
+
+const msgpack_object *
+codec_get(struct reader *r, msgpack_object_type type)
+{
+	if (r->failed || r->next == r->end || r->next->type != type) {
+		r->failed = true;
+		return NULL;
+	}
+	return r->next++;
+}
+
+uint64_t
+codec_get_u64(struct reader *r)
+{
+	const msgpack_object *o = codec_get(r, MSGPACK_OBJECT_POSITIVE_INTEGER);
+
+	return o ? o->via.u64 : 0;
+}
+
+uint32_t
+codec_get_u32(struct reader *r)
+{
+	uint64_t value = codec_get_u64(r);
+
+	if (value > UINT32_MAX)
+		r->failed = true;
+	return (uint32_t)value;
+}
+
+bool
+codec_get_bool(struct reader *r)
+{
+	return codec_get_u64(r) != 0;
+}
+
+struct mst_bytes
+codec_get_bytes(struct reader *r)
+{
+	const msgpack_object *o = codec_get(r, MSGPACK_OBJECT_BIN);
+
+	if (o == NULL)
+		return (struct mst_bytes){0};
+	return (struct mst_bytes){
+	    .data = o->via.bin.ptr, .len = o->via.bin.size};
+}
+
+/* Opens a nested array; its reader fails when the outer one has. */
+struct reader
+codec_get_array(struct reader *r, uint32_t *count)
+{
+	const msgpack_object *o = codec_get(r, MSGPACK_OBJECT_ARRAY);
+
+	*count = 0;
+	if (o == NULL)
+		return (struct reader){.failed = true};
+	*count = o->via.array.size;
+	return (struct reader){.decoder = r->decoder,
+	    .next = o->via.array.ptr,
+	    .end = o->via.array.ptr + o->via.array.size};
+}
+
+void *
+codec_list_alloc(struct reader *r, uint32_t count, size_t size)
+{
+	void *list;
+
+	if (count > MST_LIST_MAX) {
+		r->failed = true;
+		return NULL;
+	}
+	list = g_malloc0_n(MAX(count, 1), size);
+	g_ptr_array_add(r->decoder->arrays, list);
+	return list;
+}
+
+const uint64_t *
+codec_get_u64_list(struct reader *r, uint32_t *count)
+{
+	struct reader nested = codec_get_array(r, count);
+	uint64_t *list;
+	uint32_t i;
+
+	if (nested.failed)
+		return NULL;
+	list = codec_list_alloc(r, *count, sizeof(*list));
+	if (list == NULL)
+		return NULL;
+	for (i = 0; i < *count; i++)
+		list[i] = codec_get_u64(&nested);
+	r->failed |= nested.failed;
+	return list;
+}
+
+struct mst_seqset
+codec_get_seqset(struct reader *r)
+{
+	struct mst_seqset set = {0};
+	struct reader nested;
+	uint64_t floor;
+	uint32_t count, i;
+
+	nested = codec_get_array(r, &count);
+	if (nested.failed || count % 2 == 0 ||
+	    count / 2 > MST_SEQSET_RANGES_MAX) {
+		r->failed = true;
+		return set;
+	}
+	set.frontier = codec_get_u64(&nested);
+	set.count = count / 2;
+	set.ranges = codec_list_alloc(r, set.count, sizeof(*set.ranges));
+	floor = set.frontier;
+	for (i = 0; i < set.count; i++) {
+		set.ranges[i].first = codec_get_u64(&nested);
+		set.ranges[i].last = codec_get_u64(&nested);
+		if (set.ranges[i].first <= floor ||
+		    set.ranges[i].last < set.ranges[i].first)
+			r->failed = true;
+		floor = set.ranges[i].last;
+	}
+	r->failed |= nested.failed;
+	return set;
+}
--- a/src/core/entry_flush.c
+++ b/src/core/entry_flush.c
@@ -132,6 +132,17 @@
 	return false;
 }
 
+void
+mst_task_withdraw(struct mst_entry *entry, struct task *task)
+{
+	if (task->withdrawing)
+		return;
+	task->withdrawing = true;
+	task->withdrawn_us = entry->now_us;
+	entry->counters.withdrawals++;
+	g_array_append_val(task->member->withdrawals, task->seq);
+}
+
 static void
 withdraw_newest(struct mst_entry *entry, struct member *member)
 {
@@ -150,10 +161,7 @@
 		task = mst_sent_task(entry, member, seq, tag, &job);
 		if (task == NULL || task->withdrawing)
 			continue;
-		task->withdrawing = true;
-		task->withdrawn_us = entry->now_us;
-		entry->counters.withdrawals++;
-		g_array_append_val(member->withdrawals, seq);
+		mst_task_withdraw(entry, task);
 	}
 }
 
--- a/src/core/entry_internal.h
+++ b/src/core/entry_internal.h
@@ -312,6 +312,8 @@
 
 /* entry_flush.c */
 void mst_entry_flush(struct mst_entry *entry);
+/* Takes back a task that was sent, unless that was done before. */
+void mst_task_withdraw(struct mst_entry *entry, struct task *task);
 void mst_entry_withdraw_stuck(struct mst_entry *entry);
 
 /* Puts a job whose urgency has changed in its place. */
--- a/src/core/entry_job.c
+++ b/src/core/entry_job.c
@@ -277,13 +277,7 @@
 	if (task->state == TASK_SENT || job->any_unknown || task->maybe_started)
 		outcome = MST_OUTCOME_UNKNOWN;
 	if (task->state == TASK_SENT) {
-		if (!task->withdrawing) {
-			task->withdrawing = true;
-			task->withdrawn_us = entry->now_us;
-			entry->counters.withdrawals++;
-			g_array_append_val(
-			    task->member->withdrawals, task->seq);
-		}
+		mst_task_withdraw(entry, task);
 		entry->sent--;
 	}
 	task->state = TASK_CLOSED;
--- a/src/core/entry_overdue.c
+++ b/src/core/entry_overdue.c
@@ -24,8 +24,8 @@
 /* True when another member would end the task sooner than the job is of any
  * use, and the job may still gain by it. */
 static bool
-worth_moving(const struct mst_entry *entry, const struct member *member,
-    const struct job *job, const struct task *task)
+worth_moving(const struct mst_entry *entry, const struct job *job,
+    const struct task *task)
 {
 	double work_us = mst_task_work_us(job, task);
 
@@ -34,15 +34,6 @@
 	    job->useful_us;
 }
 
-static void
-task_withdraw(struct mst_entry *entry, struct member *member, struct task *task)
-{
-	task->withdrawing = true;
-	task->withdrawn_us = entry->now_us;
-	entry->counters.withdrawals++;
-	g_array_append_val(member->withdrawals, task->seq);
-}
-
 static void
 member_scan_overdue(struct mst_entry *entry, struct member *member)
 {
@@ -63,8 +54,8 @@
 		if (!task_is_overdue(entry, member, job, task))
 			continue;
 		overdue++;
-		if (worth_moving(entry, member, job, task))
-			task_withdraw(entry, member, task);
+		if (worth_moving(entry, job, task))
+			mst_task_withdraw(entry, task);
 	}
 	member->overdue =
 	    overdue >= OVERDUE_MIN && overdue >= sent * OVERDUE_SHARE;
--- /dev/null
+++ b/src/core/worker_internal.h
@@ -0,0 +1,54 @@
+#ifndef MST_WORKER_INTERNAL_H
+#define MST_WORKER_INTERNAL_H
+
+/* Shared by the parts of a leased agent that deal with its worker. */
+
+#include "core/agent_internal.h"
+
+#define WORKER_HOLD_FAILURES 4 /* in a row: the worker is lost */
+
+/* agent_worker.c */
+void mst_worker_tell(struct mst_agent *agent, const char *state);
+/* Nothing listens at the worker's address any more. */
+void mst_worker_gone(struct mst_agent *agent);
+
+/* worker_room.c */
+/* Counts resources as used, or as free again with a sign of -1. */
+void mst_worker_use(
+    struct mst_resources *used, const struct mst_resources *needs, int sign);
+void mst_worker_learn_speed(struct mst_agent *agent, const struct run *run);
+
+/* worker_order.c */
+void mst_worker_learn_clock(struct mst_agent *agent, int64_t clock_ms);
+void mst_worker_raise_fence(struct mst_agent *agent);
+struct mst_order *mst_worker_order(
+    struct mst_agent *agent, enum mst_order_kind kind, uint64_t id);
+/* Names the lease's new end in an order. */
+void mst_worker_order_renews(struct mst_agent *agent, struct mst_order *order);
+void mst_worker_send_stop(struct mst_agent *agent, struct run *run);
+/* Takes a run's end; its room is free again. */
+void mst_worker_run_over(struct mst_agent *agent, struct run *run,
+    const struct mst_result_item *result);
+/* Takes note of a run that ended without a result. */
+void mst_worker_run_lost(
+    struct mst_agent *agent, struct run *run, enum mst_reason reason);
+/* The runs at this moment; the caller frees the list. */
+GList *mst_worker_runs(const struct mst_agent *agent);
+void mst_worker_lose_all(struct mst_agent *agent);
+void mst_worker_start_answer(struct mst_agent *agent, struct run *run,
+    const struct mst_order_answer *answer);
+void mst_worker_stop_answer(struct mst_agent *agent, struct run *run,
+    const struct mst_order_answer *answer);
+
+/* worker_list.c */
+/* True when it has left an order unanswered lately. */
+bool mst_worker_is_flaky(const struct mst_agent *agent);
+/* The place of a HOLD that has no answer yet; NULL when there is none. */
+uint64_t *mst_worker_hold_find(struct worker *worker, uint64_t id);
+/* A place for one more HOLD, or NULL. */
+uint64_t *mst_worker_hold_place(struct mst_agent *agent);
+void mst_worker_hold(struct mst_agent *agent, uint64_t *place);
+void mst_worker_hold_answer(
+    struct mst_agent *agent, const struct mst_order_answer *answer);
+
+#endif
--- /dev/null
+++ b/src/core/worker_order.c
@@ -0,0 +1,276 @@
+/*
+ * Orders to start and stop runs. An order without an answer may be carried out
+ * later: a start is repeated under its number, which the worker takes once.
+ */
+
+#include "core/worker_internal.h"
+
+#define WORKER_ORDER_TIMEOUT_MS 50
+#define WORKER_START_TRIES      6
+#define WORKER_DRIFT            0.04 /* clocks are up to 2 % apart */
+#define WORKER_LAPSE_SLACK_US   (30 * 1000)
+#define WORKER_SIZE_WINDOW      64 /* tasks that the usual size is of */
+
+static int64_t
+worker_clock_ms(const struct mst_agent *agent)
+{
+	return agent->worker.clock_ms +
+	    (agent->now_us - agent->worker.clock_us) / 1000;
+}
+
+/* A told clock is behind by the answer's delay, so the greater of it and the
+ * expected one is kept, less what the clocks may have drifted apart. */
+void
+mst_worker_learn_clock(struct mst_agent *agent, int64_t clock_ms)
+{
+	struct worker *worker = &agent->worker;
+	double elapsed_ms = (double)(agent->now_us - worker->clock_us) / 1000;
+	int64_t expected_ms =
+	    worker_clock_ms(agent) - (int64_t)(elapsed_ms * WORKER_DRIFT);
+
+	if (clock_ms <= 0)
+		return;
+	worker->clock_ms =
+	    worker->clock_ms > 0 ? MAX(clock_ms, expected_ms) : clock_ms;
+	worker->clock_us = agent->now_us;
+}
+
+/* Gives orders a fence above those of this agent's earlier lives, without a
+ * store: the worker's time rises as long as it remembers any. Counted from the
+ * start of its life it also rises over its lives, so that an order that was
+ * held up since an earlier one is refused. */
+void
+mst_worker_raise_fence(struct mst_agent *agent)
+{
+	struct worker *worker = &agent->worker;
+
+	worker->fence = MAX(worker->fence + 1,
+	    worker->life + (uint64_t)MAX(worker_clock_ms(agent), 1));
+}
+
+struct mst_order *
+mst_worker_order(struct mst_agent *agent, enum mst_order_kind kind, uint64_t id)
+{
+	struct mst_agent_effect *effect =
+	    mst_agent_emit(agent, MST_AGENT_FX_ORDER);
+
+	effect->order = (struct mst_order){.kind = kind,
+	    .id = id,
+	    .fence = agent->worker.fence,
+	    .timeout_ms = WORKER_ORDER_TIMEOUT_MS};
+	return &effect->order;
+}
+
+/* Names the lease's new end in an order. */
+void
+mst_worker_order_renews(struct mst_agent *agent, struct mst_order *order)
+{
+	struct worker *worker = &agent->worker;
+	int64_t lease_us = agent->options.run_lease_us;
+	int64_t lapse_us = agent->now_us +
+	    (int64_t)((double)lease_us * (1 + WORKER_DRIFT)) +
+	    WORKER_LAPSE_SLACK_US;
+
+	order->until_ms = worker_clock_ms(agent) + lease_us / 1000;
+	worker->lapse_us = MAX(worker->lapse_us, lapse_us);
+}
+
+static void
+order_names_run(struct mst_order *order, const struct run *run)
+{
+	order->task = run->task.path;
+	order->run = run->number;
+}
+
+static void
+start_send(struct mst_agent *agent, struct run *run)
+{
+	struct mst_order *order =
+	    mst_worker_order(agent, MST_ORDER_START, run->handle);
+
+	run->order_state = ORDER_STARTING;
+	run->order_us = agent->now_us;
+	run->order_tries++;
+	order_names_run(order, run);
+	order->spec = run->task.body;
+	order->worker = mst_bytes_of(agent->worker.id);
+	mst_worker_order_renews(agent, order);
+}
+
+void
+mst_worker_send_stop(struct mst_agent *agent, struct run *run)
+{
+	struct mst_order *order =
+	    mst_worker_order(agent, MST_ORDER_STOP, run->handle);
+
+	run->order_state = ORDER_STOPPING;
+	run->order_us = agent->now_us;
+	order_names_run(order, run);
+}
+
+void
+mst_worker_start(struct mst_agent *agent, struct run *run)
+{
+	const struct mst_resources *needs = &run->task.needs;
+
+	mst_worker_use(&agent->worker.used, needs, 1);
+	if (agent->task_millicores == 0)
+		agent->task_millicores = needs->millicores;
+	agent->task_millicores +=
+	    (needs->millicores - agent->task_millicores) / WORKER_SIZE_WINDOW;
+	run->number = MAX(run->task.run, 1);
+	start_send(agent, run);
+}
+
+void
+mst_worker_stop(
+    struct mst_agent *agent, struct run *run, enum mst_reason reason)
+{
+	if (run->order_state >= ORDER_STOPPING)
+		return;
+	run->stop_reason = reason;
+	mst_worker_send_stop(agent, run);
+}
+
+void
+mst_worker_run_over(struct mst_agent *agent, struct run *run,
+    const struct mst_result_item *result)
+{
+	mst_worker_use(&agent->worker.used, &run->task.needs, -1);
+	mst_run_ended(agent, run, result);
+}
+
+void
+mst_worker_run_lost(
+    struct mst_agent *agent, struct run *run, enum mst_reason reason)
+{
+	struct mst_result_item result = {
+	    .outcome = MST_OUTCOME_UNKNOWN, .reason = (uint8_t)reason};
+
+	if (run->stop_reason != MST_REASON_NONE)
+		result.reason = (uint8_t)run->stop_reason;
+	else
+		agent->counters.runs_lost++;
+	mst_worker_run_over(agent, run, &result);
+}
+
+static void
+run_not_started(
+    struct mst_agent *agent, struct run *run, enum mst_reason reason)
+{
+	struct mst_result_item result = {
+	    .outcome = MST_OUTCOME_NOT_RUN, .reason = (uint8_t)reason};
+
+	/* An earlier copy of the order may have been carried out. */
+	if (run->unanswered)
+		mst_worker_stop(agent, run, reason);
+	else
+		mst_worker_run_over(agent, run, &result);
+}
+
+/* The runs at this moment; the caller frees the list. */
+GList *
+mst_worker_runs(const struct mst_agent *agent)
+{
+	return g_hash_table_get_values(agent->active);
+}
+
+/* Ends the runs of a worker that runs nothing any more. An order to start that
+ * has no answer yet, or never got one, may still reach its next life: such a
+ * run ends only when that has been told to stop it. */
+void
+mst_worker_lose_all(struct mst_agent *agent)
+{
+	GList *runs = mst_worker_runs(agent);
+	GList *link;
+
+	for (link = runs; link != NULL; link = link->next) {
+		struct run *run = link->data;
+
+		if (run->order_state == ORDER_STARTING)
+			continue;
+		if (run->unanswered)
+			mst_worker_stop(agent, run, MST_REASON_RUN_LOST);
+		else
+			mst_worker_run_lost(agent, run, MST_REASON_RUN_LOST);
+	}
+	g_list_free(runs);
+}
+
+static void
+start_repeat(struct mst_agent *agent, struct run *run)
+{
+	if (run->order_tries < WORKER_START_TRIES)
+		start_send(agent, run);
+	else
+		mst_worker_stop(agent, run, MST_REASON_UPSTREAM_TIMEOUT);
+}
+
+void
+mst_worker_start_answer(struct mst_agent *agent, struct run *run,
+    const struct mst_order_answer *answer)
+{
+	switch (answer->status) {
+	case MST_ORDER_DONE:
+		run->order_state = ORDER_STARTED;
+		run->confirmed_us = agent->now_us;
+		break;
+	case MST_ORDER_OLD_RUN:
+		if (run->unanswered) {
+			/* An earlier copy took the number; the lists tell
+			 * what became of it. */
+			run->order_state = ORDER_STARTED;
+			run->confirmed_us = agent->now_us;
+		} else {
+			run->number++;
+			start_repeat(agent, run);
+		}
+		break;
+	case MST_ORDER_NO_ANSWER:
+		run->unanswered = true;
+		start_repeat(agent, run);
+		break;
+	case MST_ORDER_FENCED:
+		mst_worker_raise_fence(agent);
+		start_repeat(agent, run);
+		break;
+	case MST_ORDER_LAPSED:
+		start_repeat(agent, run);
+		break;
+	case MST_ORDER_DOWN:
+		run_not_started(agent, run, MST_REASON_UPSTREAM_DOWN);
+		mst_worker_gone(agent);
+		break;
+	case MST_ORDER_NO_ROOM:
+		run_not_started(agent, run, MST_REASON_BUSY);
+		break;
+	case MST_ORDER_UNHEALTHY:
+	case MST_ORDER_OTHER_LIFE:
+		run_not_started(agent, run, MST_REASON_UPSTREAM_DOWN);
+		break;
+	case MST_ORDER_INVALID:
+		mst_worker_run_lost(agent, run, MST_REASON_UPSTREAM_RESET);
+		break;
+	}
+}
+
+void
+mst_worker_stop_answer(struct mst_agent *agent, struct run *run,
+    const struct mst_order_answer *answer)
+{
+	if (answer->status == MST_ORDER_FENCED)
+		mst_worker_raise_fence(agent);
+	if (answer->status == MST_ORDER_NO_ANSWER ||
+	    answer->status == MST_ORDER_FENCED) {
+		mst_worker_send_stop(agent, run);
+		return;
+	}
+	if (answer->status == MST_ORDER_DOWN) {
+		run->order_state = ORDER_STOP_DUE;
+		return;
+	}
+	run->order_state = ORDER_STOPPED;
+	run->confirmed_us = agent->now_us;
+	/* Where nothing was started, no list will ever name it. */
+	agent->worker.hold_due_us = agent->now_us;
+}
--- /dev/null
+++ b/tests/world/leased.c
@@ -0,0 +1,127 @@
+/* Leased agents of a world: their workers, and runs of one task at once. */
+
+#include "world/world_internal.h"
+
+#define WORLD_REPORT_US (500 * 1000)
+
+static int64_t
+worker_now_us(void *ctx)
+{
+	return ((const struct world *)ctx)->now_us;
+}
+
+static void
+worker_call_at(void *ctx, int node, int64_t at_us)
+{
+	world_happen(ctx, node, HAPPEN_WAKE, at_us);
+}
+
+static void
+worker_answer(
+    void *ctx, int node, const struct mst_order_answer *answer, int64_t at_us)
+{
+	struct happening *h = world_happen(ctx, node, HAPPEN_ANSWER, at_us);
+
+	h->answer = answer_copy_new(answer);
+}
+
+static struct world_service
+worker_serve(void *ctx, int node, struct mst_bytes task)
+{
+	struct world *world = ctx;
+	const struct mst_dispatch_item item = {.path = task};
+
+	return world->options.service(
+	    world->options.ctx, node, &item, world->now_us);
+}
+
+static void
+count_running(struct world *world, struct mst_bytes task, int change)
+{
+	char *key = mst_bytes_string(task);
+	int count =
+	    GPOINTER_TO_INT(g_hash_table_lookup(world->running, key)) + change;
+
+	if (count > 1) {
+		world->overlaps++;
+		world_log(world, "OVERLAP of %s", key);
+	}
+	g_hash_table_replace(world->running, key, GINT_TO_POINTER(count));
+}
+
+static void
+worker_started(void *ctx, int node, struct mst_bytes task)
+{
+	struct world *world = ctx;
+
+	world_log(world, "%s runs %.*s", world->nodes[node].name, (int)task.len,
+	    task.data);
+	world->starts_total++;
+	count_running(world, task, 1);
+}
+
+static void
+worker_ended(void *ctx, int node, struct mst_bytes task)
+{
+	count_running(ctx, task, -1);
+}
+
+static double
+worker_chance(void *ctx)
+{
+	return g_rand_double(((struct world *)ctx)->rand);
+}
+
+int
+world_add_leased(
+    struct world *world, const char *name, const struct mst_resources *capacity)
+{
+	struct mst_agent_options options = MST_AGENT_OPTIONS_INIT;
+	struct sim_worker_host host = {.now_us = worker_now_us,
+	    .call_at = worker_call_at,
+	    .answer = worker_answer,
+	    .serve = worker_serve,
+	    .started = worker_started,
+	    .ended = worker_ended,
+	    .chance = worker_chance,
+	    .world = world};
+	int at;
+
+	mst_agent_options_lease(&options);
+	at = world_add_agent(world, name, &options);
+	host.node = at;
+	world->nodes[at].capacity = *capacity;
+	world->nodes[at].worker = sim_worker_new(&host, capacity);
+	return at;
+}
+
+struct sim_worker *
+world_worker(const struct world *world, int at)
+{
+	return world->nodes[at].worker;
+}
+
+unsigned
+world_overlaps(const struct world *world)
+{
+	return world->overlaps;
+}
+
+/* The worker beside a leased agent reports about itself. */
+void
+world_worker_report(struct world *world, int at)
+{
+	struct node *node = &world->nodes[at];
+	struct mst_worker_report report = {.id = mst_bytes_of(node->name),
+	    .service = mst_bytes_of("service"),
+	    .seq = ++node->reports,
+	    .capacity = node->capacity};
+	struct mst_agent_event event = {
+	    .type = MST_AGENT_EV_REPORT, .report = &report};
+
+	if (node->worker == NULL || world->now_us < node->report_us)
+		return;
+	node->report_us = world->now_us + WORLD_REPORT_US;
+	report.life = sim_worker_life(node->worker);
+	world_step_agent(world, at, &event);
+}
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -6,16 +6,16 @@
 
 #include "codec/codec.h"
 
-#define WORLD_TICK_US   (10 * 1000)
-#define WORLD_REPORT_US (500 * 1000)
+#define WORLD_TICK_US (10 * 1000)
 
 static void node_execute_entry(
     struct world *world, int at, const GArray *effects);
 static void node_execute_agent(
     struct world *world, int at, const GArray *effects);
 
-static struct happening *
-happen(struct world *world, int node, enum happening_type type, int64_t at_us)
+struct happening *
+world_happen(
+    struct world *world, int node, enum happening_type type, int64_t at_us)
 {
 	struct happening *h = g_new0(struct happening, 1);
 
@@ -47,9 +47,6 @@
 	return world;
 }
 
-static void step_agent(
-    struct world *world, int at, struct mst_agent_event *event);
-
 static void
 node_clear(struct node *node)
 {
@@ -110,7 +107,7 @@
 		node->agent_options.incarnation = node->incarnation;
 		mst_agent_new(&node->agent, &node->agent_options);
 	}
-	happen(world, at, HAPPEN_TICK, world->now_us + 1);
+	world_happen(world, at, HAPPEN_TICK, world->now_us + 1);
 }
 
 static int
@@ -146,126 +143,6 @@
 	return at;
 }
 
-static int64_t
-worker_now_us(void *ctx)
-{
-	return ((const struct world *)ctx)->now_us;
-}
-
-static void
-worker_call_at(void *ctx, int node, int64_t at_us)
-{
-	happen(ctx, node, HAPPEN_WAKE, at_us);
-}
-
-static void
-worker_answer(
-    void *ctx, int node, const struct mst_order_answer *answer, int64_t at_us)
-{
-	struct happening *h = happen(ctx, node, HAPPEN_ANSWER, at_us);
-
-	h->answer = answer_copy_new(answer);
-}
-
-static struct world_service
-worker_serve(void *ctx, int node, struct mst_bytes task)
-{
-	struct world *world = ctx;
-	const struct mst_dispatch_item item = {.path = task};
-
-	return world->options.service(
-	    world->options.ctx, node, &item, world->now_us);
-}
-
-static void
-count_running(struct world *world, struct mst_bytes task, int change)
-{
-	char *key = mst_bytes_string(task);
-	int count =
-	    GPOINTER_TO_INT(g_hash_table_lookup(world->running, key)) + change;
-
-	if (count > 1) {
-		world->overlaps++;
-		world_log(world, "OVERLAP of %s", key);
-	}
-	g_hash_table_replace(world->running, key, GINT_TO_POINTER(count));
-}
-
-static void
-worker_started(void *ctx, int node, struct mst_bytes task)
-{
-	struct world *world = ctx;
-
-	world_log(world, "%s runs %.*s", world->nodes[node].name, (int)task.len,
-	    task.data);
-	world->starts_total++;
-	count_running(world, task, 1);
-}
-
-static void
-worker_ended(void *ctx, int node, struct mst_bytes task)
-{
-	count_running(ctx, task, -1);
-}
-
-static double
-worker_chance(void *ctx)
-{
-	return g_rand_double(((struct world *)ctx)->rand);
-}
-
-int
-world_add_leased(
-    struct world *world, const char *name, const struct mst_resources *capacity)
-{
-	struct mst_agent_options options = MST_AGENT_OPTIONS_INIT;
-	struct sim_worker_host host = {.now_us = worker_now_us,
-	    .call_at = worker_call_at,
-	    .answer = worker_answer,
-	    .serve = worker_serve,
-	    .started = worker_started,
-	    .ended = worker_ended,
-	    .chance = worker_chance,
-	    .world = world};
-	int at;
-
-	mst_agent_options_lease(&options);
-	at = world_add_agent(world, name, &options);
-	host.node = at;
-	world->nodes[at].capacity = *capacity;
-	world->nodes[at].worker = sim_worker_new(&host, capacity);
-	return at;
-}
-
-struct sim_worker *
-world_worker(const struct world *world, int at)
-{
-	return world->nodes[at].worker;
-}
-
-unsigned
-world_overlaps(const struct world *world)
-{
-	return world->overlaps;
-}
-
-/* The worker beside a leased agent reports about itself. */
-static void
-worker_report(struct world *world, int at)
-{
-	struct node *node = &world->nodes[at];
-	struct mst_worker_report report = {.id = mst_bytes_of(node->name),
-	    .service = mst_bytes_of("service"),
-	    .life = sim_worker_life(node->worker),
-	    .seq = ++node->reports,
-	    .capacity = node->capacity};
-	struct mst_agent_event event = {
-	    .type = MST_AGENT_EV_REPORT, .report = &report};
-
-	node->report_us = world->now_us + WORLD_REPORT_US;
-	step_agent(world, at, &event);
-}
-
 int
 world_node_by_incarnation(const struct world *world, uint64_t incarnation)
 {
@@ -314,7 +191,7 @@
 		if (o->jitter_us > 0)
 			at_us += g_rand_int_range(
 			    world->rand, 0, (gint32)o->jitter_us);
-		h = happen(world, to, HAPPEN_MESSAGE, at_us);
+		h = world_happen(world, to, HAPPEN_MESSAGE, at_us);
 		h->bytes = g_byte_array_new();
 		mst_msg_encode(h->bytes, msg);
 		world->messages[msg->type]++;
@@ -354,8 +231,8 @@
 	node_execute_entry(world, at, mst_entry_step(node->entry, &flush));
 }
 
-static void
-step_agent(struct world *world, int at, struct mst_agent_event *event)
+void
+world_step_agent(struct world *world, int at, struct mst_agent_event *event)
 {
 	struct node *node = &world->nodes[at];
 	struct mst_agent_event flush = {.type = MST_AGENT_EV_FLUSH};
@@ -402,7 +279,7 @@
 	}
 	if (service.us < 0)
 		return;
-	h = happen(world, at, HAPPEN_FINISH, world->now_us + service.us);
+	h = world_happen(world, at, HAPPEN_FINISH, world->now_us + service.us);
 	h->run = effect->run;
 	h->service = service;
 	if (world->options.keep_bodies)
@@ -514,7 +391,7 @@
 	if (node->kind == WORLD_ENTRY)
 		world_step_entry(world, h->node, &entry);
 	else
-		step_agent(world, h->node, &agent);
+		world_step_agent(world, h->node, &agent);
 }
 
 static void
@@ -527,7 +404,7 @@
 	event.result.reason = (uint8_t)h->service.reason;
 	event.result.status = h->service.status;
 	event.result.body = mst_bytes_of(h->body);
-	step_agent(world, h->node, &event);
+	world_step_agent(world, h->node, &event);
 }
 
 static void
@@ -536,7 +413,7 @@
 	struct mst_agent_event event = {
 	    .type = MST_AGENT_EV_ORDERED, .answer = answer_copy_get(h->answer)};
 
-	step_agent(world, h->node, &event);
+	world_step_agent(world, h->node, &event);
 }
 
 static void
@@ -548,11 +425,9 @@
 	if (world->nodes[at].kind == WORLD_ENTRY)
 		world_step_entry(world, at, &entry);
 	else
-		step_agent(world, at, &agent);
-	if (world->nodes[at].worker != NULL &&
-	    world->now_us >= world->nodes[at].report_us)
-		worker_report(world, at);
-	happen(world, at, HAPPEN_TICK, world->now_us + WORLD_TICK_US);
+		world_step_agent(world, at, &agent);
+	world_worker_report(world, at);
+	world_happen(world, at, HAPPEN_TICK, world->now_us + WORLD_TICK_US);
 }
 
 static void
@@ -661,7 +536,7 @@
 	world_log(world, "%s goes on", node->name);
 	node->paused = false;
 	g_queue_init(&node->backlog);
-	happen(world, at, HAPPEN_TICK, world->now_us);
+	world_happen(world, at, HAPPEN_TICK, world->now_us);
 	while ((h = g_queue_pop_head(&backlog)) != NULL) {
 		if (h->type == HAPPEN_TICK && !ticked) {
 			ticked = true;
@@ -683,7 +558,7 @@
 	if (world->nodes[at].kind == WORLD_ENTRY)
 		world_step_entry(world, at, &entry);
 	else
-		step_agent(world, at, &agent);
+		world_step_agent(world, at, &agent);
 }
 
 bool
--- a/tests/world/world_internal.h
+++ b/tests/world/world_internal.h
@@ -43,10 +43,18 @@
 };
 
 /* world.c */
+struct happening *world_happen(
+    struct world *world, int node, enum happening_type type, int64_t at_us);
+void world_step_agent(
+    struct world *world, int at, struct mst_agent_event *event);
 void world_step_entry(
     struct world *world, int at, struct mst_entry_event *event);
 int world_node_by_incarnation(const struct world *world, uint64_t incarnation);
 
+/* leased.c */
+/* Lets a node's worker report about itself, if it has one and it is time. */
+void world_worker_report(struct world *world, int at);
+
 /* requests.c */
 void world_request_free(struct world_request *request);
 void world_request_finish(struct world *world, struct world_request *request);
