--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -55,6 +55,7 @@
 	unsigned answered;
 	unsigned completed;
 	uint32_t seed;
+	bool hang; /* tasks stand still */
 };
 
 static struct world_service
@@ -70,7 +71,7 @@
 
 	if (g_rand_int_range(day->rand, 0, 50) == 0)
 		service.status = 500;
-	if (g_rand_int_range(day->rand, 0, 100) == 0)
+	if (day->hang || g_rand_int_range(day->rand, 0, 100) == 0)
 		service.us = -1;
 	g_hash_table_replace(day->starts, key, GUINT_TO_POINTER(count + 1));
 	return service;
@@ -432,6 +433,41 @@
 	    completed, >, seeds * FAULTS_END_MS / JOB_EVERY_MS / 3);
 }
 
+/* The message that takes a task back is lost, and the job is forgotten before
+ * anything is repeated: the run must end all the same. */
+static void
+leases__forgotten_work_is_withdrawn(void)
+{
+	struct day *day = day_new(3);
+	struct caller *caller;
+	unsigned running = 0;
+	int i;
+
+	day->hang = true;
+	day->now_ms = 1000;
+	world_run(day->world, G_USEC_PER_SEC + day->now_ms * MS);
+	caller_new(day);
+	caller = day->callers->pdata[0];
+	caller->count = 1;
+	submit(day, caller);
+	world_run(day->world, G_USEC_PER_SEC + 1100 * MS);
+	for (i = 0; i < WORKERS; i++) {
+		running += sim_worker_running(
+		    world_worker(day->world, day->agents[i]));
+		world_link(
+		    day->world, day->entries[caller->entry], day->agents[i])
+		    ->drop_next = 1;
+	}
+	g_assert_cmpuint(running, ==, 1);
+	world_gone(day->world, caller->request);
+	world_run(day->world, G_USEC_PER_SEC + 3000 * MS);
+	for (i = 0; i < WORKERS; i++)
+		g_assert_cmpuint(sim_worker_running(
+				     world_worker(day->world, day->agents[i])),
+		    ==, 0);
+	day_free(day);
+}
+
 static void
 leases__what_is_gone_is_forgotten(void)
 {
@@ -462,6 +498,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/leases/calm", leases__calm_day_serves_all);
 	g_test_add_func("/leases/forgotten", leases__what_is_gone_is_forgotten);
+	g_test_add_func(
+	    "/leases/withdrawn", leases__forgotten_work_is_withdrawn);
 	g_test_add_func("/leases/faults", leases__no_task_runs_twice_at_once);
 	return g_test_run();
 }
