--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -433,6 +433,28 @@
 	    completed, >, seeds * FAULTS_END_MS / JOB_EVERY_MS / 3);
 }
 
+/* Agents are heard of some milliseconds after an entry's start. */
+static void
+leases__first_jobs_are_taken(void)
+{
+	struct day *day = day_new(5);
+	const struct world_request *request;
+	struct caller *caller;
+
+	caller_new(day);
+	caller = day->callers->pdata[0];
+	submit(day, caller);
+	g_assert_cmpuint(
+	    mst_entry_gauges(world_entry(day->world, day->entries[0]))
+		.members_active,
+	    ==, 0);
+	world_run(day->world, G_USEC_PER_SEC + 1400 * MS);
+	request = world_request(day->world, caller->request);
+	g_assert_false(request->refused);
+	g_assert_cmpint(request->state, ==, MST_JOB_COMPLETE);
+	day_free(day);
+}
+
 /* The message that takes a task back is lost, and the job is forgotten before
  * anything is repeated: the run must end all the same. */
 static void
@@ -500,6 +522,7 @@
 	g_test_add_func("/leases/forgotten", leases__what_is_gone_is_forgotten);
 	g_test_add_func(
 	    "/leases/withdrawn", leases__forgotten_work_is_withdrawn);
+	g_test_add_func("/leases/first", leases__first_jobs_are_taken);
 	g_test_add_func("/leases/faults", leases__no_task_runs_twice_at_once);
 	return g_test_run();
 }
