Derive the leases' times from when callers come back; judge a dispatch by its own echo

test_sessions took the new worker scripts for its own and crashed: they have a directory of their own.

--- a/include/masticstall.h
+++ b/include/masticstall.h
@@ -7,6 +7,7 @@
 #include <masticstall/config.h>
 #include <masticstall/daemon.h>
 #include <masticstall/entry.h>
+#include <masticstall/lease.h>
 #include <masticstall/message.h>
 #include <masticstall/seqset.h>
 #include <masticstall/settings.h>
--- a/include/masticstall/agent.h
+++ b/include/masticstall/agent.h
@@ -7,6 +7,7 @@
  */
 
 #include <glib.h>
+#include <masticstall/lease.h>
 #include <masticstall/message.h>
 #include <masticstall/worker.h>
 
@@ -34,9 +35,7 @@
 	 * what an entry has started ends when the entry is silent.
 	 */
 	bool leased;
-	int64_t entry_lease_us; /* silence of an entry that ends its runs */
-	int64_t run_lease_us;   /* given to the worker with each order */
-	int64_t renew_us;       /* longest time between two renewals */
+	struct mst_lease_times leases;
 };
 
 #define MST_AGENT_OPTIONS_INIT                                                 \
@@ -47,8 +46,7 @@
 		.heartbeat_us = G_USEC_PER_SEC,                                \
 		.fence_silence_us = 3 * G_USEC_PER_SEC,                        \
 		.retention_us = 120 * G_USEC_PER_SEC,                          \
-		.retained_bytes_max = 16u << 20, .entry_lease_us = 500 * 1000, \
-		.run_lease_us = 600 * 1000, .renew_us = 150 * 1000,            \
+		.retained_bytes_max = 16u << 20,                               \
 	}
 
 enum mst_agent_event_type {
@@ -132,12 +130,13 @@
 };
 
 /**
- * Sets the times of a leased agent; docs/PLATFORM.md has the sum that they must
- * stay under.
+ * Makes an agent a leased one.
  *
  * @param options changed
+ * @param times of the leases
  */
-void mst_agent_options_lease(struct mst_agent_options *options);
+void mst_agent_options_lease(
+    struct mst_agent_options *options, const struct mst_lease_times *times);
 
 /**
  * Creates an agent.
--- a/include/masticstall/entry.h
+++ b/include/masticstall/entry.h
@@ -8,6 +8,7 @@
 
 #include <glib.h>
 #include <masticstall/config.h>
+#include <masticstall/lease.h>
 #include <masticstall/message.h>
 
 struct mst_entry;
@@ -235,12 +236,13 @@
 };
 
 /**
- * Sets the times of a leased entry; docs/PLATFORM.md has the sum that they must
- * stay under.
+ * Makes an entry a leased one.
  *
  * @param options changed
+ * @param times of the leases
  */
-void mst_entry_options_lease(struct mst_entry_options *options);
+void mst_entry_options_lease(
+    struct mst_entry_options *options, const struct mst_lease_times *times);
 
 /**
  * Creates an entry.
--- a/include/masticstall/settings.h
+++ b/include/masticstall/settings.h
@@ -55,8 +55,8 @@
 struct mst_front_settings {
 	const char *listen;       /* ip:port */
 	const char *ready_listen; /* ip:port, for the balancer's checks */
-	uint32_t grace_ms;        /* from SIGTERM until the process is killed */
-	uint32_t resend_ms; /* after which an unanswered job comes again */
+	double grace_s;           /* from SIGTERM until the process is killed */
+	uint32_t config_ms; /* within which a configuration must be in force */
 };
 
 enum mst_settings_role { MST_SETTINGS_ENTRY = 1, MST_SETTINGS_AGENT };
@@ -74,6 +74,7 @@
 	GPtrArray *entries;         /* ip:port of some entries */
 	GPtrArray *entry_hosts;     /* hosts of some entries, ip or ip:port */
 	uint32_t members_port;      /* of the entries on entry_hosts */
+	uint32_t resend_ms;         /* after it an unanswered job comes again */
 	bool trusted_network;       /* members need no keys */
 	const char *store; /* ip:port of the platform's store, or NULL */
 	struct mst_worker_settings worker;
--- a/src/core/agent.c
+++ b/src/core/agent.c
@@ -4,14 +4,18 @@
 
 #include <string.h>
 
-#define AGENT_SCAN_US (100 * 1000)
+#define AGENT_SCAN_US       (100 * 1000)
+#define LEASED_ANNOUNCE_US  (200 * 1000)
+#define LEASED_RETENTION_US (2 * G_USEC_PER_SEC) /* repeats come sooner */
 
 void
-mst_agent_options_lease(struct mst_agent_options *options)
+mst_agent_options_lease(
+    struct mst_agent_options *options, const struct mst_lease_times *times)
 {
 	options->leased = true;
-	options->heartbeat_us = INT64_C(200) * 1000;
-	options->retention_us = 2 * G_USEC_PER_SEC;
+	options->leases = *times;
+	options->heartbeat_us = LEASED_ANNOUNCE_US;
+	options->retention_us = LEASED_RETENTION_US;
 }
 
 int
@@ -248,7 +252,8 @@
 }
 
 /* True when what a dispatch brings must not start any more: it was held up, and
- * its entry may have given it up or be gone. */
+ * its entry may have given it up or be gone. Its own echo counts, not a later
+ * message's: the entry gave it up by what it knew when it sent it. */
 static bool
 dispatch_is_stale(const struct mst_agent *agent, const struct session *session,
     const struct mst_dispatch *dispatch)
@@ -256,6 +261,8 @@
 	if (!agent->options.leased)
 		return false;
 	return !mst_session_is_leased(agent, session) ||
+	    agent->now_us - (int64_t)dispatch->echo_us >
+	    agent->options.leases.entry_us ||
 	    (uint64_t)agent->now_us > dispatch->expires_us;
 }
 
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -10,12 +10,14 @@
 #define TICKET_LEN         (2 + 16 + 1 + 16 + 1 + 16)
 
 void
-mst_entry_options_lease(struct mst_entry_options *options)
+mst_entry_options_lease(
+    struct mst_entry_options *options, const struct mst_lease_times *times)
 {
 	options->leased = true;
-	options->heartbeat_us = INT64_C(150) * 1000;
-	options->suspect_us = INT64_C(500) * 1000;
-	options->remove_us = INT64_C(1300) * 1000;
+	options->heartbeat_us = times->heartbeat_us;
+	options->suspect_us = times->entry_us;
+	options->remove_us = times->lost_us;
+	options->dispatch_valid_us = times->valid_us;
 	options->answer_keep_us = G_USEC_PER_SEC / 2;
 }
 
@@ -271,8 +273,6 @@
 		mst_entry_new_incarnation(entry);
 		return;
 	}
-	if (last_us > 0 && entry->now_us - last_us > ENTRY_PAUSE_US)
-		mst_entry_discount_pause(entry, entry->now_us - last_us);
 	if (entry->now_us >= entry->next_scan_us) {
 		entry->next_scan_us = entry->now_us + ENTRY_SCAN_US;
 		mst_teams_measure(entry, entry->now_us - entry->scanned_us);
@@ -300,6 +300,9 @@
 
 	g_array_set_size(entry->effects, 0);
 	entry->now_us = MAX(entry->now_us, event->now_us);
+	/* Whatever comes first after a pause, before any silence is judged. */
+	if (last_us > 0 && entry->now_us - last_us > ENTRY_PAUSE_US)
+		mst_entry_discount_pause(entry, entry->now_us - last_us);
 	if (entry->started_us == 0)
 		entry->started_us = entry->now_us;
 	switch (event->type) {
--- a/src/core/worker_list.c
+++ b/src/core/worker_list.c
@@ -160,8 +160,9 @@
 mst_worker_hold(struct mst_agent *agent, uint64_t *place)
 {
 	struct worker *worker = &agent->worker;
-	int64_t wait_us = mst_worker_is_flaky(agent) ? WORKER_FLAKY_WAIT_US
-						     : agent->options.renew_us;
+	int64_t wait_us = mst_worker_is_flaky(agent)
+	    ? WORKER_FLAKY_WAIT_US
+	    : agent->options.leases.renew_us;
 	struct mst_order *order;
 
 	/* What has no lease any more must not get a new one. */
--- a/src/core/worker_order.c
+++ b/src/core/worker_order.c
@@ -66,7 +66,7 @@
 mst_worker_order_renews(struct mst_agent *agent, struct mst_order *order)
 {
 	struct worker *worker = &agent->worker;
-	int64_t lease_us = agent->options.run_lease_us;
+	int64_t lease_us = agent->options.leases.run_us;
 	int64_t lapse_us = agent->now_us +
 	    (int64_t)((double)lease_us * (1 + WORKER_DRIFT)) +
 	    WORKER_LAPSE_SLACK_US;
--- a/src/runtime/agent_runtime.c
+++ b/src/runtime/agent_runtime.c
@@ -383,16 +383,15 @@
 	return 0;
 }
 
-/* The worker grants no longer leases than its settings say. */
 static void
-options_set_leased(struct mst_agent_options *options,
-    const struct mst_worker_settings *settings)
+options_set_leased(
+    struct mst_agent_options *options, const struct mst_settings *settings)
 {
-	int64_t max_us = (int64_t)settings->lease_max_ms * 1000;
+	struct mst_lease_times times;
 
-	mst_agent_options_lease(options);
-	options->run_lease_us = MIN(options->run_lease_us, max_us);
-	options->renew_us = MIN(options->renew_us, options->run_lease_us / 4);
+	mst_lease_times(
+	    &times, settings->resend_ms, settings->worker.lease_max_ms);
+	mst_agent_options_lease(options, &times);
 }
 
 static int
@@ -425,7 +424,7 @@
 	options.connections = settings->upstream.connections;
 	options.resources = settings->resources;
 	if (settings->worker.address != NULL)
-		options_set_leased(&options, &settings->worker);
+		options_set_leased(&options, settings);
 	mst_agent_new(&rt->agent, &options);
 	if (settings->upstream.address != NULL)
 		mst_upstream_new(&rt->upstream, &upstream);
--- a/src/runtime/entry_front.c
+++ b/src/runtime/entry_front.c
@@ -6,10 +6,11 @@
 #include "base/log.h"
 #include "runtime/entry_runtime.h"
 
-#define FRONT_BODY_MAX   (1 << 20)
-#define STORE_WAIT_MS    1500 /* a change must be seen within 2 s */
-#define STORE_CALL_MS    700
-#define PUBLISH_RETRY_MS 500
+#define FRONT_BODY_MAX    (1 << 20)
+#define STORE_WAIT_SHARE  0.5 /* of the time to follow a configuration */
+#define STORE_WAIT_MAX_MS 1500
+#define STORE_CALL_MS     700
+#define PUBLISH_RETRY_MS  500
 /* Share of the time to stop in which jobs are still taken: the balancer needs
  * a while to send new connections elsewhere. */
 #define FRONT_SERVE_SHARE 0.65
@@ -292,7 +293,7 @@
 runtime_front_drain(struct entry_runtime *rt)
 {
 	uint64_t serve_ms =
-	    (uint64_t)(rt->settings->front.grace_ms * FRONT_SERVE_SHARE);
+	    (uint64_t)(rt->settings->front.grace_s * 1000 * FRONT_SERVE_SHARE);
 
 	if (rt->leaving)
 		return;
@@ -309,7 +310,9 @@
 	*watch = (struct store_watch){.port = rt->ports->store,
 	    .store = rt->store,
 	    .subject = subject,
-	    .wait_ms = STORE_WAIT_MS,
+	    .wait_ms = MIN(
+		(uint32_t)(rt->settings->front.config_ms * STORE_WAIT_SHARE),
+		STORE_WAIT_MAX_MS),
 	    .on_news = on_news,
 	    .ctx = rt};
 	store_watch_start(watch, &rt->loop.uv);
--- a/src/runtime/entry_runtime.c
+++ b/src/runtime/entry_runtime.c
@@ -355,6 +355,17 @@
 	    &rt->members_timer, on_members_timer, 0, RUNTIME_MEMBERS_MS);
 }
 
+static void
+runtime_lease(
+    struct mst_entry_options *options, const struct mst_settings *settings)
+{
+	struct mst_lease_times times;
+
+	mst_lease_times(
+	    &times, settings->resend_ms, settings->worker.lease_max_ms);
+	mst_entry_options_lease(options, &times);
+}
+
 static int
 runtime_open(struct entry_runtime *rt, GError **error)
 {
@@ -379,7 +390,7 @@
 	options.jobs_max = settings->limits.jobs_max;
 	options.bytes_max = (uint64_t)settings->limits.memory_max_mb << 20;
 	if (settings->front.listen != NULL)
-		mst_entry_options_lease(&options);
+		runtime_lease(&options, settings);
 	mst_entry_new(&rt->entry, &options);
 	rt->caller = mst_http_caller_new(&rt->loop.uv, 0);
 	if (settings->table.endpoint != NULL)
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -10,11 +10,12 @@
 
 G_DEFINE_QUARK(mst_settings_error, mst_settings_error)
 
-#define TEXT_MAX     255
-#define KEY_LEN      40
-#define SHA256_LEN   64
-#define PORT_MAX     65535
-#define LEASE_MIN_MS 200 /* shorter ones lapse between two renewals */
+#define TEXT_MAX      255
+#define KEY_LEN       40
+#define SHA256_LEN    64
+#define PORT_MAX      65535
+#define RESEND_MIN_MS 400 /* leases must outlive some messages */
+#define LEASE_MIN_MS  200 /* shorter ones lapse between two renewals */
 
 #define STRING_FIELD(type, field, json, low, high, need)                       \
 	{                                                                      \
@@ -201,10 +202,10 @@
     ADDRESS_FIELD(struct mst_front_settings, listen, "listen", true),
     ADDRESS_FIELD(
 	struct mst_front_settings, ready_listen, "ready_listen", true),
+    SCHEMA_NUMBER_FIELD(
+	"grace_s", struct mst_front_settings, grace_s, 0.1, 3600),
     SCHEMA_UINT_FIELD(
-	"grace_ms", struct mst_front_settings, grace_ms, 100, 3600000),
-    SCHEMA_UINT_FIELD(
-	"resend_ms", struct mst_front_settings, resend_ms, 100, 3600000),
+	"config_ms", struct mst_front_settings, config_ms, 100, 3600000),
     {0}};
 
 #define COMMON_FIELDS                                                          \
@@ -215,6 +216,8 @@
 		.custom = read_hosts},                                         \
 	    SCHEMA_UINT_FIELD("members_port", struct mst_settings,             \
 		members_port, 1, PORT_MAX),                                    \
+	    SCHEMA_UINT_FIELD("resend_ms", struct mst_settings, resend_ms,     \
+		RESEND_MIN_MS, 3600000),                                       \
 	    SCHEMA_BOOL_FIELD(                                                 \
 		"trusted_network", struct mst_settings, trusted_network),      \
 	    STRING_FIELD(struct mst_settings, name, "name", 1, 64, true),      \
@@ -296,8 +299,9 @@
 	settings->entries = g_ptr_array_new();
 	settings->entry_hosts = g_ptr_array_new();
 	settings->worker.lease_max_ms = 1000;
-	settings->front.grace_ms = 6000;
-	settings->front.resend_ms = 1300;
+	settings->front.grace_s = 6;
+	settings->front.config_ms = 2000;
+	settings->resend_ms = 1300;
 	settings->operators =
 	    g_array_new(FALSE, TRUE, sizeof(struct mst_operator_settings));
 	settings->log_level = 2;
--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -15,17 +15,18 @@
 #include "world/worker.h"
 #include "world/world.h"
 
-#define MS            INT64_C(1000)
-#define ENTRIES       3
-#define WORKERS       4
-#define RESEND_MS     1300 /* a caller comes back after a broken connection */
-#define DEADLINE_MS   1500
-#define SEEDS         120
-#define DAY_MS        12000
-#define FAULTS_END_MS 8000
-#define JOB_EVERY_MS  40
-#define TASKS_MAX     5
-#define CLOCK_STEP_MS 10
+#define MS             INT64_C(1000)
+#define ENTRIES        3
+#define WORKERS        4
+#define RESEND_MS      1300 /* a caller comes back after a broken connection */
+#define RESEND_SOON_MS 700  /* on every fourth day */
+#define DEADLINE_MS    1500
+#define SEEDS          120
+#define DAY_MS         12000
+#define FAULTS_END_MS  8000
+#define JOB_EVERY_MS   40
+#define TASKS_MAX      5
+#define CLOCK_STEP_MS  10
 
 /* One job of a caller, over all its attempts. */
 struct caller {
@@ -55,6 +56,7 @@
 	unsigned answered;
 	unsigned completed;
 	uint32_t seed;
+	uint32_t resend_ms;
 	bool hang; /* tasks stand still */
 };
 
@@ -124,7 +126,7 @@
 	if (caller->attempts >= 3)
 		caller->settled = true;
 	else
-		caller->due_ms = day->now_ms + RESEND_MS;
+		caller->due_ms = day->now_ms + day->resend_ms;
 }
 
 static void
@@ -302,13 +304,16 @@
 	    .latency_us = 500,
 	    .jitter_us = 300,
 	    .leased = true,
+	    .resend_ms = seed % 4 == 0 ? RESEND_SOON_MS : RESEND_MS,
 	    .service = serve,
+	    .verbose = getenv("MST_TEST_LOG") != NULL,
 	    .on_log = on_log,
 	    .ctx = day};
 	char name[16];
 	int i;
 
 	day->seed = seed;
+	day->resend_ms = options.resend_ms;
 	day->rand = g_rand_new_with_seed(seed);
 	day->starts =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -514,10 +519,40 @@
 	day_free(day);
 }
 
+/* A lost entry and a lost agent leave nothing running when a caller is back. */
+static void
+leases__times_add_up(void)
+{
+	static const uint32_t resends_ms[] = {400, 700, 1300, 5000, 60000};
+	static const uint32_t longest_ms[] = {200, 1000, 30000};
+	const double stop_us = 50 * 1000, drift = 0.98;
+	size_t r, m;
+
+	for (r = 0; r < G_N_ELEMENTS(resends_ms); r++) {
+		for (m = 0; m < G_N_ELEMENTS(longest_ms); m++) {
+			struct mst_lease_times times;
+			double left_us;
+
+			mst_lease_times(&times, resends_ms[r], longest_ms[m]);
+			left_us =
+			    ((double)times.entry_us + (double)times.run_us) /
+			    drift;
+			g_assert_cmpfloat(left_us, <, resends_ms[r] * 1000.0);
+			left_us = (double)times.entry_us / drift + stop_us;
+			g_assert_cmpfloat(left_us, <, resends_ms[r] * 1000.0);
+			g_assert_cmpint(
+			    times.run_us, <=, (int64_t)longest_ms[m] * 1000);
+			g_assert_cmpint(
+			    times.heartbeat_us * 2, <, times.entry_us);
+		}
+	}
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/leases/times", leases__times_add_up);
 	g_test_add_func("/leases/calm", leases__calm_day_serves_all);
 	g_test_add_func("/leases/forgotten", leases__what_is_gone_is_forgotten);
 	g_test_add_func(
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -1,13 +1,14 @@
 /*
  * A leased agent and its worker, step by step: scripts in
- * golden/worker_*.script drive the agent's reducer under a paused clock, the
+ * golden/worker drive the agent's reducer under a paused clock, the
  * whole log is expected. MST_GOLDEN_UPDATE=1 writes the expected files anew.
  *
  * Commands, one a line; # starts a comment:
  *   agent                         a new life of the agent
  *   report LIFE STATE             the worker reports itself ready or draining
  *   entry E                       heartbeat of an entry, with a fresh echo
- *   dispatch E SEQ TASK [AGE_MS]  a task; valid for 400 ms less its age
+ *   dispatch E SEQ TASK [AGE_MS [ECHO_AGE_MS]]   a task; valid for 400 ms less
+ *                                 its age, sent by what was known so long ago
  *   withdraw E SEQ
  *   start STATUS | stop STATUS    answers the oldest such order
  *   list LIFE CLOCK [TASK/RUN...] [N/TASK/RUN/HOW...]   answers the oldest HOLD
@@ -150,9 +151,11 @@
 do_agent(struct play *play, char **words)
 {
 	struct mst_agent_options options = MST_AGENT_OPTIONS_INIT;
+	struct mst_lease_times times;
 
 	mst_agent_free(play->agent);
-	mst_agent_options_lease(&options);
+	mst_lease_times(&times, 1300, 1000);
+	mst_agent_options_lease(&options, &times);
 	options.incarnation = INCARNATION + ++play->lives;
 	mst_agent_new(&play->agent, &options);
 	g_array_set_size(play->orders, 0);
@@ -190,6 +193,7 @@
 do_dispatch(struct play *play, char **words, int count)
 {
 	int64_t age_ms = count > 4 ? strtol(words[4], NULL, 10) : 0;
+	int64_t echo_age_ms = count > 5 ? strtol(words[5], NULL, 10) : age_ms;
 	struct mst_dispatch_item item = {.seq = strtoull(words[2], NULL, 10),
 	    .timeout_ms = 1500,
 	    .run = 1,
@@ -199,6 +203,7 @@
 	struct mst_msg msg = {
 	    .type = MST_MSG_DISPATCH, .from = strtoull(words[1], NULL, 10)};
 
+	msg.dispatch.echo_us = (uint64_t)(play->now_us - echo_age_ms * 1000);
 	msg.dispatch.expires_us =
 	    (uint64_t)(play->now_us + (VALID_MS - age_ms) * 1000);
 	msg.dispatch.count = 1;
@@ -368,8 +373,8 @@
 session__matches(gconstpointer data)
 {
 	const char *name = data;
-	char *path = g_strdup_printf("golden/%s.script", name);
-	char *golden = g_strdup_printf("golden/%s.expected", name);
+	char *path = g_strdup_printf("golden/worker/%s.script", name);
+	char *golden = g_strdup_printf("golden/worker/%s.expected", name);
 	struct play play = {.now_us = G_USEC_PER_SEC,
 	    .orders = g_array_new(FALSE, FALSE, sizeof(struct open_order)),
 	    .log = g_string_new(NULL),
@@ -395,10 +400,9 @@
 int
 main(int argc, char **argv)
 {
-	static const char *const names[] = {"worker_plain",
-	    "worker_earlier_life", "worker_unanswered_start",
-	    "worker_restarted", "worker_lease_lapses", "worker_fenced",
-	    "worker_start_after_stop", "worker_gone"};
+	static const char *const names[] = {"plain", "earlier_life",
+	    "unanswered_start", "restarted", "lease_lapses", "fenced",
+	    "start_after_stop", "gone"};
 	size_t i;
 
 	g_test_init(&argc, &argv, NULL);
--- a/tests/world/leased.c
+++ b/tests/world/leased.c
@@ -87,7 +87,7 @@
 	    .world = world};
 	int at;
 
-	mst_agent_options_lease(&options);
+	mst_agent_options_lease(&options, &world->leases);
 	at = world_add_agent(world, name, &options);
 	host.node = at;
 	world->nodes[at].capacity = *capacity;
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -6,7 +6,9 @@
 
 #include "codec/codec.h"
 
-#define WORLD_TICK_US (10 * 1000)
+#define WORLD_TICK_US      (10 * 1000)
+#define WORLD_RESEND_MS    1300
+#define WORLD_LEASE_MAX_MS 1000
 
 static void node_execute_entry(
     struct world *world, int at, const GArray *effects);
@@ -35,6 +37,9 @@
 	world->options = *options;
 	world->rand = g_rand_new_with_seed(options->seed);
 	world->now_us = G_USEC_PER_SEC;
+	mst_lease_times(&world->leases,
+	    options->resend_ms ? options->resend_ms : WORLD_RESEND_MS,
+	    WORLD_LEASE_MAX_MS);
 	agenda_init(&world->agenda);
 	world->decoder = mst_decoder_new();
 	world->requests = g_hash_table_new(g_direct_hash, g_direct_equal);
@@ -101,7 +106,7 @@
 		entry.seed = world->options.seed + (uint32_t)at;
 		entry.address = node->name;
 		if (world->options.leased)
-			mst_entry_options_lease(&entry);
+			mst_entry_options_lease(&entry, &world->leases);
 		mst_entry_new(&node->entry, &entry);
 	} else {
 		node->agent_options.incarnation = node->incarnation;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -63,8 +63,9 @@
 	double drop;       /* share of messages lost */
 	double repeat;     /* share of messages delivered twice */
 	bool keep_bodies;
-	bool leased;  /* entries hold their work by leases */
-	bool verbose; /* the log tells of members and heartbeats, too */
+	uint32_t resend_ms; /* of the callers; 0: 1,300 */
+	bool leased;        /* entries hold their work by leases */
+	bool verbose;       /* the log tells of members and heartbeats, too */
 	struct world_service (*service)(void *ctx, int agent,
 	    const struct mst_dispatch_item *task, int64_t now_us);
 	void (*on_answer)(void *ctx, const struct world_request *request);
--- a/tests/world/world_internal.h
+++ b/tests/world/world_internal.h
@@ -25,6 +25,7 @@
 struct world {
 	struct world_options options;
 	GRand *rand;
+	struct mst_lease_times leases;
 	int64_t now_us;
 	struct agenda agenda;
 	struct node nodes[WORLD_NODES_MAX];
