Split the choice of a member into its three questions

Who ends a task first, who ends it last and still in time, and whether to wait for someone better. Nothing changes what is chosen.

--- a/src/core/entry_choose.c
+++ b/src/core/entry_choose.c
@@ -121,12 +121,12 @@
 	return first_us * (1 + CHOOSE_STRETCH_MAX * CLAMP(crowd, 0, 1));
 }
 
-struct member *
-mst_choose_leased(struct mst_entry *entry, const struct job *job,
-    const struct task *task, double work_us)
+/* The member that would end a task first, and when. */
+static struct member *
+first_to_finish(struct mst_entry *entry, const struct job *job,
+    const struct task *task, double work_us, double *first_us)
 {
-	struct member *first = NULL, *slowest = NULL;
-	double first_us = 0, slowest_us = 0, limit_us;
+	struct member *first = NULL;
 	guint i;
 
 	for (i = 0; i < entry->members->len; i++) {
@@ -136,18 +136,24 @@
 		if (!mst_member_is_candidate(entry, member, job, task))
 			continue;
 		us = finish_us(member, work_us) * spread(entry, member);
-		if (first == NULL || us < first_us) {
-			first = member;
-			first_us = us;
-		}
+		if (first != NULL && us >= *first_us)
+			continue;
+		first = member;
+		*first_us = us;
 	}
-	if (first == NULL)
-		return NULL;
-	if (!ends_in_time(entry, first, job, work_us) &&
-	    later_finish_us(entry, job, task, work_us) <
-		finish_us(first, work_us))
-		return NULL;
-	limit_us = accepted_us(entry, first_us);
+	return first;
+}
+
+/* The last member to end a task that is in time and within a limit; NULL when
+ * there is none. */
+static struct member *
+last_in_time(struct mst_entry *entry, const struct job *job,
+    const struct task *task, double work_us, double limit_us)
+{
+	struct member *last = NULL;
+	double last_us = 0;
+	guint i;
+
 	for (i = 0; i < entry->members->len; i++) {
 		struct member *member = entry->members->pdata[i];
 		double us;
@@ -155,11 +161,30 @@
 		if (!mst_member_is_candidate(entry, member, job, task))
 			continue;
 		us = finish_us(member, work_us) * spread(entry, member);
-		if (us > limit_us || us <= slowest_us ||
+		if (us > limit_us || us <= last_us ||
 		    !ends_in_time(entry, member, job, work_us))
 			continue;
-		slowest = member;
-		slowest_us = us;
+		last = member;
+		last_us = us;
 	}
-	return slowest != NULL ? slowest : first;
+	return last;
+}
+
+struct member *
+mst_choose_leased(struct mst_entry *entry, const struct job *job,
+    const struct task *task, double work_us)
+{
+	struct member *first, *last;
+	double first_us = 0;
+
+	first = first_to_finish(entry, job, task, work_us, &first_us);
+	if (first == NULL)
+		return NULL;
+	if (!ends_in_time(entry, first, job, work_us) &&
+	    later_finish_us(entry, job, task, work_us) <
+		finish_us(first, work_us))
+		return NULL;
+	last = last_in_time(
+	    entry, job, task, work_us, accepted_us(entry, first_us));
+	return last != NULL ? last : first;
 }
