--- a/include/masticstall/message.h
+++ b/include/masticstall/message.h
@@ -299,6 +299,9 @@
 /** Borrows the bytes of a string; NULL is empty. */
 struct mst_bytes mst_bytes_of(const char *s);
 
+/** Tells whether bytes are a string's; no bytes are the empty string's. */
+bool mst_bytes_are(struct mst_bytes bytes, const char *text);
+
 /** Copies bytes into a string, "" when there are none; free with g_free(). */
 char *mst_bytes_string(struct mst_bytes bytes);
 
--- a/src/core/agent_worker.c
+++ b/src/core/agent_worker.c
@@ -6,8 +6,6 @@
 
 #include "core/worker_internal.h"
 
-#include <string.h>
-
 #define WORKER_FLAKY_US (3 * G_USEC_PER_SEC)
 
 static const char *const status_names[] = {[MST_ORDER_DONE] = "done",
@@ -98,8 +96,7 @@
 static void
 describe(struct mst_agent *agent, char **text, struct mst_bytes told)
 {
-	if (*text != NULL && strlen(*text) == told.len &&
-	    memcmp(*text, told.data, told.len) == 0)
+	if (*text != NULL && mst_bytes_are(told, *text))
 		return;
 	g_free(*text);
 	*text = mst_bytes_string(told);
@@ -115,8 +112,7 @@
 
 	if (!worker_check_life(agent, report->life))
 		return;
-	same = worker->id != NULL && report->id.len == strlen(worker->id) &&
-	    memcmp(worker->id, report->id.data, report->id.len) == 0;
+	same = worker->id != NULL && mst_bytes_are(report->id, worker->id);
 	if (worker->id != NULL && !same && report->life == 0)
 		worker_reborn(agent, 0);
 	if (same && report->life == worker->life &&
--- a/src/core/entry_peer.c
+++ b/src/core/entry_peer.c
@@ -2,13 +2,10 @@
 
 #include "core/entry_internal.h"
 
-#include <string.h>
-
 void
 mst_text_set(char **text, struct mst_bytes bytes)
 {
-	if (*text != NULL && strlen(*text) == bytes.len &&
-	    memcmp(*text, bytes.data, bytes.len) == 0)
+	if (*text != NULL && mst_bytes_are(bytes, *text))
 		return;
 	g_free(*text);
 	*text = mst_bytes_string(bytes);
--- a/src/core/message.c
+++ b/src/core/message.c
@@ -83,6 +83,13 @@
 	return (struct mst_bytes){.data = s, .len = s ? strlen(s) : 0};
 }
 
+bool
+mst_bytes_are(struct mst_bytes bytes, const char *text)
+{
+	return bytes.len == strlen(text) &&
+	    (bytes.len == 0 || memcmp(bytes.data, text, bytes.len) == 0);
+}
+
 char *
 mst_bytes_string(struct mst_bytes bytes)
 {
--- a/src/runtime/entry_http.c
+++ b/src/runtime/entry_http.c
@@ -16,13 +16,6 @@
 #define SINGLE_PREFIX     "/upstream"
 #define SINGLE_TIMEOUT_MS 30000
 
-static bool
-bytes_are(struct mst_bytes bytes, const char *text)
-{
-	return bytes.len == strlen(text) &&
-	    memcmp(bytes.data, text, bytes.len) == 0;
-}
-
 static bool
 bytes_start(struct mst_bytes bytes, const char *text)
 {
@@ -292,10 +285,11 @@
 	pending = runtime_pending_new(rt, request->id);
 	pending->ticket = mst_bytes_string(name);
 	event.job = ticket.job;
-	event.poll = !bytes_are(request->query, "wait");
+	event.poll = !mst_bytes_are(request->query, "wait");
 	pending->kind = event.poll ? MST_FORWARD_POLL : MST_FORWARD_WAIT;
-	event.type = bytes_are(request->method, "DELETE") ? MST_ENTRY_EV_CANCEL
-							  : MST_ENTRY_EV_WAIT;
+	event.type = mst_bytes_are(request->method, "DELETE")
+	    ? MST_ENTRY_EV_CANCEL
+	    : MST_ENTRY_EV_WAIT;
 	runtime_step(rt, &event);
 }
 
@@ -310,7 +304,7 @@
 	cJSON *out;
 	char *text;
 
-	if (bytes_are(request->method, "PATCH")) {
+	if (mst_bytes_are(request->method, "PATCH")) {
 		name = mst_operator_find(rt->settings->operators,
 		    mst_http_header(request, "authorization"));
 		if (name == NULL)
@@ -414,28 +408,28 @@
 	    .title = "There is nothing at this path"};
 	struct entry_runtime *rt = ctx;
 	struct mst_bytes path = request->path;
-	bool post = bytes_are(request->method, "POST");
+	bool post = mst_bytes_are(request->method, "POST");
 
 	if (bytes_start(path, SINGLE_PREFIX "/") ||
-	    bytes_are(path, SINGLE_PREFIX))
+	    mst_bytes_are(path, SINGLE_PREFIX))
 		on_single(rt, request);
-	else if (post && bytes_are(path, "/v1/jobs"))
+	else if (post && mst_bytes_are(path, "/v1/jobs"))
 		on_submit(rt, request);
-	else if (post && bytes_are(path, "/v1/tickets"))
+	else if (post && mst_bytes_are(path, "/v1/tickets"))
 		on_mint(rt, request);
 	else if (bytes_start(path, "/v1/jobs/"))
 		on_job(rt, request, bytes_after(path, 9));
-	else if (bytes_are(path, "/v1/config"))
+	else if (mst_bytes_are(path, "/v1/config"))
 		on_config(rt, request);
-	else if (bytes_are(path, "/v1/config/history"))
+	else if (mst_bytes_are(path, "/v1/config/history"))
 		runtime_config_history(rt, request);
-	else if (bytes_are(path, "/v1/members"))
+	else if (mst_bytes_are(path, "/v1/members"))
 		on_members(rt, request);
 	else if (bytes_start(path, "/v1/traces/"))
 		on_trace(rt, request, bytes_after(path, 11));
-	else if (bytes_are(path, "/healthz"))
+	else if (mst_bytes_are(path, "/healthz"))
 		on_health(rt, request);
-	else if (bytes_are(path, "/metrics"))
+	else if (mst_bytes_are(path, "/metrics"))
 		on_metrics(rt, request);
 	else
 		answer_problem(rt, request->id, &not_found);
