Notice callers that leave while their job is at work

A scratch program on mst_httpd showed it: request, client closes, no word.

The front looks at its waiting connections every 20 ms without taking a byte from them. test_platform /front/left fails before and passes now.

--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -1,12 +1,15 @@
 #include "net/httpd.h"
 
+#include <errno.h>
 #include <h2o.h>
 #include <string.h>
+#include <sys/socket.h>
 
 G_DEFINE_QUARK(mst_httpd_error, mst_httpd_error)
 
 #define HTTPD_BACKLOG        1024
 #define HTTPD_REQ_TIMEOUT_MS 10000
+#define HTTPD_WATCH_MS       20 /* between two looks at waiting callers */
 
 struct handler {
 	h2o_handler_t super;
@@ -19,6 +22,7 @@
 	h2o_context_t context;
 	h2o_accept_ctx_t accept;
 	uv_tcp_t listener;
+	uv_timer_t watch;
 	bool closed;
 	uint64_t next_id;
 	GHashTable *open; /* id -> struct exchange */
@@ -102,6 +106,48 @@
 	h2o_accept(&httpd->accept, sock);
 }
 
+/* True when the other end of a request's connection has left. The server reads
+ * nothing while a request is at work, so it wouldn't notice by itself. */
+static bool
+caller_has_left(const struct exchange *exchange)
+{
+	h2o_conn_t *conn = exchange->req->conn;
+	h2o_socket_t *sock = conn->callbacks->get_socket(conn);
+	char byte;
+	ssize_t n;
+
+	if (sock == NULL)
+		return false;
+	n = recv(h2o_socket_get_fd(sock), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+static void
+on_watch(uv_timer_t *timer)
+{
+	struct mst_httpd *httpd = timer->data;
+	GArray *left = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GHashTableIter iter;
+	gpointer key, value;
+	guint i;
+
+	g_hash_table_iter_init(&iter, httpd->open);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		uint64_t id = (uint64_t)(uintptr_t)key;
+
+		if (caller_has_left(value))
+			g_array_append_val(left, id);
+	}
+	for (i = 0; i < left->len; i++) {
+		uint64_t id = g_array_index(left, uint64_t, i);
+
+		httpd->options.on_gone(id, httpd->options.ctx);
+		/* Nobody reads it; the connection ends with it. */
+		mst_http_answer(httpd, id, 503, NULL, 0, "", 0);
+	}
+	g_array_unref(left);
+}
+
 static int
 httpd_listen(struct mst_httpd *httpd, GError **error)
 {
@@ -112,6 +158,11 @@
 
 	uv_ip4_addr(host, atoi(strrchr(text, ':') + 1), &address);
 	uv_tcp_init(httpd->options.loop, &httpd->listener);
+	uv_timer_init(httpd->options.loop, &httpd->watch);
+	httpd->watch.data = httpd;
+	if (httpd->options.watch_callers)
+		uv_timer_start(
+		    &httpd->watch, on_watch, HTTPD_WATCH_MS, HTTPD_WATCH_MS);
 	httpd->listener.data = httpd;
 	rc =
 	    uv_tcp_bind(&httpd->listener, (const struct sockaddr *)&address, 0);
@@ -215,5 +266,6 @@
 		return;
 	httpd->closed = true;
 	uv_close((uv_handle_t *)&httpd->listener, NULL);
+	uv_unref((uv_handle_t *)&httpd->watch);
 	h2o_context_request_shutdown(&httpd->context);
 }
--- a/src/net/httpd.h
+++ b/src/net/httpd.h
@@ -30,6 +30,9 @@
 	size_t body_max_bytes;
 	mst_http_request_cb on_request;
 	mst_http_gone_cb on_gone; /* an unanswered caller has left */
+	/* Callers that leave are noticed within moments, not when the answer
+	 * is written. */
+	bool watch_callers;
 	void *ctx;
 };
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -5,8 +5,11 @@
  */
 
 #include <glib.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "platform.h"
 #include "runtime/loop.h"
@@ -278,6 +281,7 @@
 	char *received;
 	char *meant; /* life of the worker, by the header */
 	bool done;
+	unsigned gone;
 	struct mst_order_answer answer;
 	struct store_news news;
 	char *document;
@@ -305,6 +309,7 @@
 static void
 on_gone(uint64_t id, void *ctx)
 {
+	((struct peer *)ctx)->gone++;
 }
 
 static void
@@ -322,6 +327,7 @@
 	    .body_max_bytes = 1 << 20,
 	    .on_request = on_request,
 	    .on_gone = on_gone,
+	    .watch_callers = true,
 	    .ctx = peer};
 	GError *error = NULL;
 
@@ -552,14 +558,43 @@
 	peer_stop(peer);
 }
 
+/* A caller that resets its connection while its request is at work. */
+static void
+front__caller_that_leaves_is_noticed(void)
+{
+	static const char text[] = "POST /p HTTP/1.1\r\nHost: a\r\n"
+				   "Content-Length: 2\r\n\r\n{}";
+	const struct linger reset = {.l_onoff = 1};
+	struct sockaddr_in address;
+	struct peer *peer = peer_new();
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	uv_ip4_addr("127.0.0.1", 18790, &address);
+	g_assert_cmpint(
+	    connect(fd, (const struct sockaddr *)&address, sizeof(address)), ==,
+	    0);
+	g_assert_cmpint(write(fd, text, strlen(text)), ==, strlen(text));
+	while (peer->path == NULL)
+		uv_run(&peer->loop, UV_RUN_ONCE);
+	g_assert_cmpuint(peer->gone, ==, 0);
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	close(fd);
+	while (peer->gone == 0)
+		uv_run(&peer->loop, UV_RUN_ONCE);
+	peer_stop(peer);
+	g_assert_cmpuint(peer->gone, ==, 1);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	signal(SIGPIPE, SIG_IGN); /* as the daemons do */
 	g_test_add_func("/front/job", front__job_is_read);
 	g_test_add_func("/front/kinds", front__requests_are_told_apart);
 	g_test_add_func("/front/prefix", front__longest_prefix_wins);
 	g_test_add_func("/front/answers", front__answers_are_written);
+	g_test_add_func("/front/left", front__caller_that_leaves_is_noticed);
 	g_test_add_func("/config/routes", config__routes_become_queues);
 	g_test_add_func("/worker/reports", worker__reports_are_read);
 	g_test_add_func("/worker/orders", worker__orders_and_answers);
