Serve jobs of several steps and conditions on where they run

Until now a best-effort job with more than one step, or with a label, a rack or a spread, was refused as not served. Now a step's tasks are held until the steps that they wait for have ended well; a task only goes to a member with the label that its step asks for, below the step's tasks allowed on one, and its work away from its data counts far_factor times. A job's objective is over its longest chain; what comes after a step counts when a member for it is chosen. A job that none of the known members could ever run is told so at once (no-fit, failed) and not held until its deadline.

Announcements carry the labels (message version 3). The choice of a leased member looks at each candidate once, where two loops did.

--- a/include/masticstall/entry.h
+++ b/include/masticstall/entry.h
@@ -34,6 +34,7 @@
 	 */
 	bool leased;
 	int64_t dispatch_valid_us; /* time within which a task must start */
+	double far_factor; /* work away from its data, in times of it there */
 };
 
 #define MST_ENTRY_OPTIONS_INIT                                                 \
@@ -44,7 +45,7 @@
 		.pause_us = 60 * G_USEC_PER_SEC,                               \
 		.answer_keep_us = 60 * G_USEC_PER_SEC, .jobs_max = 100000,     \
 		.bytes_max = 1u << 30, .adopt_us = 10 * G_USEC_PER_SEC,        \
-		.dispatch_valid_us = 400 * 1000,                               \
+		.dispatch_valid_us = 400 * 1000, .far_factor = 1,              \
 	}
 
 /** A job's ticket: its identity and an agent that arbitrates it. */
@@ -63,6 +64,19 @@
 	struct mst_resources needs;
 };
 
+/** Most steps in one job. */
+#define MST_STEPS_MAX 64
+
+/** Some tasks of a job in a row, and when and where they may run. */
+struct mst_step_spec {
+	uint32_t first;
+	uint32_t count;
+	uint64_t after; /* bit N: all tasks of step N must have ended well */
+	struct mst_bytes requires; /* label of the worker; empty: any */
+	struct mst_bytes rack;     /* where its data is; empty: anywhere */
+	uint32_t per_member_max;   /* tasks at one member at once; 0: any */
+};
+
 struct mst_job_spec {
 	struct mst_ticket ticket; /* minter 0: mint one now */
 	uint64_t fingerprint;     /* of the whole request */
@@ -70,6 +84,8 @@
 	uint32_t timeout_ms; /* 0: the policy's default */
 	uint32_t count;
 	const struct mst_task_spec *tasks;
+	uint32_t step_count;               /* 0: one step without conditions */
+	const struct mst_step_spec *steps; /* in order, of all tasks */
 	struct mst_bytes traceparent;
 	/*
 	 * Restartable: the caller waits for the answer and sends the job again
--- a/include/masticstall/message.h
+++ b/include/masticstall/message.h
@@ -14,7 +14,7 @@
 #include <masticstall/seqset.h>
 
 /** Version of the message format; others are dropped. */
-#define MST_MSG_VERSION 2
+#define MST_MSG_VERSION 3
 /** Largest encoded message, bytes. */
 #define MST_MSG_MAX_BYTES (64u << 20)
 /** Most tasks in one job. */
@@ -104,6 +104,7 @@
 	struct mst_bytes failure_domain;
 	struct mst_bytes rack;
 	struct mst_bytes service; /* what its upstream serves; may be empty */
+	struct mst_bytes labels;  /* of its worker, by commas */
 	/* Of the texts above and entries, which are told when the receiver's
 	 * last heartbeat names another one. */
 	uint32_t description;
--- a/include/masticstall/worker.h
+++ b/include/masticstall/worker.h
@@ -84,8 +84,9 @@
 	struct mst_bytes id;
 	struct mst_bytes service;
 	struct mst_bytes rack;
-	uint64_t life; /* 0: not told */
-	uint64_t seq;  /* rises within a life */
+	struct mst_bytes labels; /* by commas */
+	uint64_t life;           /* 0: not told */
+	uint64_t seq;            /* rises within a life */
 	struct mst_resources capacity;
 	bool draining;
 	bool gone; /* it leaves with this report */
--- a/src/codec/codec.c
+++ b/src/codec/codec.c
@@ -34,6 +34,7 @@
 	codec_put_bytes(pk, m->failure_domain);
 	codec_put_bytes(pk, m->rack);
 	codec_put_bytes(pk, m->service);
+	codec_put_bytes(pk, m->labels);
 	codec_put_u64(pk, m->description);
 	codec_put_u64(pk, m->clock_us);
 	codec_put_u64(pk, m->slots);
@@ -60,6 +61,7 @@
 	m->failure_domain = codec_get_bytes(r);
 	m->rack = codec_get_bytes(r);
 	m->service = codec_get_bytes(r);
+	m->labels = codec_get_bytes(r);
 	m->description = codec_get_u32(r);
 	m->clock_us = codec_get_u64(r);
 	m->slots = codec_get_u32(r);
@@ -417,7 +419,7 @@
 }
 
 static const uint8_t payload_fields[MST_MSG_MAX] = {
-    [MST_MSG_ANNOUNCE] = 23,
+    [MST_MSG_ANNOUNCE] = 24,
     [MST_MSG_HEARTBEAT] = 10,
     [MST_MSG_DISPATCH] = 5,
     [MST_MSG_RESULT] = 3,
--- a/src/core/agent.c
+++ b/src/core/agent.c
@@ -66,6 +66,7 @@
 	g_free(agent->rack);
 	g_free(agent->worker.id);
 	g_free(agent->worker.service);
+	g_free(agent->worker.labels);
 	g_free(agent->entries);
 	g_free(agent);
 }
@@ -117,6 +118,7 @@
 	m->failure_domain = mst_bytes_of(agent->failure_domain);
 	m->rack = mst_bytes_of(agent->rack);
 	m->service = mst_bytes_of(agent->worker.service);
+	m->labels = mst_bytes_of(agent->worker.labels);
 	m->entries = mst_bytes_of(agent->entries);
 }
 
--- a/src/core/agent_internal.h
+++ b/src/core/agent_internal.h
@@ -37,6 +37,7 @@
 	bool draining;
 	char *id;
 	char *service;
+	char *labels;
 	uint64_t life;
 	uint64_t report_seq;
 	uint64_t fence;
--- a/src/core/agent_worker.c
+++ b/src/core/agent_worker.c
@@ -131,6 +131,7 @@
 		mst_worker_tell(agent, report->draining ? "draining" : "ready");
 	describe(agent, &worker->service, report->service);
 	describe(agent, &agent->rack, report->rack);
+	describe(agent, &worker->labels, report->labels);
 	agent->options.resources = report->capacity;
 	worker->draining = report->draining;
 	if (!worker->known)
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -61,6 +61,7 @@
 	    g_array_new(FALSE, TRUE, sizeof(struct mst_dispatch_item));
 	entry->scratch_withdrawn =
 	    g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
+	entry->scratch_candidates = mst_candidates_new();
 	*out = entry;
 	return 0;
 }
@@ -93,6 +94,7 @@
 	g_array_unref(entry->effects);
 	g_array_unref(entry->scratch_items);
 	g_ptr_array_unref(entry->scratch_withdrawn);
+	g_array_unref(entry->scratch_candidates);
 	g_string_free(entry->peers_text, TRUE);
 	mst_seqset_clear(&entry->used);
 	mst_config_free(entry->config);
--- a/src/core/entry_choose.c
+++ b/src/core/entry_choose.c
@@ -27,11 +27,24 @@
 	return service_us * (queued + 1) / MAX(member->slots, 1);
 }
 
+/* A task that a member is chosen for. */
+struct choice {
+	struct mst_entry *entry;
+	const struct job *job;
+	const struct task *task;
+};
+
+/* Expected time until a member would have ended the task, if its work were so
+ * many times as long as it seems. */
 static double
-finish_us(const struct member *member, double work_us)
+finish_us(
+    const struct choice *choice, const struct member *member, double factor)
 {
+	double work_us = mst_task_work_at_us(
+	    choice->entry, member, choice->job, choice->task);
+
 	return CHOOSE_OVERHEAD_US + slot_wait_us(member, member->queued) +
-	    work_us * member->slowness;
+	    factor * work_us * member->slowness;
 }
 
 /* Spreads tasks over members that are alike: entries that choose at the same
@@ -66,9 +79,9 @@
 
 /* The best expected finish at a member that has no room now. */
 static double
-later_finish_us(const struct mst_entry *entry, const struct job *job,
-    const struct task *task, double work_us)
+later_finish_us(const struct choice *choice)
 {
+	const struct mst_entry *entry = choice->entry;
 	double best_us = G_MAXDOUBLE;
 	guint i;
 
@@ -76,35 +89,51 @@
 		const struct member *member = entry->members->pdata[i];
 
 		if (!mst_member_usable(entry, member) ||
-		    !mst_member_serves(member, job) ||
-		    !mst_member_fits(member, task) ||
+		    !mst_member_serves(member, choice->job) ||
+		    !mst_member_fits(member, choice->task) ||
 		    mst_member_has_room(entry, member))
 			continue;
 		best_us = MIN(best_us,
-		    finish_us(member, work_us) +
+		    finish_us(choice, member, 1) +
 			slot_wait_us(member, entry->waiting));
 	}
 	return best_us;
 }
 
+/* Time from its start in which a job should end, if the task's work were so
+ * many times as long as it seems. */
+static double
+objective_us(const struct choice *choice, double factor)
+{
+	const struct job *job = choice->job;
+
+	if (job->step_count > 1)
+		return (double)(job->in_time_us - job->submitted_us);
+	return factor * job->stretch * mst_task_work_us(job, choice->task) +
+	    (double)job->target_us;
+}
+
 /* True when a task ends in time at a member, also when its work turns out to
  * be longer than expected: the objective grows with it, the deadline not. */
 static bool
-ends_in_time(const struct mst_entry *entry, const struct member *member,
-    const struct job *job, double work_us)
+ends_in_time(const struct choice *choice, const struct member *member)
 {
 	static const double factors[] = {1, CHOOSE_LONGER};
+	const struct mst_entry *entry = choice->entry;
+	const struct job *job = choice->job;
 	double elapsed_us = (double)(entry->now_us - job->submitted_us);
 	double given_us = (double)(job->deadline_us - job->submitted_us);
+	double rest_us = job->steps[choice->task->step].rest_us;
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(factors); i++) {
-		double objective_us = factors[i] * job->stretch * work_us +
-		    (double)job->target_us;
-		double end_us =
-		    elapsed_us + finish_us(member, factors[i] * work_us);
+		double end_us = elapsed_us +
+		    finish_us(choice, member, factors[i]) +
+		    rest_us * entry->fastest;
+		double limit_us =
+		    MIN(objective_us(choice, factors[i]), given_us);
 
-		if (end_us > MIN(objective_us, given_us) * CHOOSE_MARGIN)
+		if (end_us > limit_us * CHOOSE_MARGIN)
 			return false;
 	}
 	return true;
@@ -121,70 +150,93 @@
 	return first_us * (1 + CHOOSE_STRETCH_MAX * CLAMP(crowd, 0, 1));
 }
 
-/* The member that would end a task first, and when. */
-static struct member *
-first_to_finish(struct mst_entry *entry, const struct job *job,
-    const struct task *task, double work_us, double *first_us)
+/* A member with room for the task, and when it would end it. */
+struct candidate {
+	struct member *member;
+	double finish_us;
+};
+
+GArray *
+mst_candidates_new(void)
+{
+	return g_array_new(FALSE, FALSE, sizeof(struct candidate));
+}
+
+static GArray *
+candidates_of(const struct choice *choice)
 {
-	struct member *first = NULL;
+	struct mst_entry *entry = choice->entry;
+	GArray *candidates = entry->scratch_candidates;
 	guint i;
 
+	g_array_set_size(candidates, 0);
 	for (i = 0; i < entry->members->len; i++) {
-		struct member *member = entry->members->pdata[i];
-		double us;
+		struct candidate candidate = {
+		    .member = entry->members->pdata[i]};
 
-		if (!mst_member_is_candidate(entry, member, job, task))
+		if (!mst_member_is_candidate(
+			entry, candidate.member, choice->job, choice->task))
 			continue;
-		us = finish_us(member, work_us) * spread(entry, member);
-		if (first != NULL && us >= *first_us)
-			continue;
-		first = member;
-		*first_us = us;
+		candidate.finish_us = finish_us(choice, candidate.member, 1) *
+		    spread(entry, candidate.member);
+		g_array_append_val(candidates, candidate);
+	}
+	return candidates;
+}
+
+static const struct candidate *
+first_to_finish(const GArray *candidates)
+{
+	const struct candidate *first = NULL;
+	guint i;
+
+	for (i = 0; i < candidates->len; i++) {
+		const struct candidate *candidate =
+		    &g_array_index(candidates, struct candidate, i);
+
+		if (first == NULL || candidate->finish_us < first->finish_us)
+			first = candidate;
 	}
 	return first;
 }
 
-/* The last member to end a task that is in time and within a limit; NULL when
+/* The last to end the task that is in time and within a limit; NULL when
  * there is none. */
-static struct member *
-last_in_time(struct mst_entry *entry, const struct job *job,
-    const struct task *task, double work_us, double limit_us)
+static const struct candidate *
+last_in_time(
+    const struct choice *choice, const GArray *candidates, double limit_us)
 {
-	struct member *last = NULL;
-	double last_us = 0;
+	const struct candidate *last = NULL;
 	guint i;
 
-	for (i = 0; i < entry->members->len; i++) {
-		struct member *member = entry->members->pdata[i];
-		double us;
+	for (i = 0; i < candidates->len; i++) {
+		const struct candidate *candidate =
+		    &g_array_index(candidates, struct candidate, i);
 
-		if (!mst_member_is_candidate(entry, member, job, task))
-			continue;
-		us = finish_us(member, work_us) * spread(entry, member);
-		if (us > limit_us || us <= last_us ||
-		    !ends_in_time(entry, member, job, work_us))
+		if (candidate->finish_us > limit_us ||
+		    (last != NULL && candidate->finish_us <= last->finish_us) ||
+		    !ends_in_time(choice, candidate->member))
 			continue;
-		last = member;
-		last_us = us;
+		last = candidate;
 	}
 	return last;
 }
 
 struct member *
-mst_choose_leased(struct mst_entry *entry, const struct job *job,
-    const struct task *task, double work_us)
+mst_choose_leased(
+    struct mst_entry *entry, const struct job *job, const struct task *task)
 {
-	struct member *first, *last;
-	double first_us = 0;
+	const struct choice choice = {.entry = entry, .job = job, .task = task};
+	const GArray *candidates = candidates_of(&choice);
+	const struct candidate *first = first_to_finish(candidates);
+	const struct candidate *last;
 
-	first = first_to_finish(entry, job, task, work_us, &first_us);
 	if (first == NULL)
 		return NULL;
-	if (!ends_in_time(entry, first, job, work_us) &&
-	    later_finish_us(entry, job, task, work_us) <
-		finish_us(first, work_us))
+	if (!ends_in_time(&choice, first->member) &&
+	    later_finish_us(&choice) < finish_us(&choice, first->member, 1))
 		return NULL;
 	last = last_in_time(
-	    entry, job, task, work_us, accepted_us(entry, first_us));
-	return last != NULL ? last : first;
+	    &choice, candidates, accepted_us(entry, first->finish_us));
+	return last != NULL ? last->member : first->member;
 }
--- a/src/core/entry_flush.c
+++ b/src/core/entry_flush.c
@@ -35,8 +35,9 @@
 		    .flags = task->flags,
 		    .timeout_ms = timeout_left_ms(entry, job),
 		    .run = task->attempts,
-		    .work_us =
-			(uint32_t)MIN(mst_task_work_us(job, task), UINT32_MAX),
+		    .work_us = (uint32_t)MIN(
+			mst_task_work_at_us(entry, member, job, task),
+			UINT32_MAX),
 		    .needs = task->needs,
 		    .method = mst_span_bytes(job, task->method),
 		    .path = mst_span_bytes(job, task->path),
--- a/src/core/entry_internal.h
+++ b/src/core/entry_internal.h
@@ -23,7 +23,8 @@
 #define ENTRY_STOP_LINGER_US (30 * G_USEC_PER_SEC)
 
 enum task_state {
-	TASK_WAITING = 1,
+	TASK_HELD = 1, /* its step waits for others */
+	TASK_WAITING,
 	TASK_SENT,
 	TASK_DELAYED, /* waits for its retry */
 	TASK_CLOSED
@@ -44,6 +45,7 @@
 	bool withdrawing;
 	bool maybe_started; /* an earlier attempt has, or may have */
 	uint8_t failures;   /* runs that ended as failed */
+	uint8_t step;
 	uint16_t status;
 	uint32_t declared_us;
 	uint32_t queue_us;
@@ -64,6 +66,20 @@
 	struct mst_bytes result_body; /* owned */
 };
 
+/* Some tasks of a job in a row, and their conditions. */
+struct step {
+	uint32_t first;
+	uint32_t count;
+	uint32_t open;  /* tasks that have not ended well */
+	uint64_t after; /* steps that must have ended well before, as bits */
+	bool held;      /* some of those have not */
+	struct span requires;    /* label of the member; empty: any */
+	struct span rack;        /* where its data is; empty: anywhere */
+	uint32_t per_member_max; /* tasks at one member at once; 0: any */
+	double observed_us;      /* longest work of a task that has ended */
+	double rest_us;          /* expected work of what waits for it */
+};
+
 struct job {
 	uint64_t handle;
 	struct mst_ticket ticket;
@@ -81,6 +97,8 @@
 	bool cancelled;
 	bool any_unknown;
 	struct task *tasks;
+	struct step *steps;
+	uint32_t step_count;
 	GArray *waiting;       /* uint16_t task indexes; the next is last */
 	GSequenceIter *queued; /* in the team's queue */
 	GArray *requests;      /* uint64_t, callers that wait */
@@ -95,7 +113,6 @@
 	double stretch;
 	int64_t target_us;
 	double waiting_us;  /* expected work of its waiting tasks */
-	double observed_us; /* longest work of a task that has ended */
 	int64_t in_time_us; /* the objective */
 	int64_t useful_us;  /* answers after this are worth nothing */
 	int64_t latest_us;  /* latest start for the objective */
@@ -136,6 +153,7 @@
 	char *name;
 	char *failure_domain;
 	char *rack;
+	char **labels;
 	enum member_state state;
 	uint32_t slots;
 	struct mst_resources resources;
@@ -253,6 +271,7 @@
 	GString *peers_text;          /* addresses, by commas */
 	GArray *scratch_items;        /* struct mst_dispatch_item */
 	GPtrArray *scratch_withdrawn; /* GArrays that effects refer to */
+	GArray *scratch_candidates;   /* see entry_choose.c */
 };
 
 /* entry.c */
@@ -287,11 +306,37 @@
 bool mst_job_may_have_run(const struct job *job);
 void mst_entry_expire_jobs(struct mst_entry *entry);
 void mst_job_free(struct mst_entry *entry, struct job *job);
+/* Queues a step's tasks that wait. */
+void mst_job_queue_step(
+    struct mst_entry *entry, struct job *job, const struct step *step);
 void mst_job_queue_all(struct mst_entry *entry, struct job *job);
 void mst_job_discard(struct mst_entry *entry, struct job *job);
 void mst_task_take_result(struct mst_entry *entry, struct job *job,
     uint32_t index, const struct mst_result_item *result);
 
+/* entry_step.c */
+/* Takes over the steps of a job's specification, or makes the only one. */
+void mst_job_set_steps(struct job *job, const struct mst_job_spec *spec,
+    struct span (*put)(struct job *job, struct mst_bytes bytes));
+/* Expected work of a job's longest chain of steps; notes what of it comes after
+ * each step. */
+double mst_job_chain_us(struct job *job);
+double mst_spec_chain_us(
+    const struct mst_job_spec *spec, const struct team *team);
+/* Takes note of a task that ended well; queues the steps that waited for it. */
+void mst_step_task_done(
+    struct mst_entry *entry, struct job *job, uint32_t index);
+/* True when a member has what the task's step asks for. */
+bool mst_member_meets(const struct member *member, const struct job *job,
+    const struct task *task);
+/* True when the members are known and none of them could ever run a step. */
+bool mst_spec_fits_nobody(
+    const struct mst_entry *entry, const struct mst_job_spec *spec);
+/* Work of a task at a member, before its slowness. */
+double mst_task_work_at_us(const struct mst_entry *entry,
+    const struct member *member, const struct job *job,
+    const struct task *task);
+
 /* entry_team.c */
 struct team *mst_team_get(struct mst_entry *entry, const char *name);
 void mst_team_free(struct team *team);
@@ -331,11 +376,12 @@
 void mst_job_demote_late(struct mst_entry *entry, struct job *job);
 
 /* entry_choose.c */
+GArray *mst_candidates_new(void);
 /* Share of the members' speed that is in use. */
 double mst_leased_busy_share(const struct mst_entry *entry);
 /* The member for a task, or NULL when it should wait for a better one. */
-struct member *mst_choose_leased(struct mst_entry *entry, const struct job *job,
-    const struct task *task, double work_us);
+struct member *mst_choose_leased(
+    struct mst_entry *entry, const struct job *job, const struct task *task);
 
 /* entry_overdue.c */
 void mst_entry_scan_overdue(struct mst_entry *entry);
--- a/src/core/entry_job.c
+++ b/src/core/entry_job.c
@@ -24,6 +24,9 @@
 	size_t total = spec->traceparent.len;
 	uint32_t i;
 
+	for (i = 0; i < spec->step_count; i++)
+	total += spec->steps[i].requires.len + spec->steps[i].rack.len;
+
 	for (i = 0; i < spec->count; i++) {
 		const struct mst_task_spec *t = &spec->tasks[i];
 
@@ -88,6 +91,7 @@
 	g_array_unref(job->waiting);
 	g_array_unref(job->requests);
 	g_free(job->tasks);
+	g_free(job->steps);
 	g_free(job->key);
 	g_free(job->arena);
 	g_free(job);
@@ -194,20 +198,23 @@
 	job_set_terms(entry, job, spec);
 	for (i = 0; i < spec->count; i++)
 		task_init(job, i, &spec->tasks[i]);
+	mst_job_set_steps(job, spec, arena_put);
 	mst_job_set_objective(entry, job);
 	job->bytes = sizeof(*job) + arena +
-	    spec->count * (sizeof(struct task) + sizeof(uint16_t));
+	    spec->count * (sizeof(struct task) + sizeof(uint16_t)) +
+	    job->step_count * sizeof(struct step);
 	entry->bytes += job->bytes;
 	g_hash_table_insert(entry->by_id, &job->ticket.job, job);
 	return job;
 }
 
 void
-mst_job_queue_all(struct mst_entry *entry, struct job *job)
+mst_job_queue_step(
+    struct mst_entry *entry, struct job *job, const struct step *step)
 {
 	uint32_t i;
 
-	for (i = 0; i < job->count; i++) {
+	for (i = step->first; i < step->first + step->count; i++) {
 		uint16_t index = (uint16_t)i;
 
 		if (job->tasks[i].state != TASK_WAITING)
@@ -221,6 +228,15 @@
 		mst_team_enqueue(entry, job);
 }
 
+void
+mst_job_queue_all(struct mst_entry *entry, struct job *job)
+{
+	uint32_t s;
+
+	for (s = 0; s < job->step_count; s++)
+		mst_job_queue_step(entry, job, &job->steps[s]);
+}
+
 void
 mst_task_requeue(struct mst_entry *entry, struct job *job, uint32_t index)
 {
@@ -348,6 +364,8 @@
 	}
 	if (job->open == 0)
 		mst_job_close(entry, job, MST_JOB_COMPLETE, MST_REASON_NONE);
+	else
+		mst_step_task_done(entry, job, index);
 }
 
 /* True when members are known and none of them could run the next task. */
--- a/src/core/entry_member.c
+++ b/src/core/entry_member.c
@@ -24,6 +24,7 @@
 	g_free(member->name);
 	g_free(member->failure_domain);
 	g_free(member->rack);
+	g_strfreev(member->labels);
 	g_free(member);
 }
 
@@ -225,6 +226,16 @@
 	return member;
 }
 
+static void
+member_set_labels(struct member *member, struct mst_bytes labels)
+{
+	char *text = mst_bytes_string(labels);
+
+	g_strfreev(member->labels);
+	member->labels = g_strsplit(text, ",", -1);
+	g_free(text);
+}
+
 static void
 member_set_service(struct member *member, struct mst_bytes name)
 {
@@ -246,6 +257,7 @@
 		mst_text_set(&member->name, m->name);
 		mst_text_set(&member->failure_domain, m->failure_domain);
 		mst_text_set(&member->rack, m->rack);
+		member_set_labels(member, m->labels);
 		member_set_service(member, m->service);
 	}
 	member->slots = m->slots;
--- a/src/core/entry_objective.c
+++ b/src/core/entry_objective.c
@@ -1,7 +1,7 @@
 /*
  * Objectives of restartable jobs: a job is in time when it ends within a
- * multiple of its longest task and some more. Which job goes first, and when a
- * job can't be in time any more, follow from that.
+ * multiple of its longest chain of tasks and some more. Which job goes first,
+ * and when a job can't be in time any more, follow from that.
  */
 
 #include "core/entry_internal.h"
@@ -11,23 +11,6 @@
 #define PRIORITY_MAX   10
 #define RATE_SHARE_MIN 0.5 /* of an entry's share of the capacity */
 
-/* Expected work of the longest task that has not ended. */
-static double
-longest_work_us(const struct job *job)
-{
-	double longest_us = 0;
-	uint32_t i;
-
-	for (i = 0; i < job->count; i++) {
-		const struct task *task = &job->tasks[i];
-
-		if (task->state != TASK_CLOSED)
-			longest_us =
-			    MAX(longest_us, mst_task_work_us(job, task));
-	}
-	return longest_us;
-}
-
 /* Time for the objective and time of any use, from the start. */
 struct terms {
 	int64_t in_time_us;
@@ -57,7 +40,7 @@
 mst_job_set_objective(struct mst_entry *entry, struct job *job)
 {
 	int64_t given_us = job->deadline_us - job->submitted_us;
-	double work_us = longest_work_us(job);
+	double work_us = mst_job_chain_us(job);
 	struct terms terms = terms_of(entry, work_us, job->stretch,
 	    job->target_us, given_us, job->priority);
 
@@ -112,15 +95,9 @@
 mst_job_would_be_late(const struct mst_entry *entry,
     const struct mst_job_spec *spec, const struct team *team, double *wait_us)
 {
-	double work_us = 0;
+	double work_us = mst_spec_chain_us(spec, team);
 	struct terms terms;
-	uint32_t i;
 
-	for (i = 0; i < spec->count; i++)
-		work_us = MAX(work_us,
-		    mst_estimate_us(&team->estimate,
-			spec->tasks[i].declared_us ? spec->tasks[i].declared_us
-						   : ENTRY_DECLARED_US));
 	terms = terms_of(entry, work_us, spec->stretch,
 	    (int64_t)spec->target_ms * 1000, (int64_t)spec->timeout_ms * 1000,
 	    spec->priority);
--- a/src/core/entry_overdue.c
+++ b/src/core/entry_overdue.c
@@ -15,7 +15,8 @@
 task_is_overdue(const struct mst_entry *entry, const struct member *member,
     const struct job *job, const struct task *task)
 {
-	double expected_us = mst_task_work_us(job, task) * member->slowness;
+	double expected_us =
+	    mst_task_work_at_us(entry, member, job, task) * member->slowness;
 
 	return (double)(entry->now_us - task->sent_us) >
 	    expected_us * OVERDUE_FACTOR + OVERDUE_SLACK_US;
--- a/src/core/entry_place.c
+++ b/src/core/entry_place.c
@@ -14,9 +14,9 @@
 
 	if (!job->restartable)
 		return task->declared_us * mst_speed_ratio(&job->team->bias);
-	/* Tasks of one job are alike. */
+	/* Tasks of one step are alike. */
 	work_us = mst_estimate_us(&job->team->estimate, task->declared_us);
-	return MAX(work_us, job->observed_us);
+	return MAX(work_us, job->steps[task->step].observed_us);
 }
 
 bool
@@ -76,7 +76,8 @@
 {
 	if (!mst_member_serves(member, job) ||
 	    !mst_member_has_room(entry, member) ||
-	    !mst_member_fits(member, task))
+	    !mst_member_fits(member, task) ||
+	    !mst_member_meets(member, job, task))
 		return false;
 	return task->avoid != member->incarnation || usable_members(entry) < 2;
 }
@@ -352,7 +353,7 @@
 		break;
 	}
 	if (entry->options.leased)
-		return mst_choose_leased(entry, job, task, work_us);
+		return mst_choose_leased(entry, job, task);
 	return choose_by_finish(entry, job, task, work_us, ahead_us);
 }
 
@@ -418,8 +419,8 @@
 		}
 		*ahead_us += work_us;
 		(*tries)--;
-		/* Tasks of one job are alike: the next would not go either. */
-		if (job->restartable)
+		/* Tasks of one step are alike: the next would not go either. */
+		if (job->restartable && job->step_count == 1)
 			break;
 	}
 	return false;
--- a/src/core/entry_result.c
+++ b/src/core/entry_result.c
@@ -123,26 +123,29 @@
 }
 
 static void
-estimate_learn(const struct member *member, struct job *job,
-    const struct task *task, double observed_us)
+estimate_learn(const struct mst_entry *entry, const struct member *member,
+    struct job *job, const struct task *task, double observed_us)
 {
-	double work_us = observed_us / member->slowness;
+	struct step *step = &job->steps[task->step];
+	double far = mst_task_work_at_us(entry, member, job, task) /
+	    mst_task_work_us(job, task);
+	double work_us = observed_us / member->slowness / far;
 
 	mst_estimate_learn(&job->team->estimate, task->declared_us, work_us,
 	    RESULT_TEAM_WINDOW);
-	job->observed_us = MAX(job->observed_us, work_us);
+	step->observed_us = MAX(step->observed_us, work_us);
 }
 
 static void
-speed_learn(struct member *member, struct job *job, const struct task *task,
-    double observed_us)
+speed_learn(const struct mst_entry *entry, struct member *member,
+    struct job *job, const struct task *task, double observed_us)
 {
 	struct mst_speed *bias = &job->team->bias;
 	double declared_us = task->declared_us;
 
 	member->service_us += (observed_us - member->service_us) / 8;
 	if (job->restartable) {
-		estimate_learn(member, job, task, observed_us);
+		estimate_learn(entry, member, job, task, observed_us);
 		return;
 	}
 	mst_speed_learn(&member->speed, observed_us,
@@ -225,7 +228,8 @@
 			break;
 		}
 		if (result->status < STATUS_FAILED)
-			speed_learn(member, job, task, result->service_us);
+			speed_learn(
+			    entry, member, job, task, result->service_us);
 		task_done(entry, job, index, result);
 		break;
 	case MST_OUTCOME_NOT_RUN:
--- a/src/core/entry_submit.c
+++ b/src/core/entry_submit.c
@@ -42,6 +42,8 @@
 	if (team->open + spec->count > quota)
 		return MST_REASON_QUOTA;
 	if (spec->restartable) {
+		if (mst_spec_fits_nobody(entry, spec))
+			return MST_REASON_NO_FIT;
 		if (!mst_job_would_be_late(entry, spec, team, &wait_us))
 			return MST_REASON_NONE;
 		*retry_ms = retry_after_ms(wait_us);
--- a/src/runtime/entry_front.c
+++ b/src/runtime/entry_front.c
@@ -116,9 +116,11 @@
 {
 	struct front_answer answer = {.outcome = FRONT_NOT_RUN,
 	    .retry_after_ms = MAX(effect->retry_after_ms, FRONT_RETRY_MS)};
-
 	struct mst_entry_gauges gauges = mst_entry_gauges(rt->entry);
 
+	/* It will never run: its caller need not come back. */
+	if (effect->reason == MST_REASON_NO_FIT)
+		answer = (struct front_answer){.outcome = FRONT_FAILED};
 	mst_log(MST_LOG_INFO, "job-refused",
 	    "job=%s reason=%s wait_ms=%" PRIu32 " tasks_waiting=%" PRIu32
 	    " tasks_sent=%" PRIu32 " agents=%" PRIu32 " config=%" PRIu64,
@@ -139,7 +141,7 @@
 	    .outcome = FRONT_NOT_RUN, .retry_after_ms = FRONT_RETRY_MS};
 	struct pending *pending;
 
-	if (asked->stored) {
+	if (asked->unserved) {
 		mst_log(MST_LOG_INFO, "job-refused", "job=%s reason=%s",
 		    asked->key, mst_reason_name(MST_REASON_NOT_SERVED));
 		front_answer(rt, rt->front, request->id, &answer);
--- a/src/runtime/entry_runtime.c
+++ b/src/runtime/entry_runtime.c
@@ -364,6 +364,7 @@
 	mst_lease_times(
 	    &times, settings->resend_ms, settings->worker.lease_max_ms);
 	mst_entry_options_lease(options, &times);
+	options->far_factor = settings->front.far_factor;
 }
 
 static int
--- a/src/runtime/ports.h
+++ b/src/runtime/ports.h
@@ -27,7 +27,7 @@
 
 struct front_request {
 	enum front_request_kind kind;
-	bool stored;              /* SUBMIT: is to survive its entry */
+	bool unserved;            /* SUBMIT: asks for what isn't served yet */
 	struct mst_job_spec spec; /* SUBMIT */
 	const char *key;          /* of the job */
 	const char *fault;        /* MALFORMED: what is wrong; static */
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -206,6 +206,8 @@
 	"grace_s", struct mst_front_settings, grace_s, 0.1, 3600),
     SCHEMA_UINT_FIELD(
 	"config_ms", struct mst_front_settings, config_ms, 100, 3600000),
+    SCHEMA_NUMBER_FIELD(
+	"far_factor", struct mst_front_settings, far_factor, 1, 1000),
     {0}};
 
 #define COMMON_FIELDS                                                          \
@@ -301,6 +303,7 @@
 	settings->worker.lease_max_ms = 1000;
 	settings->front.grace_s = 6;
 	settings->front.config_ms = 2000;
+	settings->front.far_factor = 1;
 	settings->resend_ms = 1300;
 	settings->operators =
 	    g_array_new(FALSE, TRUE, sizeof(struct mst_operator_settings));
--- a/tests/world/leased.c
+++ b/tests/world/leased.c
@@ -95,6 +95,14 @@
 	return at;
 }
 
+void
+world_place_worker(
+    struct world *world, int at, const char *rack, const char *labels)
+{
+	world->nodes[at].rack = rack;
+	world->nodes[at].labels = labels;
+}
+
 struct sim_worker *
 world_worker(const struct world *world, int at)
 {
@@ -114,6 +122,8 @@
 	struct node *node = &world->nodes[at];
 	struct mst_worker_report report = {.id = mst_bytes_of(node->name),
 	    .service = mst_bytes_of("service"),
+	    .rack = mst_bytes_of(node->rack),
+	    .labels = mst_bytes_of(node->labels),
 	    .seq = ++node->reports,
 	    .capacity = node->capacity};
 	struct mst_agent_event event = {
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -107,6 +107,8 @@
 		entry.address = node->name;
 		if (world->options.leased)
 			mst_entry_options_lease(&entry, &world->leases);
+		if (world->options.far_factor > 0)
+			entry.far_factor = world->options.far_factor;
 		mst_entry_new(&node->entry, &entry);
 	} else {
 		node->agent_options.incarnation = node->incarnation;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -65,6 +65,7 @@
 	bool keep_bodies;
 	uint32_t resend_ms; /* of the callers; 0: 1,300 */
 	bool leased;        /* entries hold their work by leases */
+	double far_factor;  /* work away from its data; 0: as near it */
 	bool verbose;       /* the log tells of members and heartbeats, too */
 	struct world_service (*service)(void *ctx, int agent,
 	    const struct mst_dispatch_item *task, int64_t now_us);
@@ -84,6 +85,10 @@
 int world_add_leased(struct world *world, const char *name,
     const struct mst_resources *capacity);
 
+/* Says where a leased agent's worker stands; the strings are borrowed. */
+void world_place_worker(
+    struct world *world, int at, const char *rack, const char *labels);
+
 struct sim_worker;
 struct sim_worker *world_worker(const struct world *world, int node);
 
--- a/tests/world/world_internal.h
+++ b/tests/world/world_internal.h
@@ -18,6 +18,8 @@
 	GQueue backlog;            /* struct happening, while paused */
 	struct sim_worker *worker; /* beside a leased agent */
 	struct mst_resources capacity;
+	const char *rack;
+	const char *labels;
 	int64_t report_us; /* when it reports about itself next */
 	uint64_t reports;
 };
