--- a/include/masticstall.h
+++ b/include/masticstall.h
@@ -9,6 +9,7 @@
 #include <masticstall/entry.h>
 #include <masticstall/lease.h>
 #include <masticstall/message.h>
+#include <masticstall/record.h>
 #include <masticstall/seqset.h>
 #include <masticstall/settings.h>
 #include <masticstall/worker.h>
--- a/include/masticstall/agent.h
+++ b/include/masticstall/agent.h
@@ -9,6 +9,7 @@
 #include <glib.h>
 #include <masticstall/lease.h>
 #include <masticstall/message.h>
+#include <masticstall/record.h>
 #include <masticstall/worker.h>
 
 struct mst_agent;
@@ -36,6 +37,7 @@
 	 */
 	bool leased;
 	struct mst_lease_times leases;
+	bool stores; /* leased only: its worker runs stored jobs, too */
 };
 
 #define MST_AGENT_OPTIONS_INIT                                                 \
@@ -57,7 +59,8 @@
 	MST_AGENT_EV_DRAIN,    /* take no new work, stop when idle */
 	MST_AGENT_EV_FLUSH,    /* send what has been collected */
 	MST_AGENT_EV_REPORT,   /* the worker has reported about itself */
-	MST_AGENT_EV_ORDERED   /* an order to the worker has an answer */
+	MST_AGENT_EV_ORDERED,  /* an order to the worker has an answer */
+	MST_AGENT_EV_STORE     /* an operation of the store has its answer */
 };
 
 struct mst_agent_event {
@@ -69,6 +72,7 @@
 	const char *entries;                    /* ENTRIES, by commas */
 	const struct mst_worker_report *report; /* REPORT */
 	const struct mst_order_answer *answer;  /* ORDERED */
+	const struct mst_store_answer *stored;  /* STORE */
 };
 
 enum mst_agent_effect_type {
@@ -80,7 +84,8 @@
 	MST_AGENT_FX_ORDER,    /* send an order to the worker */
 	MST_AGENT_FX_WORKER,   /* the worker was lost, or is there again */
 	MST_AGENT_FX_RUN,      /* a run has ended other than well */
-	MST_AGENT_FX_LEASE     /* an entry's lease has lapsed */
+	MST_AGENT_FX_LEASE,    /* an entry's lease has lapsed */
+	MST_AGENT_FX_STORE     /* something to be done by the store */
 };
 
 struct mst_agent_effect {
@@ -95,8 +100,9 @@
 	uint64_t entry;                       /* RUN, LEASE: incarnation */
 	uint32_t number;                      /* RUN: of the task's runs */
 	struct mst_result_item result;        /* RUN */
-	int64_t silent_us; /* LEASE: age of the entry's echo */
-	uint32_t open;     /* LEASE: tasks that it had here */
+	int64_t silent_us;      /* LEASE: age of the entry's echo */
+	uint32_t open;          /* LEASE: tasks that it had here */
+	struct mst_store_op op; /* STORE */
 };
 
 /** Counters of one agent, all since its start. */
@@ -115,6 +121,7 @@
 	uint64_t runs_lost;    /* ended without a result */
 	uint64_t runs_unknown; /* found on the worker, and stopped */
 	uint64_t leases_lapsed;
+	uint64_t lapses_made; /* of the worker, so that ends count no more */
 	uint64_t orders[MST_ORDER_INVALID + 1]; /* by status */
 };
 
--- a/include/masticstall/entry.h
+++ b/include/masticstall/entry.h
@@ -10,6 +10,7 @@
 #include <masticstall/config.h>
 #include <masticstall/lease.h>
 #include <masticstall/message.h>
+#include <masticstall/record.h>
 
 struct mst_entry;
 
@@ -35,6 +36,10 @@
 	bool leased;
 	int64_t dispatch_valid_us; /* time within which a task must start */
 	double far_factor; /* work away from its data, in times of it there */
+	bool stores;       /* leased only: takes stored jobs */
+	int64_t owner_lease_us; /* without a renewal, its jobs are given up */
+	int64_t take_us;        /* and taken by others after this time */
+	int64_t record_keep_us; /* how long a closed job's record is kept */
 };
 
 #define MST_ENTRY_OPTIONS_INIT                                                 \
@@ -46,6 +51,9 @@
 		.answer_keep_us = 60 * G_USEC_PER_SEC, .jobs_max = 100000,     \
 		.bytes_max = 1u << 30, .adopt_us = 10 * G_USEC_PER_SEC,        \
 		.dispatch_valid_us = 400 * 1000, .far_factor = 1,              \
+		.owner_lease_us = 2 * G_USEC_PER_SEC,                          \
+		.take_us = 4 * G_USEC_PER_SEC,                                 \
+		.record_keep_us = 180 * G_USEC_PER_SEC,                        \
 	}
 
 /** A job's ticket: its identity and an agent that arbitrates it. */
@@ -99,6 +107,12 @@
 	uint32_t attempts;   /* runs of a task that may end as failed */
 	double stretch;      /* objective, in times of the longest task */
 	uint32_t target_ms;  /* objective, added to that */
+	/*
+	 * Stored: answered once it is recorded, and run to its end by whoever
+	 * owns it then.
+	 */
+	bool stored;
+	const char *text; /* the job as it is stored, for its reader */
 };
 
 enum mst_entry_event_type {
@@ -111,7 +125,11 @@
 	MST_ENTRY_EV_GONE, /* a caller has left */
 	MST_ENTRY_EV_CONFIG,
 	MST_ENTRY_EV_DRAIN,
-	MST_ENTRY_EV_FLUSH
+	MST_ENTRY_EV_FLUSH,
+	MST_ENTRY_EV_FIND,       /* a caller asks for a stored job's state */
+	MST_ENTRY_EV_CANCEL_KEY, /* a caller cancels a stored job */
+	MST_ENTRY_EV_STORE,      /* an operation has its answer */
+	MST_ENTRY_EV_CANCELLED   /* another entry has cancelled a stored job */
 };
 
 struct mst_entry_event {
@@ -125,6 +143,22 @@
 	bool detach;                     /* SUBMIT: answer when accepted */
 	struct mst_config *config;       /* CONFIG; ownership passes */
 	const char *document;            /* CONFIG: its text */
+	/* FIND, CANCEL_KEY, CANCELLED: of the job; NULL: of any */
+	const char *key;
+	int64_t wall_ms;                       /* time of day */
+	const struct mst_store_answer *answer; /* STORE */
+};
+
+/** A stored job as its caller may see it. */
+enum mst_stored_state {
+	MST_STORED_UNKNOWN = 1, /* there is no such job */
+	MST_STORED_QUEUED,
+	MST_STORED_RUNNING,
+	MST_STORED_COMPLETE,
+	MST_STORED_FAILED,
+	MST_STORED_CANCELLED,
+	MST_STORED_ACCEPTED, /* to its submission */
+	MST_STORED_AWAY      /* the store doesn't tell */
 };
 
 enum mst_job_state { MST_JOB_OPEN = 1, MST_JOB_COMPLETE, MST_JOB_FAILED };
@@ -173,7 +207,11 @@
 	MST_ENTRY_FX_CONFIG,   /* a member holds a greater configuration */
 	MST_ENTRY_FX_TASK,     /* a task has got its final outcome */
 	MST_ENTRY_FX_MEMBER,   /* a member's state has changed */
-	MST_ENTRY_FX_STOPPED   /* drained; the process may end */
+	MST_ENTRY_FX_STOPPED,  /* drained; the process may end */
+	MST_ENTRY_FX_STORE,    /* something to be done by the store */
+	MST_ENTRY_FX_STATE,    /* a stored job's state, for a request */
+	MST_ENTRY_FX_OWNER,    /* this entry's ownership has changed */
+	MST_ENTRY_FX_CLOSED    /* a stored job is closed */
 };
 
 /** Why a request is refused, beside the reasons of tasks. */
@@ -186,18 +224,22 @@
 
 struct mst_entry_effect {
 	enum mst_entry_effect_type type;
-	struct mst_msg msg;       /* SEND, CONFIG */
-	uint64_t request;         /* ANSWER, REFUSE, MINTED, FORWARD */
-	uint64_t job;             /* ANSWER, TASK: see mst_entry_job() */
-	uint32_t index;           /* TASK */
-	struct mst_ticket ticket; /* MINTED */
-	enum mst_refusal refusal; /* REFUSE */
-	enum mst_reason reason;   /* REFUSE */
-	bool may_have_run;        /* REFUSE */
-	uint32_t retry_after_ms;  /* REFUSE */
-	uint64_t peer;            /* FORWARD; TASK, MEMBER: the agent */
-	struct mst_bytes peers;   /* PEERS */
-	const char *state;        /* MEMBER */
+	struct mst_msg msg; /* SEND, CONFIG */
+	uint64_t request;   /* ANSWER, REFUSE, MINTED, FORWARD */
+	uint64_t job;       /* ANSWER, TASK, CLOSED: for mst_entry_job() */
+	uint32_t index;     /* TASK */
+	struct mst_ticket ticket;     /* MINTED */
+	enum mst_refusal refusal;     /* REFUSE */
+	enum mst_reason reason;       /* REFUSE */
+	bool may_have_run;            /* REFUSE */
+	uint32_t retry_after_ms;      /* REFUSE */
+	uint64_t peer;                /* FORWARD; TASK, MEMBER: the agent */
+	struct mst_bytes peers;       /* PEERS */
+	const char *state;            /* MEMBER, OWNER */
+	struct mst_store_op op;       /* STORE */
+	enum mst_stored_state stored; /* STATE */
+	uint64_t owner; /* OWNER: of whom jobs were taken, or own */
+	uint32_t count; /* OWNER: jobs that are concerned */
 };
 
 /** Counters of one entry, all since its start. */
@@ -206,6 +248,12 @@
 	uint64_t jobs_complete;
 	uint64_t jobs_failed;
 	uint64_t jobs_adopted;
+	uint64_t jobs_stored;
+	uint64_t jobs_taken;   /* of owners that were lost */
+	uint64_t jobs_dropped; /* as this entry's ownership was lost */
+	uint64_t store_ops;
+	uint64_t store_conflicts;
+	uint64_t store_failures; /* busy, or without an answer */
 	uint64_t jobs_refused[MST_REASON_MAX];
 	uint64_t tasks;
 	uint64_t dispatches;
@@ -226,6 +274,7 @@
 	uint64_t incarnation;
 	uint32_t jobs_open;
 	uint32_t jobs_kept;
+	uint32_t jobs_stored; /* open ones */
 	uint32_t tasks_waiting;
 	uint32_t tasks_sent;
 	uint32_t members;
@@ -320,6 +369,16 @@
 const struct mst_entry_counters *mst_entry_counters(
     const struct mst_entry *entry);
 
+/**
+ * Counts the stored jobs of a queue that nobody has started, over all owners.
+ *
+ * @param entry the entry
+ * @param queue its name
+ * @return jobs, as of a renewal ago
+ */
+uint32_t mst_entry_queue_length(
+    const struct mst_entry *entry, const char *queue);
+
 /** Gives the gauges of this moment. */
 struct mst_entry_gauges mst_entry_gauges(const struct mst_entry *entry);
 
--- a/include/masticstall/message.h
+++ b/include/masticstall/message.h
@@ -159,6 +159,10 @@
 	struct mst_bytes content_type;
 	struct mst_bytes body;
 	struct mst_bytes traceparent;
+	/* Of a stored job; record is empty for others. */
+	struct mst_bytes record; /* its key */
+	uint64_t owner;          /* of the record */
+	uint32_t term;           /* of the record */
 };
 
 struct mst_dispatch {
@@ -175,6 +179,8 @@
 	uint8_t outcome; /* enum mst_outcome */
 	uint8_t reason;  /* enum mst_reason */
 	uint16_t status; /* HTTP status of the upstream */
+	/* The end is kept at the worker until the receiver has it recorded. */
+	bool kept;
 	uint32_t queue_us;
 	uint32_t service_us;
 	struct mst_bytes content_type;
--- a/include/masticstall/settings.h
+++ b/include/masticstall/settings.h
@@ -57,6 +57,7 @@
 	const char *ready_listen; /* ip:port, for the balancer's checks */
 	double grace_s;           /* from SIGTERM until the process is killed */
 	uint32_t config_ms; /* within which a configuration must be in force */
+	double keep_s;      /* for which a closed job's state is told */
 	double far_factor;  /* work away from its data, in times of it there */
 };
 
--- /dev/null
+++ b/src/api/record_json.c
@@ -0,0 +1,144 @@
+#include "api/record_json.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define OWNER_TEXT_LEN 16
+
+static const char *
+text_of(const cJSON *json, const char *name)
+{
+	const cJSON *item = cJSON_GetObjectItemCaseSensitive(json, name);
+
+	return cJSON_IsString(item) ? item->valuestring : "";
+}
+
+static double
+number_of(const cJSON *json, const char *name)
+{
+	const cJSON *item = cJSON_GetObjectItemCaseSensitive(json, name);
+
+	return cJSON_IsNumber(item) ? item->valuedouble : 0;
+}
+
+static char *
+print_and_delete(cJSON *json)
+{
+	char *text = cJSON_PrintUnformatted(json);
+
+	cJSON_Delete(json);
+	return text;
+}
+
+char *
+record_json_write(const struct mst_record *record)
+{
+	cJSON *json = cJSON_CreateObject();
+	char owner[OWNER_TEXT_LEN + 1];
+
+	/* A number of JSON has too few bits. */
+	g_snprintf(
+	    owner, sizeof(owner), "%016" G_GINT64_MODIFIER "x", record->owner);
+	cJSON_AddStringToObject(json, "owner", owner);
+	cJSON_AddNumberToObject(json, "term", record->term);
+	cJSON_AddNumberToObject(json, "change", record->change);
+	cJSON_AddStringToObject(
+	    json, "state", mst_record_state_name(record->state));
+	cJSON_AddStringToObject(json, "tasks", record->tasks);
+	if (record->closed_ms != 0)
+		cJSON_AddNumberToObject(
+		    json, "closed_ms", (double)record->closed_ms);
+	return print_and_delete(json);
+}
+
+static uint8_t
+state_of(const char *name)
+{
+	int state;
+
+	for (state = MST_RECORD_OPEN; state <= MST_RECORD_CANCELLED; state++) {
+		if (strcmp(name, mst_record_state_name(state)) == 0)
+			return (uint8_t)state;
+	}
+	return 0;
+}
+
+cJSON *
+record_json_read(struct mst_record *out, const char *text)
+{
+	cJSON *json = text != NULL ? cJSON_Parse(text) : NULL;
+
+	*out = (struct mst_record){
+	    .owner = strtoull(text_of(json, "owner"), NULL, 16),
+	    .term = (uint32_t)number_of(json, "term"),
+	    .change = (uint32_t)number_of(json, "change"),
+	    .state = state_of(text_of(json, "state")),
+	    .tasks = text_of(json, "tasks"),
+	    .closed_ms = (int64_t)number_of(json, "closed_ms")};
+	if (out->owner != 0 && out->state != 0)
+		return json;
+	cJSON_Delete(json);
+	return NULL;
+}
+
+char *
+owner_json_write(const struct mst_queue_length *lengths, uint32_t count)
+{
+	cJSON *json = cJSON_CreateObject();
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		cJSON_AddNumberToObject(
+		    json, lengths[i].queue, lengths[i].jobs);
+	return print_and_delete(json);
+}
+
+cJSON *
+owner_json_read(GArray *out, const char *text)
+{
+	cJSON *json = text != NULL ? cJSON_Parse(text) : NULL;
+	const cJSON *item;
+
+	cJSON_ArrayForEach (item, json) {
+		const struct mst_queue_length length = {
+		    .queue = item->string, .jobs = (uint32_t)item->valueint};
+
+		g_array_append_val(out, length);
+	}
+	return json;
+}
+
+char *
+stored_json_write(const struct mst_queue_config *queue, struct mst_bytes body)
+{
+	cJSON *json = cJSON_CreateObject();
+	char *text = mst_bytes_string(body);
+
+	cJSON_AddStringToObject(json, "queue", queue->name);
+	cJSON_AddStringToObject(json, "service", queue->service);
+	cJSON_AddNumberToObject(json, "priority", queue->priority);
+	cJSON_AddNumberToObject(json, "attempts", queue->attempts);
+	cJSON_AddNumberToObject(json, "timeout_ms", queue->timeout_ms);
+	cJSON_AddNumberToObject(json, "stretch", queue->stretch);
+	cJSON_AddNumberToObject(json, "target_ms", queue->target_ms);
+	cJSON_AddStringToObject(json, "body", text);
+	g_free(text);
+	return print_and_delete(json);
+}
+
+cJSON *
+stored_json_read(
+    struct mst_queue_config *queue, const char **body, const char *text)
+{
+	cJSON *json = text != NULL ? cJSON_Parse(text) : NULL;
+
+	*queue = (struct mst_queue_config){.name = text_of(json, "queue"),
+	    .service = text_of(json, "service"),
+	    .priority = (uint32_t)number_of(json, "priority"),
+	    .attempts = (uint32_t)number_of(json, "attempts"),
+	    .timeout_ms = (uint32_t)number_of(json, "timeout_ms"),
+	    .stretch = number_of(json, "stretch"),
+	    .target_ms = (uint32_t)number_of(json, "target_ms")};
+	*body = text_of(json, "body");
+	return json;
+}
--- a/src/codec/codec.c
+++ b/src/codec/codec.c
@@ -6,7 +6,9 @@
 
 G_DEFINE_QUARK(mst_codec_error, mst_codec_error)
 
-#define DISPATCH_ITEM_FIELDS 16
+#define DISPATCH_ITEM_FIELDS 19
+#define RESULT_FIELDS        9
+#define FENCED_ITEM_FIELDS   (2 + RESULT_FIELDS)
 
 static void
 put_resources(msgpack_packer *pk, const struct mst_resources *resources)
@@ -138,6 +140,9 @@
 		codec_put_bytes(pk, t->content_type);
 		codec_put_bytes(pk, t->body);
 		codec_put_bytes(pk, t->traceparent);
+		codec_put_bytes(pk, t->record);
+		codec_put_u64(pk, t->owner);
+		codec_put_u64(pk, t->term);
 	}
 }
 
@@ -174,6 +179,9 @@
 		items[i].content_type = codec_get_bytes(&nested);
 		items[i].body = codec_get_bytes(&nested);
 		items[i].traceparent = codec_get_bytes(&nested);
+		items[i].record = codec_get_bytes(&nested);
+		items[i].owner = codec_get_u64(&nested);
+		items[i].term = codec_get_u32(&nested);
 		if (items[i].seq == 0 || items[i].index >= MST_JOB_TASKS_MAX)
 			r->failed = true;
 	}
@@ -188,6 +196,7 @@
 	codec_put_u64(pk, t->outcome);
 	codec_put_u64(pk, t->reason);
 	codec_put_u64(pk, t->status);
+	codec_put_u64(pk, t->kept);
 	codec_put_u64(pk, t->queue_us);
 	codec_put_u64(pk, t->service_us);
 	codec_put_bytes(pk, t->content_type);
@@ -203,6 +212,7 @@
 	outcome = codec_get_u64(r);
 	reason = codec_get_u64(r);
 	status = codec_get_u64(r);
+	t->kept = codec_get_bool(r);
 	t->queue_us = codec_get_u32(r);
 	t->service_us = codec_get_u32(r);
 	t->content_type = codec_get_bytes(r);
@@ -222,7 +232,7 @@
 
 	codec_put_u64(pk, m->grant);
 	codec_put_u64(pk, m->free_slots);
-	msgpack_pack_array(pk, (size_t)m->count * 8);
+	msgpack_pack_array(pk, (size_t)m->count * RESULT_FIELDS);
 	for (i = 0; i < m->count; i++)
 		put_result(pk, &m->items[i]);
 }
@@ -237,11 +247,11 @@
 	m->grant = codec_get_u32(r);
 	m->free_slots = codec_get_u32(r);
 	nested = codec_get_array(r, &count);
-	if (nested.failed || count % 8 != 0)
+	if (nested.failed || count % RESULT_FIELDS != 0)
 		r->failed = true;
 	if (r->failed)
 		return;
-	m->count = count / 8;
+	m->count = count / RESULT_FIELDS;
 	items = codec_list_alloc(r, m->count, sizeof(*items));
 	for (i = 0; items != NULL && i < m->count; i++)
 		get_result(&nested, &items[i]);
@@ -263,7 +273,7 @@
 	codec_put_u64(pk, m->adopter);
 	codec_put_u64_list(pk, m->lineage, m->lineage_count);
 	codec_put_u64_list(pk, m->agents, m->agent_count);
-	msgpack_pack_array(pk, (size_t)m->count * 10);
+	msgpack_pack_array(pk, (size_t)m->count * FENCED_ITEM_FIELDS);
 	for (i = 0; i < m->count; i++) {
 		codec_put_u64(pk, m->items[i].index);
 		codec_put_u64(pk, m->items[i].finished);
@@ -288,11 +298,11 @@
 	m->lineage = codec_get_u64_list(r, &m->lineage_count);
 	m->agents = codec_get_u64_list(r, &m->agent_count);
 	nested = codec_get_array(r, &count);
-	if (nested.failed || count % 10 != 0)
+	if (nested.failed || count % FENCED_ITEM_FIELDS != 0)
 		r->failed = true;
 	if (r->failed)
 		return;
-	m->count = count / 10;
+	m->count = count / FENCED_ITEM_FIELDS;
 	items = codec_list_alloc(r, m->count, sizeof(*items));
 	for (i = 0; items != NULL && i < m->count; i++) {
 		items[i].index = codec_get_u32(&nested);
--- a/src/core/agent.c
+++ b/src/core/agent.c
@@ -1,6 +1,6 @@
 /* The agent's reducer: events in, effects out. */
 
-#include "core/agent_internal.h"
+#include "core/worker_internal.h"
 
 #include <string.h>
 
@@ -32,6 +32,7 @@
 	agent->failure_domain = g_strdup(options->failure_domain);
 	agent->rack = g_strdup(options->rack);
 	agent->service_us = 100 * 1000;
+	mst_ends_init(&agent->worker);
 	agent->description = 1;
 	agent->sessions = g_hash_table_new_full(g_direct_hash, g_direct_equal,
 	    NULL, (GDestroyNotify)mst_session_free);
@@ -53,6 +54,7 @@
 {
 	if (agent == NULL)
 		return;
+	mst_ends_clear(&agent->worker);
 	g_hash_table_unref(agent->active);
 	g_hash_table_unref(agent->sessions);
 	g_hash_table_unref(agent->claims);
@@ -468,6 +470,9 @@
 		mst_worker_tick(agent);
 		mst_agent_start_queued(agent);
 		break;
+	case MST_AGENT_EV_STORE:
+		mst_ends_answer(agent, event->stored);
+		break;
 	case MST_AGENT_EV_FLUSH:
 		mst_agent_flush(agent);
 		break;
--- /dev/null
+++ b/src/core/agent_ends.c
@@ -0,0 +1,400 @@
+/*
+ * Ends of stored jobs' runs. A worker lists an end until it is told that it was
+ * seen, and that is only told once the end is recorded: by the entry that owns
+ * the job, which then acknowledges the result, or, when that stays away, by
+ * this agent. An end that can't be recorded any more, as its run was given up,
+ * is told of after a lapse of the worker's lease, when it counts for nothing.
+ */
+
+#include "core/worker_internal.h"
+
+#include <string.h>
+
+#define ENDS_PATIENCE_US (INT64_C(1500) * 1000) /* for the entry */
+#define ENDS_RETRY_US    (INT64_C(200) * 1000)
+
+/* An end that its worker still lists. */
+struct kept_end {
+	uint64_t number; /* the worker's */
+	uint64_t session;
+	uint64_t seq; /* of the result */
+	char *record; /* key */
+	uint32_t index;
+	uint64_t owner;
+	uint32_t term;
+	bool failed;
+	bool in_change; /* that had no answer, or is on its way */
+	bool released;
+	int64_t since_us;
+};
+
+/* A record that this agent puts ends into. */
+struct settling {
+	char *record;
+	uint64_t op;     /* on its way; 0: none */
+	char *tasks;     /* as written, or NULL while it is read */
+	char *uncertain; /* as written by a change without an answer, or NULL */
+	int64_t due_us;
+};
+
+static void
+kept_free(gpointer data)
+{
+	struct kept_end *end = data;
+
+	g_free(end->record);
+	g_free(end);
+}
+
+static void
+settling_free(gpointer data)
+{
+	struct settling *settling = data;
+
+	g_free(settling->record);
+	g_free(settling->tasks);
+	g_free(settling->uncertain);
+	g_free(settling);
+}
+
+void
+mst_ends_init(struct worker *worker)
+{
+	g_queue_init(&worker->kept_ends);
+	worker->settlings = g_ptr_array_new_with_free_func(settling_free);
+}
+
+void
+mst_ends_clear(struct worker *worker)
+{
+	g_queue_clear_full(&worker->kept_ends, kept_free);
+	g_ptr_array_unref(worker->settlings);
+}
+
+void
+mst_ends_forget(struct worker *worker)
+{
+	g_queue_clear_full(&worker->kept_ends, kept_free);
+	g_ptr_array_set_size(worker->settlings, 0);
+}
+
+bool
+mst_ends_keep(struct mst_agent *agent, const struct run *run, uint64_t number,
+    bool failed)
+{
+	struct kept_end *end;
+
+	if (run->task.record.len == 0)
+		return false;
+	end = g_new0(struct kept_end, 1);
+	end->number = number;
+	end->session = run->session->entry;
+	end->seq = run->task.seq;
+	end->record = mst_bytes_string(run->task.record);
+	end->index = run->task.index;
+	end->owner = run->task.owner;
+	end->term = run->task.term;
+	end->failed = failed;
+	end->since_us = agent->now_us;
+	g_queue_push_tail(&agent->worker.kept_ends, end);
+	return true;
+}
+
+static void
+drop_released(struct worker *worker)
+{
+	struct kept_end *end;
+
+	while ((end = g_queue_peek_head(&worker->kept_ends)) != NULL &&
+	    end->released)
+		kept_free(g_queue_pop_head(&worker->kept_ends));
+}
+
+void
+mst_ends_acknowledged(struct mst_agent *agent, uint64_t session, uint64_t seq)
+{
+	GList *link;
+
+	for (link = agent->worker.kept_ends.head; link; link = link->next) {
+		struct kept_end *end = link->data;
+
+		if (end->session == session && end->seq == seq)
+			end->released = true;
+	}
+	drop_released(&agent->worker);
+}
+
+uint64_t
+mst_ends_noted(const struct worker *worker)
+{
+	const struct kept_end *first =
+	    g_queue_peek_head((GQueue *)&worker->kept_ends);
+
+	return first != NULL ? first->number - 1 : worker->ends_seen;
+}
+
+/* Lets everything on the worker lapse. Its ends count for nothing then. */
+static void
+cleanse(struct mst_agent *agent)
+{
+	struct worker *worker = &agent->worker;
+
+	if (worker->cleansing)
+		return;
+	worker->cleansing = true;
+	agent->counters.lapses_made++;
+	mst_worker_tell(agent, "lapses");
+}
+
+void
+mst_ends_lapsed(struct mst_agent *agent)
+{
+	struct worker *worker = &agent->worker;
+
+	mst_ends_forget(worker);
+	if (!worker->cleansing)
+		return;
+	worker->cleansing = false;
+	mst_worker_tell(agent, "lapsed");
+}
+
+void
+mst_ends_unknown(struct mst_agent *agent)
+{
+	struct worker *worker = &agent->worker;
+
+	if (!agent->options.stores || worker->cleansing)
+		return;
+	/* Whatever the earlier life has renewed lapses within a lease. */
+	worker->lapse_us = MAX(worker->lapse_us, mst_worker_lapse_us(agent));
+	cleanse(agent);
+}
+
+static struct settling *
+settling_find(const struct worker *worker, const char *record)
+{
+	guint i;
+
+	for (i = 0; i < worker->settlings->len; i++) {
+		struct settling *settling = worker->settlings->pdata[i];
+
+		if (strcmp(settling->record, record) == 0)
+			return settling;
+	}
+	return NULL;
+}
+
+static struct settling *
+settling_of_op(const struct worker *worker, uint64_t op)
+{
+	guint i;
+
+	for (i = 0; i < worker->settlings->len; i++) {
+		struct settling *settling = worker->settlings->pdata[i];
+
+		if (settling->op == op)
+			return settling;
+	}
+	return NULL;
+}
+
+static struct mst_store_op *
+store_op(struct mst_agent *agent, struct settling *settling,
+    enum mst_store_op_kind kind)
+{
+	struct mst_agent_effect *effect =
+	    mst_agent_emit(agent, MST_AGENT_FX_STORE);
+
+	settling->op = ++agent->next_handle;
+	effect->op = (struct mst_store_op){
+	    .kind = kind, .id = settling->op, .key = settling->record};
+	return &effect->op;
+}
+
+static bool
+must_be_settled(const struct mst_agent *agent, const struct kept_end *end)
+{
+	const struct session *session = mst_session_find(agent, end->session);
+
+	if (end->released)
+		return false;
+	return agent->now_us - end->since_us > ENDS_PATIENCE_US ||
+	    session == NULL || !mst_session_is_leased(agent, session);
+}
+
+void
+mst_ends_tick(struct mst_agent *agent)
+{
+	struct worker *worker = &agent->worker;
+	GList *link;
+	guint i;
+
+	for (link = worker->kept_ends.head; link; link = link->next) {
+		const struct kept_end *end = link->data;
+		struct settling *settling;
+
+		if (!must_be_settled(agent, end) ||
+		    settling_find(worker, end->record) != NULL)
+			continue;
+		settling = g_new0(struct settling, 1);
+		settling->record = g_strdup(end->record);
+		g_ptr_array_add(worker->settlings, settling);
+	}
+	for (i = 0; i < worker->settlings->len; i++) {
+		struct settling *settling = worker->settlings->pdata[i];
+
+		if (settling->op == 0 && agent->now_us >= settling->due_us)
+			store_op(agent, settling, MST_STORE_FIND);
+	}
+}
+
+/* Releases the ends that are recorded: all, or those of the change. */
+static void
+settling_end(struct mst_agent *agent, struct settling *settling, bool of_change)
+{
+	struct worker *worker = &agent->worker;
+	GList *link;
+
+	for (link = worker->kept_ends.head; link; link = link->next) {
+		struct kept_end *end = link->data;
+
+		if (strcmp(end->record, settling->record) == 0 &&
+		    (!of_change || end->in_change))
+			end->released = true;
+	}
+	drop_released(worker);
+	g_ptr_array_remove_fast(worker->settlings, settling);
+}
+
+/* True when a record still counts on this run: otherwise its task may have been
+ * run again. */
+static bool
+is_awaited(const struct kept_end *end, const struct mst_record *found)
+{
+	return end->owner == found->owner && end->term == found->term &&
+	    end->index < strlen(found->tasks);
+}
+
+static bool
+all_are_awaited(const struct mst_agent *agent, const struct settling *settling,
+    const struct mst_record *found)
+{
+	GList *link;
+
+	for (link = agent->worker.kept_ends.head; link; link = link->next) {
+		const struct kept_end *end = link->data;
+
+		if (strcmp(end->record, settling->record) == 0 &&
+		    !end->released && !is_awaited(end, found))
+			return false;
+	}
+	return true;
+}
+
+static void
+put_end(char *tasks, const struct kept_end *end)
+{
+	if (tasks[end->index] == MST_RECORD_DONE)
+		return;
+	if (!end->failed)
+		tasks[end->index] = MST_RECORD_DONE;
+	else if (tasks[end->index] <
+	    MST_RECORD_NO_FAILURES + MST_RECORD_FAILURES_MAX)
+		tasks[end->index]++;
+}
+
+/* Writes the ends of a record that was found open. */
+static void
+settling_write(struct mst_agent *agent, struct settling *settling,
+    const struct mst_stored_record *found)
+{
+	struct mst_store_op *op;
+	GList *link;
+
+	g_free(settling->tasks);
+	settling->tasks = g_strdup(found->record.tasks);
+	for (link = agent->worker.kept_ends.head; link; link = link->next) {
+		struct kept_end *end = link->data;
+
+		if (strcmp(end->record, settling->record) != 0 || end->released)
+			continue;
+		put_end(settling->tasks, end);
+		end->in_change = true;
+	}
+	if (strcmp(settling->tasks, found->record.tasks) == 0) {
+		settling_end(agent, settling, false);
+		return;
+	}
+	op = store_op(agent, settling, MST_STORE_UPDATE);
+	op->expected = found->version;
+	op->record = found->record;
+	op->record.tasks = settling->tasks;
+}
+
+/* Ends of a change without an answer are recorded if the record is what it was
+ * to become. */
+static void
+resolve_change(struct mst_agent *agent, const struct settling *settling,
+    const struct mst_record *found)
+{
+	bool done = settling->uncertain != NULL &&
+	    strcmp(settling->uncertain, found->tasks) == 0;
+	GList *link;
+
+	for (link = agent->worker.kept_ends.head; link; link = link->next) {
+		struct kept_end *end = link->data;
+
+		if (strcmp(end->record, settling->record) != 0)
+			continue;
+		end->released |=
+		    done && end->in_change && is_awaited(end, found);
+		end->in_change = false;
+	}
+}
+
+static void
+settling_found(struct mst_agent *agent, struct settling *settling,
+    const struct mst_store_answer *answer)
+{
+	const struct mst_stored_record *found =
+	    answer->record_count > 0 ? &answer->records[0] : NULL;
+
+	if (found != NULL)
+		resolve_change(agent, settling, &found->record);
+	g_clear_pointer(&settling->uncertain, g_free);
+	if (found == NULL ||
+	    !all_are_awaited(agent, settling, &found->record)) {
+		g_ptr_array_remove_fast(agent->worker.settlings, settling);
+		cleanse(agent);
+	} else if (found->record.state != MST_RECORD_OPEN) {
+		settling_end(agent, settling, false);
+	} else {
+		settling_write(agent, settling, found);
+	}
+}
+
+void
+mst_ends_answer(struct mst_agent *agent, const struct mst_store_answer *answer)
+{
+	struct settling *settling = settling_of_op(&agent->worker, answer->id);
+	bool wrote;
+
+	if (settling == NULL)
+		return;
+	wrote = settling->tasks != NULL;
+	settling->op = 0;
+	if (answer->status == MST_STORE_OK && wrote) {
+		settling_end(agent, settling, true);
+		return;
+	}
+	if (answer->status == MST_STORE_AWAY && wrote) {
+		g_free(settling->uncertain);
+		settling->uncertain = g_steal_pointer(&settling->tasks);
+	}
+	g_clear_pointer(&settling->tasks, g_free);
+	if (answer->status == MST_STORE_OK ||
+	    answer->status == MST_STORE_CONFLICT)
+		settling_found(agent, settling, answer);
+	else
+		settling->due_us = agent->now_us + ENDS_RETRY_US;
+}
--- a/src/core/agent_internal.h
+++ b/src/core/agent_internal.h
@@ -41,7 +41,11 @@
 	uint64_t life;
 	uint64_t report_seq;
 	uint64_t fence;
-	uint64_t ends_seen;
+	uint64_t ends_seen; /* read from its lists; told are those that
+			     * needn't be kept */
+	GQueue kept_ends;   /* see agent_ends.c */
+	GPtrArray *settlings;
+	bool cleansing;   /* its lease is let lapse */
 	int64_t clock_ms; /* as of clock_us */
 	int64_t clock_us;
 	int64_t lapse_us; /* by then all has lapsed unless renewed */
@@ -196,6 +200,13 @@
 /* Its times over the expected ones, in thousandths; 0: not known yet. */
 uint32_t mst_worker_slowness_milli(const struct mst_agent *agent);
 
+/* agent_ends.c */
+/* An entry has recorded a result. */
+void mst_ends_acknowledged(
+    struct mst_agent *agent, uint64_t session, uint64_t seq);
+void mst_ends_answer(
+    struct mst_agent *agent, const struct mst_store_answer *answer);
+
 /* agent_lease.c */
 /* Takes note of the entry's echo of this agent's clock. */
 void mst_session_echo(
--- a/src/core/agent_run.c
+++ b/src/core/agent_run.c
@@ -13,6 +13,7 @@
 	to->content_type.data = mst_bytes_dup(from->content_type);
 	to->body.data = mst_bytes_dup(from->body);
 	to->traceparent.data = mst_bytes_dup(from->traceparent);
+	to->record.data = mst_bytes_dup(from->record);
 }
 
 static void
@@ -23,8 +24,9 @@
 	g_free((char *)task->content_type.data);
 	g_free((char *)task->body.data);
 	g_free((char *)task->traceparent.data);
+	g_free((char *)task->record.data);
 	task->method = task->path = task->content_type = task->body =
-	    task->traceparent = (struct mst_bytes){0};
+	    task->traceparent = task->record = (struct mst_bytes){0};
 }
 
 void
@@ -358,8 +360,12 @@
 		struct run *run = link->data;
 
 		next = link->next;
-		if (mst_seqset_contains(received, run->task.seq))
-			run_retain(agent, run);
+		if (!mst_seqset_contains(received, run->task.seq))
+			continue;
+		if (run->result.kept)
+			mst_ends_acknowledged(
+			    agent, session->entry, run->task.seq);
+		run_retain(agent, run);
 	}
 }
 
--- a/src/core/agent_worker.c
+++ b/src/core/agent_worker.c
@@ -6,7 +6,8 @@
 
 #include "core/worker_internal.h"
 
-#define WORKER_FLAKY_US (3 * G_USEC_PER_SEC)
+#define WORKER_FLAKY_US      (3 * G_USEC_PER_SEC)
+#define WORKER_CLOCK_BACK_MS 500
 
 static const char *const status_names[] = {[MST_ORDER_DONE] = "done",
     [MST_ORDER_NO_ANSWER] = "no-answer",
@@ -33,7 +34,7 @@
 	const struct worker *worker = &agent->worker;
 
 	return worker->known && worker->synced && !worker->draining &&
-	    worker->hold_failures < WORKER_HOLD_FAILURES;
+	    !worker->cleansing && worker->hold_failures < WORKER_HOLD_FAILURES;
 }
 
 void
@@ -57,11 +58,24 @@
 	worker->synced = false;
 	worker->fence = 0;
 	worker->ends_seen = 0;
+	mst_ends_forget(worker);
+	worker->cleansing = false;
 	worker->clock_ms = 0;
 	worker->hold_due_us = agent->now_us;
 	mst_worker_tell(agent, "restarted");
 }
 
+/* True when a worker's clock has gone back by more than an answer may have been
+ * held up: it started anew, before it told so. */
+static bool
+clock_started_anew(
+    const struct mst_agent *agent, const struct mst_order_answer *answer)
+{
+	return answer->clock_ms > 0 && agent->worker.clock_ms > 0 &&
+	    answer->clock_ms + WORKER_CLOCK_BACK_MS <
+	    mst_worker_clock_ms(agent);
+}
+
 /* Takes note of the life that an answer or report is from; false when it is
  * from an earlier one. */
 static bool
@@ -157,6 +171,8 @@
 			*place = 0;
 		return;
 	}
+	if (clock_started_anew(agent, answer))
+		worker_reborn(agent, agent->worker.life);
 	mst_worker_learn_clock(agent, answer->clock_ms);
 	if (answer->kind == MST_ORDER_HOLD) {
 		mst_worker_hold_answer(agent, answer);
@@ -179,8 +195,13 @@
 	struct worker *worker = &agent->worker;
 	uint64_t *place;
 
-	if (agent->running > 0 && agent->now_us > worker->lapse_us)
-		mst_worker_lose_all(agent);
+	if (agent->now_us > worker->lapse_us) {
+		if (agent->running > 0)
+			mst_worker_lose_all(agent);
+		if (worker->cleansing || worker->kept_ends.length > 0)
+			mst_ends_lapsed(agent);
+	}
+	mst_ends_tick(agent);
 	if (agent->now_us < worker->hold_due_us)
 		return;
 	place = mst_worker_hold_place(agent);
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #define INCARNATION_FACTOR 0x9e3779b97f4a7c15u
+#define OWNER_SLACK_US     (300 * 1000)
 #define TICKET_LEN         (2 + 16 + 1 + 16 + 1 + 16)
 
 void
@@ -19,6 +20,9 @@
 	options->remove_us = times->lost_us;
 	options->dispatch_valid_us = times->valid_us;
 	options->answer_keep_us = G_USEC_PER_SEC / 2;
+	/* All that an owner has started has ended by then. */
+	options->take_us =
+	    options->owner_lease_us + times->lost_us + OWNER_SLACK_US;
 }
 
 int
@@ -61,6 +65,7 @@
 	    g_array_new(FALSE, TRUE, sizeof(struct mst_dispatch_item));
 	entry->scratch_withdrawn =
 	    g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
+	mst_owner_init(entry);
 	entry->scratch_candidates = mst_candidates_new();
 	*out = entry;
 	return 0;
@@ -77,6 +82,7 @@
 		if (entry->jobs->pdata[i] != NULL)
 			mst_job_free(NULL, entry->jobs->pdata[i]);
 	}
+	mst_owner_clear(entry);
 	g_hash_table_unref(entry->teams);
 	g_ptr_array_unref(entry->active_teams);
 	g_hash_table_unref(entry->by_id);
@@ -256,6 +262,7 @@
 		return;
 	entry->draining = true;
 	entry->drain_us = entry->now_us;
+	mst_owner_give_up(entry, "leaves");
 	mst_entry_heartbeat(entry);
 }
 
@@ -275,6 +282,7 @@
 		mst_entry_new_incarnation(entry);
 		return;
 	}
+	mst_owner_tick(entry);
 	if (entry->now_us >= entry->next_scan_us) {
 		entry->next_scan_us = entry->now_us + ENTRY_SCAN_US;
 		mst_teams_measure(entry, entry->now_us - entry->scanned_us);
@@ -307,6 +315,9 @@
 		mst_entry_discount_pause(entry, entry->now_us - last_us);
 	if (entry->started_us == 0)
 		entry->started_us = entry->now_us;
+	if (event->wall_ms != 0)
+		entry->wall_ms = event->wall_ms;
+	mst_owner_check(entry);
 	switch (event->type) {
 	case MST_ENTRY_EV_TICK:
 		entry_on_tick(entry, last_us);
@@ -336,6 +347,18 @@
 	case MST_ENTRY_EV_FLUSH:
 		mst_entry_flush(entry);
 		break;
+	case MST_ENTRY_EV_FIND:
+		mst_stored_find(entry, event->request, event->key);
+		break;
+	case MST_ENTRY_EV_CANCEL_KEY:
+		mst_stored_cancel(entry, event->request, event->key);
+		break;
+	case MST_ENTRY_EV_STORE:
+		mst_entry_store_answer(entry, event->answer);
+		break;
+	case MST_ENTRY_EV_CANCELLED:
+		mst_stored_cancelled(entry, event->key);
+		break;
 	}
 	return entry->effects;
 }
--- a/src/core/entry_flush.c
+++ b/src/core/entry_flush.c
@@ -34,7 +34,7 @@
 		    .index = (uint32_t)(tag & 0xffff),
 		    .flags = task->flags,
 		    .timeout_ms = timeout_left_ms(entry, job),
-		    .run = task->attempts,
+		    .run = mst_stored_run_number(job, task),
 		    .work_us = (uint32_t)MIN(
 			mst_task_work_at_us(entry, member, job, task),
 			UINT32_MAX),
@@ -44,6 +44,7 @@
 		    .content_type = mst_span_bytes(job, task->content_type),
 		    .body = mst_span_bytes(job, task->body),
 		    .traceparent = mst_span_bytes(job, job->traceparent)};
+		mst_stored_describe(entry, job, &item);
 		g_array_append_val(entry->scratch_items, item);
 	}
 }
--- a/src/core/entry_internal.h
+++ b/src/core/entry_internal.h
@@ -122,6 +122,30 @@
 	uint64_t bytes;
 	GList kept; /* in the list of closed jobs */
 	struct adoption *adoption;
+	struct stored *stored; /* or NULL */
+};
+
+/* This entry's ownership of stored jobs, and what it sees of others'. */
+struct owner {
+	uint64_t id; /* 0: owns nothing */
+	uint64_t version;
+	bool confirmed;
+	bool renewing;
+	bool polling;
+	bool sweeping;
+	int64_t valid_until_us; /* without another renewal */
+	int64_t renew_due_us;
+	int64_t needed_until_us;
+	int64_t poll_due_us;
+	int64_t sweep_due_us;
+	uint32_t part; /* of the sweep */
+	char *after;   /* key that it goes on from, or NULL */
+	uint32_t loads;
+	GHashTable *others; /* see entry_owner.c */
+	GPtrArray *orphans;
+	GArray *lengths; /* struct mst_queue_length */
+	GQueue expiring;
+	struct expiring *expired; /* that an effect refers to */
 };
 
 struct team {
@@ -266,6 +290,12 @@
 
 	GHashTable *peers; /* incarnation -> struct peer */
 
+	struct owner owner;
+	GHashTable *store_ops; /* id -> what it is for */
+	GPtrArray *inquiries;  /* struct inquiry */
+	uint64_t next_op;
+	int64_t wall_ms;
+
 	struct mst_entry_counters counters;
 	GArray *effects;
 	GString *peers_text;          /* addresses, by commas */
@@ -311,6 +341,14 @@
     struct mst_entry *entry, struct job *job, const struct step *step);
 void mst_job_queue_all(struct mst_entry *entry, struct job *job);
 void mst_job_discard(struct mst_entry *entry, struct job *job);
+/* Takes back all of a job that has not ended. */
+void mst_job_abandon(
+    struct mst_entry *entry, struct job *job, enum mst_reason reason);
+/* Closes a task that is known to have ended well, whatever it does here. */
+void mst_task_end_elsewhere(
+    struct mst_entry *entry, struct job *job, uint32_t index);
+void mst_request_attach(
+    struct mst_entry *entry, struct job *job, uint64_t request);
 void mst_task_take_result(struct mst_entry *entry, struct job *job,
     uint32_t index, const struct mst_result_item *result);
 
@@ -443,6 +481,43 @@
 void mst_entry_discount_pause(struct mst_entry *entry, int64_t paused_us);
 void mst_entry_send_config(struct mst_entry *entry, uint64_t to);
 
+/* entry_stored.c */
+struct stored;
+void mst_stored_submit(
+    struct mst_entry *entry, uint64_t request, const struct mst_job_spec *spec);
+void mst_stored_find(
+    struct mst_entry *entry, uint64_t request, const char *key);
+void mst_stored_cancel(
+    struct mst_entry *entry, uint64_t request, const char *key);
+void mst_stored_cancelled(struct mst_entry *entry, const char *key);
+/* Takes note of a result that is acknowledged once it is recorded. */
+void mst_stored_note(struct mst_entry *entry, struct job *job,
+    const struct member *member, uint64_t seq);
+/* Gives up a run whose end is unknown: its task runs again once that is
+ * recorded. */
+void mst_stored_void(struct mst_entry *entry, struct job *job, uint32_t index);
+/* Records a job's end before it is closed; true while that is to be done. */
+bool mst_stored_close(struct mst_entry *entry, struct job *job,
+    enum mst_job_state state, enum mst_reason reason);
+uint32_t mst_stored_run_number(const struct job *job, const struct task *task);
+/* Names a stored job's record in a dispatch. */
+void mst_stored_describe(const struct mst_entry *entry, const struct job *job,
+    struct mst_dispatch_item *item);
+int64_t mst_stored_deadline_us(const struct mst_entry *entry);
+void mst_stored_scan(struct mst_entry *entry, struct job *job);
+void mst_stored_free(struct stored *stored);
+bool mst_stored_is_held(const struct job *job);
+
+/* entry_owner.c */
+void mst_owner_init(struct mst_entry *entry);
+void mst_owner_clear(struct mst_entry *entry);
+void mst_owner_tick(struct mst_entry *entry);
+/* Gives up an ownership that has lapsed: before anything else is done. */
+void mst_owner_check(struct mst_entry *entry);
+void mst_owner_give_up(struct mst_entry *entry, const char *why);
+void mst_entry_store_answer(
+    struct mst_entry *entry, const struct mst_store_answer *answer);
+
 /* entry_adopt.c */
 void mst_entry_adopt(struct mst_entry *entry, struct job *job);
 void mst_entry_fenced(struct mst_entry *entry, const struct mst_msg *msg);
--- a/src/core/entry_job.c
+++ b/src/core/entry_job.c
@@ -92,6 +92,7 @@
 	g_array_unref(job->requests);
 	g_free(job->tasks);
 	g_free(job->steps);
+	mst_stored_free(job->stored);
 	g_free(job->key);
 	g_free(job->arena);
 	g_free(job);
@@ -214,6 +215,8 @@
 {
 	uint32_t i;
 
+	if (!mst_stored_is_held(job))
+		return;
 	for (i = step->first; i < step->first + step->count; i++) {
 		uint16_t index = (uint16_t)i;
 
@@ -304,22 +307,31 @@
 }
 
 void
-mst_job_close(struct mst_entry *entry, struct job *job,
-    enum mst_job_state state, enum mst_reason reason)
+mst_job_abandon(
+    struct mst_entry *entry, struct job *job, enum mst_reason reason)
 {
 	uint32_t i;
 
-	if (job->state != MST_JOB_OPEN)
+	job_drop_waiting(entry, job);
+	for (i = 0; i < job->count; i++) {
+		if (job->tasks[i].state != TASK_CLOSED)
+			task_abandon(entry, job, i, reason);
+	}
+}
+
+void
+mst_job_close(struct mst_entry *entry, struct job *job,
+    enum mst_job_state state, enum mst_reason reason)
+{
+	if (job->state != MST_JOB_OPEN ||
+	    (job->stored != NULL &&
+		mst_stored_close(entry, job, state, reason)))
 		return;
 	/* An earlier owner may have started any task of it. */
 	if (job->adoption != NULL)
 		job->any_unknown = true;
 	if (state == MST_JOB_FAILED) {
-		job_drop_waiting(entry, job);
-		for (i = 0; i < job->count; i++) {
-			if (job->tasks[i].state != TASK_CLOSED)
-				task_abandon(entry, job, i, reason);
-		}
+		mst_job_abandon(entry, job, reason);
 		entry->counters.jobs_failed++;
 	} else {
 		entry->counters.jobs_complete++;
@@ -368,6 +380,37 @@
 		mst_step_task_done(entry, job, index);
 }
 
+static void
+task_unqueue(struct mst_entry *entry, struct job *job, uint32_t index)
+{
+	guint i;
+
+	for (i = 0; i < job->waiting->len; i++) {
+		if (g_array_index(job->waiting, uint16_t, i) != index)
+			continue;
+		g_array_remove_index(job->waiting, i);
+		mst_team_count_waiting(
+		    entry, job, -1, mst_task_work_us(job, &job->tasks[index]));
+		break;
+	}
+	if (job->waiting->len == 0)
+		mst_team_dequeue(entry, job);
+}
+
+void
+mst_task_end_elsewhere(struct mst_entry *entry, struct job *job, uint32_t index)
+{
+	struct task *task = &job->tasks[index];
+
+	if (task->state == TASK_SENT) {
+		mst_task_withdraw(entry, task);
+		entry->sent--;
+	} else if (task->state == TASK_WAITING) {
+		task_unqueue(entry, job, index);
+	}
+	mst_task_close(entry, job, index, MST_OUTCOME_DONE, MST_REASON_NONE);
+}
+
 /* True when members are known and none of them could run the next task. */
 static bool
 job_fits_nobody(const struct mst_entry *entry, const struct job *job)
@@ -413,6 +456,10 @@
 {
 	int64_t settle_us = (int64_t)entry->config->policy.settle_ms * 1000;
 
+	if (job->stored != NULL) {
+		mst_stored_scan(entry, job);
+		return;
+	}
 	if (entry->now_us >= job->deadline_us || job_is_hopeless(entry, job))
 		mst_job_close(entry, job, MST_JOB_FAILED, MST_REASON_DEADLINE);
 	else if (job->adoption != NULL)
--- a/src/core/entry_objective.c
+++ b/src/core/entry_objective.c
@@ -112,8 +112,8 @@
 void
 mst_job_demote_late(struct mst_entry *entry, struct job *job)
 {
-	if (!job->restartable || job->demoted || job->started > 0 ||
-	    entry->now_us <= job->latest_us)
+	if (!job->restartable || job->stored != NULL || job->demoted ||
+	    job->started > 0 || entry->now_us <= job->latest_us)
 		return;
 	/* It goes behind those that can still be in time. */
 	job->demoted = true;
--- a/src/core/entry_result.c
+++ b/src/core/entry_result.c
@@ -97,6 +97,10 @@
 {
 	struct task *task = &job->tasks[index];
 
+	if (job->stored != NULL) {
+		mst_stored_void(entry, job, index);
+		return;
+	}
 	if (job->restartable) {
 		task_run_again(entry, job, index, task->member);
 		return;
@@ -264,7 +268,9 @@
 	entry->counters.results++;
 	if (tag == 0) {
 		entry->counters.results_repeated++;
-		mst_seqset_add(&member->received, result->seq);
+		/* What is kept is acknowledged when it is recorded. */
+		if (!result->kept)
+			mst_seqset_add(&member->received, result->seq);
 		return;
 	}
 	if (result->outcome == MST_OUTCOME_NOT_RUN &&
@@ -273,7 +279,8 @@
 		return;
 	}
 	g_hash_table_remove(member->sent, key);
-	mst_seqset_add(&member->received, result->seq);
+	if (!result->kept)
+		mst_seqset_add(&member->received, result->seq);
 	member->outstanding--;
 	member->progress_us = entry->now_us;
 	if (mst_sent_task(entry, member, result->seq, tag, &job) == NULL) {
@@ -281,6 +288,8 @@
 		return;
 	}
 	entry->sent--;
+	if (result->kept && job->stored != NULL)
+		mst_stored_note(entry, job, member, result->seq);
 	task_result(entry, job, (uint32_t)(tag & 0xffff), member, result);
 }
 
--- a/src/core/entry_submit.c
+++ b/src/core/entry_submit.c
@@ -144,8 +144,8 @@
 	effect->ticket = ticket;
 }
 
-static void
-request_attach(struct mst_entry *entry, struct job *job, uint64_t request)
+void
+mst_request_attach(struct mst_entry *entry, struct job *job, uint64_t request)
 {
 	g_array_append_val(job->requests, request);
 	g_hash_table_insert(entry->requests, mst_key(request), job);
@@ -168,7 +168,7 @@
 	if (job->state != MST_JOB_OPEN || now)
 		answer_now(entry, job, request);
 	else
-		request_attach(entry, job, request);
+		mst_request_attach(entry, job, request);
 }
 
 static void
@@ -263,11 +263,15 @@
 		return;
 	}
 	spec = *event->spec;
+	if (spec.stored) {
+		mst_stored_submit(entry, event->request, &spec);
+		return;
+	}
 	if (spec.ticket.job.minter != 0 && submit_known_ticket(entry, event))
 		return;
 	known = spec.key ? g_hash_table_lookup(entry->by_key, spec.key) : NULL;
 	if (known != NULL) {
-		request_attach(entry, known, event->request);
+		mst_request_attach(entry, known, event->request);
 		return;
 	}
 	reason = readiness_reason(entry);
@@ -343,6 +347,6 @@
 		g_array_remove_index_fast(job->requests, i);
 		break;
 	}
-	if (job->restartable && job->requests->len == 0)
+	if (job->restartable && job->stored == NULL && job->requests->len == 0)
 		mst_job_close(entry, job, MST_JOB_FAILED, MST_REASON_GIVEN_UP);
 }
--- a/src/core/message.c
+++ b/src/core/message.c
@@ -1,4 +1,5 @@
 #include <masticstall/message.h>
+#include <masticstall/record.h>
 
 #include <glib.h>
 #include <string.h>
@@ -95,3 +96,12 @@
 {
 	return g_strndup(bytes.data != NULL ? bytes.data : "", bytes.len);
 }
+
+const char *
+mst_record_state_name(int state)
+{
+	static const char *const names[] = {
+	    "none", "open", "complete", "failed", "cancelled"};
+
+	return name_at(names, G_N_ELEMENTS(names), state);
+}
--- a/src/core/worker_internal.h
+++ b/src/core/worker_internal.h
@@ -19,10 +19,14 @@
 void mst_worker_learn_speed(struct mst_agent *agent, const struct run *run);
 
 /* worker_order.c */
+/* The worker's clock, as it should be now. */
+int64_t mst_worker_clock_ms(const struct mst_agent *agent);
 void mst_worker_learn_clock(struct mst_agent *agent, int64_t clock_ms);
 void mst_worker_raise_fence(struct mst_agent *agent);
 struct mst_order *mst_worker_order(
     struct mst_agent *agent, enum mst_order_kind kind, uint64_t id);
+/* When a lease that is renewed now has lapsed for certain. */
+int64_t mst_worker_lapse_us(const struct mst_agent *agent);
 /* Names the lease's new end in an order. */
 void mst_worker_order_renews(struct mst_agent *agent, struct mst_order *order);
 void mst_worker_send_stop(struct mst_agent *agent, struct run *run);
@@ -40,6 +44,22 @@
 void mst_worker_stop_answer(struct mst_agent *agent, struct run *run,
     const struct mst_order_answer *answer);
 
+/* agent_ends.c */
+void mst_ends_init(struct worker *worker);
+void mst_ends_clear(struct worker *worker);
+/* Forgets the ends of a worker that lists none of them any more. */
+void mst_ends_forget(struct worker *worker);
+/* Keeps the end of a stored job's run; false for others. */
+bool mst_ends_keep(struct mst_agent *agent, const struct run *run,
+    uint64_t number, bool failed);
+/* The greatest end that the worker may forget. */
+uint64_t mst_ends_noted(const struct worker *worker);
+/* The worker's lease has lapsed. */
+void mst_ends_lapsed(struct mst_agent *agent);
+/* The worker lists ends of an earlier life of this agent. */
+void mst_ends_unknown(struct mst_agent *agent);
+void mst_ends_tick(struct mst_agent *agent);
+
 /* worker_list.c */
 /* True when it has left an order unanswered lately. */
 bool mst_worker_is_flaky(const struct mst_agent *agent);
--- a/src/core/worker_list.c
+++ b/src/core/worker_list.c
@@ -36,10 +36,16 @@
 	struct run *run = run_by_name(agent, end->task, end->run);
 	struct mst_result_item result = {
 	    .outcome = MST_OUTCOME_DONE, .status = 200};
+	bool counts = end->how == MST_RUN_DONE || end->how == MST_RUN_FAILED;
 
 	agent->worker.ends_seen = end->seq;
-	if (run == NULL)
+	if (run == NULL) {
+		if (counts && !agent->worker.synced)
+			mst_ends_unknown(agent);
 		return;
+	}
+	result.kept = counts &&
+	    mst_ends_keep(agent, run, end->seq, end->how == MST_RUN_FAILED);
 	switch (end->how) {
 	case MST_RUN_DONE:
 		mst_worker_learn_speed(agent, run);
@@ -169,12 +175,12 @@
 	mst_agent_check_leases(agent);
 	*place = ++agent->next_handle;
 	order = mst_worker_order(agent, MST_ORDER_HOLD, *place);
-	order->ends_seen = worker->ends_seen;
+	order->ends_seen = worker->cleansing ? 0 : mst_ends_noted(worker);
 	if (worker->synced && worker->hold_failures == 0)
 		order->wait_ms = (uint32_t)(wait_us / 1000);
 	order->timeout_ms = order->wait_ms + WORKER_HOLD_SLACK_MS;
 	/* What an earlier life of this agent has left is not renewed. */
-	if (worker->synced)
+	if (worker->synced && !worker->cleansing)
 		mst_worker_order_renews(agent, order);
 	worker->hold_due_us = agent->now_us + wait_us;
 }
--- a/src/core/worker_order.c
+++ b/src/core/worker_order.c
@@ -11,8 +11,8 @@
 #define WORKER_LAPSE_SLACK_US   (30 * 1000)
 #define WORKER_SIZE_WINDOW      64 /* tasks that the usual size is of */
 
-static int64_t
-worker_clock_ms(const struct mst_agent *agent)
+int64_t
+mst_worker_clock_ms(const struct mst_agent *agent)
 {
 	return agent->worker.clock_ms +
 	    (agent->now_us - agent->worker.clock_us) / 1000;
@@ -26,7 +26,7 @@
 	struct worker *worker = &agent->worker;
 	double elapsed_ms = (double)(agent->now_us - worker->clock_us) / 1000;
 	int64_t expected_ms =
-	    worker_clock_ms(agent) - (int64_t)(elapsed_ms * WORKER_DRIFT);
+	    mst_worker_clock_ms(agent) - (int64_t)(elapsed_ms * WORKER_DRIFT);
 
 	if (clock_ms <= 0)
 		return;
@@ -45,7 +45,7 @@
 	struct worker *worker = &agent->worker;
 
 	worker->fence = MAX(worker->fence + 1,
-	    worker->life + (uint64_t)MAX(worker_clock_ms(agent), 1));
+	    worker->life + (uint64_t)MAX(mst_worker_clock_ms(agent), 1));
 }
 
 struct mst_order *
@@ -61,18 +61,24 @@
 	return &effect->order;
 }
 
+int64_t
+mst_worker_lapse_us(const struct mst_agent *agent)
+{
+	double lease_us = (double)agent->options.leases.run_us;
+
+	return agent->now_us + (int64_t)(lease_us * (1 + WORKER_DRIFT)) +
+	    WORKER_LAPSE_SLACK_US;
+}
+
 /* Names the lease's new end in an order. */
 void
 mst_worker_order_renews(struct mst_agent *agent, struct mst_order *order)
 {
 	struct worker *worker = &agent->worker;
 	int64_t lease_us = agent->options.leases.run_us;
-	int64_t lapse_us = agent->now_us +
-	    (int64_t)((double)lease_us * (1 + WORKER_DRIFT)) +
-	    WORKER_LAPSE_SLACK_US;
 
-	order->until_ms = worker_clock_ms(agent) + lease_us / 1000;
-	worker->lapse_us = MAX(worker->lapse_us, lapse_us);
+	order->until_ms = mst_worker_clock_ms(agent) + lease_us / 1000;
+	worker->lapse_us = MAX(worker->lapse_us, mst_worker_lapse_us(agent));
 }
 
 static void
@@ -200,7 +206,7 @@
 static void
 start_repeat(struct mst_agent *agent, struct run *run)
 {
-	if (run->order_tries < WORKER_START_TRIES)
+	if (run->order_tries < WORKER_START_TRIES && !agent->worker.cleansing)
 		start_send(agent, run);
 	else
 		mst_worker_stop(agent, run, MST_REASON_UPSTREAM_TIMEOUT);
--- a/src/runtime/agent_runtime.c
+++ b/src/runtime/agent_runtime.c
@@ -15,6 +15,7 @@
 #include "runtime/metrics.h"
 #include "runtime/operators.h"
 #include "runtime/ports.h"
+#include "runtime/record_store.h"
 #include "runtime/store_watch.h"
 
 #define AGENT_GRACE_MS           300
@@ -48,6 +49,7 @@
 	void *worker;
 	void *store;
 	struct store_watch entries_watch;
+	struct record_store *records;
 };
 
 static void agent_step(struct agent_runtime *rt, struct mst_agent_event *event);
@@ -142,6 +144,9 @@
 		    "entry=%016" PRIx64 " silent_ms=%" PRId64 " tasks=%" PRIu32,
 		    effect->entry, effect->silent_us / 1000, effect->open);
 		break;
+	case MST_AGENT_FX_STORE:
+		record_store_do(rt->records, &effect->op);
+		break;
 	case MST_AGENT_FX_WORKER:
 		mst_log(MST_LOG_INFO, "worker", "state=%s", effect->state);
 		break;
@@ -338,6 +343,27 @@
 	port->release_report(internal);
 }
 
+static void
+on_store_answer(const struct mst_store_answer *answer, void *ctx)
+{
+	struct mst_agent_event event = {
+	    .type = MST_AGENT_EV_STORE, .stored = answer};
+
+	agent_step(ctx, &event);
+}
+
+static void
+records_open(struct agent_runtime *rt)
+{
+	const struct record_store_options options = {.loop = &rt->loop.uv,
+	    .ports = rt->ports,
+	    .store = rt->store,
+	    .on_answer = on_store_answer,
+	    .ctx = rt};
+
+	rt->records = record_store_new(&options);
+}
+
 static void
 on_entries_news(const struct store_news *news, void *ctx)
 {
@@ -373,6 +399,7 @@
 	rt->store_caller = mst_http_caller_new(&rt->loop.uv, 0);
 	rt->store =
 	    rt->ports->store->open(rt->store_caller, rt->settings->store);
+	records_open(rt);
 	rt->entries_watch = (struct store_watch){.port = rt->ports->store,
 	    .store = rt->store,
 	    .subject = STORE_ENTRIES,
@@ -392,6 +419,7 @@
 	mst_lease_times(
 	    &times, settings->resend_ms, settings->worker.lease_max_ms);
 	mst_agent_options_lease(options, &times);
+	options->stores = settings->store != NULL;
 }
 
 static int
--- a/src/runtime/entry_front.c
+++ b/src/runtime/entry_front.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "api/record_json.h"
 #include "base/log.h"
 #include "runtime/entry_runtime.h"
 
@@ -19,14 +20,22 @@
 static const char *const outcome_names[] = {[FRONT_COMPLETED] = "completed",
     [FRONT_FAILED] = "failed",
     [FRONT_NOT_RUN] = "not-run",
-    [FRONT_MAY_HAVE_RUN] = "may-have-run"};
+    [FRONT_MAY_HAVE_RUN] = "may-have-run",
+    [FRONT_ACCEPTED] = "accepted",
+    [FRONT_UNKNOWN_JOB] = "unknown",
+    [FRONT_QUEUED] = "queued",
+    [FRONT_RUNNING] = "running",
+    [FRONT_CANCELLED] = "cancelled",
+    [FRONT_STORE_AWAY] = "store-away"};
 
 const char *
 runtime_outcome_name(int outcome)
 {
-	return outcome >= FRONT_COMPLETED && outcome <= FRONT_MAY_HAVE_RUN
-	    ? outcome_names[outcome]
-	    : "none";
+	bool named = outcome > 0 &&
+	    (size_t)outcome < G_N_ELEMENTS(outcome_names) &&
+	    outcome_names[outcome] != NULL;
+
+	return named ? outcome_names[outcome] : "none";
 }
 
 static void
@@ -130,16 +139,88 @@
 	front_answer_pending(rt, pending, &answer);
 }
 
+void
+runtime_front_closed(struct entry_runtime *rt, uint64_t job)
+{
+	struct mst_job_view view;
+	enum front_outcome outcome;
+
+	if (mst_entry_job(&view, rt->entry, job) < 0)
+		return;
+	outcome = view.reason == MST_REASON_CANCELLED ? FRONT_CANCELLED
+	    : view.state == MST_JOB_COMPLETE          ? FRONT_COMPLETED
+						      : FRONT_FAILED;
+	log_job(rt, &view, job, outcome);
+	mst_histogram_add(
+	    &rt->job_times[outcome], view.closed_us - view.submitted_us);
+}
+
+static const enum front_outcome outcomes_of_states[] = {
+    [MST_STORED_UNKNOWN] = FRONT_UNKNOWN_JOB,
+    [MST_STORED_QUEUED] = FRONT_QUEUED,
+    [MST_STORED_RUNNING] = FRONT_RUNNING,
+    [MST_STORED_COMPLETE] = FRONT_COMPLETED,
+    [MST_STORED_FAILED] = FRONT_FAILED,
+    [MST_STORED_CANCELLED] = FRONT_CANCELLED,
+    [MST_STORED_ACCEPTED] = FRONT_ACCEPTED,
+    [MST_STORED_AWAY] = FRONT_STORE_AWAY};
+
+void
+runtime_front_state(struct entry_runtime *rt, struct pending *pending,
+    enum mst_stored_state state)
+{
+	struct front_answer answer = {.outcome = outcomes_of_states[state]};
+
+	/* A job whose storing has no answer may be run by its next owner. */
+	if (state == MST_STORED_AWAY && pending->asked == FRONT_SUBMIT)
+		answer.outcome = FRONT_MAY_HAVE_RUN;
+	if (answer.outcome == FRONT_STORE_AWAY)
+		answer.retry_after_ms = FRONT_RETRY_MS;
+	if (pending->asked != FRONT_STATE || state == MST_STORED_UNKNOWN ||
+	    state == MST_STORED_AWAY)
+		mst_log(MST_LOG_INFO, "stored-job", "job=%s asked=%s answer=%s",
+		    pending->job,
+		    pending->asked == FRONT_SUBMIT      ? "submit"
+			: pending->asked == FRONT_STATE ? "state"
+							: "cancel",
+		    outcome_names[answer.outcome]);
+	front_answer_pending(rt, pending, &answer);
+}
+
+static struct pending *
+front_pending(struct entry_runtime *rt, const struct mst_http_request *request,
+    const struct front_request *asked)
+{
+	struct pending *pending =
+	    runtime_pending_new(rt, request->id | RUNTIME_FRONT_BIT);
+
+	pending->front = true;
+	pending->asked = asked->kind;
+	pending->job = g_strdup(asked->key);
+	return pending;
+}
+
+/* The text under which a job is stored, with the terms of its queue. */
+static char *
+stored_text(const struct front_request *asked, const struct mst_config *config)
+{
+	const struct mst_queue_config *queue;
+
+	if (!asked->spec.stored)
+		return NULL;
+	queue = mst_config_queue_named(config, asked->spec.team);
+	return stored_json_write(queue, asked->body);
+}
+
 static void
 front_submit(struct entry_runtime *rt, const struct mst_http_request *request,
-    const struct front_request *asked)
+    struct front_request *asked)
 {
-	struct mst_entry_event event = {.type = MST_ENTRY_EV_SUBMIT,
-	    .request = request->id | RUNTIME_FRONT_BIT,
-	    .spec = &asked->spec};
+	struct mst_entry_event event = {
+	    .type = MST_ENTRY_EV_SUBMIT, .spec = &asked->spec};
 	struct front_answer answer = {
 	    .outcome = FRONT_NOT_RUN, .retry_after_ms = FRONT_RETRY_MS};
-	struct pending *pending;
+	char *text;
 
 	if (asked->unserved) {
 		mst_log(MST_LOG_INFO, "job-refused", "job=%s reason=%s",
@@ -147,9 +228,23 @@
 		front_answer(rt, rt->front, request->id, &answer);
 		return;
 	}
-	pending = runtime_pending_new(rt, event.request);
-	pending->front = true;
-	pending->job = g_strdup(asked->key);
+	text = stored_text(asked, mst_entry_config(rt->entry));
+	asked->spec.text = text;
+	event.request = front_pending(rt, request, asked)->id;
+	runtime_step(rt, &event);
+	cJSON_free(text);
+}
+
+static void
+front_ask(struct entry_runtime *rt, const struct mst_http_request *request,
+    const struct front_request *asked)
+{
+	struct mst_entry_event event = {.type = asked->kind == FRONT_CANCEL
+		? MST_ENTRY_EV_CANCEL_KEY
+		: MST_ENTRY_EV_FIND,
+	    .key = asked->key};
+
+	event.request = front_pending(rt, request, asked)->id;
 	runtime_step(rt, &event);
 }
 
@@ -194,11 +289,11 @@
 		break;
 	case FRONT_STATE:
 	case FRONT_CANCEL:
-		/* No job is stored; those that aren't are not asked for. */
-		answer.outcome = FRONT_UNKNOWN_JOB;
+		front_ask(rt, request, &asked);
 		break;
 	case FRONT_QUEUE:
 		answer.outcome = FRONT_QUEUE_LENGTH;
+		answer.length = mst_entry_queue_length(rt->entry, asked.queue);
 		break;
 	case FRONT_MALFORMED:
 		answer.outcome = FRONT_WRONG;
@@ -254,6 +349,23 @@
 		    ctx, mst_bytes_of(news->entries->pdata[i]));
 }
 
+/* Jobs that other entries have cancelled. Where changes may have been missed,
+ * every record is looked at. */
+static void
+on_cancels_news(const struct store_news *news, void *ctx)
+{
+	struct mst_entry_event event = {.type = MST_ENTRY_EV_CANCELLED};
+	guint i;
+
+	for (i = 0; i < news->entries->len; i++) {
+		event.key = news->entries->pdata[i];
+		runtime_step(ctx, &event);
+	}
+	event.key = NULL;
+	if (news->complete)
+		runtime_step(ctx, &event);
+}
+
 static void
 on_published(enum store_status status, void *ctx)
 {
@@ -320,6 +432,40 @@
 	store_watch_start(watch, &rt->loop.uv);
 }
 
+void
+runtime_front_owner(
+    struct entry_runtime *rt, const struct mst_entry_effect *effect)
+{
+	mst_log(MST_LOG_INFO, "ownership",
+	    "owner=%016" PRIx64 " state=%s jobs=%" PRIu32, effect->owner,
+	    effect->state, effect->count);
+	if (rt->watches_cancels)
+		return;
+	rt->watches_cancels = true;
+	watch_start(rt, &rt->cancels_watch, STORE_CANCELS, on_cancels_news);
+}
+
+static void
+on_store_answer(const struct mst_store_answer *answer, void *ctx)
+{
+	struct mst_entry_event event = {
+	    .type = MST_ENTRY_EV_STORE, .answer = answer};
+
+	runtime_step(ctx, &event);
+}
+
+static void
+records_open(struct entry_runtime *rt)
+{
+	const struct record_store_options options = {.loop = &rt->loop.uv,
+	    .ports = rt->ports,
+	    .store = rt->store,
+	    .on_answer = on_store_answer,
+	    .ctx = rt};
+
+	rt->records = record_store_new(&options);
+}
+
 int
 runtime_front_open(struct entry_runtime *rt, GError **error)
 {
@@ -341,6 +487,7 @@
 	    mst_httpd_new(&rt->ready, &ready, error) < 0)
 		return -1;
 	rt->store = rt->ports->store->open(rt->caller, rt->settings->store);
+	records_open(rt);
 	watch_start(rt, &rt->config_watch, STORE_CONFIG, on_config_news);
 	watch_start(rt, &rt->entries_watch, STORE_ENTRIES, on_entries_news);
 	uv_timer_init(&rt->loop.uv, &rt->publish_timer);
--- a/src/runtime/entry_runtime.c
+++ b/src/runtime/entry_runtime.c
@@ -6,8 +6,11 @@
 #include "base/log.h"
 #include "base/random.h"
 
-#define RUNTIME_MEMBERS_MS     10000
-#define RUNTIME_ROW_S          60
+#define RUNTIME_MEMBERS_MS 10000
+#define RUNTIME_ROW_S      60
+#define RUNTIME_KEEP_SLACK_US                                                  \
+	(60 * G_USEC_PER_SEC) /* rows outlast questions                        \
+			       */
 #define RUNTIME_GRACE_MS       1500
 #define RUNTIME_FRONT_GRACE_MS 300
 #define RUNTIME_EXPORT_TICKS   200
@@ -166,6 +169,19 @@
 		if (pending != NULL)
 			runtime_answer_refusal(rt, pending, effect);
 		break;
+	case MST_ENTRY_FX_STORE:
+		record_store_do(rt->records, &effect->op);
+		break;
+	case MST_ENTRY_FX_STATE:
+		if (pending != NULL)
+			runtime_front_state(rt, pending, effect->stored);
+		break;
+	case MST_ENTRY_FX_CLOSED:
+		runtime_front_closed(rt, effect->job);
+		break;
+	case MST_ENTRY_FX_OWNER:
+		runtime_front_owner(rt, effect);
+		break;
 	case MST_ENTRY_FX_MINTED:
 		effect_minted(rt, effect);
 		break;
@@ -211,6 +227,7 @@
 	guint i;
 
 	event->now_us = runtime_now_us();
+	event->wall_ms = g_get_real_time() / 1000;
 	effects = mst_entry_step(rt->entry, event);
 	if (event->type != MST_ENTRY_EV_FLUSH)
 		rt->loop.flush_due = true;
@@ -365,6 +382,10 @@
 	    &times, settings->resend_ms, settings->worker.lease_max_ms);
 	mst_entry_options_lease(options, &times);
 	options->far_factor = settings->front.far_factor;
+	options->stores = settings->store != NULL;
+	options->record_keep_us =
+	    (int64_t)(settings->front.keep_s * G_USEC_PER_SEC) +
+	    RUNTIME_KEEP_SLACK_US;
 }
 
 static int
--- a/src/runtime/entry_runtime.h
+++ b/src/runtime/entry_runtime.h
@@ -13,6 +13,7 @@
 #include "net/table.h"
 #include "runtime/loop.h"
 #include "runtime/ports.h"
+#include "runtime/record_store.h"
 #include "runtime/store_watch.h"
 #include "runtime/trace.h"
 
@@ -25,11 +26,12 @@
 /* A request that waits for the reducer's or another entry's answer. */
 struct pending {
 	uint64_t id;
-	bool front;            /* came by the platform's front */
-	char *job;             /* by its caller's name, or NULL */
-	bool single;           /* answered with the task's own answer */
-	bool has_body;         /* kept for a forward */
-	struct mst_bytes body; /* the server's memory, or owned */
+	bool front;                    /* came by the platform's front */
+	enum front_request_kind asked; /* there */
+	char *job;                     /* by its caller's name, or NULL */
+	bool single;                   /* answered with the task's own answer */
+	bool has_body;                 /* kept for a forward */
+	struct mst_bytes body;         /* the server's memory, or owned */
 	char *ticket;
 	char *traceparent;
 	uint32_t kind;      /* enum mst_forward_kind */
@@ -62,6 +64,9 @@
 	void *store;
 	struct store_watch config_watch;
 	struct store_watch entries_watch;
+	struct store_watch cancels_watch; /* while it owns stored jobs */
+	bool watches_cancels;
+	struct record_store *records;
 	uv_timer_t publish_timer;
 	bool leaving;      /* not ready any more, but still serving */
 	int64_t config_us; /* when the configuration came into force */
@@ -110,6 +115,14 @@
     const struct mst_job_view *view, uint64_t handle);
 void runtime_front_refusal(struct entry_runtime *rt, struct pending *pending,
     const struct mst_entry_effect *effect);
+/* Answers a request about a stored job. */
+void runtime_front_state(struct entry_runtime *rt, struct pending *pending,
+    enum mst_stored_state state);
+/* A stored job is closed. */
+void runtime_front_closed(struct entry_runtime *rt, uint64_t job);
+/* This entry's ownership of stored jobs has changed. */
+void runtime_front_owner(
+    struct entry_runtime *rt, const struct mst_entry_effect *effect);
 void runtime_publish(uv_timer_t *timer);
 /* Name of an enum front_outcome, for logs and metrics. */
 const char *runtime_outcome_name(int outcome);
--- a/src/runtime/metrics.c
+++ b/src/runtime/metrics.c
@@ -101,6 +101,21 @@
 	    "Jobs closed failed.", (double)c->jobs_failed);
 	metric_single(out, "jobs_adopted_total", "counter",
 	    "Jobs taken over from another entry.", (double)c->jobs_adopted);
+	metric_single(out, "jobs_stored_total", "counter",
+	    "Jobs accepted once they were stored.", (double)c->jobs_stored);
+	metric_single(out, "jobs_taken_total", "counter",
+	    "Stored jobs taken over from a lost owner.", (double)c->jobs_taken);
+	metric_single(out, "jobs_dropped_total", "counter",
+	    "Stored jobs given up as ownership was lost.",
+	    (double)c->jobs_dropped);
+	metric_single(out, "store_operations_total", "counter",
+	    "Operations on records.", (double)c->store_ops);
+	metric_single(out, "store_conflicts_total", "counter",
+	    "Changes of records that others had overtaken.",
+	    (double)c->store_conflicts);
+	metric_single(out, "store_failures_total", "counter",
+	    "Operations refused as busy or left without an answer.",
+	    (double)c->store_failures);
 	by_reason(out, "jobs_refused_total", "Jobs refused, not run.",
 	    c->jobs_refused);
 	metric_single(
@@ -259,6 +274,9 @@
 	    "Results sent again.", (double)c->results_repeated);
 	metric_single(out, "fences_total", "counter", "Fences asked for.",
 	    (double)c->fences);
+	metric_single(out, "worker_lapses_total", "counter",
+	    "Leases let lapse, so that ends count no more.",
+	    (double)c->lapses_made);
 	metric_single(out, "runs_lost_total", "counter",
 	    "Runs that ended without a result.", (double)c->runs_lost);
 	metric_single(out, "runs_unknown_total", "counter",
--- a/src/runtime/ports.h
+++ b/src/runtime/ports.h
@@ -9,11 +9,19 @@
 
 #include <masticstall/config.h>
 #include <masticstall/entry.h>
+#include <masticstall/record.h>
 #include <masticstall/worker.h>
 
 #include "net/http_call.h"
 #include "net/httpd.h"
 
+/* The product's tables. */
+#define STORE_TABLE_ENTRIES "masticstall-entries"
+#define STORE_TABLE_CANCELS "masticstall-cancels"
+#define STORE_TABLE_JOBS    "masticstall-jobs"
+#define STORE_TABLE_RECORDS "masticstall-records"
+#define STORE_TABLE_OWNERS  "masticstall-owners"
+
 /* What a caller asks of an entry. */
 enum front_request_kind {
 	FRONT_READY = 1, /* may new connections come here? */
@@ -30,6 +38,8 @@
 	bool unserved;            /* SUBMIT: asks for what isn't served yet */
 	struct mst_job_spec spec; /* SUBMIT */
 	const char *key;          /* of the job */
+	const char *queue;        /* its name */
+	struct mst_bytes body;    /* SUBMIT: to be stored with the job */
 	const char *fault;        /* MALFORMED: what is wrong; static */
 	void *internal;
 };
@@ -44,21 +54,28 @@
 	FRONT_MAY_HAVE_RUN,  /* given up, after some of it has run */
 	FRONT_UNKNOWN_QUEUE, /* nothing was run; there is no such queue */
 	FRONT_UNKNOWN_JOB,
-	FRONT_QUEUE_LENGTH, /* no stored job waits */
+	FRONT_ACCEPTED, /* it is stored */
+	FRONT_QUEUED,   /* nothing of it has started */
+	FRONT_RUNNING,
+	FRONT_CANCELLED,
+	FRONT_STORE_AWAY,   /* nobody can tell at present */
+	FRONT_QUEUE_LENGTH, /* stored jobs that wait */
 	FRONT_WRONG,        /* the request makes no sense */
 	FRONT_OUTCOMES
 };
 
 struct front_answer {
 	enum front_outcome outcome;
-	uint32_t retry_after_ms; /* NOT_RUN */
+	uint32_t retry_after_ms; /* NOT_RUN, STORE_AWAY */
+	uint32_t length;         /* QUEUE_LENGTH */
 	bool close;              /* the caller should connect elsewhere */
 };
 
 /* An answer on its way to a caller. */
 struct front_reply {
 	int status;
-	const char *body; /* static */
+	const char *body; /* static, or text */
+	char text[32];
 	struct mst_http_header headers[3];
 	size_t header_count;
 	char retry_after[16];
@@ -69,6 +86,9 @@
 	void (*read)(struct front_request *out,
 	    const struct mst_http_request *request,
 	    const struct mst_config *config);
+	/* Reads a job as it was stored, by the terms of its queue then. */
+	void (*read_stored)(struct front_request *out, const char *key,
+	    const char *body, const struct mst_queue_config *queue);
 	void (*release)(struct front_request *request);
 	void (*write)(
 	    struct front_reply *out, const struct front_answer *answer);
@@ -100,6 +120,7 @@
 	STORE_OK = 1,
 	STORE_AWAY,      /* no answer: a change may have been made */
 	STORE_BUSY,      /* nothing was done */
+	STORE_CONFLICT,  /* nothing was done: some row isn't as expected */
 	STORE_COMPACTED, /* the changes asked for are no longer kept */
 	STORE_INVALID    /* the answer makes no sense */
 };
@@ -110,12 +131,49 @@
 	uint64_t revision;    /* to watch on from */
 	uint64_t version;     /* of the configuration; 0: none is told */
 	const char *document; /* the configuration, as the product writes it */
-	GPtrArray *entries;   /* addresses of entries */
-	GPtrArray *removed;   /* addresses that are no entries any more */
+	bool complete;        /* the present state, not what has changed */
+	GPtrArray *entries;   /* addresses of entries, or keys of jobs */
+	GPtrArray *removed;   /* those that are no longer there */
 	const char *fault;    /* INVALID: what is wrong; may be NULL */
 };
 
-enum store_subject { STORE_CONFIG = 1, STORE_ENTRIES };
+enum store_subject { STORE_CONFIG = 1, STORE_ENTRIES, STORE_CANCELS };
+
+/* A row of the product's own tables. */
+struct store_row {
+	const char *table;
+	const char *part;
+	const char *key;
+	const char *value; /* text; NULL: the row is removed */
+	uint64_t version;  /* as found or expected; 0: there is no such row */
+};
+
+/* Rows to be written at once, if others are as expected. */
+struct store_change {
+	const struct store_row *rows;
+	size_t count;
+	const struct store_row *expected;
+	size_t expected_count;
+};
+
+/* Rows of a part in the order of their keys. */
+struct store_range {
+	const char *table;
+	const char *part;
+	const char *from; /* first key, or NULL */
+	uint32_t limit;   /* 0: as many as there are or one answer takes */
+};
+
+struct store_rows {
+	enum store_status status;
+	uint64_t revision; /* OK: of the change */
+	/* Those asked for; after a CONFLICT those expected, as they are. */
+	const struct store_row *rows;
+	size_t count;
+	bool more;
+};
+
+typedef void (*store_rows_cb)(const struct store_rows *rows, void *ctx);
 
 typedef void (*store_news_cb)(const struct store_news *news, void *ctx);
 typedef void (*store_done_cb)(enum store_status status, void *ctx);
@@ -134,6 +192,10 @@
 	    store_done_cb on_done, void *ctx);
 	void (*remove_entry)(void *store, const char *address,
 	    uint32_t timeout_ms, store_done_cb on_done, void *ctx);
+	void (*change)(void *store, const struct store_change *change,
+	    uint32_t timeout_ms, store_rows_cb on_rows, void *ctx);
+	void (*list)(void *store, const struct store_range *range,
+	    uint32_t timeout_ms, store_rows_cb on_rows, void *ctx);
 };
 
 struct mst_ports {
--- a/src/runtime/store_watch.c
+++ b/src/runtime/store_watch.c
@@ -9,11 +9,13 @@
 #define WATCH_RETRY_MS     150
 #define WATCH_RETRY_MAX_MS 1000
 
-static const char *const subject_names[] = {
-    [STORE_CONFIG] = "config", [STORE_ENTRIES] = "entries"};
+static const char *const subject_names[] = {[STORE_CONFIG] = "config",
+    [STORE_ENTRIES] = "entries",
+    [STORE_CANCELS] = "cancels"};
 static const char *const status_names[] = {[STORE_OK] = "ok",
     [STORE_AWAY] = "no-answer",
     [STORE_BUSY] = "busy",
+    [STORE_CONFLICT] = "conflict",
     [STORE_COMPACTED] = "compacted",
     [STORE_INVALID] = "invalid"};
 
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -206,6 +206,7 @@
 	"grace_s", struct mst_front_settings, grace_s, 0.1, 3600),
     SCHEMA_UINT_FIELD(
 	"config_ms", struct mst_front_settings, config_ms, 100, 3600000),
+    SCHEMA_NUMBER_FIELD("keep_s", struct mst_front_settings, keep_s, 1, 86400),
     SCHEMA_NUMBER_FIELD(
 	"far_factor", struct mst_front_settings, far_factor, 1, 1000),
     {0}};
@@ -304,6 +305,7 @@
 	settings->front.grace_s = 6;
 	settings->front.config_ms = 2000;
 	settings->front.far_factor = 1;
+	settings->front.keep_s = 120;
 	settings->resend_ms = 1300;
 	settings->operators =
 	    g_array_new(FALSE, TRUE, sizeof(struct mst_operator_settings));
--- a/tests/world/agenda.c
+++ b/tests/world/agenda.c
@@ -1,5 +1,7 @@
 #include "world/agenda.h"
 
+#include "world/store.h"
+
 struct answer_copy {
 	struct mst_order_answer answer;
 	GStringChunk *texts;
@@ -53,6 +55,7 @@
 happening_free(struct happening *h)
 {
 	answer_copy_free(h->answer);
+	store_work_free(h->work);
 	if (h->bytes != NULL)
 		g_byte_array_unref(h->bytes);
 	g_free(h->body);
--- a/tests/world/leased.c
+++ b/tests/world/leased.c
@@ -58,6 +58,12 @@
 	    task.data);
 	world->starts_total++;
 	count_running(world, task, 1);
+	if (world->options.stores) {
+		char *name = mst_bytes_string(task);
+
+		world_task_started(world, name);
+		g_free(name);
+	}
 }
 
 static void
@@ -66,6 +72,19 @@
 	count_running(ctx, task, -1);
 }
 
+static void
+worker_noted(
+    void *ctx, struct mst_bytes task, enum mst_run_end how, int64_t ended_us)
+{
+	struct world *world = ctx;
+	char *name = mst_bytes_string(task);
+
+	if (world->options.stores &&
+	    (how == MST_RUN_DONE || how == MST_RUN_FAILED))
+		world_end_noted(world, name, how == MST_RUN_DONE, ended_us);
+	g_free(name);
+}
+
 static double
 worker_chance(void *ctx)
 {
@@ -83,6 +102,7 @@
 	    .serve = worker_serve,
 	    .started = worker_started,
 	    .ended = worker_ended,
+	    .noted = worker_noted,
 	    .chance = worker_chance,
 	    .world = world};
 	int at;
--- a/tests/world/worker.h
+++ b/tests/world/worker.h
@@ -22,6 +22,9 @@
 	    void *world, int node, struct mst_bytes task);
 	void (*started)(void *world, int node, struct mst_bytes task);
 	void (*ended)(void *world, int node, struct mst_bytes task);
+	/* An end counts: its list was told to have been seen. */
+	void (*noted)(void *world, struct mst_bytes task, enum mst_run_end how,
+	    int64_t ended_us);
 	double (*chance)(void *world);
 	void *world;
 	int node;
@@ -40,6 +43,9 @@
 /* A new life: it runs nothing, has seen no fence, and its clock starts anew. */
 void sim_worker_reborn(struct sim_worker *worker);
 
+/* Orders on their way to it are lost. */
+void sim_worker_lose_orders(struct sim_worker *worker);
+
 /* Stands still or is gone: no order arrives, runs go on until they lapse. */
 void sim_worker_set_away(struct sim_worker *worker, bool away);
 
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -47,6 +47,9 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	world->running =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	world->store = sim_store_new();
+	world->histories =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	world->idempotent =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return world;
@@ -84,6 +87,9 @@
 	g_hash_table_unref(world->requests);
 	g_hash_table_unref(world->starts);
 	g_hash_table_unref(world->idempotent);
+	g_hash_table_unref(world->histories);
+	g_free(world->violation);
+	sim_store_free(world->store);
 	g_hash_table_unref(world->running);
 	mst_decoder_free(world->decoder);
 	g_rand_free(world->rand);
@@ -107,11 +113,13 @@
 		entry.address = node->name;
 		if (world->options.leased)
 			mst_entry_options_lease(&entry, &world->leases);
+		entry.stores = world->options.stores;
 		if (world->options.far_factor > 0)
 			entry.far_factor = world->options.far_factor;
 		mst_entry_new(&node->entry, &entry);
 	} else {
 		node->agent_options.incarnation = node->incarnation;
+		node->agent_options.stores = world->options.stores;
 		mst_agent_new(&node->agent, &node->agent_options);
 	}
 	world_happen(world, at, HAPPEN_TICK, world->now_us + 1);
@@ -234,6 +242,7 @@
 	if (!node->alive)
 		return;
 	event->now_us = flush.now_us = world->now_us;
+	event->wall_ms = world->now_us / 1000;
 	node_execute_entry(world, at, mst_entry_step(node->entry, event));
 	node_execute_entry(world, at, mst_entry_step(node->entry, &flush));
 }
@@ -309,6 +318,12 @@
 			node_start_task(world, at, effect);
 		else if (effect->type == MST_AGENT_FX_ORDER)
 			sim_worker_order(node->worker, &effect->order);
+		else if (effect->type == MST_AGENT_FX_STORE)
+			world_store_do(world, at, &effect->op);
+		else if (effect->type == MST_AGENT_FX_WORKER &&
+		    world->options.verbose)
+			world_log(
+			    world, "%s worker %s", node->name, effect->state);
 		else if (effect->type == MST_AGENT_FX_STOPPED)
 			node->stopped = true;
 	}
@@ -344,6 +359,16 @@
 			world_log(world, "%s member %" PRIx64 " %s",
 			    world->nodes[at].name, effect->peer, effect->state);
 		break;
+	case MST_ENTRY_FX_STORE:
+		world_store_do(world, at, &effect->op);
+		break;
+	case MST_ENTRY_FX_STATE:
+		world_request_state(world, effect);
+		break;
+	case MST_ENTRY_FX_OWNER:
+		world_log(world, "%s %s, %u jobs", world->nodes[at].name,
+		    effect->state, effect->count);
+		break;
 	case MST_ENTRY_FX_STOPPED:
 		world->nodes[at].stopped = true;
 		break;
@@ -447,6 +472,11 @@
 		happening_free(h);
 		return;
 	}
+	if (h->type == HAPPEN_STORE) {
+		world_store_arrive(world, h);
+		happening_free(h);
+		return;
+	}
 	if (!node->alive || h->life != node->life) {
 		happening_free(h);
 		return;
@@ -468,6 +498,10 @@
 	case HAPPEN_ANSWER:
 		happen_answer(world, h);
 		break;
+	case HAPPEN_STORED:
+		world_store_answered(world, h);
+		break;
+	case HAPPEN_STORE:
 	case HAPPEN_WAKE:
 		break;
 	}
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -52,6 +52,7 @@
 	bool mint;
 	char *bodies;   /* of the tasks, in order, by spaces */
 	char *outcomes; /* of the tasks: d done, n not run, u unknown */
+	enum mst_stored_state stored; /* of a stored job */
 	bool forwarded;
 	int forwarded_to; /* the owner's node, or -1 */
 };
@@ -65,8 +66,11 @@
 	bool keep_bodies;
 	uint32_t resend_ms; /* of the callers; 0: 1,300 */
 	bool leased;        /* entries hold their work by leases */
-	double far_factor;  /* work away from its data; 0: as near it */
-	bool verbose;       /* the log tells of members and heartbeats, too */
+	bool stores;        /* there is a store of records */
+	/* Gives a stored job by its key. */
+	const struct mst_job_spec *(*load)(void *ctx, const char *key);
+	double far_factor; /* work away from its data; 0: as near it */
+	bool verbose;      /* the log tells of members and heartbeats, too */
 	struct world_service (*service)(void *ctx, int agent,
 	    const struct mst_dispatch_item *task, int64_t now_us);
 	void (*on_answer)(void *ctx, const struct world_request *request);
@@ -124,6 +128,22 @@
 void world_drain(struct world *world, int node);
 bool world_stopped(const struct world *world, int node);
 
+/* Asks an entry for a stored job's state, or cancels it. */
+uint64_t world_find(struct world *world, int entry, const char *key);
+uint64_t world_cancel_key(struct world *world, int entry, const char *key);
+
+/* Faults of the store: shares of the changes that are done without an answer,
+ * or done only seconds later. */
+void world_store_faults(struct world *world, double lost, double late);
+/* Cuts a node off from the store. */
+void world_store_cut(struct world *world, int node, bool cut);
+/* State of a job's record; 0 when there is none. */
+int world_record_state(const struct world *world, const char *key);
+
+/* Starts of stored tasks that came too late or too often, in words; NULL when
+ * there are none. */
+const char *world_violation(const struct world *world);
+
 struct world_link *world_link(struct world *world, int from, int to);
 
 /* Loses and repeats messages from now on as given. */
--- a/tests/world/world_internal.h
+++ b/tests/world/world_internal.h
@@ -2,6 +2,7 @@
 #define MST_WORLD_INTERNAL_H
 
 #include "world/agenda.h"
+#include "world/store.h"
 #include "world/worker.h"
 
 struct node {
@@ -20,6 +21,7 @@
 	struct mst_resources capacity;
 	const char *rack;
 	const char *labels;
+	bool store_cut;
 	int64_t report_us; /* when it reports about itself next */
 	uint64_t reports;
 };
@@ -40,6 +42,11 @@
 	GHashTable *idempotent;
 	GHashTable *running; /* task's name -> runs at this moment */
 	unsigned overlaps;   /* two runs of one task at once */
+	struct sim_store *store;
+	double store_lost;
+	double store_late;
+	GHashTable *histories; /* task -> see ends.c */
+	char *violation;
 	uint64_t starts_total;
 	uint64_t messages[MST_MSG_MAX];
 	uint64_t message_bytes;
@@ -58,7 +65,18 @@
 /* Lets a node's worker report about itself, if it has one and it is time. */
 void world_worker_report(struct world *world, int at);
 
+/* stored.c */
+void world_store_do(struct world *world, int at, const struct mst_store_op *op);
+void world_store_arrive(struct world *world, struct happening *h);
+void world_store_answered(struct world *world, struct happening *h);
+void world_request_state(
+    struct world *world, const struct mst_entry_effect *effect);
+void world_task_started(struct world *world, const char *task);
+void world_end_noted(
+    struct world *world, const char *task, bool done, int64_t ended_us);
+
 /* requests.c */
+struct world_request *world_request_new(struct world *world, int entry);
 void world_request_free(struct world_request *request);
 void world_request_finish(struct world *world, struct world_request *request);
 void world_request_answer(
