--- a/include/masticstall/settings.h
+++ b/include/masticstall/settings.h
@@ -4,6 +4,7 @@
 /** Settings of the daemons: JSON with comments, checked whole. */
 
 #include <glib.h>
+#include <masticstall/lease.h>
 #include <masticstall/message.h>
 
 /** Keys of the members' network; all NULL on loopback without keys. */
@@ -111,6 +112,10 @@
 int mst_settings_load(struct mst_settings **out, const char *path,
     enum mst_settings_role role, GError **error);
 
+/** Works out the times of the leases from the settings. */
+struct mst_lease_times mst_settings_lease_times(
+    const struct mst_settings *settings);
+
 /** Releases settings; NULL is allowed. */
 void mst_settings_free(struct mst_settings *settings);
 
--- a/src/runtime/agent_runtime.c
+++ b/src/runtime/agent_runtime.c
@@ -414,10 +414,8 @@
 options_set_leased(
     struct mst_agent_options *options, const struct mst_settings *settings)
 {
-	struct mst_lease_times times;
+	struct mst_lease_times times = mst_settings_lease_times(settings);
 
-	mst_lease_times(
-	    &times, settings->resend_ms, settings->worker.lease_max_ms);
 	mst_agent_options_lease(options, &times);
 	options->stores = settings->store != NULL;
 }
--- a/src/runtime/entry_runtime.c
+++ b/src/runtime/entry_runtime.c
@@ -376,10 +376,8 @@
 runtime_lease(
     struct mst_entry_options *options, const struct mst_settings *settings)
 {
-	struct mst_lease_times times;
+	struct mst_lease_times times = mst_settings_lease_times(settings);
 
-	mst_lease_times(
-	    &times, settings->resend_ms, settings->worker.lease_max_ms);
 	mst_entry_options_lease(options, &times);
 	options->far_factor = settings->front.far_factor;
 	options->stores = settings->store != NULL;
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -431,3 +431,13 @@
 	cJSON_Delete(settings->json);
 	g_free(settings);
 }
+
+struct mst_lease_times
+mst_settings_lease_times(const struct mst_settings *settings)
+{
+	struct mst_lease_times times;
+
+	mst_lease_times(
+	    &times, settings->resend_ms, settings->worker.lease_max_ms);
+	return times;
+}
--- a/tests/test_steps.c
+++ b/tests/test_steps.c
@@ -5,7 +5,7 @@
 
 #include <string.h>
 
-#include "world/world.h"
+#include "world/cast.h"
 
 #define MS      INT64_C(1000)
 #define WORKERS 4
@@ -22,8 +22,7 @@
 
 struct trial {
 	struct world *world;
-	int entry;
-	int agents[WORKERS];
+	struct cast cast;
 	GArray *starts;    /* struct start */
 	const char *fails; /* task whose runs fail */
 };
@@ -64,17 +63,10 @@
 
 	trial->starts = g_array_new(FALSE, FALSE, sizeof(struct start));
 	trial->world = world_new(&options);
-	trial->entry = world_add_entry(trial->world, "entry1");
-	world_configure(trial->world, trial->entry, 1, "{}");
-	for (i = 0; i < WORKERS; i++) {
-		char name[16];
-
-		g_snprintf(name, sizeof(name), "agent%d", i + 1);
-		trial->agents[i] =
-		    world_add_leased(trial->world, name, &capacity);
+	cast_add(&trial->cast, trial->world, 1, WORKERS, &capacity);
+	for (i = 0; i < WORKERS; i++)
 		world_place_worker(
-		    trial->world, trial->agents[i], racks[i], labels[i]);
-	}
+		    trial->world, trial->cast.agents[i], racks[i], labels[i]);
 	world_run(trial->world, SETTLED);
 	return trial;
 }
@@ -123,7 +115,7 @@
 			    .needs = {.millicores = millicores}};
 		}
 	}
-	request = world_submit(trial->world, trial->entry, &spec);
+	request = world_submit(trial->world, trial->cast.entries[0], &spec);
 	world_run(trial->world, world_now(trial->world) + 3000 * MS);
 	return world_request(trial->world, request);
 }
@@ -206,7 +198,7 @@
 	for (i = 0; i < trial->starts->len; i++)
 		g_assert_cmpint(
 		    g_array_index(trial->starts, struct start, i).agent, ==,
-		    trial->agents[2]);
+		    trial->cast.agents[2]);
 	trial_free(trial);
 }
 
@@ -223,7 +215,7 @@
 	for (i = 0; i < trial->starts->len; i++)
 		g_assert_cmpint(
 		    g_array_index(trial->starts, struct start, i).agent, ==,
-		    trial->agents[3]);
+		    trial->cast.agents[3]);
 	trial_free(trial);
 }
 
--- a/tests/test_stored.c
+++ b/tests/test_stored.c
@@ -13,8 +13,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "world/cast.h"
 #include "world/worker.h"
-#include "world/world.h"
 
 #define MS            INT64_C(1000)
 #define ENTRIES       3
@@ -54,8 +54,7 @@
 struct day {
 	struct world *world;
 	GRand *rand;
-	int entries[ENTRIES];
-	int agents[WORKERS];
+	struct cast cast;
 	int64_t restart_ms[ENTRIES + WORKERS]; /* 0: is up */
 	int64_t resume_ms[ENTRIES + WORKERS];
 	int64_t cut_ms[ENTRIES + WORKERS]; /* from the store */
@@ -157,7 +156,7 @@
 	int node;
 
 	caller->entry = g_rand_int_range(day->rand, 0, ENTRIES);
-	node = day->entries[caller->entry];
+	node = day->cast.entries[caller->entry];
 	if (!entry_is_up(day, caller->entry))
 		return;
 	caller->sent_ms = day->now_ms;
@@ -251,50 +250,19 @@
 	}
 }
 
-static int
-node_of(const struct day *day, int at)
-{
-	return at < ENTRIES ? day->entries[at] : day->agents[at - ENTRIES];
-}
-
 static void
 cut_some(struct day *day)
 {
-	int a = node_of(day, g_rand_int_range(day->rand, 0, ENTRIES + WORKERS));
-	bool one_way = g_rand_boolean(day->rand);
-	int n;
-
-	for (n = 0; n < ENTRIES + WORKERS; n++) {
-		int b = node_of(day, n);
-
-		if (a == b || g_rand_int_range(day->rand, 0, 3) == 0)
-			continue;
-		world_link(day->world, a, b)->cut = true;
-		if (!one_way)
-			world_link(day->world, b, a)->cut = true;
-	}
+	cast_cut_some(&day->cast, day->rand);
 	day->heal_ms = day->now_ms + g_rand_int_range(day->rand, 200, 5000);
 }
 
-static void
-heal_all(struct day *day)
-{
-	int a, b;
-
-	for (a = 0; a < ENTRIES + WORKERS; a++) {
-		for (b = 0; b < ENTRIES + WORKERS; b++)
-			world_link(day->world, node_of(day, a), node_of(day, b))
-			    ->cut = false;
-	}
-	day->heal_ms = 0;
-}
-
 static void
 one_fault(struct day *day)
 {
 	int at = g_rand_int_range(day->rand, 0, ENTRIES + WORKERS);
-	struct sim_worker *worker = world_worker(
-	    day->world, day->agents[g_rand_int_range(day->rand, 0, WORKERS)]);
+	struct sim_worker *worker = world_worker(day->world,
+	    day->cast.agents[g_rand_int_range(day->rand, 0, WORKERS)]);
 	int64_t until_ms = day->now_ms + g_rand_int_range(day->rand, 50, 6000);
 	bool up = day->restart_ms[at] == 0 && day->resume_ms[at] == 0;
 
@@ -302,13 +270,13 @@
 	case 0:
 		if (!up)
 			break;
-		world_kill(day->world, node_of(day, at));
+		world_kill(day->world, cast_node(&day->cast, at));
 		day->restart_ms[at] = until_ms;
 		break;
 	case 1:
 		if (!up)
 			break;
-		world_pause(day->world, node_of(day, at));
+		world_pause(day->world, cast_node(&day->cast, at));
 		day->resume_ms[at] = until_ms;
 		break;
 	case 2:
@@ -328,7 +296,7 @@
 		sim_worker_set_away(worker, g_rand_boolean(day->rand));
 		break;
 	case 6:
-		world_store_cut(day->world, node_of(day, at), true);
+		world_store_cut(day->world, cast_node(&day->cast, at), true);
 		day->cut_ms[at] = until_ms;
 		break;
 	case 7:
@@ -338,19 +306,24 @@
 	}
 }
 
+static void
+heal_all(struct day *day)
+{
+	cast_heal_all(&day->cast);
+	day->heal_ms = 0;
+}
+
 static void
 repair(struct day *day, bool all)
 {
 	int at;
 
 	for (at = 0; at < ENTRIES + WORKERS; at++) {
-		int node = node_of(day, at);
+		int node = cast_node(&day->cast, at);
 
 		if (day->restart_ms[at] != 0 &&
 		    (all || day->now_ms >= day->restart_ms[at])) {
-			world_restart(day->world, node);
-			if (at < ENTRIES)
-				world_configure(day->world, node, 1, "{}");
+			cast_restart(&day->cast, at);
 			day->restart_ms[at] = 0;
 		}
 		if (day->resume_ms[at] != 0 &&
@@ -372,7 +345,7 @@
 	}
 	for (at = 0; all && at < WORKERS; at++) {
 		struct sim_worker *worker =
-		    world_worker(day->world, day->agents[at]);
+		    world_worker(day->world, day->cast.agents[at]);
 
 		sim_worker_set_late(worker, 0);
 		sim_worker_set_away(worker, false);
@@ -402,23 +375,13 @@
 	    .verbose = getenv("MST_TEST_LOG") != NULL,
 	    .on_log = on_log,
 	    .ctx = day};
-	char name[16];
-	int i;
 
 	day->seed = seed;
 	day->rand = g_rand_new_with_seed(seed);
 	day->callers = g_ptr_array_new_with_free_func(g_free);
 	day->by_key = g_hash_table_new(g_str_hash, g_str_equal);
 	day->world = world_new(&options);
-	for (i = 0; i < ENTRIES; i++) {
-		snprintf(name, sizeof(name), "entry%d", i + 1);
-		day->entries[i] = world_add_entry(day->world, name);
-		world_configure(day->world, day->entries[i], 1, "{}");
-	}
-	for (i = 0; i < WORKERS; i++) {
-		snprintf(name, sizeof(name), "agent%d", i + 1);
-		day->agents[i] = world_add_leased(day->world, name, &capacity);
-	}
+	cast_add(&day->cast, day->world, ENTRIES, WORKERS, &capacity);
 	return day;
 }
 
