explain: tell of tasks that were never sent

A task without an attempt is told as not sent now and is never what took longest; no-fit and cancelled have words; a host's name loses the ending of its log file.

--- a/cli/explain.c
+++ b/cli/explain.c
@@ -29,6 +29,17 @@
 	return strcmp(log_line_get(line, "event"), event) == 0;
 }
 
+/* A host's name from that of its log: without a directory and an ending. */
+static char *
+source_of_path(const char *path)
+{
+	char *name = g_path_get_basename(path);
+
+	if (g_str_has_suffix(name, ".log"))
+		name[strlen(name) - strlen(".log")] = '\0';
+	return name;
+}
+
 static void
 lines_read(GPtrArray *lines, const char *path)
 {
@@ -46,7 +57,7 @@
 			continue;
 		if (*line->source == '\0' && strcmp(path, "-") != 0) {
 			g_free(line->source);
-			line->source = g_path_get_basename(path);
+			line->source = source_of_path(path);
 		}
 		g_ptr_array_add(lines, line);
 	}
@@ -212,14 +223,31 @@
 		return "the entry knew no agent yet";
 	if (strcmp(reason, "stopping") == 0)
 		return "the entry was about to stop";
+	if (strcmp(reason, "no-fit") == 0)
+		return "no runner could ever run it";
+	if (strcmp(reason, "cancelled") == 0)
+		return "its caller cancelled it";
 	if (strcmp(reason, "not-served") == 0)
 		return "this kind of job is not served";
 	return "";
 }
 
+static bool
+was_sent(const struct log_line *line)
+{
+	return strcmp(log_line_get(line, "attempts"), "0") != 0;
+}
+
 static void
 print_task(const struct story *story, const struct log_line *line)
 {
+	if (!was_sent(line)) {
+		printf(
+		    "  task %s: was not sent to any agent (declared %s ms)\n",
+		    log_line_get(line, "task"),
+		    log_line_get(line, "declared_ms"));
+		return;
+	}
 	printf(
 	    "  task %s: sent %s time(s), last after %s ms to %s; waited there "
 	    "%s ms, ran %s ms (declared %s); %s",
@@ -274,7 +302,7 @@
 		    log_line_get(end, "queue"));
 	if (is_event(end, "job-ended") && *cause_of_end(end) != '\0')
 		printf("why: %s\n", cause_of_end(end));
-	if (slowest != NULL)
+	if (slowest != NULL && was_sent(slowest))
 		printf("what took longest: task %s on %s: %s\n",
 		    log_line_get(slowest, "task"),
 		    host_of(story, log_line_get(slowest, "agent")),
