Agents announce themselves to a restarted entry at once

Cause: an agent leaves out of its announcements to all the links that it has heard in the last 2.5 s, so the new process on a link that had reconnected was announced to 2.5 s after the old one's last message. Ruled out: connections (libzmq tries every 20 to 200 ms, each try ends after 300 ms) and the entry (it takes the first announcement).

That time is now five heartbeats of an entry, 0.75 s, from the leases' times; the own interface keeps 2.5 s.

--- a/include/masticstall/lease.h
+++ b/include/masticstall/lease.h
@@ -13,6 +13,7 @@
 	int64_t heartbeat_us; /* between two heartbeats of an entry */
 	int64_t valid_us;     /* within which a dispatched task must start */
 	int64_t lost_us;      /* silence of an agent after which nothing runs */
+	int64_t quiet_us;     /* silence of an entry that may be a new one */
 };
 
 /**
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -8,6 +8,7 @@
 #define VALID_SHARE     0.3
 #define HEARTBEAT_SHARE 0.3  /* of an entry's lease: one may be late */
 #define RENEW_SHARE     0.25 /* of a run's lease: three may get lost */
+#define QUIET_BEATS     5 /* entries' heartbeats; idle ones come every other */
 
 void
 mst_lease_times(
@@ -24,4 +25,5 @@
 	    .heartbeat_us = (int64_t)(entry_us * HEARTBEAT_SHARE),
 	    .valid_us = (int64_t)(resend_us * VALID_SHARE),
 	    .lost_us = (int64_t)resend_us};
+	out->quiet_us = out->heartbeat_us * QUIET_BEATS;
 }
--- a/src/net/bus.c
+++ b/src/net/bus.c
@@ -17,7 +17,7 @@
 #define BUS_CONNECT_MS        300
 #define BUS_UNACKNOWLEDGED_MS 700 /* until a connection counts as dead */
 #define BUS_DRAIN_MAX         256
-#define BUS_QUIET_US          (2500 * 1000)
+#define BUS_QUIET_US          (2500 * 1000) /* where nothing is asked for */
 #define BUS_HWM_MESSAGES      100000
 #define BUS_ZAP_ENDPOINT      "inproc://zeromq.zap.01"
 #define BUS_ID_BYTES          9
@@ -499,6 +499,13 @@
 	bus->counters.bytes_sent += bytes->len;
 }
 
+/* Who was heard within this time knows this agent. */
+static int64_t
+quiet_us(const struct mst_bus *bus)
+{
+	return bus->options.quiet_us > 0 ? bus->options.quiet_us : BUS_QUIET_US;
+}
+
 static void
 bus_broadcast(struct mst_bus *bus, const struct mst_msg *msg)
 {
@@ -509,7 +516,7 @@
 		struct link *link = bus->links->pdata[i];
 
 		if (msg->type == MST_MSG_ANNOUNCE && link->heard_us > 0 &&
-		    now_us - link->heard_us < BUS_QUIET_US)
+		    now_us - link->heard_us < quiet_us(bus))
 			continue;
 		bus->counters.sent[msg->type]++;
 		link_send(link, NULL, 0, bus->buffer);
--- a/src/net/bus.h
+++ b/src/net/bus.h
@@ -30,6 +30,9 @@
 	struct mst_curve_keys curve;
 	mst_bus_message_cb on_message;
 	void *ctx;
+	/* Announcements to all leave out links that were heard for less than
+	 * this time ago; 0: 2.5 s. */
+	int64_t quiet_us;
 };
 
 struct mst_bus_counters {
--- a/src/runtime/agent_runtime.c
+++ b/src/runtime/agent_runtime.c
@@ -449,8 +449,10 @@
 	options.slots = settings->upstream.slots;
 	options.connections = settings->upstream.connections;
 	options.resources = settings->resources;
-	if (settings->worker.address != NULL)
+	if (settings->worker.address != NULL) {
 		options_set_leased(&options, settings);
+		bus.quiet_us = options.leases.quiet_us;
+	}
 	mst_agent_new(&rt->agent, &options);
 	if (settings->upstream.address != NULL)
 		mst_upstream_new(&rt->upstream, &upstream);
--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -515,6 +515,12 @@
 			    times.run_us, <=, (int64_t)longest_ms[m] * 1000);
 			g_assert_cmpint(
 			    times.heartbeat_us * 2, <, times.entry_us);
+			/* A restarted entry is announced to before callers
+			 * come back; a live one's idle heartbeats, every other
+			 * one, may be lost once. */
+			g_assert_cmpint(times.quiet_us, <, times.lost_us);
+			g_assert_cmpint(
+			    times.quiet_us, >, times.heartbeat_us * 4);
 		}
 	}
 }
