--- a/cli/explain.c
+++ b/cli/explain.c
@@ -142,7 +142,7 @@
 {
 	static const char *const events[] = {"worker", "member", "started",
 	    "stopped", "draining", "entry-lease-lapsed", "store-lost",
-	    "store-back", "config", "reloaded", "log-dropped", NULL};
+	    "store-back", "config", "reloaded", "log-dropped", "paused", NULL};
 	guint i;
 	int e;
 
@@ -282,11 +282,36 @@
 	g_list_free(keys);
 }
 
+/* The longest pause of the job's entry while it had the job, if that was half
+ * of the job's time or more. */
+static const struct log_line *
+pause_of_entry(const struct story *story)
+{
+	gint64 longest_ms = (story->upto_ms - story->from_ms) / 2;
+	const struct log_line *paused = NULL;
+	guint i;
+
+	for (i = 0; i < story->around->len; i++) {
+		const struct log_line *line = story->around->pdata[i];
+		gint64 ms = log_line_number(line, "ms");
+
+		if (!is_event(line, "paused") || ms < longest_ms ||
+		    line->at_ms < story->from_ms ||
+		    line->at_ms - ms > story->upto_ms ||
+		    strcmp(line->source, story->end->source) != 0)
+			continue;
+		paused = line;
+		longest_ms = ms;
+	}
+	return paused;
+}
+
 static void
 print_end(const struct story *story)
 {
 	const struct log_line *end = story->end;
 	const struct log_line *slowest = slowest_task(story);
+	const struct log_line *paused;
 
 	if (is_event(end, "job-refused"))
 		printf("refused at %s by %s, nothing was run: %s (%s)\n",
@@ -302,7 +327,12 @@
 		    log_line_get(end, "queue"));
 	if (is_event(end, "job-ended") && *cause_of_end(end) != '\0')
 		printf("why: %s\n", cause_of_end(end));
-	if (slowest != NULL && was_sent(slowest))
+	paused = pause_of_entry(story);
+	if (paused != NULL)
+		printf("what took longest: the entry stood still for %s ms, "
+		       "until %+" PRId64 " ms\n",
+		    log_line_get(paused, "ms"), paused->at_ms - story->from_ms);
+	else if (slowest != NULL && was_sent(slowest))
 		printf("what took longest: task %s on %s: %s\n",
 		    log_line_get(slowest, "task"),
 		    host_of(story, log_line_get(slowest, "agent")),
--- a/src/runtime/loop.c
+++ b/src/runtime/loop.c
@@ -1,11 +1,13 @@
 #include "runtime/loop.h"
 
+#include <inttypes.h>
 #include <signal.h>
 
 #include "base/clock.h"
 #include "base/log.h"
 
-#define LOOP_TICK_MS 10
+#define LOOP_TICK_MS   10
+#define LOOP_PAUSED_US (200 * 1000) /* a pause that callers notice */
 
 int64_t
 runtime_now_us(void)
@@ -29,8 +31,12 @@
 	struct runtime_loop *loop = timer->data;
 	int64_t now_us = runtime_now_us();
 
-	mst_histogram_add(
-	    &loop->lag, MAX(now_us - loop->tick_us - LOOP_TICK_MS * 1000, 0));
+	int64_t lag_us = MAX(now_us - loop->tick_us - LOOP_TICK_MS * 1000, 0);
+
+	mst_histogram_add(&loop->lag, lag_us);
+	if (lag_us > LOOP_PAUSED_US)
+		mst_log(
+		    MST_LOG_WARNING, "paused", "ms=%" PRId64, lag_us / 1000);
 	loop->tick_us = now_us;
 	loop->callbacks.on_tick(loop->ctx);
 }
