Stored jobs: hand over on leaving, go on at once when the store is back

An owner without the store forgot its jobs after 2 s, and somebody took them when its row had stood still; one that was stopped left them to its lease. Both are whole now: jobs rest (nothing starts, results still count) and are claimed under a new name as soon as the store answers; an entry that leaves records what has ended and gives its row up as released.

/stored/leaving: jobs of an entry that is stopped end elsewhere within 3.5 s. /stored/away: the store away for five seconds, starts within 2 s of its return. Entries are drained among the faults, too.

--- a/include/masticstall/record.h
+++ b/include/masticstall/record.h
@@ -67,6 +67,7 @@
 	uint64_t owner;           /* RENEW, RETIRE */
 	const struct mst_queue_length *lengths; /* RENEW */
 	uint32_t length_count;
+	bool released; /* RENEW: what it owns may be taken at once */
 };
 
 enum mst_store_status {
@@ -89,6 +90,7 @@
 	uint64_t version;
 	const struct mst_queue_length *lengths;
 	uint32_t length_count;
+	bool released;
 };
 
 struct mst_job_spec;
--- a/src/api/record_json.c
+++ b/src/api/record_json.c
@@ -82,24 +82,31 @@
 }
 
 char *
-owner_json_write(const struct mst_queue_length *lengths, uint32_t count)
+owner_json_write(
+    const struct mst_queue_length *lengths, uint32_t count, bool released)
 {
 	cJSON *json = cJSON_CreateObject();
+	cJSON *queues = cJSON_AddObjectToObject(json, "queues");
 	uint32_t i;
 
 	for (i = 0; i < count; i++)
 		cJSON_AddNumberToObject(
-		    json, lengths[i].queue, lengths[i].jobs);
+		    queues, lengths[i].queue, lengths[i].jobs);
+	if (released)
+		cJSON_AddTrueToObject(json, "released");
 	return print_and_delete(json);
 }
 
 cJSON *
-owner_json_read(GArray *out, const char *text)
+owner_json_read(GArray *out, bool *released, const char *text)
 {
 	cJSON *json = text != NULL ? cJSON_Parse(text) : NULL;
 	const cJSON *item;
 
-	cJSON_ArrayForEach (item, json) {
+	*released =
+	    cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(json, "released"));
+	cJSON_ArrayForEach (
+	    item, cJSON_GetObjectItemCaseSensitive(json, "queues")) {
 		const struct mst_queue_length length = {
 		    .queue = item->string, .jobs = (uint32_t)item->valueint};
 
--- a/src/api/record_json.h
+++ b/src/api/record_json.h
@@ -17,11 +17,12 @@
 cJSON *record_json_read(struct mst_record *out, const char *text);
 
 /* Writes how long an owner's queues are; freed with cJSON_free(). */
-char *owner_json_write(const struct mst_queue_length *lengths, uint32_t count);
+char *owner_json_write(
+    const struct mst_queue_length *lengths, uint32_t count, bool released);
 
 /* Reads them into an array of struct mst_queue_length; the strings are the
  * document's. */
-cJSON *owner_json_read(GArray *out, const char *text);
+cJSON *owner_json_read(GArray *out, bool *released, const char *text);
 
 /* Writes a job with the terms of its queue; freed with cJSON_free(). */
 char *stored_json_write(
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -262,7 +262,7 @@
 		return;
 	entry->draining = true;
 	entry->drain_us = entry->now_us;
-	mst_owner_give_up(entry, "leaves");
+	mst_owner_leave(entry);
 	mst_entry_heartbeat(entry);
 }
 
--- a/src/core/entry_internal.h
+++ b/src/core/entry_internal.h
@@ -131,6 +131,7 @@
 	uint64_t version;
 	bool confirmed;
 	bool renewing;
+	bool leaving; /* gives its jobs back as soon as they rest */
 	bool polling;
 	bool sweeping;
 	int64_t valid_until_us; /* without another renewal */
@@ -294,6 +295,7 @@
 	GHashTable *store_ops; /* id -> what it is for */
 	GPtrArray *inquiries;  /* struct inquiry */
 	uint64_t next_op;
+	uint32_t next_change;
 	int64_t wall_ms;
 
 	struct mst_entry_counters counters;
@@ -341,6 +343,8 @@
     struct mst_entry *entry, struct job *job, const struct step *step);
 void mst_job_queue_all(struct mst_entry *entry, struct job *job);
 void mst_job_discard(struct mst_entry *entry, struct job *job);
+/* Takes a job's waiting tasks out of its team's queue. */
+void mst_job_unqueue(struct mst_entry *entry, struct job *job);
 /* Takes back all of a job that has not ended. */
 void mst_job_abandon(
     struct mst_entry *entry, struct job *job, enum mst_reason reason);
@@ -515,6 +519,8 @@
 /* Gives up an ownership that has lapsed: before anything else is done. */
 void mst_owner_check(struct mst_entry *entry);
 void mst_owner_give_up(struct mst_entry *entry, const char *why);
+/* Lets all jobs rest, then hands them over to the other entries. */
+void mst_owner_leave(struct mst_entry *entry);
 void mst_entry_store_answer(
     struct mst_entry *entry, const struct mst_store_answer *answer);
 
--- a/src/core/entry_job.c
+++ b/src/core/entry_job.c
@@ -249,6 +249,8 @@
 	task->state = TASK_WAITING;
 	task->member = NULL;
 	task->withdrawing = false;
+	if (!mst_stored_is_held(job))
+		return;
 	g_array_append_val(job->waiting, value);
 	mst_team_count_waiting(entry, job, 1, mst_task_work_us(job, task));
 	mst_team_enqueue(entry, job);
@@ -271,8 +273,8 @@
 	g_array_set_size(job->requests, 0);
 }
 
-static void
-job_drop_waiting(struct mst_entry *entry, struct job *job)
+void
+mst_job_unqueue(struct mst_entry *entry, struct job *job)
 {
 	guint i;
 
@@ -312,7 +314,7 @@
 {
 	uint32_t i;
 
-	job_drop_waiting(entry, job);
+	mst_job_unqueue(entry, job);
 	for (i = 0; i < job->count; i++) {
 		if (job->tasks[i].state != TASK_CLOSED)
 			task_abandon(entry, job, i, reason);
@@ -478,7 +480,7 @@
 	entry->jobs_open--;
 	job_drop_key(entry, job);
 	job->team->open -= job->open;
-	job_drop_waiting(entry, job);
+	mst_job_unqueue(entry, job);
 	mst_job_free(entry, job);
 }
 
--- a/src/core/entry_owner.c
+++ b/src/core/entry_owner.c
@@ -15,6 +15,7 @@
 #define OWNER_IDLE_US      (30 * G_USEC_PER_SEC) /* without a job: retires */
 #define OWNER_POLL_US      (1 * G_USEC_PER_SEC)
 #define OWNER_POLL_IDLE_US (10 * G_USEC_PER_SEC) /* where nobody owns any */
+#define OWNER_LEAVE_US     (INT64_C(800) * 1000) /* until all must rest */
 #define OWNER_TURN_US      (INT64_C(800) * 1000) /* between two takers */
 #define OWNER_SWEEP_US     (15 * G_USEC_PER_SEC) /* for jobs without an owner */
 #define OWNER_LOADS_MAX    16
@@ -27,6 +28,7 @@
 	uint64_t version;  /* of its row; 0: it has none */
 	int64_t since_us;  /* when that was first seen */
 	int64_t still_us;  /* and at least until then it was the same */
+	bool released;     /* its jobs may be taken at once */
 	bool seen;         /* by the present poll */
 	bool has_jobs;     /* found by the present sweep */
 	GPtrArray *queues; /* char *, names */
@@ -45,6 +47,7 @@
 	enum mst_store_op_kind kind;
 	uint64_t context;
 	int64_t sent_us;
+	bool released; /* RENEW: its jobs are handed over */
 };
 
 static void
@@ -137,6 +140,14 @@
 	return &effect->op;
 }
 
+static struct op_context *
+op_context_of(const struct mst_entry *entry, const struct mst_store_op *op)
+{
+	struct op *found = g_hash_table_lookup(entry->store_ops, &op->id);
+
+	return &found->context;
+}
+
 static void
 tell(struct mst_entry *entry, const char *state, uint64_t id, uint32_t count)
 {
@@ -199,6 +210,8 @@
 	op->expected = owner->version;
 	op->lengths = (const struct mst_queue_length *)owner->lengths->data;
 	op->length_count = owner->lengths->len;
+	op->released = owner->leaving && mst_stored_is_at_rest(entry);
+	op_context_of(entry, op)->released = op->released;
 	owner->renewing = true;
 	owner->renew_due_us = entry->now_us + OWNER_RENEW_US;
 }
@@ -215,9 +228,26 @@
 	owner->version = 0;
 	owner->confirmed = false;
 	owner->valid_until_us = entry->now_us + entry->options.owner_lease_us;
+	/* Others may own jobs by now, too. */
+	owner->poll_due_us = MIN(owner->poll_due_us, entry->now_us);
 	renew(entry);
 }
 
+static bool
+has_stored_jobs(const struct mst_entry *entry)
+{
+	guint i;
+
+	for (i = 0; i < entry->jobs->len; i++) {
+		const struct job *job = entry->jobs->pdata[i];
+
+		if (job != NULL && job->stored != NULL &&
+		    job->state == MST_JOB_OPEN)
+			return true;
+	}
+	return false;
+}
+
 void
 mst_owner_give_up(struct mst_entry *entry, const char *why)
 {
@@ -226,13 +256,38 @@
 
 	if (owner->id == 0)
 		return;
-	mst_stored_drop_all(entry);
+	mst_stored_suspend_all(entry);
 	g_ptr_array_set_size(owner->orphans, 0);
 	tell(entry, why, owner->id,
 	    (uint32_t)(entry->counters.jobs_dropped - dropped));
 	owner->id = 0;
 	owner->renewing = false;
 	owner->loads = 0;
+	if (has_stored_jobs(entry) && !entry->draining)
+		mst_owner_needed(entry);
+}
+
+void
+mst_owner_leave(struct mst_entry *entry)
+{
+	struct owner *owner = &entry->owner;
+
+	if (owner->id == 0)
+		return;
+	owner->leaving = true;
+	mst_stored_suspend_all(entry);
+}
+
+/* Ends the leave once all is handed over, or when it takes too long. */
+static void
+leave_tick(struct mst_entry *entry)
+{
+	if (entry->now_us - entry->drain_us > OWNER_LEAVE_US) {
+		mst_stored_discard_all(entry);
+		mst_owner_give_up(entry, "leaves");
+	} else if (!entry->owner.renewing && mst_stored_is_at_rest(entry)) {
+		renew(entry);
+	}
 }
 
 static void
@@ -252,6 +307,10 @@
 		owner->version = answer->version;
 		owner->valid_until_us =
 		    op->sent_us + entry->options.owner_lease_us;
+		if (op->released) {
+			mst_stored_discard_all(entry);
+			mst_owner_give_up(entry, "released");
+		}
 	} else if (answer->status == MST_STORE_CONFLICT) {
 		if (answer->owner_count == 0) {
 			mst_owner_give_up(entry, "row-removed");
@@ -282,7 +341,9 @@
 
 	if (owner->id == 0)
 		return;
-	if (!owner->renewing && entry->now_us >= owner->renew_due_us)
+	if (owner->leaving)
+		leave_tick(entry);
+	else if (!owner->renewing && entry->now_us >= owner->renew_due_us)
 		renew(entry);
 }
 
@@ -332,6 +393,7 @@
 	}
 	other->version = row->version;
 	other->since_us = other->still_us = entry->now_us;
+	other->released = row->released;
 	other_set_lengths(other, row);
 }
 
@@ -395,8 +457,9 @@
 stood_still(
     const struct mst_entry *entry, const struct other *other, int64_t more_us)
 {
-	return other->still_us - other->since_us >=
-	    entry->options.take_us + more_us;
+	int64_t wait_us = other->released ? 0 : entry->options.take_us;
+
+	return other->still_us - other->since_us >= wait_us + more_us;
 }
 
 /* True when a lost owner's jobs are this entry's to take: one entry after the
@@ -654,21 +717,6 @@
 
 /* All of it. */
 
-static bool
-has_stored_jobs(const struct mst_entry *entry)
-{
-	guint i;
-
-	for (i = 0; i < entry->jobs->len; i++) {
-		const struct job *job = entry->jobs->pdata[i];
-
-		if (job != NULL && job->stored != NULL &&
-		    job->state == MST_JOB_OPEN)
-			return true;
-	}
-	return false;
-}
-
 static void
 others_tick(struct mst_entry *entry)
 {
--- a/src/core/entry_stored.c
+++ b/src/core/entry_stored.c
@@ -136,10 +136,14 @@
 	write_tasks(job);
 	move_all(stored->settling, stored->unsettled);
 	move_all(stored->voiding, stored->voids);
-	stored->change++;
+	/* Counted over all jobs: an older one of the same key has others. */
+	stored->change = ++entry->next_change;
+	if (stored->first_change == 0)
+		stored->first_change = stored->change;
 	stored->dirty = false;
 	stored->writing = true;
 	stored->written_state = stored->state;
+	stored->written_owner = entry->owner.id;
 	op->key = job->key;
 	op->job = stored->text;
 	op->expected = stored->version;
@@ -233,12 +237,25 @@
 	else
 		entry->counters.jobs_taken++;
 	stored->phase = STORED_HELD;
+	stored->claimed_from = 0;
 	g_clear_pointer(&stored->text, g_free);
 	answer_all(entry, job, job->requests, MST_STORED_ACCEPTED);
 	if (stored->state == MST_RECORD_OPEN)
 		mst_job_queue_all(entry, job);
 }
 
+/* A record was written under an ownership that was given up since: it is there,
+ * but has to be claimed. */
+static void
+written_before(struct mst_entry *entry, struct stored *stored)
+{
+	if (stored->phase == STORED_NEW)
+		stored->term++;
+	stored->phase = STORED_CLAIMED;
+	stored->claimed_from = stored->written_owner;
+	touch(entry, stored, 0);
+}
+
 static void
 written(struct mst_entry *entry, struct job *job, uint64_t version)
 {
@@ -248,7 +265,11 @@
 	stored->confirmed = stored->change;
 	stored->failures = 0;
 	settle_all(entry, stored);
-	if (stored->phase != STORED_HELD)
+	if (entry->owner.leaving)
+		stored->dirty = false; /* it is handed over as it is */
+	else if (stored->written_owner != entry->owner.id)
+		written_before(entry, stored);
+	else if (stored->phase != STORED_HELD)
 		now_held(entry, job);
 	requeue_voided(entry, job);
 	if (stored->written_state != MST_RECORD_OPEN)
@@ -318,7 +339,7 @@
     const struct mst_stored_record *found)
 {
 	return found->record.owner == entry->owner.id ||
-	    (job->stored->phase == STORED_CLAIMED &&
+	    (job->stored->phase != STORED_HELD &&
 		found->record.owner == job->stored->claimed_from);
 }
 
@@ -338,21 +359,35 @@
 	struct stored *stored = job->stored;
 	const struct mst_stored_record *found =
 	    answer->record_count > 0 ? &answer->records[0] : NULL;
+	bool tried;
 
 	entry->counters.store_conflicts++;
 	if (found == NULL || !is_own(entry, job, found)) {
 		let_go(entry, job);
 		return;
 	}
+	tried = found->record.change >= stored->first_change &&
+	    found->record.change <= stored->change;
+	if (stored->phase == STORED_NEW && !tried &&
+	    found->record.state != MST_RECORD_OPEN) {
+		let_go(entry, job);
+		return;
+	}
 	if (found->record.owner == entry->owner.id &&
 	    found->record.change == stored->change) {
 		/* An earlier try was done without an answer. */
 		written(entry, job, found->version);
 		return;
 	}
-	if (found->record.owner == entry->owner.id &&
-	    stored->phase != STORED_HELD) {
+	if (found->record.owner == entry->owner.id && tried &&
+	    stored->phase != STORED_HELD)
 		now_held(entry, job);
+	else if (stored->phase == STORED_NEW) {
+		/* Created under an ownership that was given up since, or
+		 * for an earlier submission. */
+		stored->phase = STORED_CLAIMED;
+		stored->claimed_from = found->record.owner;
+		stored->term = found->record.term + 1;
 	}
 	move_all(stored->unsettled, stored->settling);
 	move_all(stored->voids, stored->voiding);
@@ -478,8 +513,30 @@
 	mst_job_discard(entry, job);
 }
 
+/* Takes back what of a job is at members. Their results still count: nothing is
+ * run again before its record is this entry's once more. */
+static void
+suspend(struct mst_entry *entry, struct job *job)
+{
+	struct stored *stored = job->stored;
+	uint32_t i;
+
+	if (stored->phase == STORED_HELD) {
+		stored->phase = STORED_CLAIMED;
+		stored->term++;
+	}
+	stored->claimed_from = entry->owner.id;
+	mst_job_unqueue(entry, job);
+	for (i = 0; i < job->count; i++) {
+		if (job->tasks[i].state == TASK_SENT)
+			mst_task_withdraw(entry, &job->tasks[i]);
+	}
+	if (!entry->owner.leaving)
+		touch(entry, stored, 0);
+}
+
 void
-mst_stored_drop_all(struct mst_entry *entry)
+mst_stored_suspend_all(struct mst_entry *entry)
 {
 	guint i;
 
@@ -493,10 +550,46 @@
 		answer_all(entry, job, job->requests, MST_STORED_AWAY);
 		answer_all(
 		    entry, job, job->stored->cancellers, MST_STORED_AWAY);
-		mst_stored_discard(entry, job);
+		suspend(entry, job);
 	}
 }
 
+void
+mst_stored_discard_all(struct mst_entry *entry)
+{
+	guint i;
+
+	for (i = 0; i < entry->jobs->len; i++) {
+		struct job *job = entry->jobs->pdata[i];
+
+		if (job != NULL && job->stored != NULL &&
+		    job->state == MST_JOB_OPEN)
+			mst_stored_discard(entry, job);
+	}
+}
+
+bool
+mst_stored_is_at_rest(const struct mst_entry *entry)
+{
+	guint i;
+	uint32_t k;
+
+	for (i = 0; i < entry->jobs->len; i++) {
+		const struct job *job = entry->jobs->pdata[i];
+
+		if (job == NULL || job->stored == NULL ||
+		    job->state != MST_JOB_OPEN)
+			continue;
+		if (job->stored->writing || job->stored->dirty)
+			return false;
+		for (k = 0; k < job->count; k++) {
+			if (job->tasks[k].state == TASK_SENT)
+				return false;
+		}
+	}
+	return true;
+}
+
 /* Tells a caller that a job could not be stored: nothing of it runs if no
  * change was ever left without an answer. */
 static void
--- a/src/core/entry_stored.h
+++ b/src/core/entry_stored.h
@@ -17,11 +17,12 @@
 /* A job's part in the store. */
 struct stored {
 	enum stored_phase phase;
-	uint64_t claimed_from; /* CLAIMED: the owner that was lost */
+	uint64_t claimed_from; /* whose record it may still be; 0: nobody's */
 	uint64_t version;      /* that the next change replaces */
 	uint32_t term;
-	uint32_t change;    /* the last one tried */
-	uint32_t confirmed; /* the last one known to be done */
+	uint32_t first_change; /* the first one tried */
+	uint32_t change;       /* the last one tried */
+	uint32_t confirmed;    /* the last one known to be done */
 	bool dirty;
 	bool writing;
 	bool uncertain;              /* some change had no answer */
@@ -31,6 +32,7 @@
 	unsigned failures;           /* in a row */
 	enum mst_record_state state; /* to be recorded */
 	enum mst_record_state written_state; /* by the change on its way */
+	uint64_t written_owner;              /* by the same */
 	enum mst_reason reason;              /* of its end */
 	GArray *unsettled;  /* struct settlement, not yet in a change */
 	GArray *settling;   /* those in the change on its way */
@@ -55,8 +57,14 @@
     const struct mst_stored_record *found);
 void mst_stored_answer(struct mst_entry *entry, struct job *job,
     const struct mst_store_answer *answer);
-/* Gives all open stored jobs up: their records are others' from now on. */
-void mst_stored_drop_all(struct mst_entry *entry);
+/* Lets all stored jobs rest until their records are this entry's again; others
+ * may take them meanwhile. */
+void mst_stored_suspend_all(struct mst_entry *entry);
+/* Forgets all stored jobs: they are others' now. */
+void mst_stored_discard_all(struct mst_entry *entry);
+/* True when no task of a stored job is at a member and nothing is to be
+ * recorded. */
+bool mst_stored_is_at_rest(const struct mst_entry *entry);
 /* Forgets a job and takes back what of it is at members. */
 void mst_stored_discard(struct mst_entry *entry, struct job *job);
 void mst_inquiry_answer(struct mst_entry *entry, struct inquiry *inquiry,
--- a/src/runtime/record_store.c
+++ b/src/runtime/record_store.c
@@ -368,8 +368,8 @@
 		g_ptr_array_add(lists, lengths);
 		if (row->value == NULL)
 			continue;
-		g_ptr_array_add(
-		    documents, owner_json_read(lengths, row->value));
+		g_ptr_array_add(documents,
+		    owner_json_read(lengths, &owner.released, row->value));
 		owner.lengths = (const struct mst_queue_length *)lengths->data;
 		owner.length_count = lengths->len;
 		g_array_append_val(owners, owner);
@@ -450,7 +450,8 @@
 	else if (op->key != NULL)
 		part_of(work->part, op->key);
 	if (op->kind == MST_STORE_RENEW)
-		work->value = owner_json_write(op->lengths, op->length_count);
+		work->value = owner_json_write(
+		    op->lengths, op->length_count, op->released);
 	else if (is_change(op->kind) && op->kind != MST_STORE_REMOVE)
 		work->value = record_json_write(&op->record);
 	return work;
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -287,7 +287,7 @@
 	record_store_do(fixture->records, &renew);
 	call = next_call(fixture);
 	g_assert_cmpstr(call->rows[0].key, ==, "00000000000000ab");
-	g_assert_cmpstr(call->rows[0].value, ==, "{\"push\":12}");
+	g_assert_cmpstr(call->rows[0].value, ==, "{\"queues\":{\"push\":12}}");
 	row = call->rows[0];
 	reply(call, STORE_OK, 30, NULL, 0);
 	record_store_do(fixture->records, &owners);
--- a/tests/test_stored.c
+++ b/tests/test_stored.c
@@ -29,6 +29,10 @@
 #define PATIENCE_MS   1500
 #define RESEND_MS     400
 #define CANCEL_MS     3000
+/* From the end of an entry until its jobs have ended elsewhere: under the time
+ * after which a lost one's are taken. */
+#define HANDED_OVER_MS 3500
+#define BACK_MS        2000 /* the store is back: jobs go on */
 
 /* A job, from its first send until its end is shown. */
 struct caller {
@@ -39,6 +43,7 @@
 	struct mst_job_spec spec;
 	uint64_t request; /* on its way; 0: none */
 	int entry;
+	int64_t first_ms; /* of all sends */
 	int64_t sent_ms;
 	int64_t due_ms;
 	bool accepted;
@@ -137,6 +142,7 @@
 	    .target_ms = 200,
 	    .stored = true,
 	    .text = "text"};
+	caller->first_ms = day->now_ms;
 	caller->refused_only = true;
 	caller->cancels = g_rand_int_range(day->rand, 0, 12) == 0;
 	g_ptr_array_add(day->callers, caller);
@@ -266,7 +272,7 @@
 	int64_t until_ms = day->now_ms + g_rand_int_range(day->rand, 50, 6000);
 	bool up = day->restart_ms[at] == 0 && day->resume_ms[at] == 0;
 
-	switch (g_rand_int_range(day->rand, 0, 8)) {
+	switch (g_rand_int_range(day->rand, 0, 9)) {
 	case 0:
 		if (!up)
 			break;
@@ -303,6 +309,12 @@
 		world_store_faults(day->world, 0.3, 0.2);
 		day->store_ms = until_ms;
 		break;
+	case 8:
+		if (!up)
+			break;
+		world_drain(day->world, cast_node(&day->cast, at));
+		day->restart_ms[at] = until_ms;
+		break;
 	}
 }
 
@@ -479,11 +491,82 @@
 	g_assert_cmpuint(completed, >, seeds * JOBS_END_MS / JOB_EVERY_MS / 2);
 }
 
+/* Plays on without new faults, until a time. */
+static void
+day_run(struct day *day, int64_t upto_ms)
+{
+	while (day->now_ms < upto_ms)
+		day_step(day, false);
+}
+
+/* Time from now until the next start of a task. */
+static int64_t
+next_start_ms(struct day *day, int64_t limit_ms)
+{
+	uint64_t before = world_starts_total(day->world);
+	int64_t from_ms = day->now_ms;
+
+	while (world_starts_total(day->world) == before &&
+	    day->now_ms < from_ms + limit_ms)
+		day_step(day, false);
+	return day->now_ms - from_ms;
+}
+
+/* With the store away for all, nobody can own anything; once it is back,
+ * entries go on with what was theirs without waiting for each other. */
+static void
+stored__store_is_away_for_all(void)
+{
+	struct day *day = day_new(2);
+	unsigned completed;
+	int at;
+
+	day_run(day, 4000);
+	for (at = 0; at < ENTRIES + WORKERS; at++)
+		world_store_cut(day->world, cast_node(&day->cast, at), true);
+	day_run(day, 9000);
+	completed = day->completed;
+	for (at = 0; at < ENTRIES + WORKERS; at++)
+		world_store_cut(day->world, cast_node(&day->cast, at), false);
+	g_assert_cmpint(next_start_ms(day, 5000), <=, BACK_MS);
+	day_run(day, 20000);
+	check(day);
+	g_assert_cmpuint(day->completed, >, completed);
+	day_free(day);
+}
+
+/* An entry that leaves hands its jobs over; they don't wait for its lease. */
+static void
+stored__leaving_entry_hands_over(void)
+{
+	struct day *day = day_new(4);
+	guint i;
+
+	day_run(day, 4000);
+	world_drain(day->world, day->cast.entries[0]);
+	day_run(day, 5000);
+	g_assert_true(world_stopped(day->world, day->cast.entries[0]));
+	world_kill(day->world, day->cast.entries[0]);
+	day->restart_ms[0] = DAY_MS;
+	day_run(day, 4000 + HANDED_OVER_MS);
+	for (i = 0; i < day->callers->len; i++) {
+		const struct caller *caller = day->callers->pdata[i];
+
+		if (caller->accepted && caller->first_ms < 4000)
+			g_assert_true(is_settled(caller));
+	}
+	day_run(day, 25000);
+	check(day);
+	day_free(day);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/stored/calm", stored__calm_day_ends_all);
+	g_test_add_func("/stored/leaving", stored__leaving_entry_hands_over);
+	g_test_add_func("/stored/away", stored__store_is_away_for_all);
 	g_test_add_func(
 	    "/stored/faults", stored__faults_lose_and_double_nothing);
 	return g_test_run();
--- a/tests/world/store.c
+++ b/tests/world/store.c
@@ -12,7 +12,7 @@
 
 struct sim_owner {
 	uint64_t version;
-	struct mst_queue_length length;
+	bool released;
 };
 
 struct sim_store {
@@ -167,8 +167,9 @@
 static void
 show_owner(struct store_work *work, uint64_t id, const struct sim_owner *owner)
 {
-	const struct mst_stored_owner stored = {
-	    .owner = id, .version = owner->version};
+	const struct mst_stored_owner stored = {.owner = id,
+	    .version = owner->version,
+	    .released = owner->released};
 
 	g_array_append_val(work->owners, stored);
 }
@@ -203,6 +204,7 @@
 	}
 	owner = g_new0(struct sim_owner, 1);
 	owner->version = work->version;
+	owner->released = work->op.released;
 	g_hash_table_replace(store->owners, g_memdup2(&id, sizeof(id)), owner);
 }
 
--- a/tests/world/stored.c
+++ b/tests/world/stored.c
@@ -107,22 +107,47 @@
 	}
 }
 
-/* Tells the entries that watch of a cancellation. */
+static void
+hear_cancelled(struct world *world, int at, const char *key)
+{
+	struct mst_entry_event event = {
+	    .type = MST_ENTRY_EV_CANCELLED, .key = key};
+
+	world_step_entry(world, at, &event);
+}
+
+/* Tells the entries that watch of a cancellation, or those that can't now
+ * later. */
 static void
 tell_cancelled(struct world *world, const char *key)
 {
 	int at;
 
 	for (at = 0; at < world->count; at++) {
-		struct mst_entry_event event = {
-		    .type = MST_ENTRY_EV_CANCELLED, .key = key};
-
-		if (world->nodes[at].kind == WORLD_ENTRY &&
-		    !world->nodes[at].store_cut && !world->nodes[at].paused)
-			world_step_entry(world, at, &event);
+		struct node *node = &world->nodes[at];
+
+		if (node->kind != WORLD_ENTRY || !node->alive)
+			continue;
+		if (node->store_cut || node->paused)
+			g_ptr_array_add(node->missed, g_strdup(key));
+		else
+			hear_cancelled(world, at, key);
 	}
 }
 
+void
+world_hear_missed(struct world *world, int at)
+{
+	struct node *node = &world->nodes[at];
+	guint i;
+
+	if (node->store_cut || node->paused)
+		return;
+	for (i = 0; i < node->missed->len; i++)
+		hear_cancelled(world, at, node->missed->pdata[i]);
+	g_ptr_array_set_size(node->missed, 0);
+}
+
 void
 world_store_arrive(struct world *world, struct happening *h)
 {
@@ -182,6 +207,7 @@
 world_store_cut(struct world *world, int node, bool cut)
 {
 	world->nodes[node].store_cut = cut;
+	world_hear_missed(world, node);
 }
 
 int
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -66,6 +66,7 @@
 	node->agent = NULL;
 	while ((h = g_queue_pop_head(&node->backlog)) != NULL)
 		happening_free(h);
+	g_ptr_array_set_size(node->missed, 0);
 }
 
 void
@@ -80,6 +81,7 @@
 		node_clear(&world->nodes[n]);
 		sim_worker_free(world->nodes[n].worker);
 		g_free(world->nodes[n].name);
+		g_ptr_array_unref(world->nodes[n].missed);
 	}
 	g_hash_table_iter_init(&iter, world->requests);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
@@ -134,6 +136,7 @@
 	g_assert(at < WORLD_NODES_MAX);
 	node->kind = kind;
 	node->name = g_strdup(name);
+	world->nodes[at].missed = g_ptr_array_new_with_free_func(g_free);
 	return at;
 }
 
@@ -459,6 +462,7 @@
 	else
 		world_step_agent(world, at, &agent);
 	world_worker_report(world, at);
+	world_hear_missed(world, at);
 	world_happen(world, at, HAPPEN_TICK, world->now_us + WORLD_TICK_US);
 }
 
--- a/tests/world/world_internal.h
+++ b/tests/world/world_internal.h
@@ -22,6 +22,7 @@
 	const char *rack;
 	const char *labels;
 	bool store_cut;
+	GPtrArray *missed; /* char *, jobs cancelled meanwhile */
 	int64_t report_us; /* when it reports about itself next */
 	uint64_t reports;
 };
@@ -69,6 +70,8 @@
 void world_store_do(struct world *world, int at, const struct mst_store_op *op);
 void world_store_arrive(struct world *world, struct happening *h);
 void world_store_answered(struct world *world, struct happening *h);
+/* Tells a node of the cancellations that it has missed. */
+void world_hear_missed(struct world *world, int at);
 void world_request_state(
     struct world *world, const struct mst_entry_effect *effect);
 void world_task_started(struct world *world, const char *task);
