Split stored jobs and their ownership into files with one job each

entry_stored.c (917 lines) and entry_owner.c (848) became entry_stored.c (running), entry_record.c (writing), entry_inquiry.c (callers' questions), entry_owner.c (own and others' rows) and entry_sweep.c (taking over).

--- a/src/core/entry_owner.c
+++ b/src/core/entry_owner.c
@@ -6,50 +6,18 @@
  * take over what it left.
  */
 
-#include "core/entry_stored.h"
+#include "core/entry_owner.h"
 
 #include <string.h>
 
 #define OWNER_RENEW_US     (INT64_C(700) * 1000)
 #define OWNER_RETRY_US     (INT64_C(150) * 1000)
 #define OWNER_IDLE_US      (30 * G_USEC_PER_SEC) /* without a job: retires */
-#define OWNER_POLL_US      (1 * G_USEC_PER_SEC)
 #define OWNER_POLL_IDLE_US (10 * G_USEC_PER_SEC) /* where nobody owns any */
 #define OWNER_LEAVE_US     (INT64_C(800) * 1000) /* until all must rest */
 #define OWNER_TURN_US      (INT64_C(800) * 1000) /* between two takers */
-#define OWNER_SWEEP_US     (15 * G_USEC_PER_SEC) /* for jobs without an owner */
-#define OWNER_LOADS_MAX    16
-#define OWNER_ORPHANS_MAX  4096
 #define OWNER_RANK_FACTOR  0x9e3779b97f4a7c15u
 
-/* What is known of another owner. */
-struct other {
-	uint64_t id;
-	uint64_t version;  /* of its row; 0: it has none */
-	int64_t since_us;  /* when that was first seen */
-	int64_t still_us;  /* and at least until then it was the same */
-	bool released;     /* its jobs may be taken at once */
-	bool seen;         /* by the present poll */
-	bool has_jobs;     /* found by the present sweep */
-	GPtrArray *queues; /* char *, names */
-	GArray *lengths;   /* uint32_t, jobs of these */
-};
-
-/* A record without an owner, on its way to this entry. */
-struct orphan {
-	char *key;
-	uint64_t version;
-	struct mst_record record; /* tasks owned */
-	bool loading;
-};
-
-struct op_context {
-	enum mst_store_op_kind kind;
-	uint64_t context;
-	int64_t sent_us;
-	bool released; /* RENEW: its jobs are handed over */
-};
-
 static void
 other_free(gpointer data)
 {
@@ -60,16 +28,6 @@
 	g_free(other);
 }
 
-static void
-orphan_free(gpointer data)
-{
-	struct orphan *orphan = data;
-
-	g_free(orphan->key);
-	g_free((char *)orphan->record.tasks);
-	g_free(orphan);
-}
-
 void
 mst_owner_init(struct mst_entry *entry)
 {
@@ -77,7 +35,7 @@
 
 	owner->others = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, other_free);
-	owner->orphans = g_ptr_array_new_with_free_func(orphan_free);
+	owner->orphans = g_ptr_array_new_with_free_func(mst_orphan_free);
 	owner->lengths =
 	    g_array_new(FALSE, FALSE, sizeof(struct mst_queue_length));
 	g_queue_init(&owner->expiring);
@@ -87,21 +45,6 @@
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 }
 
-/* A closed job whose record is removed later. */
-struct expiring {
-	char *key;
-	int64_t due_us;
-};
-
-static void
-expiring_free(gpointer data)
-{
-	struct expiring *expiring = data;
-
-	g_free(expiring->key);
-	g_free(expiring);
-}
-
 void
 mst_owner_clear(struct mst_entry *entry)
 {
@@ -110,7 +53,8 @@
 	g_hash_table_unref(owner->others);
 	g_ptr_array_unref(owner->orphans);
 	g_array_unref(owner->lengths);
-	g_queue_clear_full(&owner->expiring, expiring_free);
+	g_queue_clear_full(&owner->expiring, mst_expiring_free);
+	g_clear_pointer(&owner->expired, mst_expiring_free);
 	g_free(owner->after);
 	g_ptr_array_unref(entry->inquiries);
 	g_hash_table_unref(entry->store_ops);
@@ -148,8 +92,9 @@
 	return &found->context;
 }
 
-static void
-tell(struct mst_entry *entry, const char *state, uint64_t id, uint32_t count)
+void
+mst_owner_tell(
+    struct mst_entry *entry, const char *state, uint64_t id, uint32_t count)
 {
 	struct mst_entry_effect *effect =
 	    mst_entry_emit(entry, MST_ENTRY_FX_OWNER);
@@ -258,7 +203,7 @@
 		return;
 	mst_stored_suspend_all(entry);
 	g_ptr_array_set_size(owner->orphans, 0);
-	tell(entry, why, owner->id,
+	mst_owner_tell(entry, why, owner->id,
 	    (uint32_t)(entry->counters.jobs_dropped - dropped));
 	owner->id = 0;
 	owner->renewing = false;
@@ -302,7 +247,7 @@
 	owner->renewing = false;
 	if (answer->status == MST_STORE_OK) {
 		if (!owner->confirmed)
-			tell(entry, "owner", owner->id, 0);
+			mst_owner_tell(entry, "owner", owner->id, 0);
 		owner->confirmed = true;
 		owner->version = answer->version;
 		owner->valid_until_us =
@@ -349,8 +294,8 @@
 
 /* The others' rows. */
 
-static struct other *
-other_get(struct mst_entry *entry, uint64_t id)
+struct other *
+mst_other_get(struct mst_entry *entry, uint64_t id)
 {
 	struct other *other = g_hash_table_lookup(entry->owner.others, &id);
 
@@ -384,7 +329,7 @@
 other_observe(struct mst_entry *entry, const struct mst_stored_owner *row,
     int64_t asked_us)
 {
-	struct other *other = other_get(entry, row->owner);
+	struct other *other = mst_other_get(entry, row->owner);
 
 	other->seen = true;
 	if (other->version == row->version) {
@@ -453,8 +398,8 @@
 	return (taker ^ lost) * OWNER_RANK_FACTOR;
 }
 
-static bool
-stood_still(
+bool
+mst_other_stood_still(
     const struct mst_entry *entry, const struct other *other, int64_t more_us)
 {
 	int64_t wait_us = other->released ? 0 : entry->options.take_us;
@@ -462,27 +407,26 @@
 	return other->still_us - other->since_us >= wait_us + more_us;
 }
 
-/* True when a lost owner's jobs are this entry's to take: one entry after the
- * other gets its turn. */
-static bool
-may_take(const struct mst_entry *entry, const struct other *lost)
+bool
+mst_other_may_be_taken(const struct mst_entry *entry, const struct other *lost)
 {
 	uint64_t own = rank_of(entry->owner.id, lost->id);
 	int64_t turn_us = 0;
 	GHashTableIter iter;
 	gpointer value;
 
-	if (!stood_still(entry, lost, 0))
+	if (!mst_other_stood_still(entry, lost, 0))
 		return false;
 	g_hash_table_iter_init(&iter, entry->owner.others);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct other *other = value;
 
-		if (other->version != 0 && !stood_still(entry, other, 0) &&
+		if (other->version != 0 &&
+		    !mst_other_stood_still(entry, other, 0) &&
 		    rank_of(other->id, lost->id) < own)
 			turn_us += OWNER_TURN_US;
 	}
-	return stood_still(entry, lost, turn_us);
+	return mst_other_stood_still(entry, lost, turn_us);
 }
 
 static bool
@@ -493,230 +437,12 @@
 
 	g_hash_table_iter_init(&iter, entry->owner.others);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (may_take(entry, value))
-			return true;
-	}
-	return false;
-}
-
-/* Sweeps. */
-
-static void
-sweep_ask(struct mst_entry *entry)
-{
-	struct owner *owner = &entry->owner;
-	struct mst_store_op *op =
-	    mst_entry_store_op(entry, MST_STORE_SCAN, owner->part);
-
-	op->part = owner->part;
-	op->key = owner->after;
-}
-
-static void
-sweep_start(struct mst_entry *entry)
-{
-	struct owner *owner = &entry->owner;
-	GHashTableIter iter;
-	gpointer value;
-
-	owner->sweeping = true;
-	owner->part = 0;
-	g_clear_pointer(&owner->after, g_free);
-	g_hash_table_iter_init(&iter, owner->others);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		((struct other *)value)->has_jobs = false;
-	sweep_ask(entry);
-}
-
-static bool
-is_known_orphan(const struct mst_entry *entry, const char *key)
-{
-	guint i;
-
-	for (i = 0; i < entry->owner.orphans->len; i++) {
-		const struct orphan *orphan = entry->owner.orphans->pdata[i];
-
-		if (strcmp(orphan->key, key) == 0)
+		if (mst_other_may_be_taken(entry, value))
 			return true;
 	}
 	return false;
 }
 
-static void
-orphan_add(struct mst_entry *entry, const struct mst_stored_record *found)
-{
-	struct orphan *orphan;
-
-	if (entry->owner.orphans->len >= OWNER_ORPHANS_MAX ||
-	    g_hash_table_contains(entry->by_key, found->key) ||
-	    is_known_orphan(entry, found->key))
-		return;
-	orphan = g_new0(struct orphan, 1);
-	orphan->key = g_strdup(found->key);
-	orphan->version = found->version;
-	orphan->record = found->record;
-	orphan->record.tasks = g_strdup(found->record.tasks);
-	g_ptr_array_add(entry->owner.orphans, orphan);
-}
-
-static void
-sweep_record(struct mst_entry *entry, const struct mst_stored_record *found)
-{
-	const struct mst_record *record = &found->record;
-	int64_t keep_ms = entry->options.record_keep_us / 1000;
-	struct mst_store_op *op;
-	struct other *other;
-
-	if (record->state != MST_RECORD_OPEN) {
-		if (entry->wall_ms - record->closed_ms > keep_ms) {
-			op = mst_entry_store_op(entry, MST_STORE_REMOVE, 0);
-			op->key = found->key;
-		}
-		return;
-	}
-	if (record->owner == entry->owner.id) {
-		orphan_add(entry, found);
-		return;
-	}
-	other = other_get(entry, record->owner);
-	other->has_jobs = true;
-	if (may_take(entry, other))
-		orphan_add(entry, found);
-}
-
-/* Rows of lost owners that have no jobs any more are removed. */
-static void
-retire_empty(struct mst_entry *entry)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, entry->owner.others);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct other *other = value;
-		struct mst_store_op *op;
-
-		if (other->has_jobs || !stood_still(entry, other, 0))
-			continue;
-		if (other->version == 0) {
-			g_hash_table_iter_remove(&iter);
-			continue;
-		}
-		op = mst_entry_store_op(entry, MST_STORE_RETIRE, other->id);
-		op->owner = other->id;
-		op->expected = other->version;
-	}
-}
-
-static void
-swept(struct mst_entry *entry, const struct mst_store_answer *answer)
-{
-	struct owner *owner = &entry->owner;
-	uint32_t i;
-
-	if (!owner->sweeping)
-		return;
-	if (answer->status != MST_STORE_OK) {
-		owner->sweeping = false;
-		owner->sweep_due_us = entry->now_us + OWNER_POLL_US;
-		return;
-	}
-	for (i = 0; i < answer->record_count; i++)
-		sweep_record(entry, &answer->records[i]);
-	g_clear_pointer(&owner->after, g_free);
-	if (answer->more && answer->record_count > 0)
-		owner->after =
-		    g_strdup(answer->records[answer->record_count - 1].key);
-	else
-		owner->part++;
-	if (owner->part < MST_STORE_PARTS) {
-		sweep_ask(entry);
-		return;
-	}
-	owner->sweeping = false;
-	owner->sweep_due_us = entry->now_us + OWNER_SWEEP_US;
-	retire_empty(entry);
-	if (owner->orphans->len > 0)
-		tell(entry, "taking-over", 0, owner->orphans->len);
-}
-
-static void
-orphans_advance(struct mst_entry *entry)
-{
-	struct owner *owner = &entry->owner;
-	guint i;
-
-	if (!mst_owner_is_confirmed(entry))
-		return;
-	for (i = 0; i < owner->orphans->len && owner->loads < OWNER_LOADS_MAX;
-	     i++) {
-		struct orphan *orphan = owner->orphans->pdata[i];
-		struct mst_store_op *op;
-
-		if (orphan->loading)
-			continue;
-		orphan->loading = true;
-		owner->loads++;
-		op = mst_entry_store_op(
-		    entry, MST_STORE_LOAD, (uint64_t)(uintptr_t)orphan);
-		op->key = orphan->key;
-	}
-}
-
-static void
-loaded(struct mst_entry *entry, const struct op_context *op,
-    const struct mst_store_answer *answer)
-{
-	struct owner *owner = &entry->owner;
-	struct mst_stored_record found;
-	struct orphan *orphan;
-	guint at;
-
-	/* Claims of an ownership that was given up are gone. */
-	if (!g_ptr_array_find(
-		owner->orphans, (gconstpointer)(uintptr_t)op->context, &at))
-		return;
-	orphan = owner->orphans->pdata[at];
-	owner->loads--;
-	found = (struct mst_stored_record){.key = orphan->key,
-	    .version = orphan->version,
-	    .record = orphan->record};
-	if (answer->status == MST_STORE_OK && answer->spec != NULL &&
-	    !g_hash_table_contains(entry->by_key, orphan->key))
-		mst_stored_claim(entry, answer->spec, &found);
-	g_ptr_array_remove_index_fast(owner->orphans, at);
-}
-
-/* Closed records. */
-
-void
-mst_records_expire_later(struct mst_entry *entry, const char *key)
-{
-	struct expiring *expiring = g_new0(struct expiring, 1);
-
-	expiring->key = g_strdup(key);
-	expiring->due_us = entry->now_us + entry->options.record_keep_us;
-	g_queue_push_tail(&entry->owner.expiring, expiring);
-}
-
-static void
-expire_records(struct mst_entry *entry)
-{
-	struct owner *owner = &entry->owner;
-	struct expiring *expiring;
-
-	if (owner->expired != NULL)
-		g_clear_pointer(&owner->expired, expiring_free);
-	expiring = g_queue_peek_head(&owner->expiring);
-	if (expiring == NULL || entry->now_us < expiring->due_us)
-		return;
-	/* The effect refers to its key. */
-	owner->expired = g_queue_pop_head(&owner->expiring);
-	mst_entry_store_op(entry, MST_STORE_REMOVE, 0)->key = expiring->key;
-}
-
-/* All of it. */
-
 static void
 others_tick(struct mst_entry *entry)
 {
@@ -740,7 +466,7 @@
 		(entry->now_us >=
 			owner->sweep_due_us - OWNER_SWEEP_US + OWNER_POLL_US &&
 		    some_are_to_take(entry))))
-		sweep_start(entry);
+		mst_sweep_start(entry);
 }
 
 void
@@ -752,8 +478,8 @@
 		return;
 	own_row_tick(entry);
 	others_tick(entry);
-	orphans_advance(entry);
-	expire_records(entry);
+	mst_orphans_advance(entry);
+	mst_records_expire(entry);
 	mst_inquiries_scan(entry);
 	if (owner->id == 0 || entry->now_us < owner->needed_until_us)
 		return;
@@ -800,10 +526,10 @@
 		    (struct inquiry *)(uintptr_t)context.context, answer);
 		break;
 	case MST_STORE_LOAD:
-		loaded(entry, &context, answer);
+		mst_orphan_loaded(entry, &context, answer);
 		break;
 	case MST_STORE_SCAN:
-		swept(entry, answer);
+		mst_sweep_answer(entry, answer);
 		break;
 	case MST_STORE_RENEW:
 		renewed(entry, &context, answer);
--- a/src/core/entry_stored.h
+++ b/src/core/entry_stored.h
@@ -44,9 +44,28 @@
 	char *text;         /* NEW: the job, for its reader */
 };
 
+/* A result that is acknowledged once it is recorded. */
+struct settlement {
+	uint64_t member; /* incarnation */
+	uint64_t seq;
+};
+
 struct inquiry;
-void mst_inquiry_free(struct inquiry *inquiry);
-void mst_inquiries_scan(struct mst_entry *entry);
+
+/* entry_record.c */
+/* Lets a record be written after a delay. */
+void mst_stored_touch(
+    const struct mst_entry *entry, struct stored *stored, int64_t delay_us);
+void mst_stored_write_if_due(struct mst_entry *entry, struct job *job);
+/* Takes over what a record tells of a job's tasks. */
+void mst_stored_merge_tasks(
+    struct mst_entry *entry, struct job *job, const char *tasks);
+void mst_stored_answer_all(struct mst_entry *entry, struct job *job,
+    GArray *requests, enum mst_stored_state state);
+/* Closes a job whose end is recorded for good. */
+void mst_stored_close_recorded(struct mst_entry *entry, struct job *job);
+void mst_stored_answer(struct mst_entry *entry, struct job *job,
+    const struct mst_store_answer *answer);
 
 /* entry_stored.c */
 struct job *mst_stored_new(struct mst_entry *entry,
@@ -55,8 +74,6 @@
 /* Takes over a job whose owner was lost. */
 void mst_stored_claim(struct mst_entry *entry, const struct mst_job_spec *spec,
     const struct mst_stored_record *found);
-void mst_stored_answer(struct mst_entry *entry, struct job *job,
-    const struct mst_store_answer *answer);
 /* Lets all stored jobs rest until their records are this entry's again; others
  * may take them meanwhile. */
 void mst_stored_suspend_all(struct mst_entry *entry);
@@ -67,11 +84,15 @@
 bool mst_stored_is_at_rest(const struct mst_entry *entry);
 /* Forgets a job and takes back what of it is at members. */
 void mst_stored_discard(struct mst_entry *entry, struct job *job);
-void mst_inquiry_answer(struct mst_entry *entry, struct inquiry *inquiry,
-    const struct mst_store_answer *answer);
 void mst_entry_tell_state(
     struct mst_entry *entry, uint64_t request, enum mst_stored_state state);
 
+/* entry_inquiry.c */
+void mst_inquiry_free(struct inquiry *inquiry);
+void mst_inquiry_answer(struct mst_entry *entry, struct inquiry *inquiry,
+    const struct mst_store_answer *answer);
+void mst_inquiries_scan(struct mst_entry *entry);
+
 /* entry_owner.c */
 /* An operation for the store; its answer comes back to the context. */
 struct mst_store_op *mst_entry_store_op(
