Stored jobs: failures are counted by owners only

Cause: an agent that recorded a failure for a silent entry could count one that the entry counted, too, or lead its next owner to a record with all attempts used and the job still open. An end that failed is never recorded by an agent now: its worker's lease lapses, and it counts for nothing. Done ends are recorded as before; they can't be counted twice.

--- a/src/core/agent_ends.c
+++ b/src/core/agent_ends.c
@@ -267,10 +267,13 @@
 }
 
 /* True when a record still counts on this run: otherwise its task may have been
- * run again. */
+ * run again. Failures are counted by owners only, as one told twice counts
+ * twice. */
 static bool
 is_awaited(const struct kept_end *end, const struct mst_record *found)
 {
+	if (end->failed && found->state == MST_RECORD_OPEN)
+		return false;
 	return end->owner == found->owner && end->term == found->term &&
 	    end->index < strlen(found->tasks);
 }
@@ -291,18 +294,6 @@
 	return true;
 }
 
-static void
-put_end(char *tasks, const struct kept_end *end)
-{
-	if (tasks[end->index] == MST_RECORD_DONE)
-		return;
-	if (!end->failed)
-		tasks[end->index] = MST_RECORD_DONE;
-	else if (tasks[end->index] <
-	    MST_RECORD_NO_FAILURES + MST_RECORD_FAILURES_MAX)
-		tasks[end->index]++;
-}
-
 /* Writes the ends of a record that was found open. */
 static void
 settling_write(struct mst_agent *agent, struct settling *settling,
@@ -318,7 +309,7 @@
 
 		if (strcmp(end->record, settling->record) != 0 || end->released)
 			continue;
-		put_end(settling->tasks, end);
+		settling->tasks[end->index] = MST_RECORD_DONE;
 		end->in_change = true;
 	}
 	if (strcmp(settling->tasks, found->record.tasks) == 0) {
--- a/tests/test_stored.c
+++ b/tests/test_stored.c
@@ -25,6 +25,7 @@
 #define DAY_MS        45000
 #define JOB_EVERY_MS  80
 #define TASKS_MAX     6
+#define ATTEMPTS      2
 #define CLOCK_STEP_MS 10
 #define PATIENCE_MS   1500
 #define RESEND_MS     400
@@ -92,7 +93,7 @@
 	if (caller->shown == MST_STORED_COMPLETE ||
 	    (caller->refused && caller->refused_only && caller->request == 0))
 		day->late = caller->key;
-	if (g_rand_int_range(day->rand, 0, 30) == 0)
+	if (g_rand_int_range(day->rand, 0, 8) == 0)
 		service.status = 500;
 	return service;
 }
@@ -137,7 +138,7 @@
 	    .restartable = true,
 	    .key = caller->key,
 	    .service = "service",
-	    .attempts = 3,
+	    .attempts = ATTEMPTS,
 	    .stretch = 1.6,
 	    .target_ms = 200,
 	    .stored = true,
@@ -382,6 +383,7 @@
 	    .jitter_us = 300,
 	    .leased = true,
 	    .stores = true,
+	    .attempts = ATTEMPTS,
 	    .load = load,
 	    .service = serve,
 	    .verbose = getenv("MST_TEST_LOG") != NULL,
--- a/tests/world/stored.c
+++ b/tests/world/stored.c
@@ -10,11 +10,14 @@
 #define STORE_LATE_MIN_US (1 * G_USEC_PER_SEC)
 #define STORE_LATE_US     (5 * G_USEC_PER_SEC)
 
+#define FAILURES_MAX 64
+
 /* What is known of one task's runs. */
 struct history {
 	int64_t last_start_us;
 	bool done_noted;
 	unsigned failures_noted;
+	int64_t failures_us[FAILURES_MAX]; /* when these ended */
 };
 
 static struct history *
@@ -37,6 +40,19 @@
 		world->violation = g_strdup_printf("%s %s", task, what);
 }
 
+/* A start must not come after as many failures as are allowed. */
+static void
+check_failures(
+    struct world *world, const char *task, const struct history *history)
+{
+	unsigned before = 0, i;
+
+	for (i = 0; i < history->failures_noted; i++)
+		before += history->failures_us[i] < history->last_start_us;
+	if (world->options.attempts > 0 && before >= world->options.attempts)
+		violate(world, task, "is started after its last failure");
+}
+
 void
 world_task_started(struct world *world, const char *task)
 {
@@ -45,6 +61,7 @@
 	if (history->done_noted)
 		violate(world, task, "starts after its end was noted");
 	history->last_start_us = world->now_us;
+	check_failures(world, task, history);
 }
 
 void
@@ -55,7 +72,9 @@
 
 	world_log(world, "%s %s is noted", task, done ? "done" : "failed");
 	if (!done) {
-		history->failures_noted++;
+		g_assert_cmpuint(history->failures_noted, <, FAILURES_MAX);
+		history->failures_us[history->failures_noted++] = ended_us;
+		check_failures(world, task, history);
 		return;
 	}
 	history->done_noted = true;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -67,6 +67,7 @@
 	uint32_t resend_ms; /* of the callers; 0: 1,300 */
 	bool leased;        /* entries hold their work by leases */
 	bool stores;        /* there is a store of records */
+	unsigned attempts; /* of a stored task that may end as failed; 0: any */
 	/* Gives a stored job by its key. */
 	const struct mst_job_spec *(*load)(void *ctx, const char *key);
 	double far_factor; /* work away from its data; 0: as near it */
