--- /dev/null
+++ b/tests/test_front.c
@@ -0,0 +1,307 @@
+/*
+ * What callers send and the operators write, read by the adapter from recorded
+ * bytes, and the answers. Whatever is malformed is named and never fatal.
+ */
+
+#include <glib.h>
+#include <string.h>
+
+#include "api/record_json.h"
+#include "platform.h"
+
+static const char document[] =
+    "{\"queues\":["
+    "{\"name\":\"push\",\"host\":\"a.example\",\"prefix\":\"/p/\","
+    "\"service\":\"s\",\"priority\":1,\"attempts\":2,\"timeout_ms\":1500,"
+    "\"stretch\":1.6,\"target_ms\":60},"
+    "{\"name\":\"deep\",\"host\":\"a.example\",\"prefix\":\"/p/q/\","
+    "\"service\":\"s\"}]}";
+
+static struct mst_config *
+config_new(void)
+{
+	struct mst_config *config;
+	GError *error = NULL;
+
+	mst_config_parse(&config, document, 7, &error);
+	g_assert_no_error(error);
+	return config;
+}
+
+static void
+ask(struct front_request *out, const struct mst_config *config,
+    const char *method, const char *path, const char *body)
+{
+	const struct mst_http_request request = {.method = mst_bytes_of(method),
+	    .host = mst_bytes_of("A.example:8161"),
+	    .path = mst_bytes_of(path),
+	    .body = mst_bytes_of(body)};
+
+	platform_front.read(out, &request, config);
+}
+
+static void
+front__job_is_read(void)
+{
+	struct mst_config *config = config_new();
+	struct front_request job;
+
+	ask(&job, config, "POST", "/p/5c0e7a21d94b36f8",
+	    "{\"spec\":\"text\",\"bestEffort\":true,\"steps\":[{\"count\":3,"
+	    "\"cpu\":1600,\"memMb\":64,\"estimateMs\":60}]}");
+	g_assert_cmpint(job.kind, ==, FRONT_SUBMIT);
+	g_assert_false(job.unserved);
+	g_assert_false(job.spec.stored);
+	g_assert_cmpstr(job.key, ==, "5c0e7a21d94b36f8");
+	g_assert_cmpstr(job.spec.team, ==, "push");
+	g_assert_cmpstr(job.spec.service, ==, "s");
+	g_assert_cmpuint(job.spec.count, ==, 3);
+	g_assert_cmpuint(job.spec.timeout_ms, ==, 1500);
+	g_assert_cmpuint(job.spec.attempts, ==, 2);
+	g_assert_cmpuint(job.spec.tasks[2].needs.millicores, ==, 1600);
+	g_assert_cmpuint(job.spec.tasks[2].declared_us, ==, 60000);
+	g_assert_cmpint(
+	    strncmp(job.spec.tasks[2].path.data, "5c0e7a21d94b36f8.0.0.2", 22),
+	    ==, 0);
+	platform_front.release(&job);
+	mst_config_free(config);
+}
+
+static void
+front__steps_are_read(void)
+{
+	struct mst_config *config = config_new();
+	const struct mst_step_spec *steps;
+	struct front_request job;
+
+	ask(&job, config, "POST", "/p/5c0e7a21d94b36f8",
+	    "{\"spec\":\"text\",\"bestEffort\":true,\"steps\":["
+	    "{\"count\":2,\"cpu\":500,\"affinity\":\"r1-3\"},"
+	    "{\"count\":1,\"cpu\":700,\"requires\":\"b\"},"
+	    "{\"count\":3,\"after\":[0,1],\"antiAffinity\":2}]}");
+	g_assert_cmpint(job.kind, ==, FRONT_SUBMIT);
+	g_assert_false(job.unserved);
+	g_assert_cmpuint(job.spec.count, ==, 6);
+	g_assert_cmpuint(job.spec.step_count, ==, 3);
+	steps = job.spec.steps;
+	g_assert_true(mst_bytes_are(steps[0].rack, "r1-3"));
+	g_assert_cmpuint(steps[0].after, ==, 0);
+	g_assert_true(mst_bytes_are(steps[1].requires, "b"));
+	g_assert_cmpuint(steps[1].first, ==, 2);
+	g_assert_cmpuint(steps[2].after, ==, 3);
+	g_assert_cmpuint(steps[2].per_member_max, ==, 2);
+	g_assert_cmpuint(job.spec.tasks[2].needs.millicores, ==, 700);
+	g_assert_true(
+	    mst_bytes_are(job.spec.tasks[5].path, "5c0e7a21d94b36f8.0.2.2"));
+	platform_front.release(&job);
+	mst_config_free(config);
+}
+
+/* A job that is read again from the store is what it was. */
+static void
+front__stored_job_is_read_again(void)
+{
+	static const char body[] =
+	    "{\"spec\":\"text\",\"steps\":[{\"count\":2,\"cpu\":500},"
+	    "{\"count\":1,\"after\":[0]}]}";
+	struct mst_config *config = config_new();
+	struct mst_queue_config queue;
+	struct front_request job, again;
+	const char *stored;
+	cJSON *json;
+	char *text;
+
+	ask(&job, config, "POST", "/p/5c0e7a21d94b36f8", body);
+	g_assert_cmpint(job.kind, ==, FRONT_SUBMIT);
+	g_assert_true(job.spec.stored);
+	g_assert_true(mst_bytes_are(job.body, body));
+	text = stored_json_write(
+	    mst_config_queue_named(config, job.spec.team), job.body);
+	json = stored_json_read(&queue, &stored, text);
+	platform_front.read_stored(&again, job.key, stored, &queue);
+	g_assert_cmpint(again.kind, ==, FRONT_SUBMIT);
+	g_assert_true(again.spec.stored);
+	g_assert_cmpstr(again.spec.key, ==, job.spec.key);
+	g_assert_cmpstr(again.spec.team, ==, "push");
+	g_assert_cmpstr(again.spec.service, ==, "s");
+	g_assert_cmpuint(again.spec.attempts, ==, 2);
+	g_assert_cmpuint(again.spec.count, ==, 3);
+	g_assert_cmpuint(again.spec.steps[1].after, ==, 1);
+	platform_front.release(&again);
+	cJSON_Delete(json);
+	cJSON_free(text);
+	platform_front.release(&job);
+	platform_front.read_stored(&again, "k", "no job", &queue);
+	g_assert_cmpint(again.kind, ==, FRONT_MALFORMED);
+	platform_front.release(&again);
+	mst_config_free(config);
+}
+
+static void
+front__requests_are_told_apart(void)
+{
+	static const struct {
+		const char *method;
+		const char *path;
+		const char *body;
+		enum front_request_kind kind;
+		bool unserved;
+	} rows[] = {{"GET", "/v1/readiness", "", FRONT_READY, false},
+	    {"GET", "/p/5c0e7a21d94b36f8", "", FRONT_STATE, false},
+	    {"DELETE", "/p/5c0e7a21d94b36f8", "", FRONT_CANCEL, false},
+	    {"GET", "/p/", "", FRONT_QUEUE, false},
+	    {"POST", "/x/5c0e7a21d94b36f8", "{}", FRONT_NO_QUEUE, false},
+	    {"POST", "/p/5c0e7a21d94b36f", "{}", FRONT_MALFORMED, false},
+	    {"POST", "/p/5c0e7a21d94b36fZ", "{}", FRONT_MALFORMED, false},
+	    {"POST", "/p/5c0e7a21d94b36f8", "", FRONT_MALFORMED, false},
+	    {"POST", "/p/5c0e7a21d94b36f8", "\xff\xfe{", FRONT_MALFORMED,
+		false},
+	    {"POST", "/p/5c0e7a21d94b36f8", "{\"steps\":7}", FRONT_MALFORMED,
+		false},
+	    {"POST", "/p/5c0e7a21d94b36f8",
+		"{\"steps\":[{\"count\":\"many\"}]}", FRONT_MALFORMED, false},
+	    {"POST", "/p/5c0e7a21d94b36f8", "{\"steps\":[{\"count\":1e9}]}",
+		FRONT_MALFORMED, false},
+	    {"POST", "/p/5c0e7a21d94b36f8", "{\"steps\":[{\"count\":1}]}",
+		FRONT_SUBMIT, false},
+	    {"POST", "/p/5c0e7a21d94b36f8",
+		"{\"bestEffort\":true,\"steps\":[{\"count\":1,"
+		"\"gang\":true}]}",
+		FRONT_SUBMIT, true},
+	    {"POST", "/p/5c0e7a21d94b36f8",
+		"{\"bestEffort\":true,\"longRunning\":true,"
+		"\"steps\":[{\"count\":1}]}",
+		FRONT_SUBMIT, true},
+	    {"POST", "/p/5c0e7a21d94b36f8",
+		"{\"bestEffort\":true,\"times\":3,"
+		"\"steps\":[{\"count\":1}]}",
+		FRONT_SUBMIT, true},
+	    {"POST", "/p/5c0e7a21d94b36f8",
+		"{\"bestEffort\":true,\"steps\":[{\"count\":1},"
+		"{\"count\":1,\"after\":[0]}]}",
+		FRONT_SUBMIT, false},
+	    {"POST", "/p/5c0e7a21d94b36f8",
+		"{\"bestEffort\":true,\"steps\":[{\"count\":1},"
+		"{\"count\":1,\"after\":[1]}]}",
+		FRONT_MALFORMED, false},
+	    {"POST", "/p/5c0e7a21d94b36f8",
+		"{\"bestEffort\":true,\"steps\":[{\"count\":1},"
+		"{\"count\":4096}]}",
+		FRONT_MALFORMED, false}};
+	struct mst_config *config = config_new();
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct front_request asked;
+
+		ask(&asked, config, rows[i].method, rows[i].path, rows[i].body);
+		g_assert_cmpint(asked.kind, ==, rows[i].kind);
+		g_assert_cmpint(asked.unserved, ==, rows[i].unserved);
+		if (asked.kind == FRONT_MALFORMED)
+			g_assert_nonnull(asked.fault);
+		platform_front.release(&asked);
+	}
+	mst_config_free(config);
+}
+
+static void
+front__longest_prefix_wins(void)
+{
+	struct mst_config *config = config_new();
+	struct front_request asked;
+
+	ask(&asked, config, "POST", "/p/q/5c0e7a21d94b36f8",
+	    "{\"bestEffort\":true,\"steps\":[{\"count\":1}]}");
+	g_assert_cmpstr(asked.spec.team, ==, "deep");
+	platform_front.release(&asked);
+	ask(&asked, NULL, "POST", "/p/q/5c0e7a21d94b36f8", "{}");
+	g_assert_cmpint(asked.kind, ==, FRONT_NO_QUEUE);
+	platform_front.release(&asked);
+	mst_config_free(config);
+}
+
+static void
+front__answers_are_written(void)
+{
+	static const struct {
+		enum front_outcome outcome;
+		int status;
+		const char *body;
+	} rows[] = {{FRONT_IS_READY, 200, ""}, {FRONT_IS_NOT_READY, 503, ""},
+	    {FRONT_COMPLETED, 200, "{\"state\":\"completed\"}"},
+	    {FRONT_FAILED, 200, "{\"state\":\"failed\"}"},
+	    {FRONT_NOT_RUN, 503, ""}, {FRONT_MAY_HAVE_RUN, 504, ""},
+	    {FRONT_UNKNOWN_QUEUE, 404, ""}, {FRONT_UNKNOWN_JOB, 410, ""},
+	    {FRONT_QUEUE_LENGTH, 200, "{\"pending\":0}"},
+	    {FRONT_WRONG, 400, ""}};
+	struct front_answer answer = {0};
+	struct front_reply reply;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		answer.outcome = rows[i].outcome;
+		platform_front.write(&reply, &answer);
+		g_assert_cmpint(reply.status, ==, rows[i].status);
+		g_assert_cmpstr(reply.body, ==, rows[i].body);
+	}
+	answer = (struct front_answer){
+	    .outcome = FRONT_NOT_RUN, .retry_after_ms = 1200, .close = true};
+	platform_front.write(&reply, &answer);
+	g_assert_cmpuint(reply.header_count, ==, 3);
+	g_assert_cmpstr(reply.headers[1].name, ==, "retry-after");
+	g_assert_cmpstr(reply.retry_after, ==, "2");
+}
+
+static void
+config__routes_become_queues(void)
+{
+	static const char text[] =
+	    "{\"version\":9,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+	    "\"prefix\":\"/x/\",\"service\":\"s\",\"timeoutMs\":1500,"
+	    "\"targetLatencyMs\":60,\"priority\":2,\"attempts\":3,"
+	    "\"stretch\":1.6}],\"services\":[]}";
+	static const char *const wrong[] = {"{}", "[]", "{\"version\":9}",
+	    "{\"version\":\"x\",\"routes\":[]}",
+	    "{\"version\":9,\"routes\":{}}"};
+	const struct mst_queue_config *queue;
+	struct mst_config *config;
+	const char *fault = NULL;
+	uint64_t version;
+	cJSON *json = cJSON_Parse(text);
+	char *translated = platform_config_translate(&version, &fault, json);
+	size_t i;
+
+	g_assert_cmpuint(version, ==, 9);
+	g_assert_cmpint(
+	    mst_config_parse(&config, translated, version, NULL), ==, 0);
+	queue = mst_config_queue_named(config, "r");
+	g_assert_nonnull(queue);
+	g_assert_cmpuint(queue->timeout_ms, ==, 1500);
+	g_assert_cmpuint(queue->target_ms, ==, 60);
+	g_assert_cmpuint(queue->attempts, ==, 3);
+	mst_config_free(config);
+	cJSON_free(translated);
+	cJSON_Delete(json);
+	for (i = 0; i < G_N_ELEMENTS(wrong); i++) {
+		json = cJSON_Parse(wrong[i]);
+		fault = NULL;
+		g_assert_null(
+		    platform_config_translate(&version, &fault, json));
+		g_assert_nonnull(fault);
+		cJSON_Delete(json);
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/front/stored", front__stored_job_is_read_again);
+	g_test_add_func("/front/steps", front__steps_are_read);
+	g_test_add_func("/front/job", front__job_is_read);
+	g_test_add_func("/front/kinds", front__requests_are_told_apart);
+	g_test_add_func("/front/prefix", front__longest_prefix_wins);
+	g_test_add_func("/front/answers", front__answers_are_written);
+	g_test_add_func("/config/routes", config__routes_become_queues);
+	return g_test_run();
+}
--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -252,20 +252,8 @@
 	}
 	if (day->heal_ms != 0 && (all || day->now_ms >= day->heal_ms))
 		heal_all(day);
-	for (at = 0; all && at < WORKERS; at++) {
-		struct sim_worker *worker =
-		    world_worker(day->world, day->cast.agents[at]);
-
-		sim_worker_set_late(worker, 0);
-		sim_worker_set_away(worker, false);
-	}
-}
-
-static void
-on_log(void *ctx, const char *line)
-{
-	if (getenv("MST_TEST_LOG") != NULL)
-		fprintf(stderr, "%s\n", line);
+	if (all)
+		cast_calm_workers(&day->cast);
 }
 
 static struct day *
@@ -281,7 +269,7 @@
 	    .resend_ms = seed % 4 == 0 ? RESEND_SOON_MS : RESEND_MS,
 	    .service = serve,
 	    .verbose = getenv("MST_TEST_LOG") != NULL,
-	    .on_log = on_log,
+	    .on_log = cast_log,
 	    .ctx = day};
 
 	day->seed = seed;
--- a/tests/test_stored.c
+++ b/tests/test_stored.c
@@ -356,20 +356,8 @@
 		world_store_faults(day->world, 0, 0);
 		day->store_ms = 0;
 	}
-	for (at = 0; all && at < WORKERS; at++) {
-		struct sim_worker *worker =
-		    world_worker(day->world, day->cast.agents[at]);
-
-		sim_worker_set_late(worker, 0);
-		sim_worker_set_away(worker, false);
-	}
-}
-
-static void
-on_log(void *ctx, const char *line)
-{
-	if (getenv("MST_TEST_LOG") != NULL)
-		fprintf(stderr, "%s\n", line);
+	if (all)
+		cast_calm_workers(&day->cast);
 }
 
 static struct day *
@@ -387,7 +375,7 @@
 	    .load = load,
 	    .service = serve,
 	    .verbose = getenv("MST_TEST_LOG") != NULL,
-	    .on_log = on_log,
+	    .on_log = cast_log,
 	    .ctx = day};
 
 	day->seed = seed;
--- a/tests/world/cast.c
+++ b/tests/world/cast.c
@@ -1,5 +1,10 @@
 #include "world/cast.h"
 
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "world/worker.h"
+
 void
 cast_add(struct cast *cast, struct world *world, int entries, int agents,
     const struct mst_resources *capacity)
@@ -74,3 +79,24 @@
 	if (at < cast->entry_count)
 		world_configure(cast->world, node, 1, "{}");
 }
+
+void
+cast_calm_workers(const struct cast *cast)
+{
+	int i;
+
+	for (i = 0; i < cast->agent_count; i++) {
+		struct sim_worker *worker =
+		    world_worker(cast->world, cast->agents[i]);
+
+		sim_worker_set_late(worker, 0);
+		sim_worker_set_away(worker, false);
+	}
+}
+
+void
+cast_log(void *ctx, const char *line)
+{
+	if (getenv("MST_TEST_LOG") != NULL)
+		fprintf(stderr, "%s\n", line);
+}
--- a/tests/world/cast.h
+++ b/tests/world/cast.h
@@ -27,6 +27,12 @@
 void cast_cut_some(const struct cast *cast, GRand *rand);
 void cast_heal_all(const struct cast *cast);
 
+/* Ends the faults of all workers. */
+void cast_calm_workers(const struct cast *cast);
+
+/* Writes a world's log to standard error when MST_TEST_LOG is set. */
+void cast_log(void *ctx, const char *line);
+
 /* Starts what has died, with a configuration where it is an entry. */
 void cast_restart(const struct cast *cast, int at);
 
