core: orders to a worker that fails are repeated after growing delays

Cause: an unanswered stop was sent again at once, and an unanswered start up to six times at once. A worker that resets its connections answers within a millisecond, so its agent connected in a loop. Renewals after a failure came every 20 ms without end, and every stopped run asked for itself.

Now a failed order is repeated once at once, then after a delay that doubles from 20 ms to 140 ms (renewals 150 ms) with jitter, counted from the order, so that a silent worker is not waited for twice. While renewals fail, stops wait for the first one that is answered: what runs expires without them.

Ruled out: to treat an unanswered stop like a refused connection (waits for the next renewal in all cases): too slow for a stop that matters, since a worker that answers renewals goes on with the run.

--- a/src/core/agent/agent.c
+++ b/src/core/agent/agent.c
@@ -45,6 +45,7 @@
 	agent->active = g_hash_table_new(g_direct_hash, g_direct_equal);
 	agent->claims = g_hash_table_new_full(mst_job_id_hash, mst_job_id_equal,
 	    NULL, (GDestroyNotify)mst_claim_free);
+	agent->rand = g_rand_new_with_seed((guint32)options->incarnation);
 	agent->effects =
 	    g_array_new(FALSE, TRUE, sizeof(struct mst_agent_effect));
 	agent->scratch_results =
@@ -65,6 +66,7 @@
 	g_hash_table_unref(agent->active);
 	g_hash_table_unref(agent->sessions);
 	g_hash_table_unref(agent->claims);
+	g_rand_free(agent->rand);
 	g_array_unref(agent->effects);
 	g_array_unref(agent->scratch_results);
 	g_array_unref(agent->scratch_fenced);
--- a/src/core/agent/agent_internal.h
+++ b/src/core/agent/agent_internal.h
@@ -47,11 +47,12 @@
 	struct mst_result_item result; /* owns its strings */
 	uint32_t run_number;           /* leased: run number */
 	uint8_t order_state;           /* leased: enum order_state */
-	uint8_t order_tries;
+	uint8_t order_tries;           /* of the present start or stop */
 	/* A start order that got no answer may still be executed. */
 	bool start_unanswered;
 	enum mst_reason stop_reason;
 	int64_t order_us;     /* time of the last order */
+	int64_t order_due_us; /* ORDER_START_DUE, ORDER_STOP_DUE: not before */
 	int64_t confirmed_us; /* time of the worker's last confirmation */
 	GList link;           /* link in queue, unacked or retained */
 	struct run *next_in_job;
@@ -127,6 +128,7 @@
 	GBytes *config;
 	struct mst_config_pull config_pull;
 	struct mst_agent_counters counters;
+	GRand *rand;
 	GArray *effects;
 	GArray *scratch_results; /* struct mst_result_item */
 	GArray *scratch_fenced;  /* struct mst_fenced_item */
--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -4,12 +4,19 @@
  * the worker accepts only once.
  */
 
+#include "base/retry_delay.h"
 #include "core/agent/agent_internal.h"
 #include "core/worker/worker_internal.h"
 
 #define WORKER_START_TRIES_MAX  6
 #define WORKER_TASK_SIZE_WINDOW 64 /* tasks in the average of their size */
 
+/* Time from an order to its repetition, in microseconds. The maximum is below
+ * the interval between renewals, so that a stop takes no longer than with an
+ * entry that is lost. */
+static const struct mst_retry_bounds order_bounds = {
+    .min = 20 * 1000, .max = 140 * 1000};
+
 static void
 set_order_run(struct mst_order *order, const struct run *run)
 {
@@ -32,17 +39,72 @@
 	mst_worker_order_set_lease(agent, order);
 }
 
-void
-mst_worker_send_stop(struct mst_agent *agent, struct run *run)
+static void
+send_stop(struct mst_agent *agent, struct run *run)
 {
 	struct mst_order *order =
 	    mst_worker_emit_order(agent, MST_ORDER_STOP, run->handle);
 
 	run->order_state = ORDER_STOPPING;
 	run->order_us = agent->now_us;
+	run->order_tries++;
 	set_order_run(order, run);
 }
 
+void
+mst_worker_send_stop(struct mst_agent *agent, struct run *run)
+{
+	run->order_tries = 0;
+	send_stop(agent, run);
+}
+
+/* Schedules the repetition of a run's last order; the first one is due at once.
+ * The delay counts from that order, so a worker that is silent until the
+ * timeout is not waited for twice. */
+static void
+repeat_order_later(
+    struct mst_agent *agent, struct run *run, enum order_state state)
+{
+	int64_t delay_us = mst_retry_delay(
+	    &order_bounds, run->order_tries - 1, g_rand_double(agent->rand));
+
+	run->order_state = (uint8_t)state;
+	run->order_due_us = run->order_us + delay_us;
+}
+
+static bool
+order_is_due(const struct mst_agent *agent, const struct run *run)
+{
+	if (agent->now_us < run->order_due_us)
+		return false;
+	/* While the worker leaves renewals unanswered, its runs expire without
+	 * a stop, and one kind of order is enough to find out when it is
+	 * back. */
+	return run->order_state == ORDER_START_DUE ||
+	    (run->order_state == ORDER_STOP_DUE &&
+		agent->worker.synced && agent->worker.renew_failures == 0);
+}
+
+void
+mst_worker_send_due_orders(struct mst_agent *agent)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, agent->active);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct run *run = value;
+
+		if (!order_is_due(agent, run))
+			continue;
+		agent->counters.orders_repeated++;
+		if (run->order_state == ORDER_START_DUE)
+			send_start(agent, run);
+		else
+			send_stop(agent, run);
+	}
+}
+
 void
 mst_worker_start_run(struct mst_agent *agent, struct run *run)
 {
@@ -150,7 +212,7 @@
 {
 	if (run->order_tries < WORKER_START_TRIES_MAX &&
 	    !agent->worker.lease_expiring)
-		send_start(agent, run);
+		repeat_order_later(agent, run, ORDER_START_DUE);
 	else
 		mst_worker_stop_run(agent, run, MST_REASON_UPSTREAM_TIMEOUT);
 }
@@ -210,12 +272,9 @@
 	if (answer->status == MST_ORDER_FENCED)
 		mst_worker_raise_fence(agent);
 	if (answer->status == MST_ORDER_NO_ANSWER ||
-	    answer->status == MST_ORDER_FENCED) {
-		mst_worker_send_stop(agent, run);
-		return;
-	}
-	if (answer->status == MST_ORDER_DOWN) {
-		run->order_state = ORDER_STOP_DUE;
+	    answer->status == MST_ORDER_FENCED ||
+	    answer->status == MST_ORDER_DOWN) {
+		repeat_order_later(agent, run, ORDER_STOP_DUE);
 		return;
 	}
 	run->order_state = ORDER_STOPPED;
--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -3,6 +3,7 @@
  * list the running and the completed runs.
  */
 
+#include "base/retry_delay.h"
 #include "core/agent/agent_internal.h"
 #include "core/worker/worker_internal.h"
 
@@ -10,9 +11,14 @@
 
 #define WORKER_RENEW_MARGIN_MS    50 /* for the answer, beyond the wait */
 #define WORKER_UNRELIABLE_WAIT_US (40 * 1000)
-#define WORKER_RENEW_RETRY_US     (20 * 1000)
+#define WORKER_RENEW_RETRY_US     (20 * 1000) /* while runs are awaited */
 #define WORKER_UNKNOWN_STOPS_MAX  64 /* per list of running runs */
 
+/* Time from a failed renewal to the next one after several failures, in
+ * microseconds. Several fit into a lease. */
+static const struct mst_retry_bounds renew_bounds = {
+    .min = 20 * 1000, .max = 150 * 1000};
+
 static struct run *
 find_run(const struct mst_agent *agent, struct mst_bytes task, uint32_t number)
 {
@@ -121,7 +127,8 @@
 			continue;
 		}
 		unlisted = g_list_remove(unlisted, run);
-		if (run->order_state == ORDER_STARTING) {
+		if (run->order_state == ORDER_STARTING ||
+		    run->order_state == ORDER_START_DUE) {
 			run->order_state = ORDER_STARTED;
 			run->confirmed_us = agent->now_us;
 		} else if (run->order_state == ORDER_STOPPED &&
@@ -195,24 +202,11 @@
 	if (++worker->renew_failures == WORKER_RENEW_FAILURES_MAX &&
 	    worker->synced)
 		mst_worker_emit_state(agent, mst_order_status_name(status));
-	worker->next_renew_us = agent->now_us;
-	if (worker->renew_failures > 1)
-		worker->next_renew_us += WORKER_RENEW_RETRY_US;
-}
-
-static void
-send_due_stops(struct mst_agent *agent)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, agent->active);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct run *run = value;
-
-		if (run->order_state == ORDER_STOP_DUE)
-			mst_worker_send_stop(agent, run);
-	}
+	/* A single failure is repeated at once, since it delays completions. */
+	worker->next_renew_us = agent->now_us +
+	    mst_retry_delay(&renew_bounds, worker->renew_failures - 1,
+		g_rand_double(agent->rand));
+	agent->counters.orders_repeated++;
 }
 
 static void
@@ -233,7 +227,6 @@
 		return;
 	}
 	unknown_runs = process_lists(agent, answer);
-	send_due_stops(agent);
 	worker->renew_failures = 0;
 	/* Runs of an earlier incarnation of this agent must end first, because
 	 * entries may start their tasks elsewhere once they know of this
--- a/src/core/worker/worker.c
+++ b/src/core/worker/worker.c
@@ -193,6 +193,7 @@
 			mst_completions_handle_expiry(agent);
 	}
 	mst_completions_tick(agent);
+	mst_worker_send_due_orders(agent);
 	if (agent->now_us < worker->next_renew_us)
 		return;
 	renew_slot = mst_worker_get_renew_slot(agent);
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -12,10 +12,11 @@
 /* Progress of the orders for a leased run. */
 enum order_state {
 	ORDER_NONE = 0,
-	ORDER_STARTING, /* start sent, not answered yet */
+	ORDER_STARTING,  /* start sent, not answered yet */
+	ORDER_START_DUE, /* start without an answer, to be repeated */
 	ORDER_STARTED,
 	ORDER_STOPPING, /* stop sent, not answered yet */
-	ORDER_STOP_DUE, /* stop to be sent once the worker answers */
+	ORDER_STOP_DUE, /* stop to be sent when due, once the worker answers */
 	ORDER_STOPPED   /* stop confirmed, completion not listed yet */
 };
 
--- a/src/core/worker/worker_internal.h
+++ b/src/core/worker/worker_internal.h
@@ -45,6 +45,8 @@
 void mst_worker_handle_down(struct mst_agent *agent);
 /* Sends the order to stop a run, also if one was sent before. */
 void mst_worker_send_stop(struct mst_agent *agent, struct run *run);
+/* Repeats the orders that got no answer and whose delay is over. */
+void mst_worker_send_due_orders(struct mst_agent *agent);
 /* Completes a run with a result and frees its resources. */
 void mst_worker_complete_run(struct mst_agent *agent, struct run *run,
     const struct mst_result_item *result);
--- a/src/runtime/metrics.c
+++ b/src/runtime/metrics.c
@@ -302,6 +302,9 @@
 	for (i = MST_ORDER_DONE; i <= MST_ORDER_INVALID; i++)
 		metrics_add_sample(out, "orders_total", "answer",
 		    mst_order_status_name(i), (double)counters->orders[i]);
+	metrics_add_single(out, "orders_repeated_total", "counter",
+	    "Orders to the worker that were sent again after a failure.",
+	    (double)counters->orders_repeated);
 	metrics_add_single(
 	    out, "running", "gauge", "Calls running.", gauges->running);
 	metrics_add_single(
