--- a/include/masticstall.h
+++ b/include/masticstall.h
@@ -12,6 +12,7 @@
 #include <masticstall/record.h>
 #include <masticstall/seqset.h>
 #include <masticstall/settings.h>
+#include <masticstall/tuning.h>
 #include <masticstall/worker.h>
 
 #endif
--- a/include/masticstall/agent.h
+++ b/include/masticstall/agent.h
@@ -11,6 +11,7 @@
 #include <masticstall/lease.h>
 #include <masticstall/message.h>
 #include <masticstall/record.h>
+#include <masticstall/tuning.h>
 #include <masticstall/worker.h>
 
 struct mst_agent;
@@ -39,6 +40,7 @@
 	bool leased;
 	struct mst_lease_times leases;
 	bool stored_jobs; /* leased only: the worker also runs stored jobs */
+	struct mst_tuning tuning;
 };
 
 #define MST_AGENT_OPTIONS_INIT                                                 \
@@ -49,7 +51,7 @@
 		.heartbeat_us = G_USEC_PER_SEC,                                \
 		.fence_silence_us = 3 * G_USEC_PER_SEC,                        \
 		.retention_us = 120 * G_USEC_PER_SEC,                          \
-		.retained_bytes_max = 16u << 20,                               \
+		.retained_bytes_max = 16u << 20, .tuning = MST_TUNING_INIT,    \
 	}
 
 enum mst_agent_event_type {
--- a/include/masticstall/entry.h
+++ b/include/masticstall/entry.h
@@ -13,6 +13,7 @@
 #include <masticstall/lease.h>
 #include <masticstall/message.h>
 #include <masticstall/record.h>
+#include <masticstall/tuning.h>
 
 struct mst_entry;
 
@@ -40,6 +41,7 @@
 	int64_t dispatch_valid_us; /* time within which a task must start */
 	double remote_factor;      /* slowdown in racks without the data */
 	uint32_t entries_max;      /* entries that an agent serves; 0: all */
+	struct mst_tuning tuning;
 	bool stored_jobs;          /* leased only: accepts stored jobs */
 	/* Time without a renewal after which an owner relinquishes its jobs. */
 	int64_t owner_lease_us;
@@ -61,6 +63,7 @@
 		.owner_lease_us = 2 * G_USEC_PER_SEC,                          \
 		.takeover_delay_us = 4 * G_USEC_PER_SEC,                       \
 		.record_retention_us = 180 * G_USEC_PER_SEC,                   \
+		.tuning = MST_TUNING_INIT,                                     \
 	}
 
 /** Ticket of a job, by which its caller refers to it. */
--- a/src/core/agent/agent_internal.h
+++ b/src/core/agent/agent_internal.h
@@ -11,7 +11,6 @@
 #define AGENT_SESSIONS_MAX     1024
 #define AGENT_CLAIMS_MAX       65536
 #define AGENT_PREFETCH_MAX     64
-#define AGENT_LEASED_QUEUE_MAX 2 /* tasks queued for the next free slot */
 /* Silence of an entry after which its session is removed. */
 #define AGENT_SESSION_KEEP_US (INT64_C(21600) * G_USEC_PER_SEC)
 #define AGENT_LEASED_SESSION_KEEP_US                                           \
--- a/src/core/agent/run.c
+++ b/src/core/agent/run.c
@@ -167,7 +167,7 @@
 queue_limit(const struct mst_agent *agent)
 {
 	return agent->options.leased
-	    ? mst_worker_free_slots(agent) + AGENT_LEASED_QUEUE_MAX + 1
+	    ? mst_worker_free_slots(agent) + agent->options.tuning.queue_max + 1
 	    : agent->options.queue_max;
 }
 
@@ -182,9 +182,11 @@
 static void
 enqueue_run(struct mst_agent *agent, struct run *run)
 {
+	bool by_urgency =
+	    agent->options.leased && agent->options.tuning.order_by_urgency;
 	GList *after = agent->queue.tail;
 
-	while (agent->options.leased && after != NULL &&
+	while (by_urgency && after != NULL &&
 	    start_deadline_us(after->data) > start_deadline_us(run))
 		after = after->prev;
 	if (after == agent->queue.tail)
--- a/src/core/agent/session.c
+++ b/src/core/agent/session.c
@@ -159,9 +159,8 @@
 get_leased_grant(const struct mst_agent *agent, const struct session *session)
 {
 	uint32_t waiting = agent->queue.length;
-	uint32_t queue_room = waiting < AGENT_LEASED_QUEUE_MAX
-	    ? AGENT_LEASED_QUEUE_MAX - waiting
-	    : 0;
+	uint32_t max = agent->options.tuning.queue_max;
+	uint32_t queue_room = waiting < max ? max - waiting : 0;
 
 	if (!mst_worker_is_ready(agent))
 		return 0;
--- a/src/core/job/result.c
+++ b/src/core/job/result.c
@@ -147,6 +147,8 @@
 	    mst_task_expected_us(job, task);
 	double service_us = observed_us / member->slowness / remote_factor;
 
+	if (!entry->options.tuning.learn_times)
+		return;
 	mst_estimate_add_sample(&job->team->estimate, task->declared_us,
 	    service_us, RESULT_TEAM_WINDOW);
 	step->max_observed_us = MAX(step->max_observed_us, service_us);
--- a/src/core/place/objective.c
+++ b/src/core/place/objective.c
@@ -11,21 +11,7 @@
 #include "core/place/fit.h"
 #include "core/place/place.h"
 
-/* Answers later than this multiple of the objective are useless. */
-#define EXPIRY_FACTOR 3.0
-/* Added to the virtual deadline per priority level; 0 is served first. */
-#define PRIORITY_STEP_US (INT64_C(100) * 1000)
-#define PRIORITY_MAX     10
-/* Lowest dispatch rate assumed, as a share of this entry's fair share of the
- * capacity. */
-#define RATE_SHARE_MIN 0.5
-/* Share of its slack that a job may be expected to wait in the queue. It
- * decreases with the load, because expected waits are rough and only grow once
- * no slot is free. */
-#define WAIT_SHARE_LOW_LOAD  1.0
-#define WAIT_SHARE_HIGH_LOAD 0.2
-#define LOW_LOAD             0.6 /* share of the capacity in use */
-#define HIGH_LOAD            0.9
+#define PRIORITY_MAX 10 /* levels that are told apart; 0 is served first */
 
 /* Limits of a job, in microseconds after its submission. */
 struct objective {
@@ -38,6 +24,7 @@
 compute_objective(const struct mst_entry *entry, double service_us,
     double stretch, int64_t target_us, int64_t timeout_us, uint32_t priority)
 {
+	const struct mst_tuning *tuning = &entry->options.tuning;
 	int64_t objective_us = (int64_t)(stretch * service_us) + target_us;
 	struct objective objective;
 
@@ -45,10 +32,11 @@
 		objective_us = timeout_us;
 	objective.limit_us = MIN(objective_us, timeout_us);
 	objective.expiry_offset_us =
-	    MIN((int64_t)((double)objective_us * EXPIRY_FACTOR), timeout_us);
+	    MIN((int64_t)((double)objective_us * tuning->expiry_factor),
+		timeout_us);
 	objective.order_offset_us = objective.limit_us -
 	    (int64_t)(service_us * entry->min_slowness) +
-	    MIN(priority, PRIORITY_MAX) * PRIORITY_STEP_US;
+	    MIN(priority, PRIORITY_MAX) * tuning->priority_step_us;
 	return objective;
 }
 
@@ -118,20 +106,24 @@
 	g_hash_table_iter_init(&iter, entry->teams);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		rate += ((const struct team *)value)->dispatch_rate;
-	return load_us / MAX(MAX(rate, fair_share * RATE_SHARE_MIN), 1e-3);
+	return load_us /
+	    MAX(MAX(rate, fair_share * entry->options.tuning.rate_share_min),
+		1e-3);
 }
 
 /* Returns the share of its slack that a job may be expected to wait at the
- * current load. */
+ * current load. It decreases with the load, because expected waits are rough
+ * and only grow once no slot is free. */
 static double
 max_wait_share(const struct mst_entry *entry)
 {
-	double load_level =
-	    (mst_leased_utilization(entry) - LOW_LOAD) / (HIGH_LOAD - LOW_LOAD);
+	const struct mst_tuning *tuning = &entry->options.tuning;
+	double load_level = (mst_leased_utilization(entry) - tuning->low_load) /
+	    (tuning->high_load - tuning->low_load);
 
-	return WAIT_SHARE_LOW_LOAD -
+	return tuning->wait_share_low_load -
 	    CLAMP(load_level, 0, 1) *
-	    (WAIT_SHARE_LOW_LOAD - WAIT_SHARE_HIGH_LOAD);
+	    (tuning->wait_share_low_load - tuning->wait_share_high_load);
 }
 
 bool
@@ -146,6 +138,8 @@
 	    (int64_t)spec->target_ms * 1000, (int64_t)spec->timeout_ms * 1000,
 	    spec->priority);
 	*wait_us = 0;
+	if (!entry->options.tuning.refuse_late)
+		return false;
 	if (entry->capacity <= 0 &&
 	    entry->now_us - entry->started_us <= ENTRY_WARM_UP_US)
 		return false;
@@ -159,13 +153,16 @@
 bool
 mst_job_demote_late(struct mst_entry *entry, struct job *job)
 {
-	if (!job->restartable || job->stored != NULL || job->demoted ||
-	    job->started > 0 || entry->now_us <= job->latest_start_us)
+	const struct mst_tuning *tuning = &entry->options.tuning;
+
+	if (!tuning->demote_late || !job->restartable || job->stored != NULL ||
+	    job->demoted || job->started > 0 ||
+	    entry->now_us <= job->latest_start_us)
 		return true;
 	/* Queued behind the jobs that can still meet their objectives. */
 	job->demoted = true;
 	job->virtual_deadline_us =
-	    job->expiry_us + PRIORITY_MAX * PRIORITY_STEP_US;
+	    job->expiry_us + PRIORITY_MAX * tuning->priority_step_us;
 	mst_team_reorder(entry, job);
 	return entry->now_us +
 	    (int64_t)mst_entry_queue_delay_us(
--- a/src/core/place/overdue.c
+++ b/src/core/place/overdue.c
@@ -11,9 +11,8 @@
 #include "core/place/fit.h"
 #include "core/place/place.h"
 
-/* A task is overdue after this multiple of its expected time plus the slack.
- * The factor is well above the error of the expected time. */
-#define OVERDUE_FACTOR   3.0
+/* A task is overdue after a multiple of its expected time, which is well above
+ * the error of that time, plus this slack. */
 #define OVERDUE_SLACK_US (INT64_C(60) * 1000)
 /* A member is marked as overdue if it has at least this share and number of
  * overdue tasks. */
@@ -28,7 +27,8 @@
 	    member->slowness;
 
 	return (double)(entry->now_us - task->sent_us) >
-	    expected_us * OVERDUE_FACTOR + OVERDUE_SLACK_US;
+	    expected_us * entry->options.tuning.overdue_factor +
+	    OVERDUE_SLACK_US;
 }
 
 /* Returns true if a task may be moved and the fastest member could still finish
@@ -47,6 +47,7 @@
 static void
 member_scan_overdue(struct mst_entry *entry, struct member *member)
 {
+	const struct mst_tuning *tuning = &entry->options.tuning;
 	uint32_t overdue_count = 0, sent_count = 0;
 	GHashTableIter iter;
 	gpointer key, value;
@@ -64,10 +65,12 @@
 		if (!task_is_overdue(entry, member, job, task))
 			continue;
 		overdue_count++;
-		if (is_worth_moving(entry, job, task))
+		if (tuning->withdraw_overdue &&
+		    is_worth_moving(entry, job, task))
 			mst_task_withdraw(entry, task);
 	}
-	member->overdue = overdue_count >= OVERDUE_TASKS_MIN &&
+	member->overdue = tuning->limit_overdue &&
+	    overdue_count >= OVERDUE_TASKS_MIN &&
 	    overdue_count >= sent_count * OVERDUE_SHARE;
 }
 
--- a/src/core/place/place_leased.c
+++ b/src/core/place/place_leased.c
@@ -11,14 +11,9 @@
 #include "core/place/place.h"
 
 #define DISPATCH_OVERHEAD_US (INT64_C(6) * 1000) /* worker orders, messages */
-#define PLANNED_TIME_SHARE   0.85 /* share of the time limit that is planned */
-#define LOW_UTILIZATION      0.35 /* below it, no later finish is accepted */
-#define HIGH_UTILIZATION     0.75 /* above it, the latest finish is accepted */
-#define OVERRUN_FACTOR       1.5  /* of the expected service time */
 /* Shares of the expected time until the finish of a task. */
-#define FINISH_STRETCH_MAX 0.5 /* largest delay beyond the first finish */
-#define OCCUPANCY_WEIGHT   0.1 /* delay of a fully occupied member */
-#define FINISH_JITTER      0.1 /* largest random delay */
+#define OCCUPANCY_WEIGHT   0.1            /* delay of a fully occupied member */
+#define FINISH_JITTER      0.1            /* largest random delay */
 #define DEFAULT_SERVICE_US (150.0 * 1000) /* if none is known */
 
 /* Returns the expected time until a member has a slot for one more task, in
@@ -66,6 +61,8 @@
 	double occupancy = 1 -
 	    MIN(member->free_slots, member->slots) / MAX(member->slots, 1.0);
 
+	if (!entry->options.tuning.spread)
+		return 1;
 	return 1 + OCCUPANCY_WEIGHT * occupancy +
 	    g_rand_double_range(entry->rand, 0, FINISH_JITTER);
 }
@@ -115,8 +112,9 @@
 static bool
 can_end_in_time(const struct placement *placement, const struct member *member)
 {
-	static const double factors[] = {1, OVERRUN_FACTOR};
 	const struct mst_entry *entry = placement->entry;
+	const struct mst_tuning *tuning = &entry->options.tuning;
+	const double factors[] = {1, tuning->overrun_factor};
 	const struct job *job = placement->job;
 	double elapsed_us = (double)(entry->now_us - job->submitted_us);
 	double timeout_us = (double)(job->deadline_us - job->submitted_us);
@@ -130,21 +128,23 @@
 		double limit_us =
 		    MIN(objective_for_us(placement, factors[i]), timeout_us);
 
-		if (end_us > limit_us * PLANNED_TIME_SHARE)
+		if (end_us > limit_us * tuning->planned_share)
 			return false;
 	}
 	return true;
 }
 
 /* Returns the latest finish that is accepted: the earliest one at low
- * utilization, up to 1 + FINISH_STRETCH_MAX times that at high utilization. */
+ * utilization, up to 1 + finish_stretch_max times that at high utilization. */
 static double
 max_finish_us(const struct mst_entry *entry, double first_us)
 {
-	double load_level = (entry->utilization - LOW_UTILIZATION) /
-	    (HIGH_UTILIZATION - LOW_UTILIZATION);
+	const struct mst_tuning *tuning = &entry->options.tuning;
+	double load_level = (entry->utilization - tuning->low_utilization) /
+	    (tuning->high_utilization - tuning->low_utilization);
 
-	return first_us * (1 + FINISH_STRETCH_MAX * CLAMP(load_level, 0, 1));
+	return first_us *
+	    (1 + tuning->finish_stretch_max * CLAMP(load_level, 0, 1));
 }
 
 /* A member with room for the task, and its expected finish. */
@@ -225,6 +225,7 @@
 mst_choose_leased_member(
     struct mst_entry *entry, const struct job *job, const struct task *task)
 {
+	const struct mst_tuning *tuning = &entry->options.tuning;
 	struct placement placement = {.entry = entry,
 	    .job = job,
 	    .task = task,
@@ -241,10 +242,13 @@
 	}
 	if (first == NULL)
 		return NULL;
-	if (!can_end_in_time(&placement, first->member) &&
+	if (tuning->wait_for_better &&
+	    !can_end_in_time(&placement, first->member) &&
 	    earliest_finish_when_full_us(&placement) <
 		expected_finish_us(&placement, first->member, 1))
 		return NULL;
+	if (!tuning->use_slow_members)
+		return first->member;
 	last = find_last_in_time(
 	    &placement, candidates, max_finish_us(entry, first->finish_us));
 	return last != NULL ? last->member : first->member;
--- a/src/core/worker/capacity.c
+++ b/src/core/worker/capacity.c
@@ -84,7 +84,8 @@
 	double lag = get_lag_ratio(agent);
 
 	/* Runs that are late show a slow worker before they complete. */
-	if (agent->running >= WORKER_LAG_RUNS_MIN &&
+	if (agent->options.tuning.report_lag &&
+	    agent->running >= WORKER_LAG_RUNS_MIN &&
 	    lag > slowness * WORKER_LAG_FACTOR)
 		slowness = lag;
 	else if (slowness_avg->samples < WORKER_SLOWNESS_SAMPLES_MIN)
--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -81,8 +81,8 @@
 	 * a stop, and one kind of order is enough to find out when it is
 	 * back. */
 	return run->order_state == ORDER_START_DUE ||
-	    (run->order_state == ORDER_STOP_DUE &&
-		agent->worker.synced && agent->worker.renew_failures == 0);
+	    (run->order_state == ORDER_STOP_DUE && agent->worker.synced &&
+		agent->worker.renew_failures == 0);
 }
 
 void
--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -12,7 +12,7 @@
 #define WORKER_RENEW_MARGIN_MS    50 /* for the answer, beyond the wait */
 #define WORKER_UNRELIABLE_WAIT_US (40 * 1000)
 #define WORKER_RENEW_RETRY_US     (20 * 1000) /* while runs are awaited */
-#define WORKER_UNKNOWN_STOPS_MAX  64 /* per list of running runs */
+#define WORKER_UNKNOWN_STOPS_MAX  64          /* per list of running runs */
 
 /* Time from a failed renewal to the next one after several failures, in
  * microseconds. Several fit into a lease. */
--- a/tests/sim/cluster.c
+++ b/tests/sim/cluster.c
@@ -92,6 +92,7 @@
 
 		sim_worker_set_late_probability(worker, 0);
 		sim_worker_set_unavailable(worker, false);
+		sim_worker_set_order_fault(worker, MST_ORDER_DONE);
 	}
 }
 
--- a/tests/sim/cluster.h
+++ b/tests/sim/cluster.h
@@ -5,7 +5,7 @@
 
 #include "sim/sim.h"
 
-#define CLUSTER_NODES_MAX 24
+#define CLUSTER_NODES_MAX 100
 
 struct cluster {
 	struct sim *sim;
--- /dev/null
+++ b/tests/sim/load.h
@@ -0,0 +1,136 @@
+#ifndef MST_SIM_LOAD_H
+#define MST_SIM_LOAD_H
+
+/*
+ * Load on leased members: jobs of several kinds arrive at entries that do not
+ * know each other's queues. The rate follows a profile: a base load, and a peak
+ * during which a fault may be injected as well.
+ */
+
+#include "sim/cluster.h"
+
+#define LOAD_KINDS_MAX  8
+#define LOAD_SPEEDS_MAX 16
+#define LOAD_TASKS_MAX  32 /* per job */
+
+/* Times after the start of the simulation. */
+#define LOAD_START_MS      1000
+#define LOAD_PEAK_START_MS 3000
+#define LOAD_PEAK_END_MS   6000
+#define LOAD_END_MS        9000
+#define LOAD_WINDOW_MS     2000 /* of the worst period */
+
+/* Jobs of one kind; all their tasks have the same service time. */
+struct load_kind {
+	char queue[16];
+	uint32_t tasks;
+	double service_ms; /* of a task on a worker of factor 1; median */
+	double weight;     /* relative frequency */
+	uint32_t priority;
+};
+
+/* A fleet and the load on it. */
+struct load_shape {
+	char name[32];
+	int entries;
+	int workers;
+	unsigned slots; /* tasks that a worker can run at a time */
+	/* Factors on the service time, assigned to the workers in turn. */
+	double service_factors[LOAD_SPEEDS_MAX];
+	unsigned factor_count;
+	struct load_kind kinds[LOAD_KINDS_MAX];
+	unsigned kind_count;
+	double service_sigma;  /* of the logarithm of the service times */
+	double declared_sigma; /* of the logarithm of declared over true time */
+	double base_load;      /* share of the workers' capacity */
+	double peak_load;
+	/* A job is in time if it ends within stretch times its service time
+	 * plus target_ms, and within its deadline. */
+	double stretch;
+	double target_ms;
+	double deadline_ms;
+};
+
+/* A job as submitted by a caller. */
+struct load_job {
+	char key[20];
+	char task_names[LOAD_TASKS_MAX][32];
+	const struct load_kind *kind;
+	double service_ms;
+	int64_t submitted_ms;
+	uint64_t request;
+};
+
+struct load;
+
+/* Fault that is injected during the peak. */
+struct load_fault {
+	const char *name;
+	double load_factor; /* on the peak load; 0: 1 */
+	void (*begin)(struct load *load);
+	void (*step)(struct load *load, int64_t now_ms); /* in the peak */
+	void (*end)(struct load *load);
+};
+
+struct load_options {
+	uint32_t seed;
+	/* Arrivals and service times of the tasks do not depend on what the
+	 * entries decide, so that policies can be compared on the same load.
+	 */
+	bool paired;
+	const struct load_fault *fault;  /* NULL: none */
+	const struct mst_tuning *tuning; /* NULL: the default one */
+	const char *config; /* JSON of the configuration; NULL: the default */
+};
+
+struct load {
+	struct load_shape shape;
+	struct load_options options;
+	struct sim *sim;
+	GRand *rand;
+	struct cluster cluster;
+	GPtrArray *jobs;         /* struct load_job */
+	GHashTable *jobs_by_key; /* key -> struct load_job */
+	double due_jobs; /* jobs due at the current rate, not yet submitted */
+	/* Changed by faults: factor on the service time of each worker, and
+	 * whether its tasks fail or hang. */
+	double slowdowns[CLUSTER_NODES_MAX];
+	bool fails[CLUSTER_NODES_MAX];
+	bool hangs[CLUSTER_NODES_MAX];
+	double declared_sigma;
+	double due_burst_jobs; /* the same for the extra jobs of burst_kind */
+	/* Kind whose jobs come more often; NULL: none. */
+	const struct load_kind *burst_kind;
+	double burst_factor;
+};
+
+/* Number of jobs with each outcome. */
+struct load_counts {
+	unsigned submitted;
+	unsigned in_time;
+	unsigned late;
+	unsigned refused;
+	unsigned refused_late;  /* after the time for an immediate refusal */
+	unsigned failed;        /* answered without a complete result */
+	unsigned lost;          /* not answered */
+	int64_t refusal_max_ms; /* longest time until a refusal */
+};
+
+/* Creates a cluster under load. */
+struct load *load_new(
+    const struct load_shape *shape, const struct load_options *options);
+void load_free(struct load *load);
+/* Plays the whole load. */
+void load_run(struct load *load);
+/* Counts the outcomes of the jobs that were submitted in a period. */
+struct load_counts load_count(
+    const struct load *load, int64_t from_ms, int64_t to_ms);
+/* Adds the outcome of one job. */
+void load_count_job(struct load_counts *counts, const struct load *load,
+    const struct load_job *job);
+/* Returns the rate, in jobs per second, that keeps all workers busy. */
+double load_capacity_jobs_per_s(const struct load_shape *shape);
+/* Returns a sample of the standard normal distribution. */
+double load_random_normal(GRand *rand);
+
+#endif
--- a/tests/sim/sim.c
+++ b/tests/sim/sim.c
@@ -121,10 +121,14 @@
 		options.stored_jobs = sim->options.stored_jobs;
 		if (sim->options.remote_factor > 0)
 			options.remote_factor = sim->options.remote_factor;
+		if (sim->options.tuning != NULL)
+			options.tuning = *sim->options.tuning;
 		mst_entry_new(&node->entry, &options);
 	} else {
 		node->agent_options.incarnation = node->incarnation;
 		node->agent_options.stored_jobs = sim->options.stored_jobs;
+		if (sim->options.tuning != NULL)
+			node->agent_options.tuning = *sim->options.tuning;
 		mst_agent_new(&node->agent, &node->agent_options);
 	}
 	sim_schedule(sim, node_id, SIM_EVENT_TICK, sim->now_us + 1);
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -11,7 +11,7 @@
 
 #include <masticstall.h>
 
-#define SIM_NODES_MAX 64
+#define SIM_NODES_MAX 128
 
 struct sim;
 
@@ -75,6 +75,7 @@
 	const struct mst_job_spec *(*load_job_spec)(void *ctx, const char *key);
 	/* Factor on the service time of a task away from its data; 0: 1. */
 	double remote_factor;
+	const struct mst_tuning *tuning; /* NULL: the default one */
 	/* Also log members, workers, heartbeats, announcements and writes. */
 	bool verbose;
 	/* Returns the duration and result of a task that an agent starts. */
--- a/tests/sim/worker.c
+++ b/tests/sim/worker.c
@@ -49,7 +49,10 @@
 	uint64_t fence;       /* highest fence received */
 	int64_t lease_end_ms; /* on the worker's clock */
 	uint64_t last_completion_seq;
-	bool unavailable;             /* orders and answers are lost */
+	bool unavailable; /* orders and answers are lost */
+	/* Answer to all orders, none of which is carried out; MST_ORDER_DONE:
+	 * none. */
+	enum mst_order_status order_fault;
 	double late_probability;      /* probability that an order is late */
 	GPtrArray *runs;              /* struct sim_run */
 	GPtrArray *completions;       /* struct sim_completion */
@@ -115,6 +118,7 @@
 
 	worker->callbacks = *callbacks;
 	worker->capacity = *capacity;
+	worker->order_fault = MST_ORDER_DONE;
 	worker->started_us = now_us(worker);
 	worker->incarnation = (uint64_t)(worker->started_us / 1000);
 	worker->runs = g_ptr_array_new_with_free_func(run_free);
@@ -231,14 +235,33 @@
 	    now_us(worker) + (int64_t)order->timeout_ms * 1000);
 }
 
+static void
+answer_with_fault(struct sim_worker *worker, const struct mst_order *order)
+{
+	struct mst_order_answer answer = {.kind = order->kind,
+	    .id = order->id,
+	    .status = worker->order_fault,
+	    .sent_us = now_us(worker)};
+
+	worker->callbacks.deliver_answer(worker->callbacks.ctx,
+	    worker->callbacks.agent_node_id, &answer,
+	    now_us(worker) + WORKER_LATENCY_US);
+}
+
 void
 sim_worker_send_order(struct sim_worker *worker, const struct mst_order *order)
 {
-	struct sim_order *pending = g_new0(struct sim_order, 1);
-	bool delayed = worker->late_probability > 0 &&
+	struct sim_order *pending;
+	bool delayed;
+
+	if (worker->order_fault != MST_ORDER_DONE) {
+		answer_with_fault(worker, order);
+		return;
+	}
+	pending = g_new0(struct sim_order, 1);
+	delayed = worker->late_probability > 0 &&
 	    worker->callbacks.random_double(worker->callbacks.ctx) <
 		worker->late_probability;
-
 	pending->order = *order;
 	pending->order.task.data = mst_bytes_to_str(order->task);
 	pending->order.spec.data = mst_bytes_to_str(order->spec);
@@ -485,6 +508,13 @@
 	g_ptr_array_set_size(worker->orders, 0);
 }
 
+void
+sim_worker_set_order_fault(
+    struct sim_worker *worker, enum mst_order_status status)
+{
+	worker->order_fault = status;
+}
+
 void
 sim_worker_set_unavailable(struct sim_worker *worker, bool unavailable)
 {
--- a/tests/sim/worker.h
+++ b/tests/sim/worker.h
@@ -68,6 +68,13 @@
  * orders and answers are lost; runs go on until they finish or the lease
  * lapses.
  */
+/*
+ * Sets the status with which all orders are answered at once and not carried
+ * out; MST_ORDER_DONE: none.
+ */
+void sim_worker_set_order_fault(
+    struct sim_worker *worker, enum mst_order_status status);
+
 void sim_worker_set_unavailable(struct sim_worker *worker, bool unavailable);
 
 /*
--- a/tests/test_retries.c
+++ b/tests/test_retries.c
@@ -259,8 +259,7 @@
 	guint i;
 
 	for (i = 0; i < scenario->pending->len; i++)
-		g_free(g_array_index(
-		    scenario->pending, struct pending_order, i)
+		g_free(g_array_index(scenario->pending, struct pending_order, i)
 			   .task);
 	g_array_unref(scenario->pending);
 	g_hash_table_unref(scenario->running);
