core: a worker that does not answer is given up when its lease expires

Traced in the logs of resetting-runners: every renewal that was sent, answered or not, moved the time at which the lease has certainly expired, so it never came; runs whose start got no answer waited for a stop; queued tasks stayed queued.

Now, after two failed renewals in a row, the lease is not renewed before an answer arrives, and starts are not repeated. When it has expired, runs of best-effort jobs are given up, those with an unanswered start too: by the time such an order may still start something on a next incarnation of the worker, the job is over. Stored jobs' runs still wait for a stop. An agent that is not ready gives back what is queued and what arrives, and tells all entries at once when it stops and when it goes on.

--- a/src/core/agent/run.c
+++ b/src/core/agent/run.c
@@ -166,9 +166,12 @@
 static uint32_t
 queue_limit(const struct mst_agent *agent)
 {
-	return agent->options.leased
-	    ? mst_worker_free_slots(agent) + agent->options.tuning.queue_max + 1
-	    : agent->options.queue_max;
+	if (!agent->options.leased)
+		return agent->options.queue_max;
+	if (!mst_worker_is_ready(agent))
+		return 0;
+	return mst_worker_free_slots(agent) + agent->options.tuning.queue_max +
+	    1;
 }
 
 static int64_t
@@ -315,6 +318,9 @@
 	struct run *run;
 	int64_t limit_us;
 
+	/* Other agents can run them sooner. */
+	if (agent->options.leased && !mst_worker_is_ready(agent))
+		mst_agent_refuse_queued(agent, NULL, MST_REASON_BUSY);
 	while ((run = g_queue_peek_head(&agent->queue)) != NULL &&
 	    has_capacity_for(agent, run)) {
 		dequeue_run(agent, run);
--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -79,10 +79,10 @@
 		return false;
 	/* While the worker leaves renewals unanswered, its runs expire without
 	 * a stop, and one kind of order is enough to find out when it is
-	 * back. */
-	return run->order_state == ORDER_START_DUE ||
-	    (run->order_state == ORDER_STOP_DUE && agent->worker.synced &&
-		agent->worker.renew_failures == 0);
+	 * back. A start would prolong the lease. */
+	return (run->order_state == ORDER_START_DUE ||
+		   run->order_state == ORDER_STOP_DUE) &&
+	    agent->worker.synced && agent->worker.renew_failures == 0;
 }
 
 void
@@ -172,12 +172,20 @@
 	return g_hash_table_get_values(agent->active);
 }
 
-/* Fails the runs of a worker that has gone down or whose lease has expired. A
- * start order without an answer may still reach the worker's next incarnation,
- * so such a run ends only after that incarnation has been ordered to stop
- * it. */
+/* Returns true if a run whose start order got no answer must be stopped before
+ * it counts as ended. The order may still reach the worker's next incarnation.
+ * Once the lease that the order asked for has expired, that is too late to
+ * overlap with another run of a best-effort job, whose caller gives up before;
+ * a stored job must not even run again later. */
+static bool
+must_stop_first(const struct run *run, bool lease_expired)
+{
+	return run->start_unanswered &&
+	    (!lease_expired || run->task.record.len > 0);
+}
+
 void
-mst_worker_fail_runs(struct mst_agent *agent)
+mst_worker_fail_runs(struct mst_agent *agent, bool lease_expired)
 {
 	GList *runs = mst_worker_list_runs(agent);
 	GList *link;
@@ -187,7 +195,7 @@
 
 		if (run->order_state == ORDER_STARTING)
 			continue;
-		if (run->start_unanswered)
+		if (must_stop_first(run, lease_expired))
 			mst_worker_stop_run(agent, run, MST_REASON_RUN_LOST);
 		else
 			mst_worker_fail_run(agent, run, MST_REASON_RUN_LOST);
@@ -202,7 +210,7 @@
 
 	if (worker->synced)
 		mst_worker_emit_state(agent, "down");
-	mst_worker_fail_runs(agent);
+	mst_worker_fail_runs(agent, false);
 	worker->synced = false;
 	worker->fence = 0;
 }
--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -13,6 +13,9 @@
 #define WORKER_UNRELIABLE_WAIT_US (40 * 1000)
 #define WORKER_RENEW_RETRY_US     (20 * 1000) /* while runs are awaited */
 #define WORKER_UNKNOWN_STOPS_MAX  64          /* per list of running runs */
+/* Consecutive failures after which the lease is not renewed before an answer
+ * arrives, so that it is known when the runs have ended. */
+#define WORKER_RENEWED_FAILURES_MAX 2
 
 /* Time from a failed renewal to the next one after several failures, in
  * microseconds. Several fit into a lease. */
@@ -189,7 +192,8 @@
 		order->wait_ms = (uint32_t)(wait_us / 1000);
 	order->timeout_ms = order->wait_ms + WORKER_RENEW_MARGIN_MS;
 	/* Runs left by an earlier incarnation of this agent are not renewed. */
-	if (worker->synced && !worker->lease_expiring)
+	if (worker->synced && !worker->lease_expiring &&
+	    worker->renew_failures < WORKER_RENEWED_FAILURES_MAX)
 		mst_worker_order_set_lease(agent, order);
 	worker->next_renew_us = agent->now_us + wait_us;
 }
@@ -200,8 +204,11 @@
 	struct worker *worker = &agent->worker;
 
 	if (++worker->renew_failures == WORKER_RENEW_FAILURES_MAX &&
-	    worker->synced)
+	    worker->synced) {
 		mst_worker_emit_state(agent, mst_order_status_name(status));
+		/* Entries must learn at once that nothing is accepted. */
+		mst_agent_announce_all(agent, agent->now_us);
+	}
 	/* A single failure is repeated at once, since it delays completions. */
 	worker->next_renew_us = agent->now_us +
 	    mst_retry_delay(&renew_bounds, worker->renew_failures - 1,
@@ -242,6 +249,8 @@
 	if (!worker->synced)
 		agent->next_heartbeat_us = agent->now_us;
 	worker->synced = true;
+	if (was_lost)
+		mst_agent_announce_all(agent, agent->now_us);
 }
 
 void
--- a/src/core/worker/worker.c
+++ b/src/core/worker/worker.c
@@ -187,7 +187,7 @@
 	}
 	if (agent->now_us > worker->lease_end_us) {
 		if (agent->running > 0)
-			mst_worker_fail_runs(agent);
+			mst_worker_fail_runs(agent, true);
 		if (worker->lease_expiring ||
 		    worker->unacked_completions.length > 0)
 			mst_completions_handle_expiry(agent);
--- a/src/core/worker/worker_internal.h
+++ b/src/core/worker/worker_internal.h
@@ -55,8 +55,9 @@
     struct mst_agent *agent, struct run *run, enum mst_reason reason);
 /* Returns the active runs; the caller frees the list. */
 GList *mst_worker_list_runs(const struct mst_agent *agent);
-/* Fails the active runs whose start orders can no longer be executed. */
-void mst_worker_fail_runs(struct mst_agent *agent);
+/* Fails the active runs of a worker that has gone down or whose lease has
+ * expired, except those that must be stopped first. */
+void mst_worker_fail_runs(struct mst_agent *agent, bool lease_expired);
 void mst_worker_handle_start_answer(struct mst_agent *agent, struct run *run,
     const struct mst_order_answer *answer);
 void mst_worker_handle_stop_answer(struct mst_agent *agent, struct run *run,
