core: a job that fits into free slots is not refused for what waits by choice

Now the expected wait of a job is zero if the entry's share of the free slots suffices for it (admit_to_free).

--- a/bench/experiment/variant.c
+++ b/bench/experiment/variant.c
@@ -24,6 +24,7 @@
 
 static const struct parameter parameters[] = {
     PARAMETER(refuse_late, PARAMETER_BOOL),
+    PARAMETER(admit_to_free, PARAMETER_BOOL),
     PARAMETER(demote_late, PARAMETER_BOOL),
     PARAMETER(learn_times, PARAMETER_BOOL),
     PARAMETER(wait_share_low_load, PARAMETER_DOUBLE),
@@ -48,10 +49,10 @@
     PARAMETER(report_lag, PARAMETER_BOOL),
     PARAMETER(queue_max, PARAMETER_COUNT)};
 
-const char *const experiment_switches[] = {"refuse_late", "demote_late",
-    "learn_times", "use_slow_members", "wait_for_better", "spread",
-    "withdraw_overdue", "limit_overdue", "order_by_urgency", "report_lag",
-    NULL};
+const char *const experiment_switches[] = {"refuse_late", "admit_to_free",
+    "demote_late", "learn_times", "use_slow_members", "wait_for_better",
+    "spread", "withdraw_overdue", "limit_overdue", "order_by_urgency",
+    "report_lag", NULL};
 
 void
 variant_init(struct variant *variant, const char *name)
--- a/include/masticstall/tuning.h
+++ b/include/masticstall/tuning.h
@@ -12,9 +12,10 @@
 
 struct mst_tuning {
 	/* Queueing and refusing. */
-	bool refuse_late; /* refuse jobs that are expected to be late */
-	bool demote_late; /* queue late jobs behind those in time */
-	bool learn_times; /* learn how far declared times are off */
+	bool refuse_late;   /* refuse jobs that are expected to be late */
+	bool admit_to_free; /* never refuse a job that fits into free slots */
+	bool demote_late;   /* queue late jobs behind those in time */
+	bool learn_times;   /* learn how far declared times are off */
 	double wait_share_low_load;  /* share of a job's slack to wait for */
 	double wait_share_high_load; /* the same at high load */
 	double low_load;             /* share of the capacity in use */
@@ -43,7 +44,8 @@
 
 #define MST_TUNING_INIT                                                        \
 	{                                                                      \
-		.refuse_late = true, .demote_late = true, .learn_times = true, \
+		.refuse_late = true, .admit_to_free = true,                    \
+		.demote_late = true, .learn_times = true,                      \
 		.wait_share_low_load = 1.0, .wait_share_high_load = 0.2,       \
 		.low_load = 0.6, .high_load = 0.9, .rate_share_min = 0.5,      \
 		.expiry_factor = 3.0, .priority_step_us = 100000,              \
--- a/src/core/place/fit.c
+++ b/src/core/place/fit.c
@@ -245,3 +245,23 @@
 	}
 	return capacity > 0 ? 1 - idle_capacity / capacity : 1;
 }
+
+double
+mst_leased_free_slots(const struct mst_entry *entry, GQuark service)
+{
+	const struct member_sample sample = mst_member_sample(entry);
+	double free_slots = 0;
+	guint i;
+
+	for (i = 0; i < sample.count; i++) {
+		const struct member *member =
+		    mst_member_sample_get(entry, &sample, i);
+
+		if (mst_member_has_room(entry, member) &&
+		    (service == 0 || member->service == service))
+			free_slots += MIN(member->free_slots, member->slots);
+	}
+	return sample.count > 0
+	    ? free_slots * entry->members->len / sample.count
+	    : 0;
+}
--- a/src/core/place/objective.c
+++ b/src/core/place/objective.c
@@ -126,6 +126,20 @@
 	    (tuning->wait_share_low_load - tuning->wait_share_high_load);
 }
 
+/* Returns true if this entry's share of the free slots suffices for a new job.
+ * Tasks that wait nevertheless wait for a faster member, not for a slot, and do
+ * not delay the job. */
+static bool
+has_free_slots_for(
+    const struct mst_entry *entry, const struct mst_job_spec *spec)
+{
+	GQuark service = spec->service ? g_quark_from_string(spec->service) : 0;
+
+	return entry->options.tuning.admit_to_free &&
+	    mst_leased_free_slots(entry, service) >=
+	    (double)spec->count * count_sharing_entries(entry);
+}
+
 bool
 mst_spec_would_be_late(const struct mst_entry *entry,
     const struct mst_job_spec *spec, const struct team *team, double *wait_us)
@@ -143,8 +157,9 @@
 	if (entry->capacity <= 0 &&
 	    entry->now_us - entry->started_us <= ENTRY_WARM_UP_US)
 		return false;
-	*wait_us = mst_entry_queue_delay_us(
-	    entry, entry->now_us + objective.order_offset_us);
+	if (!has_free_slots_for(entry, spec))
+		*wait_us = mst_entry_queue_delay_us(
+		    entry, entry->now_us + objective.order_offset_us);
 	slack_us =
 	    (double)objective.limit_us - service_us * entry->min_slowness;
 	return *wait_us > slack_us * max_wait_share(entry);
