core: a start is sent again when its answer takes longer than usual

An agent learns how long its worker takes to answer (moving averages of the time and of its deviation) and sends a start a second time when the answer takes longer than nearly all, at least 10 ms. The worker takes a run number once, so a copy changes nothing; copies in flight are counted, as one that gets no answer may still be executed. While a worker is unreliable, renewals wait for 20 ms in place of 40.

The simulated worker reported a timeout for every order, answered or not, so its agents were unreliable all the time. It now reports only orders that were not answered.

--- a/src/core/agent/agent_internal.h
+++ b/src/core/agent/agent_internal.h
@@ -8,9 +8,9 @@
 #include "core/config_pull.h"
 #include "core/worker/worker.h"
 
-#define AGENT_SESSIONS_MAX     1024
-#define AGENT_CLAIMS_MAX       65536
-#define AGENT_PREFETCH_MAX     64
+#define AGENT_SESSIONS_MAX 1024
+#define AGENT_CLAIMS_MAX   65536
+#define AGENT_PREFETCH_MAX 64
 /* Silence of an entry after which its session is removed. */
 #define AGENT_SESSION_KEEP_US (INT64_C(21600) * G_USEC_PER_SEC)
 #define AGENT_LEASED_SESSION_KEEP_US                                           \
@@ -47,11 +47,15 @@
 	uint32_t run_number;           /* leased: run number */
 	uint8_t order_state;           /* leased: enum order_state */
 	uint8_t order_tries;           /* of the present start or stop */
+	uint8_t starts_open; /* start orders that are not answered yet */
 	/* A start order that got no answer may still be executed. */
 	bool start_unanswered;
 	enum mst_reason stop_reason;
-	int64_t order_us;     /* time of the last order */
-	int64_t order_due_us; /* ORDER_START_DUE, ORDER_STOP_DUE: not before */
+	int64_t order_us; /* time of the last order */
+	/* ORDER_START_DUE, ORDER_STOP_DUE: not before; ORDER_STARTING: when the
+	 * order is sent again without waiting for its timeout. */
+	int64_t order_due_us;
+	bool start_hedged;    /* it was sent again in this way */
 	int64_t confirmed_us; /* time of the worker's last confirmation */
 	GList link;           /* link in queue, unacked or retained */
 	struct run *next_in_job;
--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -32,7 +32,10 @@
 
 	run->order_state = ORDER_STARTING;
 	run->order_us = agent->now_us;
+	run->order_due_us =
+	    agent->now_us + mst_worker_expected_answer_us(agent);
 	run->order_tries++;
+	run->starts_open++;
 	set_order_run(order, run);
 	order->spec = run->task.body;
 	order->worker_id = mst_bytes_from_str(agent->worker.id);
@@ -80,9 +83,20 @@
 	/* While the worker leaves renewals unanswered, its runs expire without
 	 * a stop, and one kind of order is enough to find out when it is
 	 * back. A start would prolong the lease. */
-	return (run->order_state == ORDER_START_DUE ||
-		   run->order_state == ORDER_STOP_DUE) &&
-	    agent->worker.synced && agent->worker.renew_failures == 0;
+	if (!agent->worker.synced || agent->worker.renew_failures > 0)
+		return false;
+	return run->order_state == ORDER_START_DUE ||
+	    run->order_state == ORDER_STOP_DUE ||
+	    (run->order_state == ORDER_STARTING && !run->start_hedged);
+}
+
+/* Sends a start again before its timeout, because most answers take less time.
+ * The worker takes the run number only once. */
+static void
+hedge_start(struct mst_agent *agent, struct run *run)
+{
+	run->start_hedged = true;
+	send_start(agent, run);
 }
 
 void
@@ -98,7 +112,9 @@
 		if (!order_is_due(agent, run))
 			continue;
 		agent->counters.orders_repeated++;
-		if (run->order_state == ORDER_START_DUE)
+		if (run->order_state == ORDER_STARTING)
+			hedge_start(agent, run);
+		else if (run->order_state == ORDER_START_DUE)
 			send_start(agent, run);
 		else
 			send_stop(agent, run);
@@ -152,6 +168,13 @@
 	mst_worker_complete_run(agent, run, &result);
 }
 
+/* Returns true if a start order of a run may still be executed. */
+static bool
+start_is_uncertain(const struct run *run)
+{
+	return run->start_unanswered || run->starts_open > 0;
+}
+
 static void
 handle_start_refusal(
     struct mst_agent *agent, struct run *run, enum mst_reason reason)
@@ -159,8 +182,8 @@
 	struct mst_result_item result = {
 	    .outcome = MST_OUTCOME_NOT_RUN, .reason = (uint8_t)reason};
 
-	/* An earlier copy of the order may have been executed. */
-	if (run->start_unanswered)
+	/* Another copy of the order may have been executed. */
+	if (start_is_uncertain(run))
 		mst_worker_stop_run(agent, run, reason);
 	else
 		mst_worker_complete_run(agent, run, &result);
@@ -180,7 +203,7 @@
 static bool
 must_stop_first(const struct run *run, bool lease_expired)
 {
-	return run->start_unanswered &&
+	return start_is_uncertain(run) &&
 	    (!lease_expired || run->task.record.len > 0);
 }
 
@@ -235,8 +258,8 @@
 		run->confirmed_us = agent->now_us;
 		break;
 	case MST_ORDER_OLD_RUN:
-		if (run->start_unanswered) {
-			/* An earlier copy used the number; the lists show the
+		if (start_is_uncertain(run)) {
+			/* Another copy used the number; the lists show the
 			 * state of its run. */
 			run->order_state = ORDER_STARTED;
 			run->confirmed_us = agent->now_us;
@@ -246,8 +269,9 @@
 		}
 		break;
 	case MST_ORDER_NO_ANSWER:
-		run->start_unanswered = true;
-		repeat_start(agent, run);
+		/* Another copy may still be answered. */
+		if (run->starts_open == 0)
+			repeat_start(agent, run);
 		break;
 	case MST_ORDER_FENCED:
 		mst_worker_raise_fence(agent);
--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -10,7 +10,7 @@
 #include <string.h>
 
 #define WORKER_RENEW_MARGIN_MS    50 /* for the answer, beyond the wait */
-#define WORKER_UNRELIABLE_WAIT_US (40 * 1000)
+#define WORKER_UNRELIABLE_WAIT_US (20 * 1000)
 #define WORKER_RENEW_RETRY_US     (20 * 1000) /* while runs are awaited */
 #define WORKER_UNKNOWN_STOPS_MAX  64          /* per list of running runs */
 /* Consecutive failures after which the lease is not renewed before an answer
--- a/src/core/worker/state.c
+++ b/src/core/worker/state.c
@@ -6,7 +6,15 @@
 #include "core/agent/agent_internal.h"
 #include "core/worker/worker_internal.h"
 
+#include <math.h>
+
 #define WORKER_ORDER_TIMEOUT_MS 50
+/* Least time within which an answer is expected. */
+#define ANSWER_TIME_MIN_US (10 * 1000)
+/* Weights of a sample in the averages, and deviations that are expected. */
+#define ANSWER_TIME_WEIGHT      0.125
+#define ANSWER_DEVIATION_WEIGHT 0.25
+#define ANSWER_DEVIATIONS       4
 #define WORKER_CLOCK_DRIFT      0.04 /* clocks differ by up to 2 % */
 #define WORKER_LEASE_MARGIN_US  (30 * 1000)
 
@@ -81,6 +89,33 @@
 	worker->clock_us = agent->now_us;
 }
 
+void
+mst_worker_add_answer_time(struct mst_agent *agent, int64_t time_us)
+{
+	struct worker *worker = &agent->worker;
+	double deviation_us = fabs((double)time_us - worker->answer_time_us);
+
+	if (worker->answer_time_us == 0) {
+		worker->answer_time_us = (double)time_us;
+		worker->answer_deviation_us = (double)time_us / 2;
+		return;
+	}
+	worker->answer_deviation_us += ANSWER_DEVIATION_WEIGHT *
+	    (deviation_us - worker->answer_deviation_us);
+	worker->answer_time_us +=
+	    ANSWER_TIME_WEIGHT * ((double)time_us - worker->answer_time_us);
+}
+
+int64_t
+mst_worker_expected_answer_us(const struct mst_agent *agent)
+{
+	const struct worker *worker = &agent->worker;
+	double expected_us = worker->answer_time_us +
+	    ANSWER_DEVIATIONS * worker->answer_deviation_us;
+
+	return (int64_t)MAX(expected_us, ANSWER_TIME_MIN_US);
+}
+
 /* Raises the fence of orders above those of this agent's earlier incarnations.
  * It need not be stored, because it is derived from the worker's clock, which
  * increases for as long as the worker remembers a fence. The clock is added to
--- a/src/core/worker/worker.c
+++ b/src/core/worker/worker.c
@@ -138,6 +138,15 @@
 	worker->report_is_kept = true;
 }
 
+static void
+count_start_answer(struct run *run, enum mst_order_status status)
+{
+	if (run->starts_open > 0)
+		run->starts_open--;
+	if (status == MST_ORDER_NO_ANSWER)
+		run->start_unanswered = true;
+}
+
 void
 mst_worker_handle_answer(
     struct mst_agent *agent, const struct mst_order_answer *answer)
@@ -159,6 +168,9 @@
 	if (clock_was_reset(agent, answer))
 		reset_worker(agent, agent->worker.incarnation);
 	mst_worker_update_clock(agent, answer->clock_ms);
+	if (answer->kind != MST_ORDER_RENEW && answer->status == MST_ORDER_DONE)
+		mst_worker_add_answer_time(
+		    agent, agent->now_us - answer->sent_us);
 	if (answer->kind == MST_ORDER_RENEW) {
 		mst_worker_handle_renew_answer(agent, answer);
 		return;
@@ -167,6 +179,8 @@
 	    g_hash_table_lookup(agent->active, mst_u64_to_pointer(answer->id));
 	if (run == NULL)
 		return;
+	if (answer->kind == MST_ORDER_START)
+		count_start_answer(run, answer->status);
 	if (answer->kind == MST_ORDER_START &&
 	    run->order_state == ORDER_STARTING)
 		mst_worker_handle_start_answer(agent, run, answer);
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -52,7 +52,10 @@
 	uint64_t renew_ids[WORKER_RENEWS_MAX];
 	int64_t next_renew_us;
 	int64_t unreliable_until_us; /* set when an order gets no answer */
-	unsigned renew_failures;     /* consecutive failures */
+	/* Time until an answer, and its deviation; moving averages. */
+	double answer_time_us;
+	double answer_deviation_us;
+	unsigned renew_failures; /* consecutive failures */
 	struct mst_resources used_resources;
 	struct mst_slowness slowness_avg; /* slowness as an average over runs */
 };
--- a/src/core/worker/worker_internal.h
+++ b/src/core/worker/worker_internal.h
@@ -15,6 +15,11 @@
 int64_t mst_worker_clock_ms(const struct mst_agent *agent);
 /* Updates the estimate of the worker's clock from an answer. */
 void mst_worker_update_clock(struct mst_agent *agent, int64_t clock_ms);
+/* Adds the time that the worker took to answer an order that does not wait. */
+void mst_worker_add_answer_time(struct mst_agent *agent, int64_t time_us);
+/* Returns the time within which nearly all orders that do not wait are
+ * answered. */
+int64_t mst_worker_expected_answer_us(const struct mst_agent *agent);
 /* Raises the fence above those of the agent's earlier incarnations. */
 void mst_worker_raise_fence(struct mst_agent *agent);
 /* Emits an order, whose other fields the caller sets. The id is returned in the
--- a/tests/sim/worker.c
+++ b/tests/sim/worker.c
@@ -38,9 +38,19 @@
 	int64_t arrival_us;
 	int64_t wait_end_us;  /* RENEW: when the wait ends; 0: not waiting */
 	uint64_t incarnation; /* of the worker when the order was sent */
+	uint64_t number;      /* of the order, unique */
 	bool answer_lost;
 };
 
+/* An order that the agent waits to be answered. */
+struct sim_wait {
+	uint64_t number;
+	enum mst_order_kind kind;
+	uint64_t id;
+	int64_t sent_us;
+	int64_t end_us; /* when the agent gives up */
+};
+
 struct sim_worker {
 	struct sim_worker_callbacks callbacks;
 	struct mst_resources capacity;
@@ -53,10 +63,12 @@
 	/* Answer to all orders, none of which is carried out; MST_ORDER_DONE:
 	 * none. */
 	enum mst_order_status order_fault;
-	double late_probability;      /* probability that an order is late */
-	GPtrArray *runs;              /* struct sim_run */
-	GPtrArray *completions;       /* struct sim_completion */
-	GPtrArray *orders;            /* struct sim_order */
+	double late_probability; /* probability that an order is late */
+	GPtrArray *runs;         /* struct sim_run */
+	GPtrArray *completions;  /* struct sim_completion */
+	GPtrArray *orders;       /* struct sim_order */
+	GArray *waits;           /* struct sim_wait */
+	uint64_t last_order_number;
 	GHashTable *last_run_numbers; /* task name -> highest run number ended
 					 or stopped */
 };
@@ -124,6 +136,7 @@
 	worker->runs = g_ptr_array_new_with_free_func(run_free);
 	worker->completions = g_ptr_array_new_with_free_func(completion_free);
 	worker->orders = g_ptr_array_new_with_free_func(order_free);
+	worker->waits = g_array_new(FALSE, FALSE, sizeof(struct sim_wait));
 	worker->last_run_numbers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return worker;
@@ -137,6 +150,7 @@
 	g_ptr_array_unref(worker->runs);
 	g_ptr_array_unref(worker->completions);
 	g_ptr_array_unref(worker->orders);
+	g_array_unref(worker->waits);
 	g_hash_table_unref(worker->last_run_numbers);
 	g_free(worker);
 }
@@ -171,6 +185,23 @@
 	g_ptr_array_remove_index(worker->runs, run_index);
 }
 
+/* Returns true if the agent still waits for the answer to an order, and ends
+ * the wait. */
+static bool
+end_wait(struct sim_worker *worker, uint64_t number)
+{
+	guint i;
+
+	for (i = 0; i < worker->waits->len; i++) {
+		if (g_array_index(worker->waits, struct sim_wait, i).number ==
+		    number) {
+			g_array_remove_index(worker->waits, i);
+			return true;
+		}
+	}
+	return false;
+}
+
 static void
 send_answer(struct sim_worker *worker, const struct sim_order *pending,
     enum mst_order_status status)
@@ -209,7 +240,8 @@
 		answer.completions = completions;
 		answer.completion_count = worker->completions->len;
 	}
-	if (!pending->answer_lost && !worker->unavailable)
+	if (!pending->answer_lost && !worker->unavailable &&
+	    end_wait(worker, pending->number))
 		worker->callbacks.deliver_answer(worker->callbacks.ctx,
 		    worker->callbacks.agent_node_id, &answer,
 		    now_us(worker) + WORKER_LATENCY_US);
@@ -217,22 +249,44 @@
 	g_free(completions);
 }
 
-/*
- * Schedules MST_ORDER_NO_ANSWER for the order's timeout. The agent receives it
- * even if the worker has answered before. It then has no effect on the order,
- * but the agent regards the worker as unreliable for some time.
- */
+/* Adds the wait for an answer, which ends when the order times out. */
 static void
-schedule_timeout(struct sim_worker *worker, const struct mst_order *order)
+add_wait(
+    struct sim_worker *worker, const struct mst_order *order, uint64_t number)
 {
-	struct mst_order_answer answer = {.kind = order->kind,
+	const struct sim_wait wait = {.number = number,
+	    .kind = order->kind,
 	    .id = order->id,
-	    .status = MST_ORDER_NO_ANSWER,
-	    .sent_us = now_us(worker)};
+	    .sent_us = now_us(worker),
+	    .end_us = now_us(worker) + (int64_t)order->timeout_ms * 1000};
 
-	worker->callbacks.deliver_answer(worker->callbacks.ctx,
-	    worker->callbacks.agent_node_id, &answer,
-	    now_us(worker) + (int64_t)order->timeout_ms * 1000);
+	g_array_append_val(worker->waits, wait);
+	worker->callbacks.schedule_timer_at(worker->callbacks.ctx,
+	    worker->callbacks.agent_node_id, wait.end_us);
+}
+
+/* Reports the orders that have timed out to the agent. */
+static void
+end_expired_waits(struct sim_worker *worker)
+{
+	guint i = 0;
+
+	while (i < worker->waits->len) {
+		const struct sim_wait wait =
+		    g_array_index(worker->waits, struct sim_wait, i);
+		struct mst_order_answer answer = {.kind = wait.kind,
+		    .id = wait.id,
+		    .status = MST_ORDER_NO_ANSWER,
+		    .sent_us = wait.sent_us};
+
+		if (wait.end_us > now_us(worker)) {
+			i++;
+			continue;
+		}
+		g_array_remove_index(worker->waits, i);
+		worker->callbacks.deliver_answer(worker->callbacks.ctx,
+		    worker->callbacks.agent_node_id, &answer, now_us(worker));
+	}
 }
 
 static void
@@ -275,7 +329,8 @@
 				  worker->callbacks.ctx) *
 			ORDER_DELAY_SPREAD_US);
 	}
-	schedule_timeout(worker, order);
+	pending->number = ++worker->last_order_number;
+	add_wait(worker, order, pending->number);
 	g_ptr_array_add(worker->orders, pending);
 	worker->callbacks.schedule_timer_at(worker->callbacks.ctx,
 	    worker->callbacks.agent_node_id, pending->arrival_us);
@@ -473,6 +528,7 @@
 	guint i = 0;
 
 	end_due_runs(worker);
+	end_expired_waits(worker);
 	while (i < worker->orders->len) {
 		if (process_order(worker, worker->orders->pdata[i]))
 			g_ptr_array_remove_index(worker->orders, i);
