--- a/src/core/worker/capacity.c
+++ b/src/core/worker/capacity.c
@@ -58,11 +58,15 @@
 	double time_us = (double)(agent->now_us - run->started_us);
 
 	if (!failed) {
-		set_run_failures(agent, 0);
+		/* Runs from before the first failure show nothing. */
+		if (run->started_us >= worker->failing_since_us)
+			set_run_failures(agent, 0);
 		return;
 	}
-	if (worker->run_failures == 0)
+	if (worker->run_failures == 0) {
+		worker->failing_since_us = agent->now_us;
 		worker->failure_time_us = time_us;
+	}
 	worker->failure_time_us +=
 	    (time_us - worker->failure_time_us) / WORKER_FAILURES_MIN;
 	set_run_failures(agent, worker->run_failures + 1);
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -59,6 +59,7 @@
 	/* Runs that failed in a row, and when the next one may start to find
 	 * out whether the worker still fails them; see capacity.c. */
 	unsigned run_failures;
+	int64_t failing_since_us; /* first of these failures */
 	double failure_time_us; /* until a run fails; moving average */
 	int64_t next_probe_us;
 	struct mst_resources used_resources;
