One schedule of delays for all calls that are repeated

Eight places counted their own tries, three of them with a constant delay: watches of the store, patches, renewals and polls of owners, writes of records, lookups, updates by agents, retries of tasks and members whose upstream is down. All use base/retry_delay now. Constant before: owners 150 ms (150 to 400), lookups 60 ms (60 to 160, 20 tries in place of 40), agents' updates 200 ms (200 to 1,000).

--- a/src/base/random.c
+++ b/src/base/random.c
@@ -12,3 +12,9 @@
 		g_error("getrandom failed");
 	return value | 1;
 }
+
+double
+mst_random_share(void)
+{
+	return (double)mst_random_u64() / (double)UINT64_MAX;
+}
--- a/src/core/job/result.c
+++ b/src/core/job/result.c
@@ -1,5 +1,6 @@
 /* Results that agents report to an entry, and retries of tasks. */
 
+#include "base/retry_delay.h"
 #include "core/entry/entry_internal.h"
 #include "core/id.h"
 #include "core/job/job.h"
@@ -9,8 +10,10 @@
 
 #define RESULT_MEMBER_WINDOW 32  /* samples in the averages of a member */
 #define RESULT_TEAM_WINDOW   128 /* samples in the averages of a team */
-#define RETRY_MIN_US         (INT64_C(20) * 1000)
-#define RETRY_DOUBLINGS      6 /* of the delay, at most */
+
+/* Delay of a retry, in microseconds. */
+static const struct mst_retry_bounds retry_bounds = {
+    .min = 40 * 1000, .max = 1280 * 1000};
 
 static bool
 take_retry_token(struct mst_entry *entry)
@@ -39,7 +42,6 @@
 schedule_retry(struct mst_entry *entry, struct job *job, uint32_t index)
 {
 	struct task *task = &job->tasks[index];
-	int64_t wait_us = RETRY_MIN_US << MIN(task->attempts, RETRY_DOUBLINGS);
 	struct retry retry = {.tag = mst_task_tag(job, index)};
 
 	entry->counters.retries++;
@@ -47,8 +49,9 @@
 	task->avoid_member = task->member->incarnation;
 	task->member = NULL;
 	task->state = TASK_DELAYED;
-	retry.due_us = entry->now_us + wait_us / 2 +
-	    g_rand_int_range(entry->rand, 0, (gint32)(wait_us / 2));
+	retry.due_us = entry->now_us +
+	    mst_retry_delay(
+		&retry_bounds, task->attempts, g_rand_double(entry->rand));
 	g_array_append_val(entry->retries, retry);
 }
 
--- a/src/core/member/health.c
+++ b/src/core/member/health.c
@@ -1,11 +1,15 @@
 /* Ejection of members whose tasks fail, and back-off from failed upstreams. */
 
+#include "base/retry_delay.h"
 #include "core/entry/entry_internal.h"
 #include "core/member/member.h"
 
 #define EJECT_DOUBLINGS_MAX 5
-#define DOWN_BACKOFF_MIN_US (50 * 1000)
-#define DOWN_BACKOFF_MAX_US (1000 * 1000)
+
+/* Time for which a member whose upstream is down gets no tasks, in
+ * microseconds. */
+static const struct mst_retry_bounds down_bounds = {
+    .min = 100 * 1000, .max = 1300 * 1000};
 
 /* Returns the number of active members that are ejected or being probed, and
  * stores the number of all active members. */
@@ -37,7 +41,7 @@
 
 	if (!failed) {
 		member->failures = 0;
-		member->down_backoff_us = 0;
+		member->down_failures = 0;
 		if (member->probing) {
 			member->probing = false;
 			member->ejections = 0;
@@ -73,7 +77,8 @@
 {
 	if (entry->now_us < member->down_until_us)
 		return;
-	member->down_backoff_us = CLAMP(member->down_backoff_us * 2,
-	    DOWN_BACKOFF_MIN_US, DOWN_BACKOFF_MAX_US);
-	member->down_until_us = entry->now_us + member->down_backoff_us;
+	member->down_failures++;
+	member->down_until_us = entry->now_us +
+	    mst_retry_delay(&down_bounds, member->down_failures,
+		g_rand_double(entry->rand));
 }
--- a/src/core/member/member.h
+++ b/src/core/member/member.h
@@ -62,8 +62,8 @@
 	int64_t ejected_until_us;
 	uint32_t ejections; /* consecutive ejections */
 	bool probing;
-	int64_t down_backoff_us; /* current back-off; doubles on failure */
-	int64_t down_until_us;   /* no tasks are sent before this time */
+	unsigned down_failures; /* consecutive refused connections */
+	int64_t down_until_us;  /* no tasks are sent before this time */
 };
 
 struct peer {
--- a/src/core/stored/lookup.c
+++ b/src/core/stored/lookup.c
@@ -3,14 +3,18 @@
  * any entry. Jobs that this entry does not own are looked up in the store.
  */
 
+#include "base/retry_delay.h"
 #include "core/entry/entry_internal.h"
 #include "core/job/job.h"
 #include "core/stored/stored_internal.h"
 
 #include <string.h>
 
-#define LOOKUP_RETRY_US     (INT64_C(60) * 1000)
-#define LOOKUP_FAILURES_MAX 40 /* failed operations of one cancellation */
+#define LOOKUP_FAILURES_MAX 20 /* failed operations of one cancellation */
+
+/* Time from a failed operation to the next one, in microseconds. */
+static const struct mst_retry_bounds lookup_bounds = {
+    .min = 60 * 1000, .max = 160 * 1000};
 
 static enum mst_stored_state
 stored_state_of_closed(enum mst_record_state state)
@@ -143,7 +147,9 @@
 	    ++lookup->failures > LOOKUP_FAILURES_MAX) {
 		lookup_finish(entry, lookup, MST_STORED_UNAVAILABLE);
 	} else {
-		lookup->due_us = entry->now_us + LOOKUP_RETRY_US;
+		lookup->due_us = entry->now_us +
+		    mst_retry_delay(&lookup_bounds, lookup->failures,
+			g_rand_double(entry->rand));
 	}
 }
 
--- a/src/core/stored/owner.c
+++ b/src/core/stored/owner.c
@@ -7,16 +7,30 @@
  * over the owner's jobs.
  */
 
+#include "base/retry_delay.h"
 #include "core/entry/entry_internal.h"
 #include "core/job/job.h"
 #include "core/stored/owner_internal.h"
 
 #include <string.h>
 
-#define OWNER_RETRY_US         (INT64_C(150) * 1000) /* after a failure */
 #define OWNER_POLL_IDLE_US     (10 * G_USEC_PER_SEC) /* if there is no owner */
 #define OWNER_DRAIN_TIMEOUT_US (INT64_C(800) * 1000) /* for handing over */
 
+/* Time from a failed renewal or poll to the next one, in microseconds. Several
+ * renewals fit into a lease. */
+static const struct mst_retry_bounds owner_bounds = {
+    .min = 150 * 1000, .max = 400 * 1000};
+
+/* Counts a failed operation and returns the delay before the next one. */
+static int64_t
+failure_delay_us(struct mst_entry *entry)
+{
+	entry->owner.store_failures++;
+	return mst_retry_delay(&owner_bounds, entry->owner.store_failures,
+	    g_rand_double(entry->rand));
+}
+
 static void
 peer_owner_free(gpointer data)
 {
@@ -130,6 +144,7 @@
 		return;
 	owner->renewing = false;
 	if (answer->status == MST_STORE_OK) {
+		owner->store_failures = 0;
 		if (!owner->confirmed)
 			mst_owner_report(entry, "owner", owner->id, 0);
 		owner->confirmed = true;
@@ -151,7 +166,7 @@
 		owner->renew_due_us = entry->now_us;
 	} else {
 		entry->counters.store_failures++;
-		owner->renew_due_us = entry->now_us + OWNER_RETRY_US;
+		owner->renew_due_us = entry->now_us + failure_delay_us(entry);
 	}
 }
 
@@ -253,9 +268,10 @@
 	owner->polling = false;
 	if (answer->status != MST_STORE_OK) {
 		entry->counters.store_failures++;
-		owner->poll_due_us = entry->now_us + OWNER_RETRY_US;
+		owner->poll_due_us = entry->now_us + failure_delay_us(entry);
 		return;
 	}
+	owner->store_failures = 0;
 	g_hash_table_iter_init(&iter, owner->peer_owners);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		((struct peer_owner *)value)->in_poll = false;
--- a/src/core/stored/record.c
+++ b/src/core/stored/record.c
@@ -4,6 +4,7 @@
  * changes that agents or other entries have written are merged.
  */
 
+#include "base/retry_delay.h"
 #include "core/entry/entry_internal.h"
 #include "core/id.h"
 #include "core/job/job.h"
@@ -12,8 +13,9 @@
 
 #include <string.h>
 
-#define WRITE_RETRY_US     (INT64_C(60) * 1000) /* doubled per failure */
-#define WRITE_RETRY_MAX_US (INT64_C(500) * 1000)
+/* Time from a failed write of a record to the next one, in microseconds. */
+static const struct mst_retry_bounds write_bounds = {
+    .min = 60 * 1000, .max = 500 * 1000};
 
 void
 mst_stored_answer_requests(struct mst_entry *entry, struct job *job,
@@ -216,14 +218,14 @@
 static void
 handle_write_failure(struct mst_entry *entry, struct stored_job *stored)
 {
-	int64_t wait_us = WRITE_RETRY_US << MIN(stored->write_failures, 8);
-
 	stored->write_failures++;
 	entry->counters.store_failures++;
 	array_move_all(stored->acks_pending, stored->acks_in_flight);
 	array_move_all(stored->abandoned, stored->abandoned_in_flight);
 	mst_stored_mark_dirty(entry, stored, 0);
-	stored->write_due_us = entry->now_us + MIN(wait_us, WRITE_RETRY_MAX_US);
+	stored->write_due_us = entry->now_us +
+	    mst_retry_delay(&write_bounds, stored->write_failures,
+		g_rand_double(entry->rand));
 }
 
 /* Applies the task codes of a stored record: completions that an agent or an
--- a/src/core/stored/stored.h
+++ b/src/core/stored/stored.h
@@ -20,6 +20,7 @@
 	bool sweeping;
 	int64_t valid_until_us; /* end of the lease unless it is renewed */
 	int64_t renew_due_us;
+	unsigned store_failures; /* consecutive failed renewals and polls */
 	int64_t needed_until_us; /* not retired before, even without jobs */
 	int64_t poll_due_us;
 	int64_t sweep_due_us;
--- a/src/core/worker/completions.c
+++ b/src/core/worker/completions.c
@@ -7,6 +7,7 @@
  * then drops the completion. After the expiry, completions have no effect.
  */
 
+#include "base/retry_delay.h"
 #include "core/agent/agent_internal.h"
 #include "core/worker/worker_internal.h"
 
@@ -14,7 +15,10 @@
 
 /* Time within which the entry should acknowledge a result. */
 #define ENTRY_ACK_TIMEOUT_US (INT64_C(1500) * 1000)
-#define STORE_RETRY_US       (INT64_C(200) * 1000)
+
+/* Time from a failed store operation to the next one, in microseconds. */
+static const struct mst_retry_bounds store_bounds = {
+    .min = 200 * 1000, .max = 1000 * 1000};
 
 /* Completion that the worker still lists. */
 struct unacked_completion {
@@ -35,6 +39,7 @@
 struct record_update {
 	char *record;            /* key */
 	uint64_t op;             /* operation in flight; 0: none */
+	unsigned failures;       /* consecutive failed operations */
 	char *tasks;             /* tasks being written; NULL while reading */
 	char *unconfirmed_tasks; /* written without an answer, or NULL */
 	int64_t due_us;          /* time of the next attempt */
@@ -400,6 +405,8 @@
 		return;
 	was_write = update->tasks != NULL;
 	update->op = 0;
+	if (answer->status == MST_STORE_OK)
+		update->failures = 0;
 	if (answer->status == MST_STORE_OK && was_write) {
 		finish_update(agent, update, true);
 		return;
@@ -413,5 +420,7 @@
 	    answer->status == MST_STORE_CONFLICT)
 		process_record(agent, update, answer);
 	else
-		update->due_us = agent->now_us + STORE_RETRY_US;
+		update->due_us = agent->now_us +
+		    mst_retry_delay(&store_bounds, ++update->failures,
+			g_rand_double(agent->rand));
 }
--- a/src/runtime/entry_config.c
+++ b/src/runtime/entry_config.c
@@ -8,18 +8,20 @@
 #include "api/problem.h"
 #include "base/log.h"
 #include "base/random.h"
+#include "base/retry_delay.h"
 #include "runtime/entry_runtime.h"
 #include "settings/json_patch.h"
 
 #define CONFIG_POLL_MS              2000
 #define CONFIG_POLL_MAX_MS          4000
 #define CONFIG_POLL_JITTER_MS       500
-#define CONFIG_PATCH_RETRY_MS       200
-#define CONFIG_PATCH_RETRY_MAX_MS   2000
 #define CONFIG_PATCH_TIMEOUT_US     (20 * G_USEC_PER_SEC)
 #define CONFIG_HISTORY_MAX_VERSIONS 50
 #define CONFIG_DOCUMENT_MAX_BYTES   (256 * 1024)
 
+static const struct mst_retry_bounds patch_bounds_ms = {
+    .min = 200, .max = 2000};
+
 /* An operator's patch, until the table has accepted or rejected it. */
 struct pending_patch {
 	struct entry_runtime *rt;
@@ -33,8 +35,8 @@
 	char *document;      /* resulting configuration; NULL until computed */
 	char created_at[32]; /* UTC */
 	int64_t started_us;
-	uint32_t retry_ms;
-	bool commit_sent; /* a commit may have reached the table */
+	unsigned failures; /* commits without a definite answer */
+	bool commit_sent;  /* a commit may have reached the table */
 };
 
 void
@@ -219,9 +221,11 @@
 		g_free(detail);
 		return;
 	}
-	patch->retry_ms = MIN(MAX(patch->retry_ms * 2, CONFIG_PATCH_RETRY_MS),
-	    CONFIG_PATCH_RETRY_MAX_MS);
-	uv_timer_start(&patch->timer, on_patch_retry_timer, patch->retry_ms, 0);
+	patch->failures++;
+	uv_timer_start(&patch->timer, on_patch_retry_timer,
+	    (uint64_t)mst_retry_delay(
+		&patch_bounds_ms, patch->failures, mst_random_share()),
+	    0);
 }
 
 /*
--- a/src/runtime/entry_links.c
+++ b/src/runtime/entry_links.c
@@ -68,12 +68,10 @@
 static void
 add_configured(struct entry_links *links, const struct mst_settings *settings)
 {
-	int64_t now_us = mst_clock_us();
 	guint i;
 
 	for (i = 0; i < settings->entries->len; i++)
-		mst_entry_choice_add(
-		    links->choice, settings->entries->pdata[i], true, now_us);
+		add_address(links, settings->entries->pdata[i], true);
 	for (i = 0; i < settings->entry_hosts->len; i++) {
 		const char *host = settings->entry_hosts->pdata[i];
 		char *address = g_strdup_printf("%.*s:%u",
--- a/src/runtime/report_store.c
+++ b/src/runtime/report_store.c
@@ -10,7 +10,7 @@
 
 struct report_store {
 	struct report_store_options options;
-	char *written; /* last value that was written; NULL: none */
+	char *written; /* last value that was written; NULL: unknown */
 	char *writing; /* value of the write in flight; NULL: none */
 };
 
@@ -50,9 +50,10 @@
 	    .key = REPORT_KEY,
 	    .value = value};
 	const struct store_txn txn = {.rows = &row, .count = 1};
+	const char *text = value != NULL ? value : ""; /* empty: no row */
 
-	if (store->writing == NULL && g_strcmp0(store->written, value) != 0) {
-		store->writing = g_strdup(value != NULL ? value : "");
+	if (store->writing == NULL && g_strcmp0(store->written, text) != 0) {
+		store->writing = g_strdup(text);
 		store->options.drivers->store->commit(store->options.store,
 		    &txn, CALL_TIMEOUT_MS, on_written, store);
 	}
--- a/src/runtime/store_watch.c
+++ b/src/runtime/store_watch.c
@@ -4,10 +4,12 @@
 
 #include "base/log.h"
 #include "base/random.h"
+#include "base/retry_delay.h"
 
 #define WATCH_CALL_TIMEOUT_MS 700 /* in addition to the requested wait */
-#define WATCH_RETRY_MS        150
-#define WATCH_RETRY_MAX_MS    1000
+
+static const struct mst_retry_bounds watch_bounds_ms = {
+    .min = 150, .max = 1000};
 
 static const char *const subject_names[] = {[STORE_CONFIG] = "config",
     [STORE_ENTRIES] = "entries",
@@ -25,17 +27,14 @@
 watch_handle_failure(
     struct store_watch *watch, const struct store_update *update)
 {
-	uint64_t delay_ms;
-
 	if (watch->failures++ == 0)
 		mst_log(MST_LOG_WARNING, "store-lost",
 		    "subject=%s status=%s revision=%" PRIu64 " fault=%s",
 		    subject_names[watch->subject], status_names[update->status],
 		    watch->revision, mst_log_quote(update->fault));
-	delay_ms = MIN((uint64_t)WATCH_RETRY_MS << MIN(watch->failures - 1, 8),
-	    WATCH_RETRY_MAX_MS);
-	watch_schedule_call(
-	    watch, delay_ms / 2 + mst_random_u64() % (delay_ms / 2 + 1));
+	watch_schedule_call(watch,
+	    (uint64_t)mst_retry_delay(
+		&watch_bounds_ms, watch->failures, mst_random_share()));
 }
 
 static void
