core: a late finish is accepted only within the learnt error of the estimates

Hypothesis: long tasks whose declared times are too short go to slow members, since a finish counts as in time when the task takes up to 1.5 times its estimate, and then miss the deadline, which does not grow with them.

The estimate of service times learns the variance of its errors; the factor is what 2.5 deviations allow for (about 2 where declared times are off by 40 %).

--- a/bench/experiment/variant.c
+++ b/bench/experiment/variant.c
@@ -38,7 +38,7 @@
     PARAMETER(wait_for_better, PARAMETER_BOOL),
     PARAMETER(spread, PARAMETER_BOOL),
     PARAMETER(planned_share, PARAMETER_DOUBLE),
-    PARAMETER(overrun_factor, PARAMETER_DOUBLE),
+    PARAMETER(overrun_deviations, PARAMETER_DOUBLE),
     PARAMETER(low_utilization, PARAMETER_DOUBLE),
     PARAMETER(high_utilization, PARAMETER_DOUBLE),
     PARAMETER(finish_stretch_max, PARAMETER_DOUBLE),
--- a/include/masticstall/tuning.h
+++ b/include/masticstall/tuning.h
@@ -28,7 +28,7 @@
 	bool wait_for_better;      /* wait for a member that finishes sooner */
 	bool spread;               /* prefer members with many free slots */
 	double planned_share;      /* share of the time limit that is planned */
-	double overrun_factor;     /* of the expected service time */
+	double overrun_deviations; /* of the service time, allowed for */
 	double low_utilization;    /* no later finish is accepted below it */
 	double high_utilization;   /* the latest finish is accepted above it */
 	double finish_stretch_max; /* largest delay beyond the first finish */
@@ -51,12 +51,12 @@
 		.low_load = 0.6, .high_load = 0.9, .rate_share_min = 0.5,      \
 		.expiry_factor = 3.0, .priority_step_us = 100000,              \
 		.use_slow_members = true, .wait_for_better = true,             \
-		.spread = true, .planned_share = 0.85, .overrun_factor = 1.5,  \
-		.low_utilization = 0.35, .high_utilization = 0.75,             \
-		.finish_stretch_max = 0.5, .withdraw_overdue = true,           \
-		.limit_overdue = true, .overdue_factor = 3.0,                  \
-		.order_by_urgency = true, .report_lag = true,                  \
-		.limit_failing = true, .queue_max = 2,                         \
+		.spread = true, .planned_share = 0.85,                         \
+		.overrun_deviations = 2.5, .low_utilization = 0.35,            \
+		.high_utilization = 0.75, .finish_stretch_max = 0.5,           \
+		.withdraw_overdue = true, .limit_overdue = true,               \
+		.overdue_factor = 3.0, .order_by_urgency = true,               \
+		.report_lag = true, .limit_failing = true, .queue_max = 2,     \
 	}
 
 #endif
--- a/src/core/place/estimate.c
+++ b/src/core/place/estimate.c
@@ -8,6 +8,8 @@
  * is PRIOR_SAMPLES samples. */
 #define PRIOR_VARIANCE 0.05
 #define PRIOR_SAMPLES  8.0
+/* Prior of the variance of the errors, used while there are few samples. */
+#define PRIOR_ERROR_VARIANCE 0.1
 
 double
 mst_estimate_us(const struct mst_estimate *estimate, double declared_us)
@@ -31,11 +33,14 @@
 	double observed = log(MAX(observed_us, 1.0));
 	double declared_deviation = declared - estimate->mean_declared;
 	double observed_deviation = observed - estimate->mean_observed;
+	double error = observed - log(mst_estimate_us(estimate, declared_us));
 	double weight;
 
 	if (estimate->samples < window)
 		estimate->samples++;
 	weight = 1 / estimate->samples;
+	estimate->error_variance +=
+	    weight * (error * error - estimate->error_variance);
 	estimate->mean_declared += weight * declared_deviation;
 	estimate->mean_observed += weight * observed_deviation;
 	estimate->variance += weight *
@@ -45,3 +50,14 @@
 	    ((1 - weight) * declared_deviation * observed_deviation -
 		estimate->covariance);
 }
+
+double
+mst_estimate_overrun(const struct mst_estimate *estimate, double deviations)
+{
+	double prior_weight =
+	    PRIOR_SAMPLES / (PRIOR_SAMPLES + estimate->samples);
+	double variance = estimate->error_variance * (1 - prior_weight) +
+	    PRIOR_ERROR_VARIANCE * prior_weight;
+
+	return exp(deviations * sqrt(variance));
+}
--- a/src/core/place/estimate.h
+++ b/src/core/place/estimate.h
@@ -14,6 +14,7 @@
 	double mean_observed;
 	double variance; /* of the declared times */
 	double covariance;
+	double error_variance; /* of observed times about the estimates */
 };
 
 /**
@@ -25,6 +26,17 @@
  */
 double mst_estimate_us(const struct mst_estimate *estimate, double declared_us);
 
+/**
+ * Returns the factor by which the service time of a task may exceed its
+ * estimate.
+ *
+ * @param estimate samples so far
+ * @param deviations standard deviations of the error that are allowed for
+ * @return the factor, at least 1
+ */
+double mst_estimate_overrun(
+    const struct mst_estimate *estimate, double deviations);
+
 /**
  * Adds an observation.
  *
--- a/src/core/place/place_leased.c
+++ b/src/core/place/place_leased.c
@@ -114,7 +114,9 @@
 {
 	const struct mst_entry *entry = placement->entry;
 	const struct mst_tuning *tuning = &entry->options.tuning;
-	const double factors[] = {1, tuning->overrun_factor};
+	const double factors[] = {1,
+	    mst_estimate_overrun(
+		&placement->job->team->estimate, tuning->overrun_deviations)};
 	const struct job *job = placement->job;
 	double elapsed_us = (double)(entry->now_us - job->submitted_us);
 	double timeout_us = (double)(job->deadline_us - job->submitted_us);
