core: a job that no member could end in time is refused with a reason of its own

Such a job was refused as overload with nothing waiting and a Retry-After of 100 ms, which promised more than is true. It is refused with reason=deadline and a minute. overload__too_long_job_is_refused failed before (reason overload) and passes.

--- a/src/core/job/submit.c
+++ b/src/core/job/submit.c
@@ -53,6 +53,10 @@
 	if (spec->restartable) {
 		if (mst_spec_is_unplaceable(entry, spec))
 			return MST_REASON_NO_FIT;
+		/* Waiting does not help it. */
+		*retry_ms = RETRY_AFTER_MAX_MS;
+		if (mst_spec_is_too_long(entry, spec, team))
+			return MST_REASON_DEADLINE;
 		if (!mst_spec_would_be_late(entry, spec, team, &wait_us))
 			return MST_REASON_NONE;
 		*retry_ms = clamp_retry_after_ms(wait_us);
--- a/src/core/place/objective.c
+++ b/src/core/place/objective.c
@@ -140,28 +140,53 @@
 	    (double)spec->count * count_sharing_entries(entry);
 }
 
+/* Returns the expected service time of a new job at the fastest member, in
+ * microseconds, and stores its objective. */
+static double
+compute_spec_objective(struct objective *objective,
+    const struct mst_entry *entry, const struct mst_job_spec *spec,
+    const struct team *team)
+{
+	double service_us = mst_spec_critical_path_us(spec, team);
+
+	*objective = compute_objective(entry, service_us, spec->stretch,
+	    (int64_t)spec->target_ms * 1000, (int64_t)spec->timeout_ms * 1000,
+	    spec->priority);
+	return service_us * entry->min_slowness;
+}
+
+bool
+mst_spec_is_too_long(const struct mst_entry *entry,
+    const struct mst_job_spec *spec, const struct team *team)
+{
+	struct objective objective;
+	double service_us;
+
+	/* The fastest member is not known yet. */
+	if (entry->capacity <= 0)
+		return false;
+	service_us = compute_spec_objective(&objective, entry, spec, team);
+	return service_us > (double)objective.limit_us;
+}
+
 bool
 mst_spec_would_be_late(const struct mst_entry *entry,
     const struct mst_job_spec *spec, const struct team *team, double *wait_us)
 {
-	double service_us = mst_spec_critical_path_us(spec, team);
-	double slack_us;
 	struct objective objective;
+	double service_us, slack_us;
 
-	objective = compute_objective(entry, service_us, spec->stretch,
-	    (int64_t)spec->target_ms * 1000, (int64_t)spec->timeout_ms * 1000,
-	    spec->priority);
 	*wait_us = 0;
 	if (!entry->options.tuning.refuse_late)
 		return false;
 	if (entry->capacity <= 0 &&
 	    entry->now_us - entry->started_us <= ENTRY_WARM_UP_US)
 		return false;
+	service_us = compute_spec_objective(&objective, entry, spec, team);
+	slack_us = (double)objective.limit_us - service_us;
 	if (!has_free_slots_for(entry, spec))
 		*wait_us = mst_entry_queue_delay_us(
 		    entry, entry->now_us + objective.order_offset_us);
-	slack_us =
-	    (double)objective.limit_us - service_us * entry->min_slowness;
 	return *wait_us > slack_us * max_wait_share(entry);
 }
 
--- a/src/core/place/place.h
+++ b/src/core/place/place.h
@@ -74,6 +74,10 @@
  * first in the queue, in microseconds. */
 double mst_entry_queue_delay_us(
     const struct mst_entry *entry, int64_t virtual_deadline_us);
+/* Returns true if a new job is expected to miss its objective even if it
+ * started now at the fastest member. */
+bool mst_spec_is_too_long(const struct mst_entry *entry,
+    const struct mst_job_spec *spec, const struct team *team);
 /* Returns true if a new job is expected to miss its objective. Stores the
  * expected wait. */
 bool mst_spec_would_be_late(const struct mst_entry *entry,
--- a/tests/sim/load.c
+++ b/tests/sim/load.c
@@ -113,8 +113,8 @@
 	}
 }
 
-static void
-submit_job(struct load *load, const struct load_kind *kind, int64_t now_ms)
+void
+load_submit(struct load *load, const struct load_kind *kind, int64_t now_ms)
 {
 	struct mst_task_spec tasks[LOAD_TASKS_MAX] = {0};
 	struct load_job *job = g_new0(struct load_job, 1);
@@ -267,11 +267,11 @@
 		load->due_jobs +=
 		    capacity * current_load(load, at_peak) * STEP_MS / 1000;
 		for (; load->due_jobs >= 1; load->due_jobs -= 1)
-			submit_job(load, NULL, now_ms);
+			load_submit(load, NULL, now_ms);
 		load->due_burst_jobs += capacity * STEP_MS / 1000 *
 		    current_load(load, at_peak) * extra_share(load);
 		for (; load->due_burst_jobs >= 1; load->due_burst_jobs -= 1)
-			submit_job(load, load->burst_kind, now_ms);
+			load_submit(load, load->burst_kind, now_ms);
 	}
 	sim_run_until(
 	    load->sim, G_USEC_PER_SEC + (LOAD_END_MS + DRAIN_MS) * MS);
--- a/tests/sim/load.h
+++ b/tests/sim/load.h
@@ -120,6 +120,9 @@
 struct load *load_new(
     const struct load_shape *shape, const struct load_options *options);
 void load_free(struct load *load);
+/* Submits one job of a kind, or of a random one if it is NULL. */
+void load_submit(
+    struct load *load, const struct load_kind *kind, int64_t now_ms);
 /* Plays the whole load. */
 void load_run(struct load *load);
 /* Counts the outcomes of the jobs that were submitted in a period. */
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -119,6 +119,32 @@
 	}
 }
 
+/* A job whose task takes longer than its deadline on every worker is refused at
+ * once, with a reason of its own and no promise that it would be served soon.
+ */
+static void
+overload__too_long_job_is_refused(void)
+{
+	static const struct load_kind too_long = {"slow", 1, 30000, 1, 0};
+	const struct load_options options = {.seed = 1};
+	struct load *load = load_new(&shape, &options);
+	const struct sim_request *request;
+	const struct load_job *job;
+
+	load_run(load);
+	load_submit(load, &too_long, LOAD_END_MS);
+	sim_run_until(load->sim, sim_now(load->sim) + G_USEC_PER_SEC);
+	job = load->jobs->pdata[load->jobs->len - 1];
+	request = sim_get_request(load->sim, job->request);
+	g_assert_true(request->refused);
+	g_assert_false(request->may_have_run);
+	g_assert_cmpint(request->reason, ==, MST_REASON_DEADLINE);
+	g_assert_cmpint(request->answered_us - request->submitted_us, <=,
+	    REFUSAL_MAX_MS * 1000);
+	g_assert_cmpuint(request->retry_after_ms, >=, 60000);
+	load_free(load);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -127,6 +153,8 @@
 	    "/overload/below-capacity", &below_capacity, run_seeds_together);
 	g_test_add_data_func(
 	    "/overload/above-capacity", &above_capacity, run_seeds_together);
+	g_test_add_func(
+	    "/overload/too-long-job", overload__too_long_job_is_refused);
 	g_test_add_data_func("/overload-each-seed/above-capacity",
 	    &above_capacity, run_each_seed);
 	g_test_add_data_func("/overload-each-seed/below-capacity",
