core: a task is overdue by the learnt error of its estimate

Hypothesis: three times the estimate is too soon where declared times tell little; what is withdrawn then starts again from nothing.

Overdue is now five deviations of the learnt error (mst_estimate_overrun) in place of the factor 3: about 4 to 5 where declared times are off by 40 %.

--- a/bench/experiment/variant.c
+++ b/bench/experiment/variant.c
@@ -44,7 +44,7 @@
     PARAMETER(finish_stretch_max, PARAMETER_DOUBLE),
     PARAMETER(withdraw_overdue, PARAMETER_BOOL),
     PARAMETER(limit_overdue, PARAMETER_BOOL),
-    PARAMETER(overdue_factor, PARAMETER_DOUBLE),
+    PARAMETER(overdue_deviations, PARAMETER_DOUBLE),
     PARAMETER(order_by_urgency, PARAMETER_BOOL),
     PARAMETER(report_lag, PARAMETER_BOOL),
     PARAMETER(limit_failing, PARAMETER_BOOL),
--- a/include/masticstall/tuning.h
+++ b/include/masticstall/tuning.h
@@ -35,7 +35,8 @@
 	/* Moving. */
 	bool withdraw_overdue; /* move overdue tasks to other members */
 	bool limit_overdue;    /* send few tasks to members with overdue ones */
-	double overdue_factor; /* expected times after which one is overdue */
+	/* Deviations of the service time after which a task is overdue. */
+	double overdue_deviations;
 	/* Agents. */
 	bool order_by_urgency; /* of the tasks of all entries */
 	bool report_lag;       /* report slow runs before they end */
@@ -55,7 +56,7 @@
 		.overrun_deviations = 2.5, .low_utilization = 0.35,            \
 		.high_utilization = 0.75, .finish_stretch_max = 0.5,           \
 		.withdraw_overdue = true, .limit_overdue = true,               \
-		.overdue_factor = 3.0, .order_by_urgency = true,               \
+		.overdue_deviations = 5.0, .order_by_urgency = true,           \
 		.report_lag = true, .limit_failing = true, .queue_max = 2,     \
 	}
 
--- a/src/core/place/overdue.c
+++ b/src/core/place/overdue.c
@@ -11,8 +11,8 @@
 #include "core/place/fit.h"
 #include "core/place/place.h"
 
-/* A task is overdue after a multiple of its expected time, which is well above
- * the error of that time, plus this slack. */
+/* A task is overdue after a multiple of its expected time that is well above
+ * the learnt error of that time, plus this slack. */
 #define OVERDUE_SLACK_US (INT64_C(60) * 1000)
 /* A member is marked as overdue if it has at least this share and number of
  * overdue tasks. */
@@ -25,10 +25,11 @@
 {
 	double expected_us = mst_task_expected_at_us(entry, member, job, task) *
 	    member->slowness;
+	double factor = mst_estimate_overrun(
+	    &job->team->estimate, entry->options.tuning.overdue_deviations);
 
 	return (double)(entry->now_us - task->sent_us) >
-	    expected_us * entry->options.tuning.overdue_factor +
-	    OVERDUE_SLACK_US;
+	    expected_us * factor + OVERDUE_SLACK_US;
 }
 
 /* Returns true if a task may be moved and the fastest member could still finish
