--- a/bench/experiment/faults.c
+++ b/bench/experiment/faults.c
@@ -12,6 +12,7 @@
 #define KILL_DOWN_MS         1000 /* from a kill until the restart */
 #define LOST_PERIOD_MS       1000 /* between two replaced workers */
 #define BURST_OF_ONE_FACTOR  1.8
+#define POISONED_SHARE       0.05
 #define WRONG_SIGMA          1.0 /* of declared over true time */
 
 static int
@@ -176,6 +177,18 @@
 		cluster_restart(&load->cluster, i);
 }
 
+static void
+poison_begin(struct load *load)
+{
+	load->poisoned_share = POISONED_SHARE;
+}
+
+static void
+poison_end(struct load *load)
+{
+	load->poisoned_share = 0;
+}
+
 static void
 wrong_times_begin(struct load *load)
 {
@@ -221,5 +234,6 @@
 	.begin = entry_killed_begin,
 	.step = entry_killed_step},
     {.name = "all-killed", .begin = all_killed_begin},
+    {.name = "poison", .begin = poison_begin, .end = poison_end},
     {.name = "wrong-times", .begin = wrong_times_begin, .end = wrong_times_end},
     {0}};
--- a/include/masticstall/tuning.h
+++ b/include/masticstall/tuning.h
@@ -40,7 +40,6 @@
 	/* Agents. */
 	bool order_by_urgency; /* of the tasks of all entries */
 	bool report_lag;       /* report slow runs before they end */
-	bool limit_failing;    /* one run at a time while all of them fail */
 	uint32_t queue_max;    /* tasks that wait for the next free slot */
 };
 
@@ -57,7 +56,7 @@
 		.high_utilization = 0.75, .finish_stretch_max = 0.5,           \
 		.withdraw_overdue = true, .limit_overdue = true,               \
 		.overdue_deviations = 5.0, .order_by_urgency = true,           \
-		.report_lag = true, .limit_failing = true, .queue_max = 2,     \
+		.report_lag = true, .queue_max = 2,                            \
 	}
 
 #endif
--- a/src/core/agent/run.c
+++ b/src/core/agent/run.c
@@ -170,8 +170,6 @@
 		return agent->options.queue_max;
 	if (!mst_worker_is_ready(agent))
 		return 0;
-	if (mst_worker_is_failing(agent))
-		return mst_worker_free_slots(agent);
 	return mst_worker_free_slots(agent) + agent->options.tuning.queue_max +
 	    1;
 }
@@ -321,9 +319,7 @@
 	int64_t limit_us;
 
 	/* Other agents can run them sooner. */
-	if (agent->options.leased &&
-	    (!mst_worker_is_ready(agent) ||
-		(mst_worker_is_failing(agent) && agent->running > 0)))
+	if (agent->options.leased && !mst_worker_is_ready(agent))
 		mst_agent_refuse_queued(agent, NULL, MST_REASON_BUSY);
 	while ((run = g_queue_peek_head(&agent->queue)) != NULL &&
 	    has_capacity_for(agent, run)) {
--- a/src/core/agent/session.c
+++ b/src/core/agent/session.c
@@ -164,8 +164,6 @@
 
 	if (!mst_worker_is_ready(agent))
 		return 0;
-	if (mst_worker_is_failing(agent))
-		return session->open + mst_worker_free_slots(agent);
 	return session->open + mst_worker_free_slots(agent) + queue_room;
 }
 
--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -61,12 +61,10 @@
 		completion->status == MST_RUN_FAILED);
 	switch (completion->status) {
 	case MST_RUN_DONE:
-		mst_worker_count_outcome(agent, run, false);
 		mst_worker_update_slowness(agent, run);
 		mst_worker_complete_run(agent, run, &result);
 		break;
 	case MST_RUN_FAILED:
-		mst_worker_count_outcome(agent, run, true);
 		result.status = 500;
 		result.reason = MST_REASON_RUN_FAILED;
 		mst_worker_complete_run(agent, run, &result);
--- a/src/core/worker/worker.c
+++ b/src/core/worker/worker.c
@@ -28,7 +28,6 @@
 	worker->synced = false;
 	worker->fence = 0;
 	worker->completions_read = 0;
-	worker->run_failures = 0;
 	mst_completions_drop(worker);
 	mst_unknown_drop(worker);
 	worker->lease_expiring = false;
@@ -208,7 +207,6 @@
 			mst_completions_handle_expiry(agent);
 	}
 	mst_completions_tick(agent);
-	mst_worker_check_probe(agent);
 	mst_worker_send_due_orders(agent);
 	if (agent->now_us < worker->next_renew_us)
 		return;
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -56,12 +56,6 @@
 	double answer_time_us;
 	double answer_deviation_us;
 	unsigned renew_failures; /* consecutive failures */
-	/* Runs that failed in a row, and when the next one may start to find
-	 * out whether the worker still fails them; see capacity.c. */
-	unsigned run_failures;
-	int64_t failing_since_us; /* first of these failures */
-	double failure_time_us;   /* until a run fails; moving average */
-	int64_t next_probe_us;
 	struct mst_resources used_resources;
 	struct mst_slowness slowness_avg; /* slowness as an average over runs */
 };
@@ -95,8 +89,6 @@
 /* Returns true if the free resources suffice for a task. */
 bool mst_worker_has_capacity(
     const struct mst_agent *agent, const struct mst_resources *needs);
-/* Returns true if the worker fails its runs, so that it gets one at a time. */
-bool mst_worker_is_failing(const struct mst_agent *agent);
 /* Returns how many tasks of average size fit into the worker's resources. */
 uint32_t mst_worker_slots(const struct mst_agent *agent);
 /* Returns how many tasks of average size fit into the resources that running
--- a/src/core/worker/worker_internal.h
+++ b/src/core/worker/worker_internal.h
@@ -42,12 +42,6 @@
 /* Adds resources to the used ones, or subtracts them if the sign is -1. */
 void mst_worker_adjust_used(
     struct mst_resources *used, const struct mst_resources *needs, int sign);
-/* Counts the failure or success of a run. */
-void mst_worker_count_outcome(
-    struct mst_agent *agent, const struct run *run, bool failed);
-/* Ends the state of failing if the present run lasts longer than failed ones.
- */
-void mst_worker_check_probe(struct mst_agent *agent);
 /* Adds the service time of a completed run to the average slowness. */
 void mst_worker_update_slowness(struct mst_agent *agent, const struct run *run);
 
--- a/tests/sim/load.c
+++ b/tests/sim/load.c
@@ -71,7 +71,7 @@
 
 	g_free(key);
 	duration_ms *= draw_deviation(load, task);
-	if (load->fails[agent])
+	if (load->fails[agent] || job->poisoned)
 		return (struct sim_task_result){.duration_us = FAILING_RUN_US,
 		    .outcome = MST_OUTCOME_DONE,
 		    .status = 500};
@@ -133,6 +133,9 @@
 	declared_ms = job->service_ms *
 	    exp(load->declared_sigma * load_random_normal(load->rand));
 	job->submitted_ms = now_ms;
+	if (load->poisoned_share > 0)
+		job->poisoned =
+		    g_rand_double(load->rand) < load->poisoned_share;
 	g_snprintf(job->key, sizeof(job->key), "%016x", load->jobs->len + 1);
 	g_hash_table_insert(load->jobs_by_key, job->key, job);
 	g_ptr_array_add(load->jobs, job);
--- a/tests/sim/load.h
+++ b/tests/sim/load.h
@@ -59,6 +59,7 @@
 	double service_ms;
 	int64_t submitted_ms;
 	uint64_t request;
+	bool poisoned; /* its tasks fail wherever they run */
 };
 
 struct load;
@@ -98,6 +99,7 @@
 	bool fails[CLUSTER_NODES_MAX];
 	bool hangs[CLUSTER_NODES_MAX];
 	double declared_sigma;
+	double poisoned_share; /* of the jobs */
 	double due_burst_jobs; /* the same for the extra jobs of burst_kind */
 	/* Kind whose jobs come more often; NULL: none. */
 	const struct load_kind *burst_kind;
