--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -195,11 +195,10 @@
 	return g_hash_table_get_values(agent->active);
 }
 
-/* Returns true if a run whose start order got no answer must be stopped before
- * it counts as ended. The order may still reach the worker's next incarnation.
- * Once the lease that the order asked for has expired, that is too late to
- * overlap with another run of a best-effort job, whose caller gives up before;
- * a stored job must not even run again later. */
+/* Returns true if a run must be stopped before it counts as ended, because a
+ * start order without an answer may still reach the worker's next incarnation.
+ * A best-effort job is over soon, so its run is given up once the lease that
+ * the order asked for has expired. A stored job must not run again later. */
 static bool
 must_stop_first(const struct run *run, bool lease_expired)
 {
