--- a/bench/experiment.c
+++ b/bench/experiment.c
@@ -11,7 +11,7 @@
  *   --drawn SEED         also play two shapes that are drawn from a seed
  *   --fault NAME         play only this fault
  *   --seeds N            seeds for each shape and fault; default 4
- *   --set NAME=VALUE     a parameter of the variant; see mst_tuning.h;
+ *   --set NAME=VALUE     a parameter of the variant; see struct mst_tuning;
  *                        placement=NAME sets the placement policy
  *   --ablate             compare each mechanism switched off, one by one
  *   --save FILE          write the credit of each run with the defaults
@@ -327,7 +327,7 @@
 	for (i = 0; i < settings->shapes->len; i++) {
 		const struct load_fault *fault;
 
-		for (fault = experiment_faults; fault->name; fault++) {
+		for (fault = load_faults; fault->name; fault++) {
 			if (settings->fault != NULL &&
 			    strcmp(settings->fault, fault->name) != 0)
 				continue;
--- a/bench/experiment/experiment.h
+++ b/bench/experiment/experiment.h
@@ -1,7 +1,7 @@
 #ifndef MST_EXPERIMENT_H
 #define MST_EXPERIMENT_H
 
-/* Shapes, faults and variants of an experiment. */
+/* Shapes and variants of an experiment. */
 
 #include "sim/load.h"
 
@@ -12,10 +12,6 @@
 	char *config; /* JSON of the configuration, or NULL */
 };
 
-/* faults.c */
-/* Faults that a load is played with; the last one has no name. */
-extern const struct load_fault experiment_faults[];
-
 /* shapes.c */
 /* Reads a shape from a JSON file. Aborts if the file is invalid. */
 struct load_shape *shape_load(const char *path);
--- a/tests/sim/load.h
+++ b/tests/sim/load.h
@@ -73,6 +73,12 @@
 	void (*end)(struct load *load);
 };
 
+/* load_faults.c */
+/* All faults; the last one has no name. */
+extern const struct load_fault load_faults[];
+/* Returns the fault with a name, or NULL. */
+const struct load_fault *load_fault_find(const char *name);
+
 struct load_options {
 	uint32_t seed;
 	/* Arrivals and service times of the tasks do not depend on what the
@@ -118,6 +124,7 @@
 	int64_t refusal_max_ms; /* longest time until a refusal */
 };
 
+/* load.c */
 /* Creates a cluster under load. */
 struct load *load_new(
     const struct load_shape *shape, const struct load_options *options);
--- a/bench/experiment/faults.c
+++ b/tests/sim/load_faults.c
@@ -1,4 +1,4 @@
-#include "experiment.h"
+#include "sim/load.h"
 
 #include <string.h>
 
@@ -214,7 +214,7 @@
 	load->burst_kind = NULL;
 }
 
-const struct load_fault experiment_faults[] = {{.name = "none"},
+const struct load_fault load_faults[] = {{.name = "none"},
     {.name = "burst", .load_factor = 1.4},
     {.name = "burst-of-one",
 	.begin = burst_of_one_begin,
@@ -237,3 +237,15 @@
     {.name = "poison", .begin = poison_begin, .end = poison_end},
     {.name = "wrong-times", .begin = wrong_times_begin, .end = wrong_times_end},
     {0}};
+
+const struct load_fault *
+load_fault_find(const char *name)
+{
+	const struct load_fault *fault;
+
+	for (fault = load_faults; fault->name != NULL; fault++) {
+		if (strcmp(fault->name, name) == 0)
+			return fault;
+	}
+	return NULL;
+}
