tests: loads with unreachable workers and unanswered orders, what callers get

test_load_faults plays fleets and loads unlike those of test_overload: no job may fail with workers that reset, are silent or unhealthy, and 95 % (the aim) must be in time; the same share with one order in twenty unanswered and jobs of 30 to 50 ms.

--- /dev/null
+++ b/tests/test_load_faults.c
@@ -0,0 +1,118 @@
+/*
+ * Loads that the workers can bear, with faults: callers must get what they get
+ * without faults, as far as time and the workers that are left allow. Fleets
+ * and loads are unlike those of test_overload. Every seed has the same arrivals
+ * whatever the entries decide.
+ */
+
+#include <masticstall.h>
+
+#include "sim/load.h"
+
+#define SEEDS 4
+
+/* Least share of the submitted jobs that end in time. */
+#define IN_TIME_MIN 0.95
+
+/* Workers of the same speed, jobs of two kinds. */
+static const struct load_shape even_shape = {.name = "even",
+    .entries = 3,
+    .workers = 10,
+    .slots = 8,
+    .service_factors = {1},
+    .factor_count = 1,
+    .kinds = {{"short", 6, 80, 30, 0}, {"medium", 2, 250, 70, 1}},
+    .kind_count = 2,
+    .service_sigma = 0.4,
+    .declared_sigma = 0.4,
+    .base_load = 0.6,
+    .peak_load = 0.75,
+    .stretch = 1.6,
+    .target_ms = 60,
+    .deadline_ms = 1500};
+
+/* Jobs so short that the timeout of an order is most of their objective. */
+static const struct load_shape short_shape = {.name = "short",
+    .entries = 4,
+    .workers = 12,
+    .slots = 8,
+    .service_factors = {0.8, 1, 1.3},
+    .factor_count = 3,
+    .kinds = {{"short", 4, 50, 60, 0}, {"single", 1, 30, 100, 1}},
+    .kind_count = 2,
+    .service_sigma = 0.4,
+    .declared_sigma = 0.4,
+    .base_load = 0.4,
+    .peak_load = 0.5,
+    .stretch = 1.6,
+    .target_ms = 50,
+    .deadline_ms = 800};
+
+static struct load_counts
+play_peaks(const struct load_shape *shape, const char *fault)
+{
+	struct load_counts total = {0};
+	uint32_t seed;
+
+	for (seed = 1; seed <= SEEDS; seed++) {
+		const struct load_options options = {.seed = seed,
+		    .paired = true,
+		    .fault = load_fault_find(fault)};
+		struct load *load = load_new(shape, &options);
+		struct load_counts counts;
+
+		g_assert_nonnull(options.fault);
+		load_run(load);
+		counts = load_count(load, LOAD_PEAK_START_MS, LOAD_PEAK_END_MS);
+		total.submitted += counts.submitted;
+		total.in_time += counts.in_time;
+		total.late += counts.late;
+		total.refused_late += counts.refused_late;
+		total.failed += counts.failed;
+		total.lost += counts.lost;
+		load_free(load);
+	}
+	g_test_message("%s, %s: %u jobs, %u in time, %u late, %u failed",
+	    shape->name, fault, total.submitted, total.in_time, total.late,
+	    total.failed);
+	return total;
+}
+
+/* Tasks at workers that do not answer must run elsewhere in time for every job
+ * to be answered, and most in time. */
+static void
+load_faults__no_job_fails_with_unreachable_workers(gconstpointer fault)
+{
+	struct load_counts counts = play_peaks(&even_shape, fault);
+
+	g_assert_cmpuint(counts.failed + counts.lost, ==, 0);
+	g_assert_cmpuint(counts.refused_late, ==, 0);
+	g_assert_cmpfloat(
+	    counts.in_time, >=, IN_TIME_MIN * (double)counts.submitted);
+}
+
+/* One order in twenty gets no answer. */
+static void
+load_faults__unanswered_orders_delay_few_jobs(void)
+{
+	struct load_counts counts = play_peaks(&short_shape, "late-orders");
+
+	g_assert_cmpuint(counts.failed + counts.lost, ==, 0);
+	g_assert_cmpfloat(
+	    counts.in_time, >=, IN_TIME_MIN * (double)counts.submitted);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_data_func("/load-faults/resetting", "resetting",
+	    load_faults__no_job_fails_with_unreachable_workers);
+	g_test_add_data_func("/load-faults/silent", "silent",
+	    load_faults__no_job_fails_with_unreachable_workers);
+	g_test_add_data_func("/load-faults/unhealthy", "unhealthy",
+	    load_faults__no_job_fails_with_unreachable_workers);
+	g_test_add_func("/load-faults/unanswered-orders",
+	    load_faults__unanswered_orders_delay_few_jobs);
+	return g_test_run();
+}
