--- a/tests/test_load_faults.c
+++ b/tests/test_load_faults.c
@@ -11,6 +11,10 @@
 
 #define SEEDS 4
 
+#define LONG_JOBS          5 /* more tasks than the fast worker has slots */
+#define SHORT_JOBS         10
+#define AFTER_LONG_JOBS_US (20 * 1000) /* until the short ones arrive */
+
 /* Least share of the submitted jobs that end in time. */
 #define IN_TIME_MIN 0.95
 
@@ -48,6 +52,24 @@
     .target_ms = 50,
     .deadline_ms = 800};
 
+/* Long jobs that only the first worker can end in time, and short ones that any
+ * worker can and that come after them in the queue. */
+static const struct load_shape unlike_shape = {.name = "unlike",
+    .entries = 1,
+    .workers = 4,
+    .slots = 8,
+    .service_factors = {0.3, 2, 2, 2},
+    .factor_count = 4,
+    .kinds = {{"short", 1, 60, 60, 9}, {"long", 4, 800, 4, 0}},
+    .kind_count = 2,
+    .service_sigma = 0.1,
+    .declared_sigma = 0.1,
+    .base_load = 0.25,
+    .peak_load = 0.25,
+    .stretch = 1.4,
+    .target_ms = 20,
+    .deadline_ms = 1500};
+
 static struct load_counts
 play_peaks(const struct load_shape *shape, const char *fault)
 {
@@ -102,6 +124,34 @@
 	    counts.in_time, >=, IN_TIME_MIN * (double)counts.submitted);
 }
 
+/* The tasks of long jobs wait for the fast worker while the others are idle.
+ * That must not refuse jobs for which there are slots. */
+static void
+load_faults__waiting_by_choice_refuses_nobody(void)
+{
+	const struct load_options options = {.seed = 1, .paired = true};
+	struct load *load = load_new(&unlike_shape, &options);
+	guint first_short, i;
+
+	load_run(load);
+	for (i = 0; i < LONG_JOBS; i++)
+		load_submit(load, &unlike_shape.kinds[1], LOAD_END_MS);
+	sim_run_until(load->sim, sim_now(load->sim) + AFTER_LONG_JOBS_US);
+	first_short = load->jobs->len;
+	for (i = 0; i < SHORT_JOBS; i++)
+		load_submit(load, &unlike_shape.kinds[0], LOAD_END_MS);
+	sim_run_until(load->sim, sim_now(load->sim) + G_USEC_PER_SEC);
+	for (i = first_short; i < load->jobs->len; i++) {
+		const struct load_job *job = load->jobs->pdata[i];
+		const struct sim_request *request =
+		    sim_get_request(load->sim, job->request);
+
+		g_assert_false(request->refused);
+		g_assert_cmpint(request->state, ==, MST_JOB_COMPLETE);
+	}
+	load_free(load);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -114,5 +164,7 @@
 	    load_faults__no_job_fails_with_unreachable_workers);
 	g_test_add_func("/load-faults/unanswered-orders",
 	    load_faults__unanswered_orders_delay_few_jobs);
+	g_test_add_func("/load-faults/waiting-by-choice",
+	    load_faults__waiting_by_choice_refuses_nobody);
 	return g_test_run();
 }
