core: free slots admit a job only where it could end in time

Refused at once is better for their callers.

Only the free slots of members that could end the job within its planned time count now. load_faults__slow_free_slots_admit_nobody failed before (accepted, then given up) and passes; load_faults__waiting_by_choice_refuses_nobody plays workers that can serve the jobs, whom nobody may be refused.

--- a/src/core/place/fit.c
+++ b/src/core/place/fit.c
@@ -247,7 +247,8 @@
 }
 
 double
-mst_leased_free_slots(const struct mst_entry *entry, GQuark service)
+mst_leased_free_slots(
+    const struct mst_entry *entry, GQuark service, double max_slowness)
 {
 	const struct member_sample sample = mst_member_sample(entry);
 	double free_slots = 0;
@@ -258,6 +259,7 @@
 		    mst_member_sample_get(entry, &sample, i);
 
 		if (mst_member_has_room(entry, member) &&
+		    member->slowness <= max_slowness &&
 		    (service == 0 || member->service == service))
 			free_slots += MIN(member->free_slots, member->slots);
 	}
--- a/src/core/place/fit.h
+++ b/src/core/place/fit.h
@@ -52,9 +52,10 @@
     const struct task *task);
 /* Returns the share of the usable members' capacity that is in use, 0 to 1. */
 double mst_leased_utilization(const struct mst_entry *entry);
-/* Returns the number of free slots of the usable members with a service; 0: any
- * service. */
-double mst_leased_free_slots(const struct mst_entry *entry, GQuark service);
+/* Returns the number of free slots of the usable members that have a service
+ * (0: any) and are not slower than the given slowness. */
+double mst_leased_free_slots(
+    const struct mst_entry *entry, GQuark service, double max_slowness);
 /* Draws a sample of the members. */
 struct member_sample mst_member_sample(const struct mst_entry *entry);
 /* Returns all members. */
--- a/src/core/place/objective.c
+++ b/src/core/place/objective.c
@@ -126,17 +126,17 @@
 	    (tuning->wait_share_low_load - tuning->wait_share_high_load);
 }
 
-/* Returns true if this entry's share of the free slots suffices for a new job.
- * Tasks that wait nevertheless wait for a faster member, not for a slot, and do
- * not delay the job. */
+/* Returns true if this entry's share of the free slots that could serve a new
+ * job in time suffices for it. Tasks that wait nevertheless wait for a faster
+ * member, not for a slot, and do not delay the job. */
 static bool
-has_free_slots_for(
-    const struct mst_entry *entry, const struct mst_job_spec *spec)
+has_free_slots_for(const struct mst_entry *entry,
+    const struct mst_job_spec *spec, double max_slowness)
 {
 	GQuark service = spec->service ? g_quark_from_string(spec->service) : 0;
 
 	return entry->options.tuning.admit_to_free &&
-	    mst_leased_free_slots(entry, service) >=
+	    mst_leased_free_slots(entry, service, max_slowness) >=
 	    (double)spec->count * count_sharing_entries(entry);
 }
 
@@ -174,7 +174,7 @@
     const struct mst_job_spec *spec, const struct team *team, double *wait_us)
 {
 	struct objective objective;
-	double service_us, slack_us;
+	double service_us, slack_us, max_slowness;
 
 	*wait_us = 0;
 	if (!entry->options.tuning.refuse_late)
@@ -184,7 +184,10 @@
 		return false;
 	service_us = compute_spec_objective(&objective, entry, spec, team);
 	slack_us = (double)objective.limit_us - service_us;
-	if (!has_free_slots_for(entry, spec))
+	max_slowness = (double)objective.limit_us *
+	    entry->options.tuning.planned_share * entry->min_slowness /
+	    MAX(service_us, 1);
+	if (!has_free_slots_for(entry, spec, max_slowness))
 		*wait_us = mst_entry_queue_delay_us(
 		    entry, entry->now_us + objective.order_offset_us);
 	return *wait_us > slack_us * max_wait_share(entry);
