--- a/bench/experiment.c
+++ b/bench/experiment.c
@@ -314,28 +314,34 @@
 	printf("\n");
 }
 
-static int
-run_all(const struct settings *settings)
+/* Returns an array of plays for each shape and fault. */
+static GPtrArray *
+make_groups(const struct settings *settings)
 {
-	FILE *save = settings->save ? fopen(settings->save, "w") : NULL;
-	GPtrArray *groups = g_ptr_array_new();
-	GThreadPool *pool =
-	    g_thread_pool_new(run_play, NULL, THREADS_MAX, TRUE, NULL);
-	double sums[VARIANTS_MAX] = {0};
-	guint i, p;
+	GPtrArray *groups =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
+	const struct load_fault *fault;
+	guint i;
 
 	for (i = 0; i < settings->shapes->len; i++) {
-		const struct load_fault *fault;
-
-		for (fault = load_faults; fault->name; fault++) {
-			if (settings->fault != NULL &&
-			    strcmp(settings->fault, fault->name) != 0)
-				continue;
-			g_ptr_array_add(groups,
-			    make_plays(
-				settings, settings->shapes->pdata[i], fault));
+		for (fault = load_faults; fault->name != NULL; fault++) {
+			if (settings->fault == NULL ||
+			    strcmp(settings->fault, fault->name) == 0)
+				g_ptr_array_add(groups,
+				    make_plays(settings,
+					settings->shapes->pdata[i], fault));
 		}
 	}
+	return groups;
+}
+
+static void
+run_groups(const GPtrArray *groups)
+{
+	GThreadPool *pool =
+	    g_thread_pool_new(run_play, NULL, THREADS_MAX, TRUE, NULL);
+	guint i, p;
+
 	for (i = 0; i < groups->len; i++) {
 		GArray *plays = groups->pdata[i];
 
@@ -344,28 +350,57 @@
 			    pool, &g_array_index(plays, struct play, p), NULL);
 	}
 	g_thread_pool_free(pool, FALSE, TRUE);
+}
+
+/* Prints the table; sums is increased by the differences of each variant. */
+static void
+print_groups(
+    const struct settings *settings, const GPtrArray *groups, double *sums)
+{
+	guint i, v;
+
 	print_header(settings);
 	for (i = 0; i < groups->len; i++) {
 		const GArray *plays = groups->pdata[i];
 		const struct play *base = (const struct play *)plays->data;
 
 		print_figures(settings, base);
-		for (p = settings->saved != NULL ? 0 : 1;
-		     p < settings->variant_count; p++)
+		for (v = settings->saved != NULL ? 0 : 1;
+		     v < settings->variant_count; v++)
 			print_difference(settings, base,
-			    base + p * settings->seeds, &sums[p]);
+			    base + v * settings->seeds, &sums[v]);
 		printf("\n");
-		if (save != NULL)
-			save_plays(settings, save, base);
-		g_array_unref(groups->pdata[i]);
 	}
-	for (p = 0; p < settings->variant_count; p++)
+	for (v = 0; v < settings->variant_count; v++)
 		printf("mean difference of %s: %+.4f\n",
-		    settings->variants[p].name, sums[p] / MAX(groups->len, 1));
+		    settings->variants[v].name, sums[v] / MAX(groups->len, 1));
+}
+
+static void
+save_groups(const struct settings *settings, const GPtrArray *groups)
+{
+	FILE *file = fopen(settings->save, "w");
+	guint i;
+
+	if (file == NULL)
+		g_error("cannot write %s", settings->save);
+	for (i = 0; i < groups->len; i++)
+		save_plays(settings, file,
+		    (const struct play *)((GArray *)groups->pdata[i])->data);
+	fclose(file);
+}
+
+static void
+run_all(const struct settings *settings)
+{
+	GPtrArray *groups = make_groups(settings);
+	double sums[VARIANTS_MAX] = {0};
+
+	run_groups(groups);
+	print_groups(settings, groups, sums);
+	if (settings->save != NULL)
+		save_groups(settings, groups);
 	g_ptr_array_unref(groups);
-	if (save != NULL)
-		fclose(save);
-	return 0;
 }
 
 static GHashTable *
@@ -419,6 +454,44 @@
 	g_strfreev(pair);
 }
 
+/* Applies an option of the command line. Returns false if it is unknown. */
+static bool
+apply_option(struct settings *settings, struct variant *variant, int option)
+{
+	switch (option) {
+	case 's':
+		g_ptr_array_add(settings->shapes, shape_load(optarg));
+		return true;
+	case 'd':
+		shapes_draw(
+		    settings->shapes, (uint32_t)strtoul(optarg, NULL, 10));
+		return true;
+	case 'f':
+		settings->fault = optarg;
+		return true;
+	case 'n':
+		settings->seeds = (uint32_t)strtoul(optarg, NULL, 10);
+		return true;
+	case 'S':
+		parse_set(variant, optarg);
+		return true;
+	case 'a':
+		add_ablations(settings);
+		return true;
+	case 'o':
+		settings->save = optarg;
+		return true;
+	case 'A':
+		settings->saved = load_saved(optarg);
+		return true;
+	case 'j':
+		settings->print_jobs = true;
+		return true;
+	default:
+		return false;
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -441,43 +514,14 @@
 	variant_init(&settings.variants[0], "base");
 	variant_init(&variant, "variant");
 	while ((option = getopt_long(argc, argv, "", options, NULL)) != -1) {
-		switch (option) {
-		case 's':
-			g_ptr_array_add(settings.shapes, shape_load(optarg));
-			break;
-		case 'd':
-			shapes_draw(settings.shapes,
-			    (uint32_t)strtoul(optarg, NULL, 10));
-			break;
-		case 'f':
-			settings.fault = optarg;
-			break;
-		case 'n':
-			settings.seeds = (uint32_t)strtoul(optarg, NULL, 10);
-			break;
-		case 'S':
-			parse_set(&variant, optarg);
-			has_variant = true;
-			break;
-		case 'a':
-			add_ablations(&settings);
-			break;
-		case 'o':
-			settings.save = optarg;
-			break;
-		case 'A':
-			settings.saved = load_saved(optarg);
-			break;
-		case 'j':
-			settings.print_jobs = true;
-			break;
-		default:
+		if (!apply_option(&settings, &variant, option))
 			return 2;
-		}
+		has_variant |= option == 'S';
 	}
 	if (has_variant)
 		settings.variants[settings.variant_count++] = variant;
 	if (settings.shapes->len == 0)
 		shapes_load_all(settings.shapes, "bench/shapes");
-	return run_all(&settings);
+	run_all(&settings);
+	return 0;
 }
--- a/include/masticstall/tuning.h
+++ b/include/masticstall/tuning.h
@@ -18,24 +18,29 @@
 	bool learn_times;   /* learn how far declared times are off */
 	double wait_share_low_load;  /* share of a job's slack to wait for */
 	double wait_share_high_load; /* the same at high load */
-	double low_load;             /* share of the capacity in use */
+	/* Shares of the capacity in use between which the share to wait for
+	 * falls from the one to the other. */
+	double low_load;
 	double high_load;
-	double rate_share_min;    /* lowest rate, as a share of the fair one */
-	double expiry_factor;     /* objectives after which a job is useless */
+	/* Lowest dispatch rate assumed, as a share of the entry's fair share of
+	 * the capacity. */
+	double rate_share_min;
+	double expiry_factor; /* of the objective; later answers are useless */
 	int64_t priority_step_us; /* in the queue, between two priorities */
 	/* Placing. */
-	bool use_slow_members;     /* leave fast members to critical tasks */
-	bool wait_for_better;      /* wait for a member that finishes sooner */
-	bool spread;               /* prefer members with many free slots */
-	double planned_share;      /* share of the time limit that is planned */
-	double overrun_deviations; /* of the service time, allowed for */
+	bool use_slow_members; /* leave fast members to critical tasks */
+	bool wait_for_better;  /* wait for a member that finishes sooner */
+	bool spread;           /* prefer members with many free slots */
+	double planned_share;  /* share of the time limit that is planned */
+	/* Learnt deviations of a service time that a late finish allows for. */
+	double overrun_deviations;
 	double low_utilization;    /* no later finish is accepted below it */
 	double high_utilization;   /* the latest finish is accepted above it */
 	double finish_stretch_max; /* largest delay beyond the first finish */
 	/* Moving. */
 	bool withdraw_overdue; /* move overdue tasks to other members */
 	bool limit_overdue;    /* send few tasks to members with overdue ones */
-	/* Deviations of the service time after which a task is overdue. */
+	/* Learnt deviations of a service time after which a task is overdue. */
 	double overdue_deviations;
 	/* Agents. */
 	bool order_by_urgency; /* of the tasks of all entries */
--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -11,9 +11,8 @@
 #define WORKER_START_TRIES_MAX  6
 #define WORKER_TASK_SIZE_WINDOW 64 /* tasks in the average of their size */
 
-/* Time from an order to its repetition, in microseconds. The maximum is below
- * the interval between renewals, so that a stop takes no longer than with an
- * entry that is lost. */
+/* Time from an order to its repetition, in microseconds. The runs of a lost
+ * entry must have been stopped before their jobs are submitted again. */
 static const struct mst_retry_bounds order_bounds = {
     .min = 20 * 1000, .max = 140 * 1000};
 
--- a/tests/sim/sim_internal.h
+++ b/tests/sim/sim_internal.h
@@ -72,6 +72,11 @@
 /* Returns the id of the running node with an incarnation, or -1. */
 int sim_node_by_incarnation(const struct sim *sim, uint64_t incarnation);
 
+/* inspect.c */
+/* Returns the key of a task in start_counts and idempotent_tasks, to be freed
+ * with g_free(). */
+char *sim_task_key(struct mst_job_id job, uint32_t index);
+
 /* leased_agent.c */
 /* Delivers the periodic report of a node's worker to the agent if it is due. */
 void sim_send_worker_report(struct sim *sim, int node_id);
