core: a caller's deadline replaces the queue's timeout

Cause: the shorter of the two ended a job. Callers of long jobs wait several times longer than their queue's timeout of 1.5 s, so each job with more than 1.5 s of work got 504 while its caller waited and its worker ran it. The objective (a multiple of the longest task) was cut the same way.

Now the reducer takes the caller's deadline where there is one, up to the new setting front.deadline_max_ms (60 s), and the queue's timeout otherwise. Stored jobs keep their queue's timeout, as the header of a submission says nothing about when they must end.

Jobs can now outlast the grace period of a stopping entry. It is told when its process ends: it refuses jobs that might not end by then (not run, elsewhere at once), and answers those still open 0.3 s before, so that their callers submit them again in place of losing the connection.

Ruled out: refusing long jobs (their callers do wait); handing the open jobs of a stopping entry to another one (the caller's connection ends with the process, and the other entry would have to be found by chance).

--- a/include/masticstall/entry.h
+++ b/include/masticstall/entry.h
@@ -33,6 +33,7 @@
 	uint32_t jobs_max;
 	uint64_t bytes_max;       /* limit for all jobs, closed ones included */
 	int64_t adopt_timeout_us; /* longest time to adopt a job */
+	uint32_t deadline_max_ms; /* longest deadline that a caller may set */
 	/*
 	 * Agents stop the runs of this entry when it stays silent for too
 	 * long, so it keeps no roster and accepts restartable jobs only.
@@ -59,8 +60,8 @@
 		.answer_retention_us = 60 * G_USEC_PER_SEC,                    \
 		.jobs_max = 100000, .bytes_max = 1u << 30,                     \
 		.adopt_timeout_us = 10 * G_USEC_PER_SEC,                       \
-		.dispatch_valid_us = 400 * 1000, .remote_factor = 1,           \
-		.owner_lease_us = 2 * G_USEC_PER_SEC,                          \
+		.deadline_max_ms = 60000, .dispatch_valid_us = 400 * 1000,     \
+		.remote_factor = 1, .owner_lease_us = 2 * G_USEC_PER_SEC,      \
 		.takeover_delay_us = 4 * G_USEC_PER_SEC,                       \
 		.record_retention_us = 180 * G_USEC_PER_SEC,                   \
 		.tuning = MST_TUNING_INIT,                                     \
@@ -101,6 +102,11 @@
 	uint64_t fingerprint;     /* hash of the request */
 	const char *team;
 	uint32_t timeout_ms; /* 0: default of the policy */
+	/*
+	 * Time that the caller waits for the answer. It replaces timeout_ms;
+	 * 0: the caller does not say.
+	 */
+	uint32_t caller_deadline_ms;
 	uint32_t count;
 	const struct mst_task_spec *tasks;
 	uint32_t step_count;               /* 0: one step without constraints */
@@ -141,6 +147,8 @@
 	MST_ENTRY_EV_CONFIG,
 	MST_ENTRY_EV_CONNECTED, /* a connection to a peer was made */
 	MST_ENTRY_EV_DRAIN,
+	/* The process ends at stop_us; jobs are accepted until DRAIN. */
+	MST_ENTRY_EV_STOPPING,
 	MST_ENTRY_EV_FLUSH,
 	MST_ENTRY_EV_QUERY_STORED,  /* a caller requests a stored job's state */
 	MST_ENTRY_EV_CANCEL_STORED, /* a caller cancels a stored job */
@@ -165,6 +173,7 @@
 	 * any job.
 	 */
 	const char *key;
+	int64_t stop_us;                       /* STOPPING */
 	int64_t wall_ms;                       /* wall-clock time */
 	const struct mst_store_answer *answer; /* STORE_ANSWER */
 };
--- a/include/masticstall/settings.h
+++ b/include/masticstall/settings.h
@@ -61,6 +61,7 @@
 	const char *ready_listen; /* ip:port for checks of the load balancer */
 	double grace_s;           /* time from SIGTERM until SIGKILL */
 	uint32_t config_ms;       /* time limit for the first configuration */
+	uint32_t deadline_max_ms; /* longest deadline that a caller may set */
 	double retention_s;       /* time to keep the state of a closed job */
 	double remote_factor;     /* slowdown in racks without the data */
 };
--- a/src/core/entry/entry.c
+++ b/src/core/entry/entry.c
@@ -297,6 +297,9 @@
 	case MST_ENTRY_EV_DRAIN:
 		entry_start_drain(entry);
 		break;
+	case MST_ENTRY_EV_STOPPING:
+		entry->stop_us = event->stop_us;
+		break;
 	case MST_ENTRY_EV_FLUSH:
 		mst_entry_flush(entry);
 		break;
--- a/src/core/entry/entry_internal.h
+++ b/src/core/entry/entry_internal.h
@@ -49,7 +49,8 @@
 	uint32_t heartbeat_rounds; /* rounds of heartbeats sent */
 	bool draining;
 	int64_t drain_us;
-	bool stopped; /* drained; all jobs are closed */
+	int64_t stop_us; /* the open jobs are closed then; 0: not set */
+	bool stopped;    /* drained; all jobs are closed */
 
 	struct mst_config *config;
 	struct mst_config_pull config_pull;
--- a/src/core/job/expire.c
+++ b/src/core/job/expire.c
@@ -50,6 +50,15 @@
 	    job->expiry_us;
 }
 
+/* Returns true if a job must be answered now because the entry stops. Its
+ * caller can submit it again elsewhere at once. */
+static bool
+is_cut_by_stop(const struct mst_entry *entry, const struct job *job)
+{
+	return job->restartable && entry->stop_us > 0 &&
+	    entry->now_us >= entry->stop_us;
+}
+
 /* Closes an open job that has reached or will miss its deadline or that no
  * member can run, and demotes a restartable job that is late. Stored jobs and
  * jobs being adopted are handled by their own modules. */
@@ -65,6 +74,8 @@
 	if (entry->now_us >= job->deadline_us ||
 	    is_certain_to_expire(entry, job))
 		mst_job_close(entry, job, MST_JOB_FAILED, MST_REASON_DEADLINE);
+	else if (is_cut_by_stop(entry, job))
+		mst_job_close(entry, job, MST_JOB_FAILED, MST_REASON_STOPPING);
 	else if (job->adoption != NULL)
 		mst_adoption_tick(entry, job);
 	else if (job->restartable && !mst_job_demote_late(entry, job))
--- a/src/core/job/submit.c
+++ b/src/core/job/submit.c
@@ -55,6 +55,11 @@
 			return MST_REASON_NO_FIT;
 		/* Waiting does not help it. */
 		*retry_ms = RETRY_AFTER_MAX_MS;
+		if (mst_spec_outlasts_entry(entry, spec, team)) {
+			/* Another entry can run it. */
+			*retry_ms = RETRY_AFTER_MIN_MS;
+			return MST_REASON_STOPPING;
+		}
 		if (mst_spec_is_too_long(entry, spec, team))
 			return MST_REASON_DEADLINE;
 		if (!mst_spec_would_be_late(entry, spec, team, &wait_us))
@@ -260,6 +265,17 @@
 	return false;
 }
 
+/* Returns the timeout of a job: the time that its caller waits if it has said
+ * so, up to the limit, else that of the job's queue. */
+static uint32_t
+choose_timeout_ms(
+    const struct mst_entry *entry, const struct mst_job_spec *spec)
+{
+	if (spec->caller_deadline_ms == 0)
+		return spec->timeout_ms;
+	return MIN(spec->caller_deadline_ms, entry->options.deadline_max_ms);
+}
+
 void
 mst_entry_submit(struct mst_entry *entry, const struct mst_entry_event *event)
 {
@@ -279,6 +295,7 @@
 		mst_stored_submit(entry, event->request, &spec);
 		return;
 	}
+	spec.timeout_ms = choose_timeout_ms(entry, &spec);
 	if (spec.ticket.job.issuer != 0 && handle_known_ticket(entry, event))
 		return;
 	existing =
--- a/src/core/place/objective.c
+++ b/src/core/place/objective.c
@@ -169,6 +169,24 @@
 	return service_us > (double)objective.limit_us;
 }
 
+bool
+mst_spec_outlasts_entry(const struct mst_entry *entry,
+    const struct mst_job_spec *spec, const struct team *team)
+{
+	double overrun = mst_estimate_overrun(
+	    &team->estimate, entry->options.tuning.overrun_deviations);
+	struct objective objective;
+	double service_us, wait_us;
+
+	if (entry->stop_us == 0)
+		return false;
+	service_us = compute_spec_objective(&objective, entry, spec, team);
+	wait_us = mst_entry_queue_delay_us(
+	    entry, entry->now_us + objective.order_offset_us);
+	return (double)entry->now_us + wait_us + service_us * overrun >
+	    (double)entry->stop_us;
+}
+
 bool
 mst_spec_would_be_late(const struct mst_entry *entry,
     const struct mst_job_spec *spec, const struct team *team, double *wait_us)
--- a/src/core/place/place.h
+++ b/src/core/place/place.h
@@ -78,6 +78,10 @@
  * started now at the fastest member. */
 bool mst_spec_is_too_long(const struct mst_entry *entry,
     const struct mst_job_spec *spec, const struct team *team);
+/* Returns true if the entry is about to stop and a new job might not end before
+ * that. */
+bool mst_spec_outlasts_entry(const struct mst_entry *entry,
+    const struct mst_job_spec *spec, const struct team *team);
 /* Returns true if a new job is expected to miss its objective. Stores the
  * expected wait. */
 bool mst_spec_would_be_late(const struct mst_entry *entry,
--- a/src/runtime/entry_frontend.c
+++ b/src/runtime/entry_frontend.c
@@ -16,7 +16,9 @@
  * Share of the grace period in which jobs are still accepted, because the load
  * balancer takes a while to send new connections elsewhere.
  */
-#define FRONTEND_SERVE_SHARE    0.65
+#define FRONTEND_SERVE_SHARE 0.65
+/* Time before the end of the grace period at which open jobs are answered. */
+#define FRONTEND_STOP_MARGIN_MS 300
 #define FRONTEND_RETRY_AFTER_MS 1000 /* if there is no better estimate */
 
 static const char *const outcome_names[] = {[FRONTEND_COMPLETED] = "completed",
@@ -433,12 +435,16 @@
 void
 runtime_frontend_drain(struct entry_runtime *rt)
 {
-	uint64_t serve_ms = (uint64_t)(rt->settings->frontend.grace_s * 1000 *
-	    FRONTEND_SERVE_SHARE);
+	int64_t grace_ms = (int64_t)(rt->settings->frontend.grace_s * 1000);
+	uint64_t serve_ms = (uint64_t)((double)grace_ms * FRONTEND_SERVE_SHARE);
+	struct mst_entry_event event = {.type = MST_ENTRY_EV_STOPPING,
+	    .stop_us =
+		runtime_now_us() + (grace_ms - FRONTEND_STOP_MARGIN_MS) * 1000};
 
 	if (rt->shutting_down)
 		return;
 	rt->shutting_down = true;
+	runtime_step(rt, &event);
 	rt->drivers->store->remove_entry(rt->store, rt->settings->advertise,
 	    STORE_CALL_TIMEOUT_MS, on_retracted, rt);
 	uv_timer_start(&rt->publish_timer, on_serve_timer, serve_ms, 0);
--- a/src/runtime/entry_runtime.c
+++ b/src/runtime/entry_runtime.c
@@ -386,6 +386,7 @@
 	options->remote_factor = settings->frontend.remote_factor;
 	options->entries_max = settings->entries_max;
 	options->stored_jobs = settings->store != NULL;
+	options->deadline_max_ms = settings->frontend.deadline_max_ms;
 	options->record_retention_us =
 	    (int64_t)(settings->frontend.retention_s * G_USEC_PER_SEC) +
 	    RUNTIME_RETENTION_MARGIN_US;
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -213,6 +213,8 @@
 	"grace_s", struct mst_frontend_settings, grace_s, 0.1, 3600),
     SCHEMA_UINT_FIELD(
 	"config_ms", struct mst_frontend_settings, config_ms, 100, 3600000),
+    SCHEMA_UINT_FIELD("deadline_max_ms", struct mst_frontend_settings,
+	deadline_max_ms, 1, 3600000),
     SCHEMA_NUMBER_FIELD(
 	"keep_s", struct mst_frontend_settings, retention_s, 1, 86400),
     SCHEMA_NUMBER_FIELD(
@@ -314,6 +316,7 @@
 	settings->entry_hosts = g_ptr_array_new();
 	settings->worker.lease_max_ms = 1000;
 	settings->frontend.grace_s = 6;
+	settings->frontend.deadline_max_ms = 60000;
 	settings->frontend.config_ms = 2000;
 	settings->frontend.remote_factor = 1;
 	settings->frontend.retention_s = 120;
--- a/tests/sim/sim.c
+++ b/tests/sim/sim.c
@@ -618,6 +618,15 @@
 		sim_step_agent(sim, node_id, &agent_event);
 }
 
+void
+sim_stop_at(struct sim *sim, int node_id, int64_t stop_us)
+{
+	struct mst_entry_event event = {
+	    .type = MST_ENTRY_EV_STOPPING, .stop_us = stop_us};
+
+	sim_step_entry(sim, node_id, &event);
+}
+
 bool
 sim_is_stopped(const struct sim *sim, int node_id)
 {
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -153,6 +153,9 @@
 /* Asks a node to drain. */
 void sim_drain(struct sim *sim, int node_id);
 
+/* Tells an entry at what time its process ends. */
+void sim_stop_at(struct sim *sim, int node_id, int64_t stop_us);
+
 /* Returns true if a node has stopped after it was drained. */
 bool sim_is_stopped(const struct sim *sim, int node_id);
 
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -46,6 +46,26 @@
 	platform_frontend.read(out, &request, config);
 }
 
+static uint32_t
+parse_deadline(const char *text)
+{
+	return platform_parse_deadline_ms(mst_bytes_from_str(text));
+}
+
+/* Values that no caller can mean must not become a deadline in the past or an
+ * arbitrary one. */
+static void
+frontend__parses_deadline(void)
+{
+	g_assert_cmpuint(parse_deadline("900"), ==, 900);
+	g_assert_cmpuint(parse_deadline("11000"), ==, 11000);
+	g_assert_cmpuint(parse_deadline(""), ==, 0);
+	g_assert_cmpuint(parse_deadline("-5"), ==, 0);
+	g_assert_cmpuint(parse_deadline("soon"), ==, 0);
+	g_assert_cmpuint(
+	    parse_deadline("99999999999999999999"), ==, G_MAXUINT32);
+}
+
 static void
 frontend__parses_job(void)
 {
@@ -309,6 +329,7 @@
 	g_test_add_func("/frontend/stored", frontend__reloads_stored_job);
 	g_test_add_func("/frontend/steps", frontend__parses_steps);
 	g_test_add_func("/frontend/job", frontend__parses_job);
+	g_test_add_func("/frontend/deadline", frontend__parses_deadline);
 	g_test_add_func("/frontend/kinds", frontend__classifies_requests);
 	g_test_add_func("/frontend/prefix", frontend__matches_longest_prefix);
 	g_test_add_func("/frontend/responses", frontend__formats_responses);
