--- a/include/masticstall/entry.h
+++ b/include/masticstall/entry.h
@@ -149,6 +149,7 @@
 	MST_ENTRY_EV_DRAIN,
 	/* The process ends at stop_us; jobs are accepted until DRAIN. */
 	MST_ENTRY_EV_STOPPING,
+	MST_ENTRY_EV_DRAINS, /* the drained failure domains, from the store */
 	MST_ENTRY_EV_FLUSH,
 	MST_ENTRY_EV_QUERY_STORED,  /* a caller requests a stored job's state */
 	MST_ENTRY_EV_CANCEL_STORED, /* a caller cancels a stored job */
@@ -173,7 +174,11 @@
 	 * any job.
 	 */
 	const char *key;
-	int64_t stop_us;                       /* STOPPING */
+	int64_t stop_us; /* STOPPING */
+	/* DRAINS: names of all drained failure domains as of a revision. */
+	uint64_t drains_revision;
+	const char *const *drained_domains;
+	uint32_t drained_count;
 	int64_t wall_ms;                       /* wall-clock time */
 	const struct mst_store_answer *answer; /* STORE_ANSWER */
 };
@@ -240,7 +245,8 @@
 	MST_ENTRY_FX_STORE,    /* execute a store operation */
 	MST_ENTRY_FX_STATE,    /* answer with the state of a stored job */
 	MST_ENTRY_FX_OWNER,    /* the ownership of stored jobs has changed */
-	MST_ENTRY_FX_CLOSED    /* a stored job is closed */
+	MST_ENTRY_FX_CLOSED,   /* a stored job is closed */
+	MST_ENTRY_FX_DRAINS    /* the set of drained domains has changed */
 };
 
 /** Kind of refusal of a request. */
@@ -270,6 +276,9 @@
 	enum mst_stored_state stored; /* STATE */
 	uint64_t owner; /* OWNER: id of this entry's ownership, or 0 */
 	uint32_t count; /* OWNER: number of affected jobs */
+	/* DRAINS: the new set; state tells where it came from: "store",
+	 * "config", "entry" or "agent". */
+	struct mst_drains_msg drains;
 };
 
 /** Counters of one entry since its start. */
@@ -385,6 +394,14 @@
 int mst_entry_task(struct mst_task_view *out, const struct mst_entry *entry,
     uint64_t handle, uint32_t index);
 
+/**
+ * Returns the drained failure domains as this entry knows them.
+ *
+ * @param entry the entry
+ * @return revision and names, valid until the next mst_entry_step()
+ */
+struct mst_drains_msg mst_entry_drains(const struct mst_entry *entry);
+
 /**
  * Lists the members.
  *
--- a/include/masticstall/message.h
+++ b/include/masticstall/message.h
@@ -15,7 +15,7 @@
 #include <masticstall/seqset.h>
 
 /** Version of the message format; messages of other versions are dropped. */
-#define MST_MSG_VERSION 4
+#define MST_MSG_VERSION 5
 /** Largest encoded message in bytes. */
 #define MST_MSG_MAX_BYTES (64u << 20)
 /** Most tasks in one job. */
@@ -101,6 +101,15 @@
 	uint32_t accelerators;
 };
 
+/**
+ * Failure domains that operators have drained, as far as the sender knows. Both
+ * fields are empty while no domain was ever drained.
+ */
+struct mst_drains_msg {
+	uint64_t revision;        /* as of which the domains are known */
+	struct mst_bytes domains; /* names, comma-separated */
+};
+
 struct mst_announce {
 	struct mst_bytes name;
 	struct mst_bytes failure_domain;
@@ -121,6 +130,7 @@
 	/* Leased: service times relative to a typical worker, in thousandths;
 	 * 0: unknown. */
 	uint32_t slowness_milli;
+	uint32_t cold_ms;        /* time until its worker is warm; 0: it is */
 	uint32_t running;        /* running tasks of all entries */
 	uint32_t queued;         /* queued tasks of all entries */
 	uint64_t roster_version; /* last recorded roster of the receiver */
@@ -131,6 +141,7 @@
 	/* Addresses of entries that the receiver may not know,
 	 * comma-separated. */
 	struct mst_bytes entries;
+	struct mst_drains_msg drains;
 };
 
 struct mst_heartbeat {
@@ -146,6 +157,7 @@
 	uint32_t demand; /* tasks that wait at this entry */
 	uint64_t config_version;
 	struct mst_bytes peers; /* addresses of entries, comma-separated */
+	struct mst_drains_msg drains;
 };
 
 /** Flag of a task: it may run more than once. */
@@ -247,6 +259,9 @@
 	uint64_t config_version;
 	bool leaving;
 	bool is_reply; /* encoded, but unused */
+	/* Service time of the tasks that were submitted in the last second. */
+	uint32_t demand_ms;
+	struct mst_drains_msg drains;
 };
 
 struct mst_config_msg {
--- a/src/codec/codec.c
+++ b/src/codec/codec.c
@@ -30,6 +30,23 @@
 	return resources;
 }
 
+static void
+put_drains(msgpack_packer *pk, const struct mst_drains_msg *m)
+{
+	codec_put_u64(pk, m->revision);
+	codec_put_bytes(pk, m->domains);
+}
+
+static struct mst_drains_msg
+get_drains(struct codec_reader *r)
+{
+	struct mst_drains_msg m;
+
+	m.revision = codec_get_u64(r);
+	m.domains = codec_get_bytes(r);
+	return m;
+}
+
 static void
 put_announce(msgpack_packer *pk, const struct mst_announce *m)
 {
@@ -48,6 +65,7 @@
 	codec_put_u64(pk, m->grant);
 	codec_put_u64(pk, m->free_slots);
 	codec_put_u64(pk, m->slowness_milli);
+	codec_put_u64(pk, m->cold_ms);
 	codec_put_u64(pk, m->running);
 	codec_put_u64(pk, m->queued);
 	codec_put_u64(pk, m->roster_version);
@@ -55,6 +73,7 @@
 	codec_put_seqset(pk, &m->seqs_received);
 	codec_put_u64(pk, m->config_version);
 	codec_put_bytes(pk, m->entries);
+	put_drains(pk, &m->drains);
 }
 
 static void
@@ -75,6 +94,7 @@
 	m->grant = codec_get_u32(r);
 	m->free_slots = codec_get_u32(r);
 	m->slowness_milli = codec_get_u32(r);
+	m->cold_ms = codec_get_u32(r);
 	m->running = codec_get_u32(r);
 	m->queued = codec_get_u32(r);
 	m->roster_version = codec_get_u64(r);
@@ -82,6 +102,7 @@
 	m->seqs_received = codec_get_seqset(r);
 	m->config_version = codec_get_u64(r);
 	m->entries = codec_get_bytes(r);
+	m->drains = get_drains(r);
 }
 
 static void
@@ -97,6 +118,7 @@
 	codec_put_u64(pk, m->demand);
 	codec_put_u64(pk, m->config_version);
 	codec_put_bytes(pk, m->peers);
+	put_drains(pk, &m->drains);
 }
 
 static void
@@ -112,6 +134,7 @@
 	m->demand = codec_get_u32(r);
 	m->config_version = codec_get_u64(r);
 	m->peers = codec_get_bytes(r);
+	m->drains = get_drains(r);
 }
 
 static void
@@ -351,6 +374,8 @@
 		codec_put_u64(pk, msg->peer.config_version);
 		codec_put_u64(pk, msg->peer.leaving);
 		codec_put_u64(pk, msg->peer.is_reply);
+		codec_put_u64(pk, msg->peer.demand_ms);
+		put_drains(pk, &msg->peer.drains);
 		break;
 	case MST_MSG_CONFIG:
 		codec_put_u64(pk, msg->config.version);
@@ -411,6 +436,8 @@
 		msg->peer.config_version = codec_get_u64(r);
 		msg->peer.leaving = codec_get_bool(r);
 		msg->peer.is_reply = codec_get_bool(r);
+		msg->peer.demand_ms = codec_get_u32(r);
+		msg->peer.drains = get_drains(r);
 		break;
 	case MST_MSG_CONFIG:
 		msg->config.version = codec_get_u64(r);
@@ -439,14 +466,14 @@
 
 /* Number of fields that follow the header (version, type, from, to). */
 static const uint8_t payload_fields[MST_MSG_MAX] = {
-    [MST_MSG_ANNOUNCE] = 24,
-    [MST_MSG_HEARTBEAT] = 10,
+    [MST_MSG_ANNOUNCE] = 27,
+    [MST_MSG_HEARTBEAT] = 12,
     [MST_MSG_DISPATCH] = 5,
     [MST_MSG_RESULT] = 3,
     [MST_MSG_WITHDRAW] = 1,
     [MST_MSG_FENCE] = 4,
     [MST_MSG_FENCED] = 10,
-    [MST_MSG_PEER] = 4,
+    [MST_MSG_PEER] = 7,
     [MST_MSG_CONFIG] = 2,
     [MST_MSG_FORWARD] = 5,
     [MST_MSG_FORWARDED] = 4,
--- a/src/core/entry/entry.c
+++ b/src/core/entry/entry.c
@@ -70,6 +70,7 @@
 	entry->scratch_withdrawn =
 	    g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
 	mst_owner_init(entry);
+	mst_drains_init(&entry->drains);
 	entry->scratch_candidates = mst_candidates_new();
 	*out = entry;
 	return 0;
@@ -108,6 +109,7 @@
 	g_string_free(entry->peer_addresses, TRUE);
 	mst_seqset_clear(&entry->used_counters);
 	mst_config_free(entry->config);
+	mst_drains_clear(&entry->drains);
 	g_rand_free(entry->rand);
 	g_free(entry->document);
 	g_free(entry->address);
@@ -300,6 +302,10 @@
 	case MST_ENTRY_EV_STOPPING:
 		entry->stop_us = event->stop_us;
 		break;
+	case MST_ENTRY_EV_DRAINS:
+		mst_drains_update(&entry->drains, event->drains_revision,
+		    event->drained_domains, event->drained_count);
+		break;
 	case MST_ENTRY_EV_FLUSH:
 		mst_entry_flush(entry);
 		break;
--- a/src/core/entry/entry_internal.h
+++ b/src/core/entry/entry_internal.h
@@ -6,6 +6,7 @@
 #include <masticstall/entry.h>
 
 #include "core/config_pull.h"
+#include "core/drains.h"
 #include "core/stored/stored.h"
 
 #define ENTRY_SCAN_US     (50 * 1000) /* between scans of members and jobs */
@@ -55,6 +56,7 @@
 	struct mst_config *config;
 	struct mst_config_pull config_pull;
 	char *document;
+	struct mst_drains drains;
 
 	GPtrArray *jobs;          /* one struct job or NULL per slot */
 	GArray *slot_generations; /* uint32_t per slot */
--- a/src/core/entry/view.c
+++ b/src/core/entry/view.c
@@ -114,6 +114,12 @@
 	return gauges;
 }
 
+struct mst_drains_msg
+mst_entry_drains(const struct mst_entry *entry)
+{
+	return mst_drains_to_msg(&entry->drains);
+}
+
 const struct mst_config *
 mst_entry_config(const struct mst_entry *entry)
 {
--- a/src/runtime/entry_runtime.c
+++ b/src/runtime/entry_runtime.c
@@ -190,6 +190,7 @@
 		log_member(effect);
 		break;
 	case MST_ENTRY_FX_CONFIG:
+	case MST_ENTRY_FX_DRAINS:
 	case MST_ENTRY_FX_STOPPED:
 		break;
 	}
