core: only an older, different set of drains is out of date

A sender with the same revision counted as out of date if its set differed, so two processes with different sets of one revision would have answered each other without end. A set now also leaves out names that a message can't carry (empty ones, those with a comma), repetitions, and names beyond 16 in sorted order. Every process leaves out the same ones, so that sets stay comparable.

--- a/src/core/drains.c
+++ b/src/core/drains.c
@@ -23,6 +23,31 @@
 	return strcmp(*(const char *const *)a, *(const char *const *)b);
 }
 
+/* Returns the valid names, sorted and without repetitions. */
+static GPtrArray *
+copy_names(const char *const *domains, size_t count)
+{
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+	guint kept = 0;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (domains[i][0] != '\0' && strchr(domains[i], ',') == NULL)
+			g_ptr_array_add(names, g_strdup(domains[i]));
+	}
+	g_ptr_array_sort(names, compare_names);
+	while (kept < names->len) {
+		if (kept > 0 &&
+		    strcmp(names->pdata[kept - 1], names->pdata[kept]) == 0)
+			g_ptr_array_remove_index(names, kept);
+		else
+			kept++;
+	}
+	if (names->len > MST_DRAINS_MAX)
+		g_ptr_array_set_size(names, MST_DRAINS_MAX);
+	return names;
+}
+
 /* Joins the names of a set; returns NULL if it is empty. */
 static char *
 join_names(const GPtrArray *names)
@@ -43,14 +68,10 @@
 	GPtrArray *names;
 	char *text;
 	bool changed;
-	size_t i;
 
 	if (revision <= drains->revision)
 		return false;
-	names = g_ptr_array_new_with_free_func(g_free);
-	for (i = 0; i < count; i++)
-		g_ptr_array_add(names, g_strdup(domains[i]));
-	g_ptr_array_sort(names, compare_names);
+	names = copy_names(domains, count);
 	text = join_names(names);
 	changed = g_strcmp0(text, drains->text) != 0;
 	g_ptr_array_unref(drains->domains);
@@ -74,6 +95,7 @@
 	*outdated = false;
 	if (msg->revision <= drains->revision) {
 		*outdated = msg->revision > 0 &&
+		    msg->revision < drains->revision &&
 		    !mst_bytes_equal_str(msg->domains, own);
 		/* The sender must be told of a set that this process has never
 		 * sent, because it was empty. */
--- a/src/core/drains.h
+++ b/src/core/drains.h
@@ -10,6 +10,9 @@
 #include <glib.h>
 #include <masticstall/message.h>
 
+/* Most names in a set. Every message carries them. */
+#define MST_DRAINS_MAX 16
+
 struct mst_drains {
 	uint64_t revision;  /* as of which the set is known; 0: unknown */
 	bool published;     /* the set was not empty at some revision */
@@ -19,8 +22,9 @@
 
 void mst_drains_init(struct mst_drains *drains);
 void mst_drains_clear(struct mst_drains *drains);
-/* Replaces the set if the revision is newer. Returns true if the set of domains
- * has changed. */
+/* Replaces the set if the revision is newer. Names that are empty or contain a
+ * comma are ignored, and so are those beyond the maximum in sorted order.
+ * Returns true if the set of domains has changed. */
 bool mst_drains_update(struct mst_drains *drains, uint64_t revision,
     const char *const *domains, size_t count);
 /* Applies a set that another process has sent. Returns true if the set of
