agent: nothing starts while its failure domain is drained

An agent takes the drains from heartbeats and passes them on in its announcements. While its own domain is drained, it behaves as with a draining worker: it refuses queued and new tasks as draining, grants nothing and says draining. It tells all entries at once when its domain is drained or restored.

No start order is sent meanwhile. A start without an answer is neither sent again before its timeout nor repeated after it: its run is stopped, and reported as draining and possibly run. If the worker has rejected every copy of the order, the task has certainly not run and is returned as such.

The gauge drained and the effect MST_AGENT_FX_DRAINS are for metrics and the log; the runtime ignores the effect for now.

--- a/include/masticstall/agent.h
+++ b/include/masticstall/agent.h
@@ -98,7 +98,8 @@
 	MST_AGENT_FX_STORE,         /* execute a store operation */
 	/* No work is left of an entry that is not wanted. */
 	MST_AGENT_FX_ENTRY_UNUSED,
-	MST_AGENT_FX_LOAD_REPORT /* read the kept report of the worker */
+	MST_AGENT_FX_LOAD_REPORT, /* read the kept report of the worker */
+	MST_AGENT_FX_DRAINS       /* the set of drained domains has changed */
 };
 
 struct mst_agent_effect {
@@ -117,6 +118,8 @@
 	int64_t silent_us;      /* LEASE_EXPIRED: age of the last clock echo */
 	uint32_t open;          /* LEASE_EXPIRED: queued and running tasks */
 	struct mst_store_op op; /* STORE */
+	struct mst_drains_msg drains; /* DRAINS: the new set */
+	bool drained; /* DRAINS: it contains this agent's failure domain */
 };
 
 /** Counters of one agent since its start. */
@@ -151,6 +154,7 @@
 	uint64_t retained_bytes; /* size of acknowledged results */
 	uint64_t config_version;
 	bool draining;
+	bool drained; /* its failure domain is drained */
 };
 
 /**
--- a/src/core/agent/agent.c
+++ b/src/core/agent/agent.c
@@ -37,6 +37,7 @@
 	agent->failure_domain = g_strdup(options->failure_domain);
 	agent->rack = g_strdup(options->rack);
 	agent->service_us = 100 * 1000;
+	mst_drains_init(&agent->drains);
 	mst_completions_init(&agent->worker);
 	mst_unknown_init(&agent->worker);
 	agent->description_version = 1;
@@ -61,6 +62,7 @@
 {
 	if (agent == NULL)
 		return;
+	mst_drains_clear(&agent->drains);
 	mst_completions_clear(&agent->worker);
 	mst_unknown_clear(&agent->worker);
 	g_hash_table_unref(agent->active);
@@ -129,6 +131,32 @@
 	msg->config_request.version = agent->config_version;
 }
 
+/* Applies the drained domains that an entry has sent. Returns true if this
+ * agent's own domain was drained or restored. */
+static bool
+merge_drains(struct mst_agent *agent, const struct mst_drains_msg *msg)
+{
+	struct mst_agent_effect *effect;
+	bool was_drained = agent->drained;
+	bool outdated;
+
+	/* An entry that is out of date learns the set from the answer to its
+	 * heartbeat. */
+	if (!mst_drains_merge(&agent->drains, msg, &outdated))
+		return false;
+	agent->drained =
+	    mst_drains_contains(&agent->drains, agent->failure_domain);
+	effect = mst_agent_emit(agent, MST_AGENT_FX_DRAINS);
+	effect->drains = mst_drains_to_msg(&agent->drains);
+	effect->drained = agent->drained;
+	if (agent->drained && !was_drained) {
+		mst_agent_refuse_queued(agent, NULL, MST_REASON_DRAINING);
+		if (agent->options.leased)
+			mst_worker_cancel_due_starts(agent);
+	}
+	return agent->drained != was_drained;
+}
+
 static void
 agent_handle_heartbeat(struct mst_agent *agent, const struct mst_msg *msg)
 {
@@ -246,11 +274,16 @@
 static void
 agent_handle_msg(struct mst_agent *agent, const struct mst_msg *msg)
 {
+	bool domain_changed;
+
 	if (msg->to != 0 && msg->to != agent->options.incarnation)
 		return;
 	switch (msg->type) {
 	case MST_MSG_HEARTBEAT:
+		domain_changed = merge_drains(agent, &msg->heartbeat.drains);
 		agent_handle_heartbeat(agent, msg);
+		if (domain_changed)
+			mst_agent_announce_all(agent, agent->now_us);
 		break;
 	case MST_MSG_DISPATCH:
 		/* A dispatch always names the incarnation it is meant for. */
@@ -427,5 +460,6 @@
 	    .runs_kept = agent->runs_kept,
 	    .retained_bytes = agent->retained_bytes,
 	    .config_version = agent->config_version,
-	    .draining = agent->draining};
+	    .draining = agent->draining,
+	    .drained = agent->drained};
 }
--- a/src/core/agent/agent_internal.h
+++ b/src/core/agent/agent_internal.h
@@ -6,6 +6,7 @@
 #include <masticstall/agent.h>
 
 #include "core/config_pull.h"
+#include "core/drains.h"
 #include "core/worker/worker.h"
 
 #define AGENT_SESSIONS_MAX 1024
@@ -115,6 +116,8 @@
 	bool draining;
 	int64_t drain_us;
 	bool stopped;
+	struct mst_drains drains;
+	bool drained; /* its failure domain is drained */
 	uint32_t running;
 	double service_us;      /* moving average of service times */
 	double task_millicores; /* leased: moving average per task */
--- a/src/core/agent/run.c
+++ b/src/core/agent/run.c
@@ -229,7 +229,8 @@
 		refuse_run(agent, run, MST_REASON_FENCED);
 	} else if (stale) {
 		refuse_run(agent, run, MST_REASON_STALE);
-	} else if (agent->draining || agent->worker.draining) {
+	} else if (agent->draining || agent->drained ||
+	    agent->worker.draining) {
 		refuse_run(agent, run, MST_REASON_DRAINING);
 	} else if (agent->queue.length >= queue_limit(agent)) {
 		refuse_run(agent, run, MST_REASON_BUSY);
--- a/src/core/agent/session.c
+++ b/src/core/agent/session.c
@@ -175,7 +175,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	if (agent->draining || session->fenced)
+	if (agent->draining || agent->drained || session->fenced)
 		return 0;
 	if (agent->options.leased)
 		return get_leased_grant(agent, session);
--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -84,6 +84,8 @@
 	 * back. A start would prolong the lease. */
 	if (!agent->worker.synced || agent->worker.renew_failures > 0)
 		return false;
+	if (agent->drained)
+		return run->order_state == ORDER_STOP_DUE;
 	return run->order_state == ORDER_START_DUE ||
 	    run->order_state == ORDER_STOP_DUE ||
 	    (run->order_state == ORDER_STARTING && !run->start_hedged);
@@ -236,10 +238,27 @@
 	worker->fence = 0;
 }
 
+void
+mst_worker_cancel_due_starts(struct mst_agent *agent)
+{
+	GList *runs = mst_worker_list_runs(agent);
+	GList *link;
+
+	for (link = runs; link != NULL; link = link->next) {
+		struct run *run = link->data;
+
+		if (run->order_state == ORDER_START_DUE)
+			handle_start_refusal(agent, run, MST_REASON_DRAINING);
+	}
+	g_list_free(runs);
+}
+
 static void
 repeat_start(struct mst_agent *agent, struct run *run)
 {
-	if (run->order_tries < WORKER_START_TRIES_MAX &&
+	if (agent->drained)
+		handle_start_refusal(agent, run, MST_REASON_DRAINING);
+	else if (run->order_tries < WORKER_START_TRIES_MAX &&
 	    !agent->worker.lease_expiring)
 		repeat_order_later(agent, run, ORDER_START_DUE);
 	else
--- a/src/core/worker/state.c
+++ b/src/core/worker/state.c
@@ -43,7 +43,7 @@
 	const struct worker *worker = &agent->worker;
 
 	return worker->has_reported && worker->synced && !worker->draining &&
-	    !worker->lease_expiring &&
+	    !agent->drained && !worker->lease_expiring &&
 	    agent->now_us >= worker->start_after_us &&
 	    worker->renew_failures < WORKER_RENEW_FAILURES_MAX;
 }
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -80,6 +80,9 @@
 /* order.c */
 /* Orders the worker to start a run. */
 void mst_worker_start_run(struct mst_agent *agent, struct run *run);
+/* Ends the runs whose start order waits to be repeated, because the failure
+ * domain of the worker is drained. */
+void mst_worker_cancel_due_starts(struct mst_agent *agent);
 /* Orders the worker to stop a run, unless that was done already. The reason is
  * reported if the run ends without a result. */
 void mst_worker_stop_run(
--- a/src/runtime/agent_runtime.c
+++ b/src/runtime/agent_runtime.c
@@ -146,6 +146,7 @@
 		log_config(effect);
 		break;
 	case MST_AGENT_FX_PEERS:
+	case MST_AGENT_FX_DRAINS:
 		break;
 	case MST_AGENT_FX_STOPPED:
 		agent_stop(rt);
