entry: members of drained failure domains are not used

An entry takes the drains from the store, announcements and greetings. When the set changes, it ranks its members again, sends heartbeats and greetings at once and places the tasks that wait. A sender that is out of date is answered with one message that carries the set.

A member of a drained domain is not usable, and does not count when it is decided whether the entry is ready or refuses jobs as no-members, nor in the share of members that may be ejected. It stays active, although its agent says draining: if it counted as leaving, an entry would refuse jobs as no-members for a round trip whenever the last undrained domain is drained by the write that restores others (found by a random test; leaving members return only with their next announcement). Its overdue tasks are not withdrawn, because there may be no other member.

When all known members are drained, jobs of which no task can have run are answered as not run with the reason no-members. This does not apply in the first second after the start, when members of other domains may not have announced themselves. Jobs of which some task may have run stay open until their deadline.

The heartbeats precede dispatches that are pending, so that members refuse these. An entry without leases applies the drains of its configuration; the field is to be read in get_config_domains(), which returns none yet.

--- a/src/core/entry/entry.c
+++ b/src/core/entry/entry.c
@@ -189,7 +189,9 @@
 	entry->document = g_strdup(event->document);
 	mst_config_pull_finish(&entry->config_pull);
 	mst_teams_reconfigure(entry);
-	mst_entry_tell_version(entry);
+	/* The greetings borrow the drains, so they change first. */
+	mst_entry_apply_config_drains(entry);
+	mst_entry_greet_all(entry);
 	mst_entry_place_tasks(entry);
 }
 
@@ -303,8 +305,8 @@
 		entry->stop_us = event->stop_us;
 		break;
 	case MST_ENTRY_EV_DRAINS:
-		mst_drains_update(&entry->drains, event->drains_revision,
-		    event->drained_domains, event->drained_count);
+		mst_entry_set_drains(entry, event->drains_revision,
+		    event->drained_domains, event->drained_count, "store");
 		break;
 	case MST_ENTRY_EV_FLUSH:
 		mst_entry_flush(entry);
--- a/src/core/entry/entry_internal.h
+++ b/src/core/entry/entry_internal.h
@@ -133,4 +133,15 @@
 void mst_entry_pull_config(
     struct mst_entry *entry, uint64_t from, uint64_t offered);
 
+/* drains.c */
+/* Replaces the set of drained domains if the revision is newer. */
+void mst_entry_set_drains(struct mst_entry *entry, uint64_t revision,
+    const char *const *domains, size_t count, const char *source);
+/* Applies a set that another process has sent. Returns true if the sender is
+ * out of date. */
+bool mst_entry_merge_drains(struct mst_entry *entry,
+    const struct mst_drains_msg *msg, const char *source);
+/* Applies the drained domains that the present configuration names. */
+void mst_entry_apply_config_drains(struct mst_entry *entry);
+
 #endif
--- a/src/core/entry/view.c
+++ b/src/core/entry/view.c
@@ -3,6 +3,7 @@
 #include "core/entry/entry_internal.h"
 #include "core/job/job.h"
 #include "core/member/member.h"
+#include "core/place/fit.h"
 #include "core/place/place.h"
 
 int
@@ -104,9 +105,7 @@
 	guint i;
 
 	for (i = 0; i < entry->members->len; i++) {
-		const struct member *member = entry->members->pdata[i];
-
-		if (member->state == MEMBER_ACTIVE)
+		if (mst_member_is_active(entry, entry->members->pdata[i]))
 			gauges.members_active++;
 	}
 	gauges.ready = entry->config != NULL && !entry->draining &&
--- a/src/core/job/expire.c
+++ b/src/core/job/expire.c
@@ -59,6 +59,18 @@
 	    entry->now_us >= entry->stop_us;
 }
 
+/* Returns true if a job must be answered now because all failure domains are
+ * drained. A job of which some task may have run stays open until its deadline,
+ * because its running tasks end and a domain may be restored. */
+static bool
+is_cut_by_drains(const struct mst_entry *entry, const struct job *job)
+{
+	/* Members of other domains may not have announced themselves yet. */
+	return entry->now_us - entry->started_us > ENTRY_WARM_UP_US &&
+	    mst_members_are_drained(entry) && job->waiting_tasks->len > 0 &&
+	    !job->may_have_run && !mst_job_may_have_run(job);
+}
+
 /* Closes an open job that has reached or will miss its deadline or that no
  * member can run, and demotes a restartable job that is late. Stored jobs and
  * jobs being adopted are handled by their own modules. */
@@ -78,6 +90,9 @@
 		mst_job_close(entry, job, MST_JOB_FAILED, MST_REASON_STOPPING);
 	else if (job->adoption != NULL)
 		mst_adoption_tick(entry, job);
+	else if (is_cut_by_drains(entry, job))
+		mst_job_close(
+		    entry, job, MST_JOB_FAILED, MST_REASON_NO_MEMBERS);
 	else if (job->restartable && !mst_job_demote_late(entry, job))
 		mst_job_close(entry, job, MST_JOB_FAILED, MST_REASON_OVERLOAD);
 	else if (!job->restartable &&
--- a/src/core/job/result.c
+++ b/src/core/job/result.c
@@ -192,13 +192,13 @@
 	mst_task_set_result(entry, job, index, result);
 }
 
-/* Returns true if a run was ended because of this entry, so that its result
- * says nothing about the member's health. */
+/* Returns true if a run was ended because of this entry or of an operator, so
+ * that its result says nothing about the member's health. */
 static bool
-is_caused_by_entry(uint8_t reason)
+is_ended_on_request(uint8_t reason)
 {
 	return reason == MST_REASON_WITHDRAWN ||
-	    reason == MST_REASON_LEASE_LAPSED;
+	    reason == MST_REASON_LEASE_LAPSED || reason == MST_REASON_DRAINING;
 }
 
 static void
@@ -243,7 +243,7 @@
 		break;
 	case MST_OUTCOME_UNKNOWN:
 	case MST_OUTCOME_NONE:
-		if (!is_caused_by_entry(result->reason))
+		if (!is_ended_on_request(result->reason))
 			mst_member_update_health(entry, member, true);
 		if (job->restartable) {
 			requeue_after_run(entry, job, index, member);
--- a/src/core/job/submit.c
+++ b/src/core/job/submit.c
@@ -85,9 +85,7 @@
 	guint i;
 
 	for (i = 0; i < entry->members->len; i++) {
-		const struct member *member = entry->members->pdata[i];
-
-		if (member->state == MEMBER_ACTIVE)
+		if (mst_member_is_active(entry, entry->members->pdata[i]))
 			return true;
 	}
 	return false;
--- a/src/core/member/health.c
+++ b/src/core/member/health.c
@@ -3,6 +3,7 @@
 #include "base/retry_delay.h"
 #include "core/entry/entry_internal.h"
 #include "core/member/member.h"
+#include "core/place/fit.h"
 
 #define EJECT_DOUBLINGS_MAX 5
 
@@ -23,7 +24,7 @@
 	for (i = 0; i < entry->members->len; i++) {
 		const struct member *member = entry->members->pdata[i];
 
-		if (member->state != MEMBER_ACTIVE)
+		if (!mst_member_is_active(entry, member))
 			continue;
 		(*active)++;
 		if (member->probing || entry->now_us < member->ejected_until_us)
--- a/src/core/member/heartbeat.c
+++ b/src/core/member/heartbeat.c
@@ -55,10 +55,24 @@
 	heartbeat->results_received = member->results_received;
 	heartbeat->demand = entry->tasks_waiting;
 	heartbeat->config_version = mst_entry_config_version(entry);
+	heartbeat->drains = mst_drains_to_msg(&entry->drains);
 	if (peers_are_due(entry, member))
 		add_peers(entry, member, heartbeat);
 }
 
+void
+mst_entry_notify_members(struct mst_entry *entry)
+{
+	guint i;
+
+	for (i = 0; i < entry->members->len; i++) {
+		struct member *member = entry->members->pdata[i];
+
+		if (member->state != MEMBER_GONE)
+			mst_member_send_heartbeat(entry, member);
+	}
+}
+
 /* Returns true if a heartbeat is sent to a member in this round. Members with
  * outstanding tasks get one in every round, which renews this entry's lease
  * there. Idle members get fewer, which are enough to detect their loss. */
--- a/src/core/member/member.c
+++ b/src/core/member/member.c
@@ -49,11 +49,18 @@
 }
 
 /* Applies an announcement. Its grant, free slots and acknowledgements concern
- * only the entry that it is addressed to. */
+ * only the entry that it is addressed to. The member may have an outdated set
+ * of drained domains. */
 static void
 member_update(struct mst_entry *entry, struct member *member,
-    const struct mst_announce *announce, bool is_recipient)
+    const struct mst_announce *announce, bool is_recipient, bool outdated)
 {
+	/* A member that drains because its domain is drained, or was in the
+	 * older set that it has, stays active. It is then usable as soon as the
+	 * domain is restored. */
+	bool is_leaving = announce->draining && !outdated &&
+	    !mst_drains_contains(&entry->drains, member->failure_domain);
+
 	if (is_recipient) {
 		member->grant = announce->grant;
 		member->free_slots = announce->free_slots;
@@ -63,7 +70,7 @@
 		    MAX(member->roster_version, announce->roster_version);
 		mst_member_repair(entry, member, announce);
 	}
-	if (announce->draining)
+	if (is_leaving)
 		mst_member_set_state(entry, member, MEMBER_LEAVING);
 	else if (member->state == MEMBER_SUSPECT ||
 	    (entry->options.leased && member->state == MEMBER_LEAVING))
@@ -110,6 +117,8 @@
 {
 	const struct mst_announce *announce = &msg->announce;
 	struct member *member = mst_member_find(entry, msg->from);
+	bool outdated =
+	    mst_entry_merge_drains(entry, &announce->drains, "agent");
 	struct mst_entry_effect *effect;
 
 	if (announce->fenced && msg->to == entry->incarnation) {
@@ -132,7 +141,10 @@
 	member_set_description(member, announce);
 	member->last_heard_us = entry->now_us;
 	member_update_clock(entry, member, announce);
-	member_update(entry, member, announce, msg->to == entry->incarnation);
+	member_update(
+	    entry, member, announce, msg->to == entry->incarnation, outdated);
+	if (outdated)
+		mst_member_send_heartbeat(entry, member);
 	if (announce->entries.len > 0) {
 		effect = mst_entry_emit(entry, MST_ENTRY_FX_PEERS);
 		effect->peers = announce->entries;
--- a/src/core/member/member.h
+++ b/src/core/member/member.h
@@ -93,6 +93,8 @@
 /* heartbeat.c */
 /* Sends the heartbeats to members and peers that are due in this round. */
 void mst_entry_send_heartbeats(struct mst_entry *entry);
+/* Sends a heartbeat to every member at once, out of turn. */
+void mst_entry_notify_members(struct mst_entry *entry);
 
 /* roster.c */
 /* Closes all open jobs as failed and continues as a new incarnation. */
@@ -120,9 +122,10 @@
 uint32_t mst_entry_count_live_entries(const struct mst_entry *entry);
 /* Tells all entries that this one connects to its address and state. */
 void mst_entry_greet_peers(struct mst_entry *entry);
-/* Tells all entries at once of a new configuration, also the known ones to
- * which there is no connection of this entry's own yet. */
-void mst_entry_tell_version(struct mst_entry *entry);
+/* Tells all entries at once of a new configuration or set of drained domains,
+ * also the known ones to which there is no connection of this entry's own yet.
+ */
+void mst_entry_greet_all(struct mst_entry *entry);
 /* Rebuilds the list of the entries' addresses and removes peers that have been
  * silent for too long. */
 void mst_entry_refresh_peers(struct mst_entry *entry);
--- a/src/core/member/peer.c
+++ b/src/core/member/peer.c
@@ -45,6 +45,17 @@
 	return live_count;
 }
 
+static void
+emit_greeting(struct mst_entry *entry, uint64_t to)
+{
+	struct mst_msg *msg = mst_entry_emit_msg(entry, to, MST_MSG_PEER);
+
+	msg->peer.address = mst_bytes_from_str(entry->address);
+	msg->peer.config_version = mst_entry_config_version(entry);
+	msg->peer.leaving = entry->draining;
+	msg->peer.drains = mst_drains_to_msg(&entry->drains);
+}
+
 void
 mst_entry_handle_peer(struct mst_entry *entry, const struct mst_msg *msg)
 {
@@ -54,6 +65,8 @@
 
 	if (msg->from == entry->incarnation)
 		return;
+	if (mst_entry_merge_drains(entry, &msg->peer.drains, "entry"))
+		emit_greeting(entry, msg->from);
 	if (peer == NULL) {
 		if (g_hash_table_size(entry->peers) >= ENTRY_PEERS_MAX)
 			return;
@@ -71,16 +84,6 @@
 	effect->peers = msg->peer.address;
 }
 
-static void
-emit_greeting(struct mst_entry *entry, uint64_t to)
-{
-	struct mst_msg *msg = mst_entry_emit_msg(entry, to, MST_MSG_PEER);
-
-	msg->peer.address = mst_bytes_from_str(entry->address);
-	msg->peer.config_version = mst_entry_config_version(entry);
-	msg->peer.leaving = entry->draining;
-}
-
 void
 mst_entry_greet_peers(struct mst_entry *entry)
 {
@@ -90,7 +93,7 @@
 }
 
 void
-mst_entry_tell_version(struct mst_entry *entry)
+mst_entry_greet_all(struct mst_entry *entry)
 {
 	GHashTableIter iter;
 	gpointer key;
--- a/src/core/place/fit.c
+++ b/src/core/place/fit.c
@@ -43,9 +43,35 @@
 }
 
 bool
-mst_member_is_usable(const struct mst_entry *entry, const struct member *member)
+mst_member_is_active(const struct mst_entry *entry, const struct member *member)
 {
 	return member->state == MEMBER_ACTIVE &&
+	    !mst_drains_contains(&entry->drains, member->failure_domain);
+}
+
+bool
+mst_members_are_drained(const struct mst_entry *entry)
+{
+	bool has_drained = false;
+	guint i;
+
+	for (i = 0; i < entry->members->len; i++) {
+		const struct member *member = entry->members->pdata[i];
+
+		if (member->state == MEMBER_GONE)
+			continue;
+		if (!mst_drains_contains(
+			&entry->drains, member->failure_domain))
+			return false;
+		has_drained = true;
+	}
+	return has_drained;
+}
+
+bool
+mst_member_is_usable(const struct mst_entry *entry, const struct member *member)
+{
+	return mst_member_is_active(entry, member) &&
 	    entry->now_us >= member->ejected_until_us &&
 	    entry->now_us >= member->down_until_us;
 }
--- a/src/core/place/overdue.c
+++ b/src/core/place/overdue.c
@@ -85,7 +85,9 @@
 	for (i = 0; i < entry->members->len; i++) {
 		struct member *member = entry->members->pdata[i];
 
-		if (member->state == MEMBER_ACTIVE)
+		/* The running tasks of a drained domain stay there, as there
+		 * may be no other member. */
+		if (mst_member_is_active(entry, member))
 			member_scan_overdue(entry, member);
 	}
 }
