--- a/tests/sim/sim.c
+++ b/tests/sim/sim.c
@@ -375,6 +375,12 @@
 	case MST_ENTRY_FX_STATE:
 		sim_request_set_state(sim, effect);
 		break;
+	case MST_ENTRY_FX_DRAINS:
+		sim_log(sim, "%s drains revision %" PRIu64 ": %.*s, from %s",
+		    sim->nodes[node_id].name, effect->drains.revision,
+		    (int)effect->drains.domains.len,
+		    effect->drains.domains.data, effect->state);
+		break;
 	case MST_ENTRY_FX_OWNER:
 		sim_log(sim, "%s %s, %u jobs", sim->nodes[node_id].name,
 		    effect->state, effect->count);
@@ -570,6 +576,33 @@
 	start_node(sim, node_id);
 }
 
+void
+sim_set_failure_domain(struct sim *sim, int node_id, const char *domain)
+{
+	sim->nodes[node_id].agent_options.failure_domain = domain;
+	sim_restart(sim, node_id);
+}
+
+const char *
+sim_get_failure_domain(const struct sim *sim, int node_id)
+{
+	return sim->nodes[node_id].agent_options.failure_domain;
+}
+
+void
+sim_set_drains(
+    struct sim *sim, int entry, uint64_t revision, const char *domains)
+{
+	char **names = g_strsplit(domains, ",", -1);
+	struct mst_entry_event event = {.type = MST_ENTRY_EV_DRAINS,
+	    .drains_revision = revision,
+	    .drained_domains = (const char *const *)names,
+	    .drained_count = g_strv_length(names)};
+
+	sim_step_entry(sim, entry, &event);
+	g_strfreev(names);
+}
+
 void
 sim_pause(struct sim *sim, int node_id)
 {
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -109,6 +109,19 @@
 void sim_set_worker_placement(
     struct sim *sim, int node_id, const char *rack, const char *labels);
 
+/* Sets the failure domain of an agent and restarts it; borrows the string. */
+void sim_set_failure_domain(struct sim *sim, int node_id, const char *domain);
+
+/* Returns the failure domain of an agent, or NULL. */
+const char *sim_get_failure_domain(const struct sim *sim, int node_id);
+
+/*
+ * Passes the drained failure domains, comma-separated, to an entry as read from
+ * the store at a revision.
+ */
+void sim_set_drains(
+    struct sim *sim, int entry, uint64_t revision, const char *domains);
+
 struct sim_worker;
 
 /* Returns the worker of a leased agent. */
