config: a list of drained failure domains

Deployments without the platform's store keep the drains in the versioned configuration. Names may not contain commas, which separate them in messages, and may not repeat. A document without the field is told from an empty list.

--- a/include/masticstall/config.h
+++ b/include/masticstall/config.h
@@ -60,8 +60,13 @@
 	struct mst_policy policy;
 	struct mst_team_config default_team;
 	GHashTable *teams; /* char * -> struct mst_team_config */
+	/* Names of the drained failure domains, owned by json; NULL: absent. */
+	GPtrArray *drained_domains;
 };
 
+/** Most names in drained_domains. */
+#define MST_DRAINED_DOMAINS_MAX 16
+
 #define MST_CONFIG_ERROR mst_config_error_quark()
 
 enum mst_config_error { MST_CONFIG_ERROR_SYNTAX, MST_CONFIG_ERROR_INVALID };
@@ -104,6 +109,15 @@
 const struct mst_queue_config *mst_config_queue_by_name(
     const struct mst_config *config, const char *name);
 
+/**
+ * Checks whether a failure domain of this name can be drained.
+ *
+ * @param name the name
+ * @return true if it has 1 to 64 bytes of valid UTF-8 without commas, which
+ *     separate names in messages, and without control characters
+ */
+bool mst_config_is_domain_name(const char *name);
+
 /** Releases a configuration; NULL is allowed. */
 void mst_config_free(struct mst_config *config);
 
--- a/src/settings/config.c
+++ b/src/settings/config.c
@@ -13,6 +13,7 @@
 #define TEAMS_MAX            4096
 #define QUEUES_MAX           16384
 #define QUEUE_STRING_LEN_MAX 255
+#define DOMAIN_NAME_LEN_MAX  64
 
 static const char *const placement_names[] = {[MST_PLACEMENT_FINISH] = "finish",
     [MST_PLACEMENT_RANDOM] = "random",
@@ -150,6 +151,64 @@
 	}
 }
 
+bool
+mst_config_is_domain_name(const char *name)
+{
+	size_t len = strlen(name);
+	size_t i;
+
+	if (len == 0 || len > DOMAIN_NAME_LEN_MAX ||
+	    !g_utf8_validate(name, (gssize)len, NULL))
+		return false;
+	for (i = 0; i < len; i++) {
+		if (name[i] == ',' || g_ascii_iscntrl(name[i]))
+			return false;
+	}
+	return true;
+}
+
+static void
+read_drained_domain(GPtrArray *domains, const cJSON *value, const char *pointer,
+    struct schema_errors *errors)
+{
+	const char *name = cJSON_GetStringValue(value);
+
+	if (name == NULL || !mst_config_is_domain_name(name))
+		schema_add_error(
+		    errors, pointer, "is not a failure domain's name");
+	else if (g_ptr_array_find_with_equal_func(
+		     domains, name, g_str_equal, NULL))
+		schema_add_error(errors, pointer, "is listed twice");
+	else
+		g_ptr_array_add(domains, (gpointer)name);
+}
+
+static void
+read_drained_domains(void *out, const cJSON *value, const char *pointer,
+    struct schema_errors *errors)
+{
+	struct mst_config *config = out;
+	const cJSON *item;
+	char *item_pointer;
+	int i = 0;
+
+	if (!cJSON_IsArray(value) ||
+	    cJSON_GetArraySize(value) > MST_DRAINED_DOMAINS_MAX) {
+		schema_add_error(errors, pointer,
+		    "is not an array of at most %d names",
+		    MST_DRAINED_DOMAINS_MAX);
+		return;
+	}
+	if (config->drained_domains == NULL)
+		config->drained_domains = g_ptr_array_new();
+	cJSON_ArrayForEach (item, value) {
+		item_pointer = g_strdup_printf("%s/%d", pointer, i++);
+		read_drained_domain(
+		    config->drained_domains, item, item_pointer, errors);
+		g_free(item_pointer);
+	}
+}
+
 static const struct schema_field document_fields[] = {
     {.name = "policy",
 	.kind = SCHEMA_OBJECT,
@@ -160,7 +219,11 @@
 	.offset = offsetof(struct mst_config, default_team),
 	.fields = team_fields},
     {.name = "teams", .kind = SCHEMA_CUSTOM, .custom = read_teams},
-    {.name = "queues", .kind = SCHEMA_CUSTOM, .custom = read_queues}, {0}};
+    {.name = "queues", .kind = SCHEMA_CUSTOM, .custom = read_queues},
+    {.name = "drained_domains",
+	.kind = SCHEMA_CUSTOM,
+	.custom = read_drained_domains},
+    {0}};
 
 int
 mst_config_parse(struct mst_config **out, const char *document,
@@ -207,6 +270,8 @@
 		return;
 	g_hash_table_unref(config->teams);
 	g_array_unref(config->queues);
+	if (config->drained_domains != NULL)
+		g_ptr_array_unref(config->drained_domains);
 	cJSON_Delete(config->json);
 	g_free(config);
 }
--- a/tests/test_json.c
+++ b/tests/test_json.c
@@ -143,6 +143,49 @@
 	mst_config_free(config);
 }
 
+/* Guards against a set of drains that can't be sent to other processes, and
+ * against an absent field that is taken for an empty set. */
+static void
+json__config_reads_drained_domains(void)
+{
+	struct mst_config *config;
+	GError *error = NULL;
+
+	g_assert_cmpint(mst_config_parse(&config, "{}", 1, &error), ==, 0);
+	g_assert_null(config->drained_domains);
+	mst_config_free(config);
+	g_assert_cmpint(
+	    mst_config_parse(
+		&config, "{\"drained_domains\":[\"fd 1\",\"b\"]}", 1, &error),
+	    ==, 0);
+	g_assert_cmpuint(config->drained_domains->len, ==, 2);
+	g_assert_cmpstr(config->drained_domains->pdata[0], ==, "fd 1");
+	mst_config_free(config);
+	g_assert_cmpint(
+	    mst_config_parse(&config,
+		"{\"drained_domains\":[\"b\",\"a,b\",7,\"\",\"b\","
+		"\"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+		"aaaaa\"]}",
+		1, &error),
+	    ==, -1);
+	g_assert_null(strstr(error->message, "/drained_domains/0"));
+	g_assert_nonnull(strstr(error->message, "/drained_domains/1: "));
+	g_assert_nonnull(strstr(error->message, "/drained_domains/2: "));
+	g_assert_nonnull(strstr(error->message, "/drained_domains/3: "));
+	g_assert_nonnull(strstr(error->message, "/drained_domains/4: "));
+	g_assert_nonnull(strstr(error->message, "/drained_domains/5: "));
+	g_clear_error(&error);
+	g_assert_cmpint(
+	    mst_config_parse(&config,
+		"{\"drained_domains\":[1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,"
+		"17]}",
+		1, &error),
+	    ==, -1);
+	g_assert_cmpstr(error->message, ==,
+	    "/drained_domains: is not an array of at most 16 names\n");
+	g_clear_error(&error);
+}
+
 static void
 json__settings_errors_name_location(void)
 {
@@ -224,6 +267,8 @@
 	g_test_add_func("/json/patch", json__patch_follows_rfc_6902);
 	g_test_add_func("/json/job", json__job_errors_name_location);
 	g_test_add_func("/json/config", json__config_errors_name_location);
+	g_test_add_func(
+	    "/json/drained-domains", json__config_reads_drained_domains);
 	g_test_add_func("/json/settings", json__settings_errors_name_location);
 	g_test_add_func("/json/hosts-need-keys", test_hosts_need_keys);
 	return g_test_run();
