platform: read drained failure domains with the configuration

The entry keeps the whole set over updates and passes it to the reducer with the response's revision, also when only the revision is newer: otherwise a process that was cut off could pass on an older set. While the store has shown no drain, nothing is passed on. A set that the reducer then takes over from a process that is out of date is corrected at once.

--- a/src/runtime/drivers.h
+++ b/src/runtime/drivers.h
@@ -147,7 +147,11 @@
 	bool is_snapshot;     /* full state rather than changes */
 	GPtrArray *added;     /* entry addresses or job keys */
 	GPtrArray *removed;   /* entry addresses or job keys removed */
-	const char *fault;    /* INVALID: description; may be NULL */
+	/* CONFIG: names of failure domains; a snapshot lists all drained ones.
+	 */
+	GPtrArray *drained;
+	GPtrArray *restored;
+	const char *fault; /* INVALID: description; may be NULL */
 };
 
 enum store_subject { STORE_CONFIG = 1, STORE_ENTRIES, STORE_CANCELS };
--- a/src/runtime/entry_frontend.c
+++ b/src/runtime/entry_frontend.c
@@ -358,6 +358,7 @@
 static void
 on_config_update(const struct store_update *update, void *ctx)
 {
+	runtime_drains_on_store_update(ctx, update);
 	if (update->fault != NULL)
 		mst_log(MST_LOG_ERROR, "config-rejected", "reason=%s",
 		    mst_log_quote(update->fault));
--- a/src/runtime/entry_runtime.c
+++ b/src/runtime/entry_runtime.c
@@ -189,8 +189,10 @@
 	case MST_ENTRY_FX_MEMBER:
 		log_member(effect);
 		break;
-	case MST_ENTRY_FX_CONFIG:
 	case MST_ENTRY_FX_DRAINS:
+		runtime_drains_log(effect);
+		break;
+	case MST_ENTRY_FX_CONFIG:
 	case MST_ENTRY_FX_STOPPED:
 		break;
 	}
@@ -216,6 +218,7 @@
 {
 	const GArray *effects;
 	const struct mst_entry_effect *config = NULL;
+	uint64_t drains_revision = 0;
 	bool stopped = false;
 	guint i;
 
@@ -234,10 +237,15 @@
 			stopped = true;
 		else
 			execute_effect(rt, effect);
+		if (effect->type == MST_ENTRY_FX_DRAINS)
+			drains_revision = effect->drains.revision;
 	}
-	/* Done last, because applying a configuration steps the reducer. */
+	/* Done last, because both may step the reducer, which invalidates the
+	 * effects. */
 	if (config != NULL)
 		apply_member_config(rt, config);
+	if (drains_revision > 0)
+		runtime_drains_on_change(rt, drains_revision);
 	if (stopped)
 		runtime_stop(rt);
 }
@@ -459,6 +467,7 @@
 
 	rt->settings = settings;
 	rt->drivers = drivers;
+	drain_set_init(&rt->drain_set);
 	rt->pending_requests = g_hash_table_new_full(g_direct_hash,
 	    g_direct_equal, NULL, (GDestroyNotify)pending_request_free);
 	runtime_loop_init(&rt->loop, &callbacks, rt);
@@ -473,6 +482,7 @@
 		trace_store_free(rt->traces);
 		mst_table_free(rt->table);
 		mst_entry_free(rt->entry);
+		drain_set_clear(&rt->drain_set);
 		g_hash_table_unref(rt->pending_requests);
 	}
 	return rc;
--- a/src/runtime/entry_runtime.h
+++ b/src/runtime/entry_runtime.h
@@ -16,6 +16,7 @@
 #include "net/httpd.h"
 #include "net/dynamodb_table.h"
 #include "runtime/loop.h"
+#include "runtime/drain_set.h"
 #include "runtime/drivers.h"
 #include "runtime/record_store.h"
 #include "runtime/store_watch.h"
@@ -66,6 +67,7 @@
 	struct mst_httpd *ready_httpd;
 	void *store;
 	struct store_watch config_watch;
+	struct drain_set drain_set; /* from config_watch */
 	struct store_watch entries_watch;
 	struct store_watch cancels_watch; /* runs once stored jobs are owned */
 	bool watches_cancels;
@@ -137,6 +139,19 @@
 void runtime_config_history(
     struct entry_runtime *rt, const struct mst_http_request *request);
 
+/* entry_drains.c */
+/* Applies an update of the store to the set of drained failure domains. */
+void runtime_drains_on_store_update(
+    struct entry_runtime *rt, const struct store_update *update);
+/*
+ * Corrects the set that the reducer has taken over from another process if the
+ * store was read as of a newer revision. The reducer does not know of such a
+ * read while the store has shown no drained domain.
+ */
+void runtime_drains_on_change(struct entry_runtime *rt, uint64_t revision);
+/* Logs a change of the set. */
+void runtime_drains_log(const struct mst_entry_effect *effect);
+
 /* entry_frontend.c */
 /*
  * Opens the frontend's listeners and the store. Returns 0, or -1 with error set
