entry: drain and restore failure domains over HTTP

GET /v1/drains lists the domains; PUT and DELETE /v1/drains/NAME patch the list in the configuration, on the same path as an operator's patch. The operations are made for the newest version, and again if another patch comes first, so an operator need not know the version. A request that changes nothing makes none.

Ruled out: patching the version that the entry has in force. It may be some seconds behind the table, and a drain would then fail with a conflict.

--- a/src/runtime/entry_config.c
+++ b/src/runtime/entry_config.c
@@ -10,6 +10,7 @@
 #include "base/random.h"
 #include "base/retry_delay.h"
 #include "runtime/entry_runtime.h"
+#include "settings/drain_patch.h"
 #include "settings/json_patch.h"
 
 #define CONFIG_POLL_MS              2000
@@ -31,6 +32,13 @@
 	char *author;
 	char *reason;
 	char *operations; /* JSON Patch (RFC 6902) */
+	/*
+	 * Name of a failure domain to drain or restore, or NULL. The
+	 * operations are made from it for the newest version, and made again
+	 * if another patch comes first.
+	 */
+	char *domain;
+	bool drains; /* with domain: drains rather than restores it */
 	char *patch_id;
 	char *document;      /* resulting configuration; NULL until computed */
 	char created_at[32]; /* UTC */
@@ -126,6 +134,7 @@
 	g_free(patch->author);
 	g_free(patch->reason);
 	g_free(patch->operations);
+	g_free(patch->domain);
 	g_free(patch->patch_id);
 	g_free(patch->document);
 	g_free(patch);
@@ -174,6 +183,17 @@
 	g_free(detail);
 }
 
+/* Responds that the newest version already says what the patch asks for. */
+static void
+patch_respond_unchanged(struct pending_patch *patch)
+{
+	char *text =
+	    g_strdup_printf("{\"version\":%" PRIu64 "}\n", patch->base_version);
+
+	patch_respond(patch, 200, "application/json", text, 0);
+	g_free(text);
+}
+
 static void
 patch_respond_accepted(struct pending_patch *patch)
 {
@@ -228,6 +248,21 @@
 	    0);
 }
 
+static void on_base_version(
+    enum mst_table_result result, const GArray *versions, void *ctx);
+
+/* Handles that another patch has made the version after the base version. */
+static void
+patch_resolve_conflict(struct pending_patch *patch, uint64_t current)
+{
+	if (patch->domain == NULL ||
+	    runtime_now_us() - patch->started_us > CONFIG_PATCH_TIMEOUT_US)
+		patch_respond_conflict(patch, current);
+	else
+		mst_table_list_versions(
+		    patch->rt->table, 0, 1, on_base_version, patch);
+}
+
 /*
  * Checks whether the version after the base version was made by this patch, an
  * earlier commit of which may have succeeded, or by another one.
@@ -247,7 +282,7 @@
 	else if (strcmp(version->patch_id, patch->patch_id) == 0)
 		patch_respond_accepted(patch);
 	else
-		patch_respond_conflict(patch, version->version);
+		patch_resolve_conflict(patch, version->version);
 }
 
 static void
@@ -300,6 +335,7 @@
 		goto cleanup;
 	}
 	text = cJSON_PrintUnformatted(document);
+	g_free(patch->document);
 	patch->document = g_strdup(text);
 	cJSON_free(text);
 	if (strlen(patch->document) > CONFIG_DOCUMENT_MAX_BYTES) {
@@ -322,11 +358,27 @@
 	return ok;
 }
 
+/*
+ * Makes the operations that drain or restore the patch's domain in the newest
+ * document. Returns false if there is nothing to change.
+ */
+static bool
+patch_make_operations(
+    struct pending_patch *patch, uint64_t current, const char *document)
+{
+	patch->base_version = current;
+	g_free(patch->operations);
+	patch->operations =
+	    drain_patch_new(document, patch->domain, patch->drains);
+	return patch->operations != NULL;
+}
+
 static void
 on_base_version(enum mst_table_result result, const GArray *versions, void *ctx)
 {
 	struct pending_patch *patch = ctx;
 	const struct mst_table_config_version *newest = NULL;
+	const char *document;
 	uint64_t current = 0;
 
 	if (result != MST_TABLE_OK) {
@@ -339,6 +391,12 @@
 		    versions, struct mst_table_config_version, 0);
 		current = newest->version;
 	}
+	document = newest != NULL ? newest->document : "{}";
+	if (patch->domain != NULL &&
+	    !patch_make_operations(patch, current, document)) {
+		patch_respond_unchanged(patch);
+		return;
+	}
 	if (current > patch->base_version) {
 		/* The operator may have repeated a patch that was accepted. */
 		mst_table_list_versions(patch->rt->table,
@@ -349,7 +407,7 @@
 		patch_respond_conflict(patch, current);
 		return;
 	}
-	if (patch_compute(patch, newest ? newest->document : "{}"))
+	if (patch_compute(patch, document))
 		patch_commit(patch);
 }
 
@@ -382,15 +440,13 @@
 		"0123456789-") == len;
 }
 
-void
-runtime_config_patch(struct entry_runtime *rt,
-    const struct mst_http_request *request, const char *operator_name)
+static struct pending_patch *
+patch_new(struct entry_runtime *rt, const struct mst_http_request *request,
+    const char *operator_name)
 {
 	struct pending_patch *patch = g_new0(struct pending_patch, 1);
 	GDateTime *now = g_date_time_new_now_utc();
 	char *created_at = g_date_time_format(now, "%Y-%m-%dT%H:%M:%SZ");
-	bool has_base_version = parse_if_match(
-	    mst_http_header(request, "if-match"), &patch->base_version);
 
 	patch->rt = rt;
 	patch->request_id = request->id;
@@ -412,10 +468,14 @@
 		patch->patch_id =
 		    g_strdup_printf("%016" PRIx64, mst_random_u64());
 	}
-	if (!has_base_version)
-		patch_respond_problem(patch, 428, "version-needed",
-		    "If-Match must name the version that was patched", NULL, 0);
-	else if (*patch->reason == '\0')
+	return patch;
+}
+
+/* Starts a patch, unless a part of it is missing or malformed. */
+static void
+patch_start(struct pending_patch *patch)
+{
+	if (*patch->reason == '\0')
 		patch_respond_problem(patch, 400, "reason-needed",
 		    "Masticstall-Reason must say why", NULL, 0);
 	else if (!is_valid_patch_id(patch->patch_id) ||
@@ -425,7 +485,33 @@
 		    "The patch or its id is malformed", NULL, 0);
 	else
 		mst_table_list_versions(
-		    rt->table, 0, 1, on_base_version, patch);
+		    patch->rt->table, 0, 1, on_base_version, patch);
+}
+
+void
+runtime_config_patch(struct entry_runtime *rt,
+    const struct mst_http_request *request, const char *operator_name)
+{
+	struct pending_patch *patch = patch_new(rt, request, operator_name);
+
+	if (parse_if_match(
+		mst_http_header(request, "if-match"), &patch->base_version))
+		patch_start(patch);
+	else
+		patch_respond_problem(patch, 428, "version-needed",
+		    "If-Match must name the version that was patched", NULL, 0);
+}
+
+void
+runtime_config_set_drained(struct entry_runtime *rt,
+    const struct mst_http_request *request, const char *operator_name,
+    const char *domain, bool drained)
+{
+	struct pending_patch *patch = patch_new(rt, request, operator_name);
+
+	patch->domain = g_strdup(domain);
+	patch->drains = drained;
+	patch_start(patch);
 }
 
 /* A request for the history, until the table has responded. */
--- a/src/runtime/entry_http.c
+++ b/src/runtime/entry_http.c
@@ -14,6 +14,7 @@
 #define JSON_TYPE              "application/json"
 #define PROBLEM_TYPE           "application/problem+json"
 #define PASSTHROUGH_PREFIX     "/upstream"
+#define DRAINS_PATH            "/v1/drains"
 #define PASSTHROUGH_TIMEOUT_MS 30000
 
 static bool
@@ -30,8 +31,8 @@
 	    .data = bytes.data + count, .len = bytes.len - count};
 }
 
-static void
-respond_text(struct entry_runtime *rt, uint64_t id, int status,
+void
+runtime_respond_text(struct entry_runtime *rt, uint64_t id, int status,
     const char *type, const char *text)
 {
 	const struct mst_http_header header = {"content-type", type};
@@ -39,13 +40,13 @@
 	mst_http_respond(rt->httpd, id, status, &header, 1, text, strlen(text));
 }
 
-static void
-respond_problem(
+void
+runtime_respond_problem(
     struct entry_runtime *rt, uint64_t id, const struct mst_problem *problem)
 {
 	char *text = mst_problem_json(problem);
 
-	respond_text(rt, id, problem->status, PROBLEM_TYPE, text);
+	runtime_respond_text(rt, id, problem->status, PROBLEM_TYPE, text);
 	g_free(text);
 }
 
@@ -231,7 +232,7 @@
 		pending, mst_http_header(request, "idempotency-key"))) {
 		g_hash_table_remove(
 		    rt->pending_requests, (gpointer)request->id);
-		respond_problem(rt, request->id, &problem_bad_ticket);
+		runtime_respond_problem(rt, request->id, &problem_bad_ticket);
 		return;
 	}
 	parse_and_submit_job(rt, pending,
@@ -287,7 +288,7 @@
 	struct mst_ticket ticket;
 
 	if (mst_ticket_parse(&ticket, name) < 0) {
-		respond_problem(rt, request->id, &problem_bad_ticket);
+		runtime_respond_problem(rt, request->id, &problem_bad_ticket);
 		return;
 	}
 	pending = pending_request_new(rt, request->id);
@@ -318,7 +319,8 @@
 		    mst_operator_authenticate(rt->settings->operators,
 			mst_http_header(request, "authorization"));
 		if (operator_name == NULL)
-			respond_problem(rt, request->id, &problem_not_operator);
+			runtime_respond_problem(
+			    rt, request->id, &problem_not_operator);
 		else
 			runtime_config_patch(rt, request, operator_name);
 		return;
@@ -328,7 +330,7 @@
 	    out, "version", (double)mst_entry_gauges(rt->entry).config_version);
 	cJSON_AddRawToObject(out, "document", document ? document : "{}");
 	text = cJSON_PrintUnformatted(out);
-	respond_text(rt, request->id, 200, JSON_TYPE, text);
+	runtime_respond_text(rt, request->id, 200, JSON_TYPE, text);
 	cJSON_free(text);
 	cJSON_Delete(out);
 }
@@ -364,7 +366,7 @@
 		cJSON_AddItemToArray(member_list, item);
 	}
 	text = cJSON_PrintUnformatted(out);
-	respond_text(rt, request->id, 200, JSON_TYPE, text);
+	runtime_respond_text(rt, request->id, 200, JSON_TYPE, text);
 	cJSON_free(text);
 	cJSON_Delete(out);
 	g_array_unref(members);
@@ -381,9 +383,10 @@
 	char *text = trace_json(rt->traces, id);
 
 	if (text == NULL)
-		respond_problem(rt, request->id, &problem_unknown_trace);
+		runtime_respond_problem(
+		    rt, request->id, &problem_unknown_trace);
 	else
-		respond_text(rt, request->id, 200, JSON_TYPE, text);
+		runtime_respond_text(rt, request->id, 200, JSON_TYPE, text);
 	g_free(text);
 	g_free(id);
 }
@@ -394,9 +397,10 @@
 	struct mst_entry_gauges gauges = mst_entry_gauges(rt->entry);
 
 	if (gauges.ready)
-		respond_text(rt, request->id, 200, "text/plain", "ready\n");
+		runtime_respond_text(
+		    rt, request->id, 200, "text/plain", "ready\n");
 	else
-		respond_text(rt, request->id, 503, "text/plain",
+		runtime_respond_text(rt, request->id, 503, "text/plain",
 		    gauges.draining ? "leaving\n" : "not ready\n");
 }
 
@@ -405,7 +409,7 @@
 {
 	GString *text = runtime_entry_metrics(rt);
 
-	respond_text(rt, request->id, 200,
+	runtime_respond_text(rt, request->id, 200,
 	    "text/plain; version=0.0.4; charset=utf-8", text->str);
 	g_string_free(text, TRUE);
 }
@@ -433,6 +437,10 @@
 		on_config(rt, request);
 	else if (mst_bytes_equal_str(path, "/v1/config/history"))
 		runtime_config_history(rt, request);
+	else if (mst_bytes_equal_str(path, DRAINS_PATH) ||
+	    has_prefix(path, DRAINS_PATH "/"))
+		runtime_on_drains_request(
+		    rt, request, bytes_skip(path, strlen(DRAINS_PATH)));
 	else if (mst_bytes_equal_str(path, "/v1/members"))
 		on_members(rt, request);
 	else if (has_prefix(path, "/v1/traces/"))
@@ -442,7 +450,7 @@
 	else if (mst_bytes_equal_str(path, "/metrics"))
 		on_metrics(rt, request);
 	else
-		respond_problem(rt, request->id, &problem_not_found);
+		runtime_respond_problem(rt, request->id, &problem_not_found);
 }
 
 void
--- a/src/runtime/entry_runtime.h
+++ b/src/runtime/entry_runtime.h
@@ -10,6 +10,7 @@
 #include <masticstall/entry.h>
 #include <uv.h>
 
+#include "api/problem.h"
 #include "net/bus.h"
 #include "runtime/entry_links.h"
 #include "net/http_client.h"
@@ -108,6 +109,11 @@
 /* Drops the request of a caller that has disconnected; a callback of the HTTP
  * server. */
 void runtime_on_disconnect(uint64_t id, void *ctx);
+/* Responds to a request for which no pending request was created. */
+void runtime_respond_text(struct entry_runtime *rt, uint64_t id, int status,
+    const char *type, const char *text);
+void runtime_respond_problem(
+    struct entry_runtime *rt, uint64_t id, const struct mst_problem *problem);
 /* Responds to a request with the state of a job, if the handle is not stale. */
 void runtime_respond_job(
     struct entry_runtime *rt, struct pending_request *pending, uint64_t job);
@@ -135,11 +141,34 @@
 /* Applies an operator's JSON Patch to the configuration and responds. */
 void runtime_config_patch(struct entry_runtime *rt,
     const struct mst_http_request *request, const char *operator_name);
+/*
+ * Drains or restores a failure domain by a patch to the newest configuration,
+ * whose version the request need not name, and responds.
+ */
+void runtime_config_set_drained(struct entry_runtime *rt,
+    const struct mst_http_request *request, const char *operator_name,
+    const char *domain, bool drained);
 /* Responds with the latest versions of the configuration. */
 void runtime_config_history(
     struct entry_runtime *rt, const struct mst_http_request *request);
 
 /* entry_drains.c */
+/* A failure domain and its members, as this entry knows them. */
+struct runtime_domain {
+	char *name;
+	bool drained;
+	uint32_t members; /* without lost ones */
+	uint32_t running; /* this entry's tasks at the members */
+};
+
+/*
+ * Lists the failure domains of the known members, sorted by name; free with
+ * g_array_unref().
+ */
+GArray *runtime_domains(const struct entry_runtime *rt);
+/* Handles requests for /v1/drains; path: what follows it. */
+void runtime_on_drains_request(struct entry_runtime *rt,
+    const struct mst_http_request *request, struct mst_bytes path);
 /* Applies an update of the store to the set of drained failure domains. */
 void runtime_drains_on_store_update(
     struct entry_runtime *rt, const struct store_update *update);
--- a/tests/test_json.c
+++ b/tests/test_json.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "api/job_json.h"
+#include "settings/drain_patch.h"
 #include "settings/json_patch.h"
 
 /*
@@ -186,6 +187,61 @@
 	g_clear_error(&error);
 }
 
+/* Applies the patch that drains or restores a domain and returns the resulting
+ * document, or NULL if there is nothing to change. */
+static char *
+apply_drain_patch(const char *document, const char *domain, bool drained)
+{
+	char *patch = drain_patch_new(document, domain, drained);
+	cJSON *operations = patch != NULL ? cJSON_Parse(patch) : NULL;
+	cJSON *json = cJSON_Parse(document);
+	GError *error = NULL;
+	char *result = NULL;
+
+	if (operations != NULL) {
+		json_patch_apply(&json, operations, &error);
+		g_assert_no_error(error);
+		result = cJSON_PrintUnformatted(json);
+	}
+	cJSON_Delete(operations);
+	cJSON_Delete(json);
+	g_free(patch);
+	return result;
+}
+
+/* Guards against a patch that changes other domains, or that makes a version
+ * without a change; an empty list must stay, as an absent one is no set. */
+static void
+json__drain_patch_changes_one_domain(void)
+{
+	static const struct {
+		const char *document;
+		const char *domain;
+		bool drained;
+		const char *expected;
+	} cases[] = {{"{}", "a/b", true, "{\"drained_domains\":[\"a/b\"]}"},
+	    {"{\"z\":1,\"drained_domains\":[]}", "a", true,
+		"{\"z\":1,\"drained_domains\":[\"a\"]}"},
+	    {"{\"drained_domains\":[\"a\",\"b\"]}", "c", true,
+		"{\"drained_domains\":[\"a\",\"b\",\"c\"]}"},
+	    {"{\"drained_domains\":[\"a\",\"b\",\"c\"]}", "b", false,
+		"{\"drained_domains\":[\"a\",\"c\"]}"},
+	    {"{\"drained_domains\":[\"a\"]}", "a", false,
+		"{\"drained_domains\":[]}"},
+	    {"{\"drained_domains\":[\"a\"]}", "a", true, NULL},
+	    {"{\"drained_domains\":[\"a\"]}", "b", false, NULL},
+	    {"{}", "a", false, NULL}};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *result = apply_drain_patch(
+		    cases[i].document, cases[i].domain, cases[i].drained);
+
+		g_assert_cmpstr(result, ==, cases[i].expected);
+		cJSON_free(result);
+	}
+}
+
 static void
 json__settings_errors_name_location(void)
 {
@@ -269,6 +325,8 @@
 	g_test_add_func("/json/config", json__config_errors_name_location);
 	g_test_add_func(
 	    "/json/drained-domains", json__config_reads_drained_domains);
+	g_test_add_func(
+	    "/json/drain-patch", json__drain_patch_changes_one_domain);
 	g_test_add_func("/json/settings", json__settings_errors_name_location);
 	g_test_add_func("/json/hosts-need-keys", test_hosts_need_keys);
 	return g_test_run();
