cli, metrics: show, drain and restore failure domains

masticstall domains lists the domains of the known members with their tasks, and drains or restores one.

--- a/cli/cli.h
+++ b/cli/cli.h
@@ -81,6 +81,7 @@
 enum cli_exit cli_cancel(const struct cli *cli, int argc, char **argv);
 enum cli_exit cli_members(const struct cli *cli, int argc, char **argv);
 enum cli_exit cli_config(const struct cli *cli, int argc, char **argv);
+enum cli_exit cli_domains(const struct cli *cli, int argc, char **argv);
 enum cli_exit cli_drain(const struct cli *cli, int argc, char **argv);
 enum cli_exit cli_trace(const struct cli *cli, int argc, char **argv);
 enum cli_exit cli_check(const struct cli *cli, int argc, char **argv);
--- a/cli/main.c
+++ b/cli/main.c
@@ -23,6 +23,7 @@
     {"cancel", "cancel a job", cli_cancel},
     {"config", "show, patch and compare the configuration", cli_config},
     {"members", "list the agents known to an entry", cli_members},
+    {"domains", "list, drain and restore failure domains", cli_domains},
     {"drain", "take an upstream out of service", cli_drain},
     {"trace", "show the spans of a trace", cli_trace},
     {"explain", "explain from the logs how a job was run", cli_explain},
--- a/cli/top.c
+++ b/cli/top.c
@@ -12,19 +12,26 @@
 
 struct column {
 	const char *title;
-	const char *metric; /* name without "masticstall_" and labels */
-	bool is_counter;    /* shown as its rate per second */
+	const char *metric;       /* name without "masticstall_" and labels */
+	bool is_counter;          /* shown as its rate per second */
+	const char *agent_metric; /* used if there is no metric, or NULL */
 };
 
-static const struct column columns[] = {{"open", "jobs_open", false},
-    {"waiting", "tasks_waiting", false}, {"sent", "tasks_sent", false},
-    {"agents", "members_active", false}, {"running", "running", false},
-    {"queued", "queued", false}, {"jobs/s", "jobs_total", true},
-    {"failed/s", "jobs_failed_total", true},
-    {"refused/s", "jobs_refused_total", true},
-    {"starts/s", "starts_total", true}, {"lost/s", "runs_lost_total", true},
-    {"config", "config_version", false},
-    {"dropped", "log_dropped_total", false}, {0}};
+static const struct column columns[] = {
+    {.title = "open", .metric = "jobs_open"},
+    {.title = "waiting", .metric = "tasks_waiting"},
+    {.title = "sent", .metric = "tasks_sent"},
+    {.title = "agents", .metric = "members_active"},
+    {.title = "drained", .metric = "domain_drained", .agent_metric = "drained"},
+    {.title = "running", .metric = "running"},
+    {.title = "queued", .metric = "queued"},
+    {.title = "jobs/s", .metric = "jobs_total", .is_counter = true},
+    {.title = "failed/s", .metric = "jobs_failed_total", .is_counter = true},
+    {.title = "refused/s", .metric = "jobs_refused_total", .is_counter = true},
+    {.title = "starts/s", .metric = "starts_total", .is_counter = true},
+    {.title = "lost/s", .metric = "runs_lost_total", .is_counter = true},
+    {.title = "config", .metric = "config_version"},
+    {.title = "dropped", .metric = "log_dropped_total"}, {0}};
 
 #define COLUMN_COUNT (G_N_ELEMENTS(columns) - 1)
 
@@ -62,6 +69,14 @@
 	return is_present;
 }
 
+static bool
+read_column(const char *text, const struct column *column, double *value)
+{
+	return sum_metric(text, column->metric, value) ||
+	    (column->agent_metric != NULL &&
+		sum_metric(text, column->agent_metric, value));
+}
+
 static void
 poll_daemon(struct daemon *daemon, const struct cli *cli)
 {
@@ -75,8 +90,8 @@
 	for (i = 0; i < COLUMN_COUNT; i++) {
 		daemon->previous[i] = daemon->values[i];
 		daemon->is_present[i] = daemon->reached &&
-		    sum_metric(answer.body->str, columns[i].metric,
-			&daemon->values[i]);
+		    read_column(
+			answer.body->str, &columns[i], &daemon->values[i]);
 	}
 	cli_response_clear(&answer);
 }
--- a/src/runtime/metrics.c
+++ b/src/runtime/metrics.c
@@ -177,6 +177,47 @@
 	    "Configuration in force.", (double)gauges->config_version);
 }
 
+/* Adds a sample of a domain, whose name agents choose. */
+static void
+add_domain_sample(
+    GString *out, const char *name, const char *domain, double value)
+{
+	GString *escaped = g_string_new(domain);
+
+	g_string_replace(escaped, "\\", "\\\\", 0);
+	g_string_replace(escaped, "\"", "\\\"", 0);
+	g_string_replace(escaped, "\n", "\\n", 0);
+	metrics_add_sample(out, name, "domain", escaped->str, value);
+	g_string_free(escaped, TRUE);
+}
+
+static void
+add_domains(GString *out, const struct entry_runtime *rt)
+{
+	GArray *domains = runtime_domains(rt);
+	guint i;
+
+	metrics_add_family(out, "domain_drained", "gauge",
+	    "Whether the failure domain is drained.");
+	for (i = 0; i < domains->len; i++) {
+		const struct runtime_domain *domain =
+		    &g_array_index(domains, struct runtime_domain, i);
+
+		add_domain_sample(
+		    out, "domain_drained", domain->name, domain->drained);
+	}
+	metrics_add_family(out, "domain_running", "gauge",
+	    "Tasks of this entry at the agents of the failure domain.");
+	for (i = 0; i < domains->len; i++) {
+		const struct runtime_domain *domain =
+		    &g_array_index(domains, struct runtime_domain, i);
+
+		add_domain_sample(
+		    out, "domain_running", domain->name, domain->running);
+	}
+	g_array_unref(domains);
+}
+
 static void
 add_bus_counters(GString *out, const struct mst_bus_counters *counters)
 {
@@ -246,6 +287,7 @@
 
 	add_entry_counters(out, mst_entry_counters(rt->entry));
 	add_entry_gauges(out, &gauges);
+	add_domains(out, rt);
 	add_bus_counters(out, mst_bus_counters(rt->bus));
 	metrics_add_process(out, &rt->loop.lag);
 	add_frontend_metrics(out, rt);
