entry: requests for versions of the configuration on the platform get 409

GET /v1/config/history, which needs no token, ended an entry on the platform: the versions are read from the table, which such a deployment does not have. PATCH /v1/config did the same for an operator.

--- a/src/runtime/entry_http.c
+++ b/src/runtime/entry_http.c
@@ -303,6 +303,20 @@
 	runtime_step(rt, &event);
 }
 
+static const struct mst_problem problem_no_versions = {.status = 409,
+    .type = "config-by-platform",
+    .title = "The configuration is set by the platform's operator",
+    .detail = "this deployment keeps no versions of its own"};
+
+static void
+on_history(struct entry_runtime *rt, const struct mst_http_request *request)
+{
+	if (rt->table == NULL)
+		runtime_respond_problem(rt, request->id, &problem_no_versions);
+	else
+		runtime_config_history(rt, request);
+}
+
 static void
 on_config(struct entry_runtime *rt, const struct mst_http_request *request)
 {
@@ -314,6 +328,11 @@
 	cJSON *out;
 	char *text;
 
+	if (mst_bytes_equal_str(request->method, "PATCH") &&
+	    rt->table == NULL) {
+		runtime_respond_problem(rt, request->id, &problem_no_versions);
+		return;
+	}
 	if (mst_bytes_equal_str(request->method, "PATCH")) {
 		operator_name =
 		    mst_operator_authenticate(rt->settings->operators,
@@ -436,7 +455,7 @@
 	else if (mst_bytes_equal_str(path, "/v1/config"))
 		on_config(rt, request);
 	else if (mst_bytes_equal_str(path, "/v1/config/history"))
-		runtime_config_history(rt, request);
+		on_history(rt, request);
 	else if (mst_bytes_equal_str(path, DRAINS_PATH) ||
 	    has_prefix(path, DRAINS_PATH "/"))
 		runtime_on_drains_request(
