--- a/cli/explain.c
+++ b/cli/explain.c
@@ -151,7 +151,8 @@
 {
 	static const char *const events[] = {"worker", "member", "started",
 	    "stopped", "draining", "entry-lease-lapsed", "store-lost",
-	    "store-back", "config", "reloaded", "log-dropped", "paused", NULL};
+	    "store-back", "config", "drains", "reloaded", "log-dropped",
+	    "paused", NULL};
 	guint i;
 	int e;
 
