--- a/script/domain_system.sh
+++ b/script/domain_system.sh
@@ -31,6 +31,17 @@
 	JSON
 }
 
+# write_platform_entry: writes the settings of entry 3, which runs on the
+# platform, with its store at port STORE.
+write_platform_entry() {
+	cat >"$RUN/entry3.json" <<-JSON
+	{"name":"entry3","failure_domain":"fd1","trusted_network":true,
+	"http_listen":"127.0.0.1:$HTTP3","members_listen":"127.0.0.1:$BUS3",
+	"store":"127.0.0.1:$STORE","front":{"listen":"127.0.0.1:$FRONT",
+	"config_ms":2000,"ready_listen":"127.0.0.1:$READY"},$OPERATORS}
+	JSON
+}
+
 # masticstall N ARGUMENTS...: runs the command line against entry N.
 masticstall() {
 	local entry=$1
--- a/tests/domain_commands.sh
+++ b/tests/domain_commands.sh
@@ -110,12 +110,7 @@
 
 # On the platform, its operator sets the drains and the configuration; requests
 # to change them are refused and do not end the entry, whose store is away here.
-cat >"$RUN/entry3.json" <<-JSON
-{"name":"entry3","failure_domain":"fd1","trusted_network":true,
-"http_listen":"127.0.0.1:$HTTP3","members_listen":"127.0.0.1:$BUS3",
-"store":"127.0.0.1:$STORE","front":{"listen":"127.0.0.1:$FRONT",
-"ready_listen":"127.0.0.1:$READY"},$OPERATORS}
-JSON
+write_platform_entry
 start entry3 "$BUILD/masticstall-entryd" --settings "$RUN/entry3.json"
 wait_http "http://127.0.0.1:$HTTP3/metrics" 10
 expect_exit 1 masticstall 3 domains drain fd1 --reason x
--- /dev/null
+++ b/tests/standins/store.c
@@ -0,0 +1,310 @@
+/*
+ * Stand-in for the platform's store. POST /v1/rows-tx sets and removes rows
+ * without conditions, GET /v1/rows-get returns the rows of a table and
+ * GET /v1/rows-feed the changes of a table after a revision, for which it waits
+ * up to waitMs. PUT /faults sets {"away": bool, "compact": bool}: whether all
+ * reads get no response, and whether the history up to now is dropped, so that
+ * a feed from there gets status 410. GET /counts returns the number of calls by
+ * kind and table.
+ */
+
+#include <cjson/cJSON.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "net/httpd.h"
+
+/* A call for changes that waits for the first one. */
+struct feed {
+	uv_timer_t timer; /* first member; cast to and from the structure */
+	uint64_t id;      /* of the request */
+	char *table;
+	uint64_t after;
+};
+
+static struct mst_httpd *httpd;
+static GPtrArray *changes; /* cJSON rows in the order of their revisions */
+static GPtrArray *feeds;   /* struct feed */
+static cJSON *counts;
+static uint64_t revision;
+static uint64_t compacted; /* revision up to which no history is kept */
+static bool away;          /* no read gets a response */
+
+static const char *
+get_string(const cJSON *object, const char *name)
+{
+	const char *text = cJSON_GetStringValue(
+	    cJSON_GetObjectItemCaseSensitive(object, name));
+
+	return text != NULL ? text : "";
+}
+
+/* Returns a parameter of the query, to be freed with g_free(). */
+static char *
+get_param(struct mst_bytes query, const char *name)
+{
+	char *text = mst_bytes_to_str(query);
+	char **pairs = g_strsplit(text, "&", -1);
+	size_t len = strlen(name);
+	char *value = NULL;
+	int i;
+
+	for (i = 0; pairs[i] != NULL && value == NULL; i++) {
+		if (strncmp(pairs[i], name, len) == 0 && pairs[i][len] == '=')
+			value = g_uri_unescape_string(pairs[i] + len + 1, NULL);
+	}
+	g_strfreev(pairs);
+	g_free(text);
+	return value != NULL ? value : g_strdup("");
+}
+
+static uint64_t
+get_number_param(struct mst_bytes query, const char *name)
+{
+	char *text = get_param(query, name);
+	uint64_t value = g_ascii_strtoull(text, NULL, 10);
+
+	g_free(text);
+	return value;
+}
+
+static void
+count_call(const char *kind, const char *table)
+{
+	char *name = g_strdup_printf("%s %s", kind, table);
+	cJSON *count = cJSON_GetObjectItemCaseSensitive(counts, name);
+
+	if (count == NULL)
+		cJSON_AddNumberToObject(counts, name, 1);
+	else
+		cJSON_SetNumberValue(count, count->valuedouble + 1);
+	g_free(name);
+}
+
+static void
+respond_json(uint64_t id, int status, cJSON *json)
+{
+	char *text = cJSON_PrintUnformatted(json);
+
+	mst_http_respond(httpd, id, status, NULL, 0, text, strlen(text));
+	cJSON_free(text);
+	cJSON_Delete(json);
+}
+
+static bool
+is_same_row(const cJSON *a, const cJSON *b)
+{
+	return strcmp(get_string(a, "table"), get_string(b, "table")) == 0 &&
+	    strcmp(get_string(a, "part"), get_string(b, "part")) == 0 &&
+	    strcmp(get_string(a, "key"), get_string(b, "key")) == 0;
+}
+
+/* Returns whether a later change has replaced the row. */
+static bool
+is_replaced(guint index)
+{
+	guint i;
+
+	for (i = index + 1; i < changes->len; i++) {
+		if (is_same_row(changes->pdata[i], changes->pdata[index]))
+			return true;
+	}
+	return false;
+}
+
+/* Responds with the rows of a table: the present ones, or with after the
+ * changes since that revision. Returns the number of rows. */
+static unsigned
+respond_rows(uint64_t id, const char *table, const uint64_t *after, bool force)
+{
+	cJSON *json = cJSON_CreateObject();
+	cJSON *rows = cJSON_AddArrayToObject(json, "rows");
+	unsigned count = 0;
+	guint i;
+
+	cJSON_AddNumberToObject(json, "ver", (double)revision);
+	for (i = 0; i < changes->len; i++) {
+		const cJSON *row = changes->pdata[i];
+		double ver =
+		    cJSON_GetObjectItemCaseSensitive(row, "ver")->valuedouble;
+
+		if (strcmp(get_string(row, "table"), table) != 0 ||
+		    (after != NULL && ver <= (double)*after) ||
+		    (after == NULL &&
+			(is_replaced(i) ||
+			    cJSON_HasObjectItem(row, "removed"))))
+			continue;
+		cJSON_AddItemToArray(rows, cJSON_Duplicate(row, 1));
+		count++;
+	}
+	if (force || count > 0)
+		respond_json(id, 200, json);
+	else
+		cJSON_Delete(json);
+	return count;
+}
+
+static void
+feed_free(uv_handle_t *handle)
+{
+	struct feed *feed = (struct feed *)handle;
+
+	g_free(feed->table);
+	g_free(feed);
+}
+
+/* Responds to a feed if it has changes, or in any case with force. */
+static void
+feed_update(struct feed *feed, bool force)
+{
+	if (respond_rows(feed->id, feed->table, &feed->after, force) == 0 &&
+	    !force)
+		return;
+	g_ptr_array_remove(feeds, feed);
+	uv_close((uv_handle_t *)&feed->timer, feed_free);
+}
+
+static void
+on_feed_timer(uv_timer_t *timer)
+{
+	feed_update((struct feed *)timer, true);
+}
+
+static void
+start_feed(struct mst_http_request *request, const char *table)
+{
+	struct feed *feed;
+	uint64_t after = get_number_param(request->query, "after");
+
+	if (after < compacted) {
+		respond_json(request->id, 410, cJSON_CreateObject());
+		return;
+	}
+	feed = g_new0(struct feed, 1);
+	feed->id = request->id;
+	feed->table = g_strdup(table);
+	feed->after = after;
+	g_ptr_array_add(feeds, feed);
+	uv_timer_init(uv_default_loop(), &feed->timer);
+	uv_timer_start(&feed->timer, on_feed_timer,
+	    get_number_param(request->query, "waitMs"), 0);
+	feed_update(feed, false);
+}
+
+static void
+add_changes(const cJSON *list, bool removed)
+{
+	const cJSON *row;
+
+	cJSON_ArrayForEach (row, list) {
+		cJSON *change = cJSON_Duplicate(row, 1);
+
+		cJSON_AddNumberToObject(change, "ver", (double)revision);
+		if (removed)
+			cJSON_AddTrueToObject(change, "removed");
+		g_ptr_array_add(changes, change);
+	}
+}
+
+static void
+commit(struct mst_http_request *request)
+{
+	cJSON *json =
+	    cJSON_ParseWithLength(request->body.data, request->body.len);
+	cJSON *answer = cJSON_CreateObject();
+	guint i;
+
+	revision++;
+	add_changes(cJSON_GetObjectItemCaseSensitive(json, "setKeys"), false);
+	add_changes(cJSON_GetObjectItemCaseSensitive(json, "remove"), true);
+	cJSON_AddNumberToObject(answer, "ver", (double)revision);
+	respond_json(request->id, 200, answer);
+	for (i = feeds->len; i > 0; i--)
+		feed_update(feeds->pdata[i - 1], false);
+	cJSON_Delete(json);
+}
+
+static void
+set_faults(struct mst_http_request *request)
+{
+	cJSON *json =
+	    cJSON_ParseWithLength(request->body.data, request->body.len);
+
+	away = cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(json, "away"));
+	if (cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(json, "compact")))
+		compacted = revision;
+	cJSON_Delete(json);
+	respond_json(request->id, 200, cJSON_CreateObject());
+}
+
+static void
+on_request(struct mst_http_request *request, void *ctx)
+{
+	char *table = get_param(request->query, "table");
+
+	if (mst_bytes_equal_str(request->path, "/faults")) {
+		set_faults(request);
+	} else if (mst_bytes_equal_str(request->path, "/counts")) {
+		respond_json(request->id, 200, cJSON_Duplicate(counts, 1));
+	} else if (mst_bytes_equal_str(request->path, "/v1/rows-tx")) {
+		commit(request);
+	} else if (mst_bytes_equal_str(request->path, "/v1/rows-get")) {
+		count_call("get", table);
+		if (!away)
+			respond_rows(request->id, table, NULL, true);
+	} else if (mst_bytes_equal_str(request->path, "/v1/rows-feed")) {
+		count_call("feed", table);
+		if (!away)
+			start_feed(request, table);
+	} else {
+		respond_json(request->id, 404, cJSON_CreateObject());
+	}
+	g_free(table);
+}
+
+static void
+on_disconnect(uint64_t id, void *ctx)
+{
+	guint i;
+
+	for (i = feeds->len; i > 0; i--) {
+		struct feed *feed = feeds->pdata[i - 1];
+
+		if (feed->id != id)
+			continue;
+		g_ptr_array_remove(feeds, feed);
+		uv_close((uv_handle_t *)&feed->timer, feed_free);
+	}
+}
+
+static void
+on_signal(uv_signal_t *signal, int number)
+{
+	exit(0);
+}
+
+int
+main(int argc, char **argv)
+{
+	struct mst_httpd_options options = {.loop = uv_default_loop(),
+	    .listen = argc > 1 ? argv[1] : "127.0.0.1:9001",
+	    .body_max_bytes = 16 << 20,
+	    .on_request = on_request,
+	    .on_disconnect = on_disconnect};
+	uv_signal_t sigterm;
+	GError *error = NULL;
+
+	signal(SIGPIPE, SIG_IGN); /* clients may disconnect early */
+	changes = g_ptr_array_new();
+	feeds = g_ptr_array_new();
+	counts = cJSON_CreateObject();
+	if (mst_httpd_new(&httpd, &options, &error) < 0) {
+		fprintf(stderr, "%s\n", error->message);
+		return 1;
+	}
+	uv_signal_init(uv_default_loop(), &sigterm);
+	uv_signal_start(&sigterm, on_signal, SIGTERM);
+	return uv_run(uv_default_loop(), UV_RUN_DEFAULT);
+}
