drains: domains named by the configuration, an agent's metric and log line

Joins the parts: without the platform's store the set comes from the configuration's drained_domains; agents show masticstall_drained and log a change of the set with their own state.

--- a/src/core/entry/drains.c
+++ b/src/core/entry/drains.c
@@ -43,19 +43,10 @@
 	return outdated;
 }
 
-/* Returns the names of the drained domains in a configuration, or NULL if it
- * has no such field. */
-static const GPtrArray *
-get_config_domains(const struct mst_config *config)
-{
-	(void)config;
-	return NULL;
-}
-
 void
 mst_entry_apply_config_drains(struct mst_entry *entry)
 {
-	const GPtrArray *domains = get_config_domains(entry->config);
+	const GPtrArray *domains = entry->config->drained_domains;
 
 	/* A leased entry is told of the drains by the platform's store, whose
 	 * revisions are not those of the configuration. */
--- a/src/runtime/agent_runtime.c
+++ b/src/runtime/agent_runtime.c
@@ -106,6 +106,17 @@
 	runtime_loop_stop(&rt->loop, AGENT_STOP_GRACE_MS);
 }
 
+static void
+log_drains(const struct mst_agent_effect *effect)
+{
+	char *domains = mst_bytes_to_str(effect->drains.domains);
+
+	mst_log(MST_LOG_INFO, "drains",
+	    "revision=%" PRIu64 " domains=%s drained=%d",
+	    effect->drains.revision, mst_log_quote(domains), effect->drained);
+	g_free(domains);
+}
+
 static void
 log_config(const struct mst_agent_effect *effect)
 {
@@ -146,7 +157,9 @@
 		log_config(effect);
 		break;
 	case MST_AGENT_FX_PEERS:
+		break;
 	case MST_AGENT_FX_DRAINS:
+		log_drains(effect);
 		break;
 	case MST_AGENT_FX_STOPPED:
 		agent_stop(rt);
--- a/src/runtime/metrics.c
+++ b/src/runtime/metrics.c
@@ -347,6 +347,8 @@
 	metrics_add_single(out, "orders_repeated_total", "counter",
 	    "Orders to the worker that were sent again after a failure.",
 	    (double)counters->orders_repeated);
+	metrics_add_single(out, "drained", "gauge",
+	    "Whether the failure domain is drained.", gauges->drained);
 	metrics_add_single(
 	    out, "running", "gauge", "Calls running.", gauges->running);
 	metrics_add_single(
