sim: loads with waves, unequal entries, worker sizes and stragglers

The load simulation had callers spread evenly over the entries, workers of one size and no stragglers, so that it could not show the refusals at busy entries. The new fields of a shape are optional.

A straggler is slow on every worker, and its job's limit grows with it. Callers choose their entry independently of their failure domain, as by a hash.

--- a/bench/experiment.c
+++ b/bench/experiment.c
@@ -2,8 +2,10 @@
  * Compares variants of the policy on leased members. Each shape of fleet and
  * load is played with each fault and several seeds, once with the defaults and
  * once with the changed parameters; both get the same arrivals and service
- * times. The same arguments always give the same figures, apart from the
- * processor time.
+ * times. Besides the profile, a shape may have waves of callers per failure
+ * domain, unequal entries and workers, stragglers and deadlines of a kind's
+ * callers (see struct load_shape). The same arguments always give the same
+ * figures, apart from the processor time.
  *
  * Usage: bench-experiment [OPTION]...
  *   --shape FILE         play this shape; may be repeated; default: all of
@@ -142,9 +144,7 @@
 			printf("%6d ms %s %-8s service %4.0f ms, limit %4.0f, "
 			       "took %5d, %s%s\n",
 			    (int)job->submitted_ms, job->key, job->kind->queue,
-			    job->service_ms,
-			    load->shape.stretch * job->service_ms +
-				load->shape.target_ms,
+			    job->service_ms, load_limit_ms(load, job),
 			    (int)((request->answered_us -
 				      request->submitted_us) /
 				1000),
--- a/bench/experiment/shapes.c
+++ b/bench/experiment/shapes.c
@@ -24,17 +24,28 @@
 	g_strlcpy(out, item->valuestring, size);
 }
 
-static void
-read_factors(struct load_shape *shape, const cJSON *json)
+/* Returns an optional number, or 0. */
+static double
+get_optional(const cJSON *json, const char *name)
+{
+	const cJSON *item = cJSON_GetObjectItemCaseSensitive(json, name);
+
+	return cJSON_IsNumber(item) ? item->valuedouble : 0;
+}
+
+/* Reads up to LOAD_SPEEDS_MAX numbers. Returns their count. */
+static unsigned
+read_factors(double *factors, const cJSON *json, const char *name)
 {
 	const cJSON *item;
+	unsigned count = 0;
 
 	cJSON_ArrayForEach (
-	    item, cJSON_GetObjectItemCaseSensitive(json, "service_factors")) {
-		if (shape->factor_count < LOAD_SPEEDS_MAX)
-			shape->service_factors[shape->factor_count++] =
-			    item->valuedouble;
+	    item, cJSON_GetObjectItemCaseSensitive(json, name)) {
+		if (count < LOAD_SPEEDS_MAX)
+			factors[count++] = item->valuedouble;
 	}
+	return count;
 }
 
 static void
@@ -54,9 +65,28 @@
 		kind->service_ms = get_number(item, "service_ms");
 		kind->weight = get_number(item, "weight");
 		kind->priority = (uint32_t)get_number(item, "priority");
+		kind->deadline_ms = get_optional(item, "deadline_ms");
 	}
 }
 
+static void
+read_optional(struct load_shape *shape, const cJSON *json)
+{
+	const cJSON *waves = cJSON_GetObjectItemCaseSensitive(json, "waves");
+
+	shape->entry_weight_count =
+	    read_factors(shape->entry_weights, json, "entry_weights");
+	shape->slot_factor_count =
+	    read_factors(shape->slot_factors, json, "slot_factors");
+	shape->straggler_share = get_optional(json, "straggler_share");
+	shape->straggler_factor = get_optional(json, "straggler_factor");
+	shape->useless_stretch = get_optional(json, "useless_stretch");
+	if (waves == NULL)
+		return;
+	shape->waves.domains = (unsigned)get_number(waves, "domains");
+	shape->waves.period_ms = get_number(waves, "period_ms");
+}
+
 static struct load_shape *
 shape_from_json(const cJSON *json)
 {
@@ -66,7 +96,8 @@
 	shape->entries = (int)get_number(json, "entries");
 	shape->workers = (int)get_number(json, "workers");
 	shape->slots = (unsigned)get_number(json, "slots");
-	read_factors(shape, json);
+	shape->factor_count =
+	    read_factors(shape->service_factors, json, "service_factors");
 	read_kinds(shape, json);
 	shape->service_sigma = get_number(json, "service_sigma");
 	shape->declared_sigma = get_number(json, "declared_sigma");
@@ -75,6 +106,7 @@
 	shape->stretch = get_number(json, "stretch");
 	shape->target_ms = get_number(json, "target_ms");
 	shape->deadline_ms = get_number(json, "deadline_ms");
+	read_optional(shape, json);
 	return shape;
 }
 
--- a/tests/sim/cluster.c
+++ b/tests/sim/cluster.c
@@ -5,6 +5,17 @@
 
 #include "sim/worker.h"
 
+void
+cluster_add_agent(struct cluster *cluster, const struct mst_resources *capacity)
+{
+	int index = cluster->agent_count++;
+	char name[16];
+
+	g_snprintf(name, sizeof(name), "agent%d", index + 1);
+	cluster->agents[index] =
+	    sim_add_leased_agent(cluster->sim, name, capacity);
+}
+
 void
 cluster_init(struct cluster *cluster, struct sim *sim, int entries, int agents,
     const struct mst_resources *capacity)
@@ -12,17 +23,14 @@
 	char name[16];
 	int i;
 
-	*cluster = (struct cluster){
-	    .sim = sim, .entry_count = entries, .agent_count = agents};
+	*cluster = (struct cluster){.sim = sim, .entry_count = entries};
 	for (i = 0; i < entries; i++) {
 		g_snprintf(name, sizeof(name), "entry%d", i + 1);
 		cluster->entries[i] = sim_add_entry(sim, name);
 		sim_configure(sim, cluster->entries[i], 1, "{}");
 	}
-	for (i = 0; i < agents; i++) {
-		g_snprintf(name, sizeof(name), "agent%d", i + 1);
-		cluster->agents[i] = sim_add_leased_agent(sim, name, capacity);
-	}
+	for (i = 0; i < agents; i++)
+		cluster_add_agent(cluster, capacity);
 }
 
 int
--- a/tests/sim/cluster.h
+++ b/tests/sim/cluster.h
@@ -22,6 +22,10 @@
 void cluster_init(struct cluster *cluster, struct sim *sim, int entries,
     int agents, const struct mst_resources *capacity);
 
+/* Adds a leased agent whose worker has the given capacity. */
+void cluster_add_agent(
+    struct cluster *cluster, const struct mst_resources *capacity);
+
 /* Returns the number of entries and agents. */
 int cluster_size(const struct cluster *cluster);
 
--- a/tests/sim/load.c
+++ b/tests/sim/load.c
@@ -4,16 +4,19 @@
 
 #include "sim/worker.h"
 
-#define MS              INT64_C(1000)
-#define STEP_MS         5
-#define DRAIN_MS        3000 /* after the end of the load */
-#define TASK_MILLICORES 1600
-#define LATENCY_US      500
-#define JITTER_US       300
-#define ATTEMPTS        2    /* failed runs after which a task has failed */
-#define SERVICE_SPREAD  0.15 /* largest deviation of a run's service time */
-#define REFUSAL_MAX_MS  5    /* longest time until an immediate refusal */
-#define FAILING_RUN_US  (10 * MS)
+#define MS            INT64_C(1000)
+#define STEP_MS       5
+#define DRAIN_MS      3000 /* after the end of the load */
+#define ANSWER_MAX_MS 500  /* after the longest deadline */
+/* Between the peaks of two failure domains of callers. */
+#define WAVE_DISTANCE_MS 1000
+#define TASK_MILLICORES  1600
+#define LATENCY_US       500
+#define JITTER_US        300
+#define ATTEMPTS         2    /* failed runs after which a task has failed */
+#define SERVICE_SPREAD   0.15 /* largest deviation of a run's service time */
+#define REFUSAL_MAX_MS   5    /* longest time until an immediate refusal */
+#define FAILING_RUN_US   (10 * MS)
 
 double
 load_random_normal(GRand *rand)
@@ -36,6 +39,29 @@
 	return 0;
 }
 
+/* Returns true if a task straggles. That is a property of the task, so it does
+ * not depend on the order of the draws, and a second run straggles as well. */
+static bool
+is_straggler(const struct load *load, const char *task_name)
+{
+	bool straggles;
+	GRand *rand;
+
+	if (load->shape.straggler_share <= 0)
+		return false;
+	rand =
+	    g_rand_new_with_seed(~g_str_hash(task_name) ^ load->options.seed);
+	straggles = g_rand_double(rand) < load->shape.straggler_share;
+	g_rand_free(rand);
+	return straggles;
+}
+
+static double
+straggler_factor(const struct load *load, const char *task_name)
+{
+	return is_straggler(load, task_name) ? load->shape.straggler_factor : 1;
+}
+
 /* Returns the deviation of the service time of a task, as a factor. */
 static double
 draw_deviation(struct load *load, const struct mst_dispatch_item *task)
@@ -63,14 +89,17 @@
 	struct load *load = ctx;
 	int agent = agent_index(load, node_id);
 	char *key = g_strndup(task->path.data, 16);
+	char *name = mst_bytes_to_str(task->path);
 	const struct load_job *job =
 	    g_hash_table_lookup(load->jobs_by_key, key);
 	double duration_ms = job->service_ms * load->slowdowns[agent] *
 	    load->shape
 		.service_factors[(unsigned)node_id % load->shape.factor_count];
 
-	g_free(key);
 	duration_ms *= draw_deviation(load, task);
+	duration_ms *= straggler_factor(load, name);
+	g_free(name);
+	g_free(key);
 	if (load->fails[agent] || job->poisoned)
 		return (struct sim_task_result){.duration_us = FAILING_RUN_US,
 		    .outcome = MST_OUTCOME_DONE,
@@ -97,6 +126,92 @@
 	return &shape->kinds[i];
 }
 
+/* Returns the load of the callers in a failure domain, as a share of the
+ * workers' capacity if all domains had it. */
+static double
+domain_load(const struct load *load, unsigned domain, int64_t now_ms)
+{
+	const struct load_shape *shape = &load->shape;
+	double peak_ms = (LOAD_PEAK_START_MS + LOAD_PEAK_END_MS) / 2.0 +
+	    (domain - (shape->waves.domains - 1) / 2.0) * WAVE_DISTANCE_MS;
+	double phase =
+	    2 * G_PI * ((double)now_ms - peak_ms) / shape->waves.period_ms;
+
+	return shape->base_load +
+	    (shape->peak_load - shape->base_load) * (1 + cos(phase)) / 2;
+}
+
+static double
+sum_domain_loads(const struct load *load, int64_t now_ms)
+{
+	double sum = 0;
+	unsigned d;
+
+	for (d = 0; d < load->shape.waves.domains; d++)
+		sum += domain_load(load, d, now_ms);
+	return sum;
+}
+
+/* Returns the failure domain of a caller, drawn by their present rates. */
+static unsigned
+choose_domain(struct load *load, int64_t now_ms)
+{
+	unsigned domain = 0;
+	double draw;
+
+	if (load->shape.waves.domains == 0)
+		return 0;
+	draw =
+	    g_rand_double_range(load->rand, 0, sum_domain_loads(load, now_ms));
+	for (; domain + 1 < load->shape.waves.domains; domain++) {
+		draw -= domain_load(load, domain, now_ms);
+		if (draw < 0)
+			break;
+	}
+	return domain;
+}
+
+static double
+entry_weight(const struct load_shape *shape, int index)
+{
+	return shape
+	    ->entry_weights[(unsigned)index % shape->entry_weight_count];
+}
+
+/* Returns the index of the entry that a caller asks. */
+static int
+choose_entry(struct load *load)
+{
+	const struct load_shape *shape = &load->shape;
+	double total_weight = 0, draw;
+	int i;
+
+	if (shape->entry_weight_count == 0)
+		return g_rand_int_range(load->rand, 0, shape->entries);
+	for (i = 0; i < shape->entries; i++)
+		total_weight += entry_weight(shape, i);
+	draw = g_rand_double_range(load->rand, 0, total_weight);
+	for (i = 0; i + 1 < shape->entries; i++) {
+		draw -= entry_weight(shape, i);
+		if (draw < 0)
+			break;
+	}
+	return i;
+}
+
+/* Sets the time of the longest task, which decides when the job is in time. */
+static void
+set_longest(const struct load *load, struct load_job *job)
+{
+	uint32_t i;
+
+	job->longest_ms = job->service_ms;
+	for (i = 0; i < job->kind->tasks; i++)
+		job->longest_ms = MAX(job->longest_ms,
+		    job->service_ms *
+			straggler_factor(load, job->task_names[i]));
+}
+
 static void
 set_tasks(struct load_job *job, struct mst_task_spec *tasks, double declared_ms)
 {
@@ -140,14 +255,40 @@
 	g_hash_table_insert(load->jobs_by_key, job->key, job);
 	g_ptr_array_add(load->jobs, job);
 	set_tasks(job, tasks, declared_ms);
+	set_longest(load, job);
+	job->domain = choose_domain(load, now_ms);
+	job->entry = choose_entry(load);
 	spec.key = job->key;
 	spec.count = job->kind->tasks;
 	spec.priority = job->kind->priority;
 	spec.team = job->kind->queue;
-	job->request = sim_submit(load->sim,
-	    load->cluster
-		.entries[g_rand_int_range(load->rand, 0, load->shape.entries)],
-	    &spec);
+	spec.caller_deadline_ms = (uint32_t)job->kind->deadline_ms;
+	job->request =
+	    sim_submit(load->sim, load->cluster.entries[job->entry], &spec);
+}
+
+/* Returns the number of slots of a worker. */
+static uint32_t
+slots_of(const struct load_shape *shape, unsigned worker)
+{
+	if (shape->slot_factor_count == 0)
+		return shape->slots;
+	return (uint32_t)lround(shape->slots *
+	    shape->slot_factors[worker % shape->slot_factor_count]);
+}
+
+/* Returns the mean number of slots of a worker. */
+static double
+mean_slots(const struct load_shape *shape)
+{
+	double sum = 0;
+	unsigned i;
+
+	if (shape->slot_factor_count == 0)
+		return shape->slots;
+	for (i = 0; i < shape->slot_factor_count; i++)
+		sum += slots_of(shape, i);
+	return sum / shape->slot_factor_count;
 }
 
 double
@@ -166,15 +307,16 @@
 	}
 	for (i = 0; i < shape->factor_count; i++)
 		speed += 1 / shape->service_factors[i] / shape->factor_count;
-	return shape->workers * shape->slots * speed /
+	if (shape->straggler_share > 0)
+		service_s *=
+		    1 + shape->straggler_share * (shape->straggler_factor - 1);
+	return shape->workers * mean_slots(shape) * speed /
 	    (service_s / total_weight);
 }
 
 struct load *
 load_new(const struct load_shape *shape, const struct load_options *options)
 {
-	const struct mst_resources capacity = {
-	    .millicores = shape->slots * TASK_MILLICORES, .memory_mb = 1024};
 	struct load *load = g_new0(struct load, 1);
 	struct sim_options sim_options = {.seed = options->seed,
 	    .latency_us = LATENCY_US,
@@ -192,10 +334,16 @@
 	load->jobs = g_ptr_array_new_with_free_func(g_free);
 	load->jobs_by_key = g_hash_table_new(g_str_hash, g_str_equal);
 	load->sim = sim_new(&sim_options);
-	cluster_init(&load->cluster, load->sim, shape->entries, shape->workers,
-	    &capacity);
-	for (i = 0; i < shape->workers; i++)
+	cluster_init(&load->cluster, load->sim, shape->entries, 0, NULL);
+	for (i = 0; i < shape->workers; i++) {
+		const struct mst_resources capacity = {
+		    .millicores =
+			slots_of(shape, (unsigned)i) * TASK_MILLICORES,
+		    .memory_mb = 1024};
+
+		cluster_add_agent(&load->cluster, &capacity);
 		load->slowdowns[i] = 1;
+	}
 	for (i = 0; i < shape->entries && options->config != NULL; i++)
 		sim_configure(
 		    load->sim, load->cluster.entries[i], 2, options->config);
@@ -212,13 +360,17 @@
 	g_free(load);
 }
 
+/* Returns the load as a share of the workers' capacity. */
 static double
-current_load(const struct load *load, bool at_peak)
+current_load(const struct load *load, bool at_peak, int64_t now_ms)
 {
 	const struct load_fault *fault = load->options.fault;
 	double factor =
 	    fault != NULL && fault->load_factor > 0 ? fault->load_factor : 1;
 
+	if (load->shape.waves.domains > 0)
+		return sum_domain_loads(load, now_ms) /
+		    load->shape.waves.domains * (at_peak ? factor : 1);
 	return at_peak ? load->shape.peak_load * factor : load->shape.base_load;
 }
 
@@ -255,6 +407,18 @@
 		fault->step(load, now_ms);
 }
 
+/* Returns the time after the end of the load until all jobs are answered. */
+static int64_t
+drain_ms(const struct load_shape *shape)
+{
+	double deadline = 0;
+	unsigned i;
+
+	for (i = 0; i < shape->kind_count; i++)
+		deadline = MAX(deadline, shape->kinds[i].deadline_ms);
+	return MAX(DRAIN_MS, (int64_t)deadline + ANSWER_MAX_MS);
+}
+
 void
 load_run(struct load *load)
 {
@@ -267,17 +431,43 @@
 
 		sim_run_until(load->sim, G_USEC_PER_SEC + now_ms * MS);
 		inject_fault(load, now_ms);
-		load->due_jobs +=
-		    capacity * current_load(load, at_peak) * STEP_MS / 1000;
+		load->due_jobs += capacity *
+		    current_load(load, at_peak, now_ms) * STEP_MS / 1000;
 		for (; load->due_jobs >= 1; load->due_jobs -= 1)
 			load_submit(load, NULL, now_ms);
 		load->due_burst_jobs += capacity * STEP_MS / 1000 *
-		    current_load(load, at_peak) * extra_share(load);
+		    current_load(load, at_peak, now_ms) * extra_share(load);
 		for (; load->due_burst_jobs >= 1; load->due_burst_jobs -= 1)
 			load_submit(load, load->burst_kind, now_ms);
 	}
-	sim_run_until(
-	    load->sim, G_USEC_PER_SEC + (LOAD_END_MS + DRAIN_MS) * MS);
+	sim_run_until(load->sim,
+	    G_USEC_PER_SEC + (LOAD_END_MS + drain_ms(&load->shape)) * MS);
+}
+
+/* Returns the time that the callers of a job wait. */
+static double
+deadline_ms(const struct load *load, const struct load_job *job)
+{
+	return job->kind->deadline_ms > 0 ? job->kind->deadline_ms
+					  : load->shape.deadline_ms;
+}
+
+double
+load_limit_ms(const struct load *load, const struct load_job *job)
+{
+	double limit_ms =
+	    load->shape.stretch * job->longest_ms + load->shape.target_ms;
+
+	return MIN(limit_ms, deadline_ms(load, job));
+}
+
+/* Returns true if an answer after this time is of no use. */
+static bool
+is_useless(const struct load *load, const struct load_job *job, int64_t took_ms)
+{
+	return load->shape.useless_stretch > 0 &&
+	    (double)took_ms >
+	    load->shape.useless_stretch * load_limit_ms(load, job);
 }
 
 void
@@ -287,8 +477,6 @@
 	const struct sim_request *request =
 	    sim_get_request(load->sim, job->request);
 	int64_t took_ms = (request->answered_us - request->submitted_us) / MS;
-	double limit_ms =
-	    load->shape.stretch * job->service_ms + load->shape.target_ms;
 
 	counts->submitted++;
 	if (request->answered_us == 0) {
@@ -299,9 +487,10 @@
 		counts->refusal_max_ms = MAX(counts->refusal_max_ms, took_ms);
 		g_assert_cmpuint(request->retry_after_ms, >, 0);
 		g_assert_false(request->may_have_run);
-	} else if (request->state != MST_JOB_COMPLETE) {
+	} else if (request->state != MST_JOB_COMPLETE ||
+	    is_useless(load, job, took_ms)) {
 		counts->failed++;
-	} else if ((double)took_ms <= MIN(limit_ms, load->shape.deadline_ms)) {
+	} else if ((double)took_ms <= load_limit_ms(load, job)) {
 		counts->in_time++;
 	} else {
 		counts->late++;
--- a/tests/sim/load.h
+++ b/tests/sim/load.h
@@ -27,6 +27,18 @@
 	double service_ms; /* of a task on a worker of factor 1; median */
 	double weight;     /* relative frequency */
 	uint32_t priority;
+	/* Time that the callers say they wait; 0: the shape's deadline. */
+	double deadline_ms;
+};
+
+/*
+ * Callers of several failure domains whose request rates vary periodically
+ * between the base load and the peak load. The peaks of the domains are a
+ * second apart, and centred on the peak of the profile.
+ */
+struct load_waves {
+	unsigned domains; /* 0: the rate follows the profile */
+	double period_ms;
 };
 
 /* A fleet and the load on it. */
@@ -49,6 +61,20 @@
 	double stretch;
 	double target_ms;
 	double deadline_ms;
+	/* The other fields are optional; 0 or empty: not in this shape. */
+	struct load_waves waves;
+	/* Relative numbers of callers, assigned to the entries in turn. */
+	double entry_weights[LOAD_SPEEDS_MAX];
+	unsigned entry_weight_count;
+	/* Factors on the slots, assigned to the workers in turn. */
+	double slot_factors[LOAD_SPEEDS_MAX];
+	unsigned slot_factor_count;
+	/* Tasks that take longer than the others of their job by a factor,
+	 * on every worker. Their job is allowed as much longer. */
+	double straggler_share;
+	double straggler_factor;
+	/* Multiple of a job's limit after which its result is of no use. */
+	double useless_stretch;
 };
 
 /* A job as submitted by a caller. */
@@ -57,9 +83,12 @@
 	char task_names[LOAD_TASKS_MAX][32];
 	const struct load_kind *kind;
 	double service_ms;
+	double longest_ms; /* service time of its longest task */
 	int64_t submitted_ms;
 	uint64_t request;
-	bool poisoned; /* its tasks fail wherever they run */
+	int entry;       /* index of the entry asked */
+	unsigned domain; /* failure domain of the caller, with waves */
+	bool poisoned;   /* its tasks fail wherever they run */
 };
 
 struct load;
@@ -118,9 +147,10 @@
 	unsigned in_time;
 	unsigned late;
 	unsigned refused;
-	unsigned refused_late;  /* after the time for an immediate refusal */
-	unsigned failed;        /* answered without a complete result */
-	unsigned lost;          /* not answered */
+	unsigned refused_late; /* after the time for an immediate refusal */
+	unsigned failed; /* answered without a complete result, or too late for
+			    it to be of use */
+	unsigned lost;   /* not answered */
 	int64_t refusal_max_ms; /* longest time until a refusal */
 };
 
@@ -134,6 +164,8 @@
     struct load *load, const struct load_kind *kind, int64_t now_ms);
 /* Plays the whole load. */
 void load_run(struct load *load);
+/* Returns the time within which a job must end to be in time. */
+double load_limit_ms(const struct load *load, const struct load_job *job);
 /* Counts the outcomes of the jobs that were submitted in a period. */
 struct load_counts load_count(
     const struct load *load, int64_t from_ms, int64_t to_ms);
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -125,7 +125,8 @@
 static void
 overload__too_long_job_is_refused(void)
 {
-	static const struct load_kind too_long = {"slow", 1, 30000, 1, 0};
+	static const struct load_kind too_long = {
+	    .queue = "slow", .tasks = 1, .service_ms = 30000, .weight = 1};
 	const struct load_options options = {.seed = 1};
 	struct load *load = load_new(&shape, &options);
 	const struct sim_request *request;
