agent: free slots are offered to entries whose tasks wait

Entries hear of a free slot by their own results first, so those with many running tasks take the slots, and several send to the same one.

While tasks wait at entries, an agent now reserves a slot that gets free for one of them, drawn in proportion to the tasks that wait, and tells it at once. Then only one task more than there are slots waits at the agent.

--- a/bench/experiment/variant.c
+++ b/bench/experiment/variant.c
@@ -46,13 +46,14 @@
     PARAMETER(limit_overdue, PARAMETER_BOOL),
     PARAMETER(overdue_deviations, PARAMETER_DOUBLE),
     PARAMETER(order_by_urgency, PARAMETER_BOOL),
+    PARAMETER(offer_slots, PARAMETER_BOOL),
     PARAMETER(report_lag, PARAMETER_BOOL),
     PARAMETER(queue_max, PARAMETER_COUNT)};
 
 const char *const experiment_switches[] = {"refuse_late", "admit_to_free",
     "demote_late", "learn_times", "use_slow_members", "wait_for_better",
     "spread", "withdraw_overdue", "limit_overdue", "order_by_urgency",
-    "report_lag", NULL};
+    "offer_slots", "report_lag", NULL};
 
 void
 variant_init(struct variant *variant, const char *name)
--- a/include/masticstall/agent.h
+++ b/include/masticstall/agent.h
@@ -143,6 +143,7 @@
 	uint64_t forced_expiries;
 	uint64_t orders[MST_ORDER_INVALID + 1]; /* by enum mst_order_status */
 	uint64_t orders_repeated;               /* sent again after a failure */
+	uint64_t offers; /* free slots reserved for entries that wait */
 };
 
 /** Present values of one agent. */
--- a/include/masticstall/tuning.h
+++ b/include/masticstall/tuning.h
@@ -44,6 +44,7 @@
 	double overdue_deviations;
 	/* Agents. */
 	bool order_by_urgency; /* of the tasks of all entries */
+	bool offer_slots;      /* reserve free slots for entries that wait */
 	bool report_lag;       /* report slow runs before they end */
 	uint32_t queue_max;    /* tasks that wait for the next free slot */
 };
@@ -61,7 +62,7 @@
 		.high_utilization = 0.75, .finish_stretch_max = 0.5,           \
 		.withdraw_overdue = true, .limit_overdue = true,               \
 		.overdue_deviations = 5.0, .order_by_urgency = true,           \
-		.report_lag = true, .queue_max = 2,                            \
+		.offer_slots = true, .report_lag = true, .queue_max = 2,       \
 	}
 
 #endif
--- a/src/core/agent/agent.c
+++ b/src/core/agent/agent.c
@@ -228,6 +228,7 @@
 	}
 	session->last_heard_us = agent->now_us;
 	session->demand = msg->dispatch.demand;
+	mst_session_use_offers(session, msg->dispatch.count);
 	mst_session_update_echo(agent, session, msg->dispatch.echo_us);
 	stale = dispatch_is_stale(agent, session, &msg->dispatch);
 	for (i = 0; i < msg->dispatch.count; i++)
--- a/src/core/agent/agent_internal.h
+++ b/src/core/agent/agent_internal.h
@@ -82,8 +82,11 @@
 	bool fenced;
 	bool unwanted;       /* to be left once none of its work is left */
 	int64_t unwanted_us; /* since when */
-	uint32_t demand;
-	uint32_t open; /* queued and running tasks */
+	uint32_t demand;     /* tasks that wait at the entry */
+	uint32_t open;       /* queued and running tasks */
+	uint32_t offers;     /* free slots that are reserved for its tasks */
+	int64_t offered_until_us;
+	bool offer_due; /* the entry has not been told of an offer */
 	uint64_t config_version;
 	/* No run of a job that the entry issued with a greater counter was
 	 * evicted. The entry's adoption floor raises it as well. */
@@ -200,6 +203,17 @@
 void mst_run_complete_started(struct mst_agent *agent, struct run *run,
     const struct mst_result_item *result);
 
+/* offer.c */
+/* Offers the free slots to entries whose tasks wait. */
+void mst_agent_offer_slots(struct mst_agent *agent);
+/* Returns true if tasks wait at some entry, so that slots are offered. */
+bool mst_agent_is_contended(const struct mst_agent *agent);
+/* Returns the number of free slots, less those offered to other sessions. */
+uint32_t mst_session_free_slots(
+    const struct mst_agent *agent, const struct session *session);
+/* Records that an entry has sent tasks, which use its offers. */
+void mst_session_use_offers(struct session *session, uint32_t count);
+
 /* report.c */
 /* Emits the collected results of all sessions. */
 void mst_agent_flush(struct mst_agent *agent);
--- a/src/core/agent/announce.c
+++ b/src/core/agent/announce.c
@@ -92,7 +92,7 @@
 	session->announced_us = agent->now_us;
 	announce->fenced = session->fenced;
 	announce->grant = mst_session_grant(agent, session);
-	announce->free_slots = mst_worker_free_slots(agent);
+	announce->free_slots = mst_session_free_slots(agent, session);
 	announce->slowness_milli = mst_worker_slowness_milli(agent);
 	announce->roster_version = session->roster_version;
 	announce->sent_through = session->sent_through;
--- a/src/core/agent/report.c
+++ b/src/core/agent/report.c
@@ -9,8 +9,9 @@
 	struct mst_msg *msg;
 	guint i;
 
-	if (session->outbox->len == 0)
+	if (session->outbox->len == 0 && !session->offer_due)
 		return;
+	session->offer_due = false;
 	for (i = 0; i < session->outbox->len; i++) {
 		struct run *run = session->outbox->pdata[i];
 
@@ -20,7 +21,7 @@
 	}
 	msg = mst_agent_emit_msg(agent, session->entry, MST_MSG_RESULT);
 	msg->results.grant = mst_session_grant(agent, session);
-	msg->results.free_slots = mst_worker_free_slots(agent);
+	msg->results.free_slots = mst_session_free_slots(agent, session);
 	msg->results.count = session->outbox->len;
 	/* Stores an index, because the array may still be reallocated.
 	 * mst_agent_flush() replaces it by a pointer. */
@@ -36,6 +37,7 @@
 	guint i;
 
 	g_array_set_size(agent->scratch_results, 0);
+	mst_agent_offer_slots(agent);
 	g_hash_table_iter_init(&iter, agent->sessions);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		flush_session(agent, value);
--- a/src/core/agent/session.c
+++ b/src/core/agent/session.c
@@ -151,20 +151,28 @@
 	return (uint32_t)CLAMP(round(tasks), 0, AGENT_PREFETCH_MAX);
 }
 
+/* Tasks that wait for the next free slot while slots are offered. One hides the
+ * round trip of an offer. */
+#define CONTENDED_QUEUE_MAX 1
+
 /* Returns the number of tasks that an entry may have at a leased agent: the
  * open ones, one for each free slot, and a few that wait for the next free
- * slot. The same slots are granted to all entries; a task whose slot another
- * entry has used waits for the next one. */
+ * slot. Slots that are not offered to an entry are granted to all; a task whose
+ * slot another entry has used waits for the next one. */
 static uint32_t
 get_leased_grant(const struct mst_agent *agent, const struct session *session)
 {
 	uint32_t waiting = agent->queue.length;
 	uint32_t max = agent->options.tuning.queue_max;
-	uint32_t queue_room = waiting < max ? max - waiting : 0;
+	uint32_t queue_room;
 
 	if (!mst_worker_is_ready(agent))
 		return 0;
-	return session->open + mst_worker_free_slots(agent) + queue_room;
+	if (mst_agent_is_contended(agent))
+		max = MIN(max, CONTENDED_QUEUE_MAX);
+	queue_room = waiting < max ? max - waiting : 0;
+	return session->open + mst_session_free_slots(agent, session) +
+	    queue_room;
 }
 
 uint32_t
