place: tasks that are long by themselves stay where they run

A straggler that is slow on every worker was withdrawn as overdue near its end and run again from the start elsewhere. An overdue task now stays if its member has completed another task since it should have ended, and the member is not marked as overdue. After three times the limit it is moved as before, because it may hang.

--- a/bench/experiment/variant.c
+++ b/bench/experiment/variant.c
@@ -43,6 +43,7 @@
     PARAMETER(high_utilization, PARAMETER_DOUBLE),
     PARAMETER(finish_stretch_max, PARAMETER_DOUBLE),
     PARAMETER(withdraw_overdue, PARAMETER_BOOL),
+    PARAMETER(keep_long_tasks, PARAMETER_BOOL),
     PARAMETER(limit_overdue, PARAMETER_BOOL),
     PARAMETER(overdue_deviations, PARAMETER_DOUBLE),
     PARAMETER(order_by_urgency, PARAMETER_BOOL),
@@ -52,8 +53,8 @@
 
 const char *const experiment_switches[] = {"refuse_late", "admit_to_free",
     "demote_late", "learn_times", "use_slow_members", "wait_for_better",
-    "spread", "withdraw_overdue", "limit_overdue", "order_by_urgency",
-    "offer_slots", "report_lag", NULL};
+    "spread", "withdraw_overdue", "keep_long_tasks", "limit_overdue",
+    "order_by_urgency", "offer_slots", "report_lag", NULL};
 
 void
 variant_init(struct variant *variant, const char *name)
--- a/include/masticstall/tuning.h
+++ b/include/masticstall/tuning.h
@@ -39,7 +39,9 @@
 	double finish_stretch_max; /* largest delay beyond the first finish */
 	/* Moving. */
 	bool withdraw_overdue; /* move overdue tasks to other members */
-	bool limit_overdue;    /* send few tasks to members with overdue ones */
+	/* Do not move overdue tasks of members that make progress. */
+	bool keep_long_tasks;
+	bool limit_overdue; /* send few tasks to members with overdue ones */
 	/* Learnt deviations of a service time after which a task is overdue. */
 	double overdue_deviations;
 	/* Agents. */
@@ -60,9 +62,10 @@
 		.spread = true, .planned_share = 0.85,                         \
 		.overrun_deviations = 2.5, .low_utilization = 0.35,            \
 		.high_utilization = 0.75, .finish_stretch_max = 0.5,           \
-		.withdraw_overdue = true, .limit_overdue = true,               \
-		.overdue_deviations = 5.0, .order_by_urgency = true,           \
-		.offer_slots = true, .report_lag = true, .queue_max = 2,       \
+		.withdraw_overdue = true, .keep_long_tasks = true,             \
+		.limit_overdue = true, .overdue_deviations = 5.0,              \
+		.order_by_urgency = true, .offer_slots = true,                 \
+		.report_lag = true, .queue_max = 2,                            \
 	}
 
 #endif
--- a/src/core/place/overdue.c
+++ b/src/core/place/overdue.c
@@ -1,8 +1,9 @@
 /*
  * Detection of tasks that take much longer than expected at a leased member.
- * Either the member has become slow or the task hangs. The member is marked as
- * overdue before any result arrives, and the task is withdrawn if another
- * member could still finish it in time.
+ * Either the member has become slow, or the task hangs, or it is long by
+ * itself. A slow member is marked as overdue before any result arrives, and the
+ * task is withdrawn if another member could still finish it in time, unless its
+ * member completes other tasks.
  */
 
 #include "core/entry/entry_internal.h"
@@ -14,22 +15,46 @@
 /* A task is overdue after a multiple of its expected time that is well above
  * the learnt error of that time, plus this slack. */
 #define OVERDUE_SLACK_US (INT64_C(60) * 1000)
+/* Multiple of that time after which a task is moved in any case. */
+#define KEEP_LIMITS_MAX 3
 /* A member is marked as overdue if it has at least this share and number of
  * overdue tasks. */
 #define OVERDUE_SHARE     0.5
 #define OVERDUE_TASKS_MIN 2
 
-static bool
-task_is_overdue(const struct mst_entry *entry, const struct member *member,
+/* Progress of a sent task, in microseconds. */
+struct progress {
+	double elapsed_us;
+	double expected_us;
+	double limit_us; /* the task is overdue after this time */
+};
+
+static struct progress
+get_progress(const struct mst_entry *entry, const struct member *member,
     const struct job *job, const struct task *task)
 {
-	double expected_us = mst_task_expected_at_us(entry, member, job, task) *
-	    member->slowness;
 	double factor = mst_estimate_overrun(
 	    &job->team->estimate, entry->options.tuning.overdue_deviations);
+	struct progress progress = {
+	    .elapsed_us = (double)(entry->now_us - task->sent_us),
+	    .expected_us = mst_task_expected_at_us(entry, member, job, task) *
+		member->slowness};
+
+	progress.limit_us = progress.expected_us * factor + OVERDUE_SLACK_US;
+	return progress;
+}
 
-	return (double)(entry->now_us - task->sent_us) >
-	    expected_us * factor + OVERDUE_SLACK_US;
+/* Returns true if a member has completed another task since an overdue one
+ * should have ended. Then the task is probably long by itself, and would take
+ * as long elsewhere. One that takes much longer still may hang. */
+static bool
+is_probably_long(const struct mst_entry *entry, const struct member *member,
+    const struct task *task, const struct progress *progress)
+{
+	return entry->options.tuning.keep_long_tasks && !member->overdue &&
+	    (double)(member->last_progress_us - task->sent_us) >
+	    progress->expected_us &&
+	    progress->elapsed_us < progress->limit_us * KEEP_LIMITS_MAX;
 }
 
 /* Returns true if a task may be moved and the fastest member could still finish
@@ -56,6 +81,7 @@
 	g_hash_table_iter_init(&iter, member->sent_tasks);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		uint64_t tag = (uint64_t)(uintptr_t)value;
+		struct progress progress;
 		struct job *job;
 		struct task *task = mst_find_sent_task(
 		    entry, member, (uint64_t)(uintptr_t)key, tag, &job);
@@ -63,11 +89,13 @@
 		if (task == NULL)
 			continue;
 		sent_count++;
-		if (!task_is_overdue(entry, member, job, task))
+		progress = get_progress(entry, member, job, task);
+		if (progress.elapsed_us <= progress.limit_us)
 			continue;
 		overdue_count++;
 		if (tuning->withdraw_overdue &&
-		    is_worth_moving(entry, job, task))
+		    is_worth_moving(entry, job, task) &&
+		    !is_probably_long(entry, member, task, &progress))
 			mst_task_withdraw(entry, task);
 	}
 	member->overdue = tuning->limit_overdue &&
--- a/tests/test_load_faults.c
+++ b/tests/test_load_faults.c
@@ -17,6 +17,11 @@
 #define TOO_SLOW           2 /* factor at which short jobs are late, too */
 #define REFUSAL_MAX_US     (5 * 1000) /* until an immediate refusal */
 
+/* Tasks that are long by themselves. */
+#define STRAGGLER_SHARE       0.03
+#define STRAGGLER_FACTOR      7
+#define STRAGGLER_DEADLINE_MS 7000
+
 /* Least share of the submitted jobs that end in time. */
 #define IN_TIME_MIN 0.95
 
@@ -127,6 +132,55 @@
 	    counts.in_time, >=, IN_TIME_MIN * (double)counts.submitted);
 }
 
+/* Plays a load with stragglers. Returns the starts of tasks. */
+static uint64_t
+play_stragglers(struct load_counts *total, uint32_t seed, bool keep_long_tasks)
+{
+	struct mst_tuning tuning = MST_TUNING_INIT;
+	const struct load_options options = {
+	    .seed = seed, .paired = true, .tuning = &tuning};
+	struct load_shape shape = even_shape;
+	struct load_counts counts;
+	struct load *load;
+	uint64_t starts;
+
+	tuning.keep_long_tasks = keep_long_tasks;
+	shape.straggler_share = STRAGGLER_SHARE;
+	shape.straggler_factor = STRAGGLER_FACTOR;
+	shape.deadline_ms = STRAGGLER_DEADLINE_MS;
+	load = load_new(&shape, &options);
+	load_run(load);
+	counts = load_count(load, LOAD_START_MS, LOAD_END_MS);
+	total->submitted += counts.submitted;
+	total->in_time += counts.in_time;
+	total->failed += counts.failed + counts.lost;
+	starts = sim_count_all_starts(load->sim);
+	load_free(load);
+	return starts;
+}
+
+/* Moving tasks that are long by themselves must not repeat their work and so
+ * make callers late: their workers complete other tasks meanwhile. */
+static void
+load_faults__stragglers_are_not_repeated(void)
+{
+	struct load_counts kept = {0}, moved = {0};
+	uint64_t kept_starts = 0, moved_starts = 0;
+	uint32_t seed;
+
+	for (seed = 1; seed <= SEEDS; seed++) {
+		kept_starts += play_stragglers(&kept, seed, true);
+		moved_starts += play_stragglers(&moved, seed, false);
+	}
+	g_test_message("kept: %u in time, %u starts; moved: %u in time, %u "
+		       "starts; %u jobs",
+	    kept.in_time, (unsigned)kept_starts, moved.in_time,
+	    (unsigned)moved_starts, kept.submitted);
+	g_assert_cmpuint(kept.failed, <=, moved.failed);
+	g_assert_cmpuint(kept.in_time, >=, moved.in_time);
+	g_assert_cmpuint(kept_starts, <, moved_starts);
+}
+
 /* Submits short jobs while tasks of long ones wait for the fast worker and the
  * others are idle. Returns the index of the first short job. */
 static guint
@@ -212,6 +266,8 @@
 	    load_faults__no_job_fails_with_unreachable_workers);
 	g_test_add_func("/load-faults/unanswered-orders",
 	    load_faults__unanswered_orders_delay_few_jobs);
+	g_test_add_func("/load-faults/stragglers",
+	    load_faults__stragglers_are_not_repeated);
 	g_test_add_func("/load-faults/waiting-by-choice",
 	    load_faults__waiting_by_choice_refuses_nobody);
 	g_test_add_func("/load-faults/slow-free-slots",
