tests: scripts and tests use unused ports

Scripts used the fixed ports of examples/local and test_platform port 18790, so two runs on one host failed each other, and ctest had to run the scripts one at a time. script/lib.sh now locks a block of 16 unused ports per script and copies the settings with these ports; the C tests let the system choose.

The blocks lie below the ports of outgoing connections: with ports chosen by the system for each daemon, a connection could take the port of a daemon that is killed and restarted. C tests listen once per port, so they don't need that.

--- a/script/lib.sh
+++ b/script/lib.sh
@@ -2,9 +2,17 @@
 # the top directory of the repository as working directory and the build
 # directory in BUILD. All processes that were started are killed on exit.
 
-EXAMPLES=$PWD/examples/local
 RUN=$(mktemp -d)
 PIDS=()
+# Ports in the settings of examples/local. Each script replaces them by ports of
+# its own, so that several scripts can run side by side.
+EXAMPLE_PORTS=(17071 17072 18081 18082 18101 18102 18103 18104
+    19000 19101 19102 19103 19104)
+# Blocks of ports below those that Linux assigns to outgoing connections (from
+# 32768), so that no connection takes the port of a daemon that restarts.
+PORT_FIRST=10000
+PORT_BLOCKS=1400
+PORT_BLOCK_SIZE=16
 
 # fail MESSAGE: prints the message and the last lines of all logs, and exits 1.
 fail() {
@@ -13,6 +21,61 @@
 	exit 1
 }
 
+# are_ports_unused FIRST: checks that no socket uses a port of the block.
+are_ports_unused() {
+	local ports
+	ports=$(printf '|%04X' $(seq "$1" $(($1 + PORT_BLOCK_SIZE - 1))))
+	! grep -qE "^ *[0-9]+: [0-9A-F]+:(${ports#|}) " /proc/net/tcp /proc/net/tcp6 2>/dev/null
+}
+
+# Sets PORT_BASE to the first port of an unused block and locks the block until
+# the script and its daemons have ended.
+reserve_ports() {
+	local locks=${TMPDIR:-/tmp}/masticstall-ports.$UID block lock
+	mkdir -p "$locks"
+	for block in $(shuf -i "0-$((PORT_BLOCKS - 1))" -n 100); do
+		PORT_BASE=$((PORT_FIRST + block * PORT_BLOCK_SIZE))
+		exec {lock}>"$locks/$PORT_BASE"
+		if flock -n "$lock" && are_ports_unused "$PORT_BASE"; then
+			return 0
+		fi
+		exec {lock}>&-
+	done
+	echo "failed: no block of $PORT_BLOCK_SIZE unused ports was found" >&2
+	exit 1
+}
+
+# port_of EXAMPLE-PORT: prints the port that replaces it.
+port_of() {
+	local i
+	for i in "${!EXAMPLE_PORTS[@]}"; do
+		if [ "${EXAMPLE_PORTS[i]}" = "$1" ]; then
+			echo $((PORT_BASE + i))
+			return 0
+		fi
+	done
+	return 1
+}
+
+# Copies examples/local to $RUN/settings and replaces the ports. The character @
+# marks addresses already replaced, as a new port may equal another old one.
+copy_examples() {
+	local port replacements=()
+	for port in "${EXAMPLE_PORTS[@]}"; do
+		replacements+=(-e "s/127\.0\.0\.1:$port\>/127.0.0.1@$(port_of "$port")/g")
+	done
+	mkdir "$RUN/settings"
+	cp examples/local/* "$RUN/settings/"
+	sed -i "${replacements[@]}" -e 's/127\.0\.0\.1@/127.0.0.1:/g' \
+	    "$RUN/settings"/*.json
+}
+
+# entry_address N, agent_address N, upstream_address N: print the ip:port of an
+# HTTP interface.
+entry_address() { echo "127.0.0.1:$(port_of "1808$1")"; }
+agent_address() { echo "127.0.0.1:$(port_of "1810$1")"; }
+upstream_address() { echo "127.0.0.1:$(port_of "1910$1")"; }
+
 # start NAME COMMAND...: runs a command in the background. Standard output goes
 # to $RUN/NAME.out, standard error to $RUN/NAME.log, the id to $RUN/NAME.pid.
 start() {
@@ -43,12 +106,12 @@
 # wait_members COUNT SECONDS: waits until both entries have COUNT active agents;
 # returns 1 after a timeout.
 wait_members() {
-	local end=$((SECONDS + $2)) port
-	for port in 18081 18082; do
-		until curl -fsS "http://127.0.0.1:$port/metrics" 2>/dev/null |
+	local end=$((SECONDS + $2)) n
+	for n in 1 2; do
+		until curl -fsS "http://$(entry_address "$n")/metrics" 2>/dev/null |
 		    grep -q "^masticstall_members_active $1\$"; do
 			if [ "$SECONDS" -ge "$end" ]; then
-				echo "entry $port does not have $1 active members after $2 s" >&2
+				echo "entry $n does not have $1 active members after $2 s" >&2
 				return 1
 			fi
 			sleep 0.05
@@ -57,13 +120,14 @@
 }
 
 start_platform() {
-	start platform "$BUILD/standin-platform" 127.0.0.1:19000
+	start platform "$BUILD/standin-platform" "$PLATFORM"
 }
 
 # start_upstream N FACTOR: starts upstream N; each task takes FACTOR times its
 # nominal time.
 start_upstream() {
-	start "upstream$1" "$BUILD/standin-upstream" "127.0.0.1:1910$1" "$2"
+	start "upstream$1" "$BUILD/standin-upstream" \
+	    "$(upstream_address "$1")" "$2"
 }
 
 start_agent() {
@@ -80,7 +144,7 @@
 cli() {
 	local entry=$1
 	shift
-	"$BUILD/masticstall" --entry "http://127.0.0.1:1808$entry" \
+	"$BUILD/masticstall" --entry "http://$(entry_address "$entry")" \
 	    --token-file "$EXAMPLES/operator.token" "$@"
 }
 
@@ -89,7 +153,7 @@
 # array UPSTREAM_FACTORS overrides the factors of the upstreams.
 start_system() {
 	start_platform
-	wait_http http://127.0.0.1:19000/ 10
+	wait_http "http://$PLATFORM/" 10
 	local n factors=(1 1.5 3 10)
 	for n in 1 2 3 4; do
 		start_upstream "$n" "${UPSTREAM_FACTORS[n - 1]:-${factors[n - 1]}}"
@@ -97,8 +161,8 @@
 	done
 	start_entry 1
 	start_entry 2
-	wait_http http://127.0.0.1:18081/metrics 10
-	wait_http http://127.0.0.1:18082/metrics 10
+	wait_http "http://$(entry_address 1)/metrics" 10
+	wait_http "http://$(entry_address 2)/metrics" 10
 	cli 1 config patch --version 0 --reason "first version" \
 	    "$EXAMPLES/config.patch.json"
 	wait_members 4 15
@@ -124,3 +188,7 @@
 }
 
 trap stop_all EXIT
+reserve_ports
+PLATFORM=127.0.0.1:$(port_of 19000)
+copy_examples
+EXAMPLES=$RUN/settings
--- a/tests/bad_input.sh
+++ b/tests/bad_input.sh
@@ -8,7 +8,7 @@
 cd "$(dirname "$0")/.."
 UPSTREAM_FACTORS=(1 1 1 1)
 . script/lib.sh
-ENTRY=http://127.0.0.1:18081
+ENTRY=http://$(entry_address 1)
 
 # expect STATUS DESCRIPTION CURL-ARGUMENTS...: fails unless the response has
 # the status.
@@ -22,20 +22,20 @@
 # Set a low limit for request bodies and, except for agent4, CURVE keys.
 keys=$(cat "$PWD/tests/golden/curve_keys.txt")
 public=${keys% *} secret=${keys#* }
-mkdir "$RUN/settings"
+mkdir "$RUN/curve"
 for file in "$EXAMPLES"/*.json; do
 	sed -e "0,/{/s//{ \"curve\": {\"public_key\": \"$public\", \"secret_key\": \"$secret\"},/" \
 	    -e 's/"limits": {/"limits": {"body_max_bytes": 200000, /' \
-	    "$file" >"$RUN/settings/$(basename "$file")"
+	    "$file" >"$RUN/curve/$(basename "$file")"
 done
 cp "$EXAMPLES/agent4.json" "$EXAMPLES/operator.token" \
-    "$EXAMPLES/config.patch.json" "$RUN/settings/"
-EXAMPLES=$RUN/settings
+    "$EXAMPLES/config.patch.json" "$RUN/curve/"
+EXAMPLES=$RUN/curve
 "$BUILD/masticstall" check "$EXAMPLES"/entry?.json "$EXAMPLES"/agent?.json \
     >/dev/null || fail "masticstall check rejects the settings with CURVE keys"
 
 start_platform
-wait_http http://127.0.0.1:19000/ 10
+wait_http "http://$PLATFORM/" 10
 for n in 1 2 3 4; do
 	start_upstream "$n" 1
 	start_agent "$n"
@@ -68,7 +68,7 @@
 expect 401 "patch without a token" -X PATCH -d '[]' $ENTRY/v1/config
 
 # An incomplete request body does not block other requests.
-exec 9<>/dev/tcp/127.0.0.1/18081
+exec 9<>"/dev/tcp/127.0.0.1/$(port_of 18081)"
 printf 'POST /v1/jobs HTTP/1.1\r\nhost: x\r\ncontent-length: 1000\r\n\r\n{' >&9
 expect 200 "job during an incomplete request" \
     -d '{"team":"t","tasks":[{"path":"/t?ms=1"}]}' $ENTRY/v1/jobs
--- a/tests/local_system.sh
+++ b/tests/local_system.sh
@@ -33,18 +33,18 @@
 
 # A single request returns the upstream's response unchanged.
 expect "done /plain hello" "$(curl -fsS --data-binary hello \
-    http://127.0.0.1:18082/upstream/plain?ms=1)" "single request"
+    "http://$(entry_address 2)/upstream/plain?ms=1")" "single request"
 
 # Submitting the same ticket to the other entry returns the results of the first
 # submission and starts no task again.
 before=$(cat <(for n in 1 2 3 4; do
-	curl -fsS "http://127.0.0.1:1910$n/starts/summary"; done) | tr -cd '0-9\n')
+	curl -fsS "http://$(upstream_address "$n")/starts/summary"; done) | tr -cd '0-9\n')
 job=$(sed -n 's/.*"job":"\([^"]*\)".*/\1/p' "$RUN/answer.json")
 cli 2 --json submit --ticket "$job" "$RUN/job.json" >"$RUN/again.json"
 cmp -s "$RUN/answer.json" "$RUN/again.json" ||
     fail "the resubmission returned a different response"
 after=$(cat <(for n in 1 2 3 4; do
-	curl -fsS "http://127.0.0.1:1910$n/starts/summary"; done) | tr -cd '0-9\n')
+	curl -fsS "http://$(upstream_address "$n")/starts/summary"; done) | tr -cd '0-9\n')
 expect "$before" "$after" "task starts after the resubmission"
 
 # Of two patches to the same version, the first succeeds and the second gets a
@@ -58,7 +58,7 @@
 grep -q "current version is 2" "$RUN/err" ||
     fail "the conflict error does not name the current version"
 rc=0
-"$BUILD/masticstall" -e http://127.0.0.1:18081 config patch --version 2 \
+"$BUILD/masticstall" -e "http://$(entry_address 1)" config patch --version 2 \
     --reason nobody "$RUN/p.json" 2>/dev/null || rc=$?
 expect 2 "$rc" "exit code of a patch without a token"
 
@@ -75,7 +75,7 @@
 	stop_gracefully "$name" || fail "$name did not stop gracefully"
 done
 for n in 1 2 3 4; do
-	curl -fsS "http://127.0.0.1:1910$n/starts/summary" |
+	curl -fsS "http://$(upstream_address "$n")/starts/summary" |
 	    grep -q '"repeated":0' || fail "upstream $n started a task twice"
 done
 echo "local system: passed"
--- a/tests/table_faults.sh
+++ b/tests/table_faults.sh
@@ -12,12 +12,12 @@
 # set_faults JSON: sets the faults of the platform's stand-in, which holds the
 # table.
 set_faults() {
-	curl -fsS -X PUT -d "$1" http://127.0.0.1:19000/faults
+	curl -fsS -X PUT -d "$1" "http://$PLATFORM/faults"
 }
 
 # config_version ENTRY: prints the configuration version in force at an entry.
 config_version() {
-	curl -fsS "http://127.0.0.1:1808$1/metrics" |
+	curl -fsS "http://$(entry_address "$1")/metrics" |
 	    sed -n 's/^masticstall_config_version //p'
 }
 
@@ -75,13 +75,13 @@
 grep -q "nothing was changed" "$RUN/err" ||
     fail "the error does not say that nothing was changed"
 curl -sS -o "$RUN/history" -H "authorization: Bearer $(cat "$EXAMPLES/operator.token")" \
-    http://127.0.0.1:18081/v1/config/history
+    "http://$(entry_address 1)/v1/config/history"
 [ "$(tr -d '\0' <"$RUN/history" | wc -c)" = "$(wc -c <"$RUN/history")" ] ||
 	fail "the refusal of the history has a byte after its end"
 kill -KILL "$(pid_of entry2)"
 wait "$(pid_of entry2)" 2>/dev/null || true
 start_entry 2
-wait_http http://127.0.0.1:18082/metrics 30
+wait_http "http://$(entry_address 2)/metrics" 30
 wait_version 2 3
 wait_members 4 60
 cli 2 --json submit <(echo '{"team":"newsletter","tasks":[{"path":"/t?ms=1"}]}') |
--- a/tests/test_bus.c
+++ b/tests/test_bus.c
@@ -4,13 +4,11 @@
  * connection.
  */
 
-#include <arpa/inet.h>
 #include <glib.h>
 #include <masticstall.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "net/bus.h"
+#include "support/free_address.h"
 
 #define ENTRY      UINT64_C(0xe1)
 #define AGENT      UINT64_C(0xa1)
@@ -53,22 +51,6 @@
 {
 }
 
-/* Chooses an address of loopback with a port that is free at present. */
-static void
-choose_address(char *address, size_t size)
-{
-	struct sockaddr_in in = {
-	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	socklen_t len = sizeof(in);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	g_assert_cmpint(fd, >=, 0);
-	g_assert_cmpint(bind(fd, (struct sockaddr *)&in, len), ==, 0);
-	g_assert_cmpint(getsockname(fd, (struct sockaddr *)&in, &len), ==, 0);
-	close(fd);
-	g_snprintf(address, size, "127.0.0.1:%d", ntohs(in.sin_port));
-}
-
 static void
 open_entry(struct fixture *f)
 {
@@ -104,7 +86,7 @@
 	uv_loop_init(&f->loop);
 	uv_timer_init(&f->loop, &f->timer);
 	uv_timer_start(&f->timer, on_timer, TICK_MS, TICK_MS);
-	choose_address(f->address, sizeof(f->address));
+	choose_free_address(f->address, sizeof(f->address));
 	mst_bus_new(&f->agent, &options, &error);
 	g_assert_no_error(error);
 	g_assert_cmpint(mst_bus_connect(f->agent, f->address, &error), ==, 0);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -8,14 +8,14 @@
 #include <glib.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "platform.h"
 #include "runtime/loop.h"
-
-#define LISTEN "127.0.0.1:18790"
+#include "support/free_address.h"
 
 static bool
 parse_report(struct mst_worker_report *out, const char *method,
@@ -116,6 +116,7 @@
 	const char *body;
 	char *request_path;
 	char *request_body;
+	char address[32];        /* that it listens on */
 	char *expected_instance; /* value of X-Expect-Instance */
 	bool callback_called;    /* since the last peer_wait() */
 	unsigned disconnect_count;
@@ -164,13 +165,14 @@
 {
 	struct peer *peer = g_new0(struct peer, 1);
 	struct mst_httpd_options options = {.loop = &peer->loop,
-	    .listen = LISTEN,
+	    .listen = peer->address,
 	    .body_max_bytes = 1 << 20,
 	    .on_request = on_request,
 	    .on_disconnect = on_disconnect,
 	    .ctx = peer};
 	GError *error = NULL;
 
+	choose_free_address(peer->address, sizeof(peer->address));
 	uv_loop_init(&peer->loop);
 	mst_httpd_new(&peer->httpd, &options, &error);
 	g_assert_no_error(error);
@@ -292,7 +294,7 @@
 {
 	struct peer *peer = peer_new();
 	struct worker_driver_options options = {.http_client = peer->client,
-	    .address = LISTEN,
+	    .address = peer->address,
 	    .now_us = runtime_now_us,
 	    .on_answer = on_answer,
 	    .ctx = peer};
@@ -361,7 +363,7 @@
 store__updates_and_writes(void)
 {
 	struct peer *peer = peer_new();
-	void *store = platform_store.open(peer->client, LISTEN);
+	void *store = platform_store.open(peer->client, peer->address);
 
 	check_store_statuses(peer, store);
 	peer->status = 200;
@@ -413,7 +415,8 @@
 	struct peer *peer = peer_new();
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
-	uv_ip4_addr("127.0.0.1", 18790, &address);
+	uv_ip4_addr("127.0.0.1",
+	    (int)strtol(strchr(peer->address, ':') + 1, NULL, 10), &address);
 	g_assert_cmpint(
 	    connect(fd, (const struct sockaddr *)&address, sizeof(address)), ==,
 	    0);
@@ -498,7 +501,7 @@
 	const struct store_range range = {
 	    .table = "t", .partition = "a", .from = "k 1", .limit = 2};
 	struct peer *peer = peer_new();
-	void *store = platform_store.open(peer->client, LISTEN);
+	void *store = platform_store.open(peer->client, peer->address);
 
 	check_commit_results(peer, store);
 	peer->body = "{\"rows\":[{\"key\":\"k 1\",\"value\":\"e30=\","
