check: suggests known names, compares the settings of entries

An unknown name gets the nearest known one, at most two edits away; GLib and the other libraries linked have no edit distance. The messages of invalid patches of the configuration name it as well.

Entries with different resend_ms, entries_max or public keys, or with keys or a store on one side only, passed the check but cannot work together. Agents are not compared.

--- a/cli/admin.c
+++ b/cli/admin.c
@@ -299,6 +299,51 @@
 	return rc;
 }
 
+/* Checks an entry's settings against those of the entries checked before. */
+static enum cli_exit
+check_with_entries(GPtrArray *entries, struct mst_settings *settings)
+{
+	enum cli_exit rc = CLI_OK;
+	const struct mst_settings *other;
+	GError *error = NULL;
+	guint i;
+
+	for (i = 0; i < entries->len; i++) {
+		other = entries->pdata[i];
+		if (mst_settings_check_pair(other, settings, &error) == 0)
+			continue;
+		printf("%s and %s: cannot work together\n%s", other->path,
+		    settings->path, error->message);
+		g_clear_error(&error);
+		rc = CLI_USAGE;
+	}
+	return rc;
+}
+
+/* Checks a file, and the settings of an entry also against the earlier entries,
+ * to which they are added. */
+static enum cli_exit
+check_file(GPtrArray *entries, const char *path)
+{
+	struct mst_settings *settings;
+	GError *error = NULL;
+	enum cli_exit rc = CLI_OK;
+
+	if (mst_settings_load(&settings, path, 0, &error) < 0) {
+		printf("%s: invalid\n%s", path, error->message);
+		g_clear_error(&error);
+		return CLI_USAGE;
+	}
+	printf("%s: valid\n", path);
+	if (settings->role != MST_SETTINGS_ENTRY) {
+		mst_settings_free(settings);
+		return CLI_OK;
+	}
+	rc = check_with_entries(entries, settings);
+	g_ptr_array_add(entries, settings);
+	return rc;
+}
+
 enum cli_exit
 cli_check(const struct cli *cli, int argc, char **argv)
 {
@@ -306,24 +351,22 @@
 	    "Usage: masticstall check FILE...\n"
 	    "\n"
 	    "Checks settings files and names every error by its JSON pointer. "
-	    "Exit status 2:\n"
-	    "there is an error.\n";
-	struct mst_settings *settings;
-	GError *error = NULL;
+	    "Settings of\n"
+	    "several entries are also checked for differences with which the "
+	    "entries cannot\n"
+	    "work together. Exit status 2: there is an error.\n";
+	GPtrArray *entries;
 	enum cli_exit rc = CLI_OK;
 	int i;
 
 	if (!cli_parse_operands(&rc, argc, argv, 1, INT_MAX, usage))
 		return rc;
+	entries =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)mst_settings_free);
 	for (i = optind; i < argc; i++) {
-		if (mst_settings_load(&settings, argv[i], 0, &error) < 0) {
-			printf("%s: invalid\n%s", argv[i], error->message);
-			g_clear_error(&error);
+		if (check_file(entries, argv[i]) != CLI_OK)
 			rc = CLI_USAGE;
-			continue;
-		}
-		printf("%s: valid\n", argv[i]);
-		mst_settings_free(settings);
 	}
+	g_ptr_array_unref(entries);
 	return rc;
 }
--- a/include/masticstall/settings.h
+++ b/include/masticstall/settings.h
@@ -119,6 +119,18 @@
 int mst_settings_load(struct mst_settings **out, const char *path,
     enum mst_settings_role role, GError **error);
 
+/**
+ * Checks that two entries can work in one system.
+ *
+ * @param one settings of an entry
+ * @param other settings of the other entry
+ * @param error set to an MST_SETTINGS_ERROR whose message has one line for
+ *     each conflict, with its JSON pointer
+ * @return 0, or -1 if they cannot
+ */
+int mst_settings_check_pair(const struct mst_settings *one,
+    const struct mst_settings *other, GError **error);
+
 /**
  * Derives the durations of the leases from the settings.
  *
--- a/src/settings/schema.c
+++ b/src/settings/schema.c
@@ -4,6 +4,9 @@
 #include <string.h>
 
 #define SCHEMA_ERRORS_MAX 32 /* further errors are only counted */
+/* Edits by which a misspelt name may differ from the one that was meant. */
+#define SCHEMA_TYPOS_MAX 2
+#define SCHEMA_NAME_MAX  64 /* longer names are not compared, in bytes */
 
 void
 schema_add_error(
@@ -167,6 +170,63 @@
 	return NULL;
 }
 
+/* Returns the number of characters to insert, delete or replace to turn one
+ * text into the other (Levenshtein distance). */
+static size_t
+edit_distance(const char *from, const char *to)
+{
+	size_t to_len = strlen(to), i, j, diagonal, above;
+	size_t *row = g_new(size_t, to_len + 1);
+
+	for (j = 0; j <= to_len; j++)
+		row[j] = j;
+	for (i = 0; from[i] != '\0'; i++) {
+		diagonal = row[0];
+		row[0] = i + 1;
+		for (j = 1; j <= to_len; j++) {
+			above = row[j];
+			row[j] = MIN(diagonal + (from[i] != to[j - 1]),
+			    MIN(above, row[j - 1]) + 1);
+			diagonal = above;
+		}
+	}
+	diagonal = row[to_len];
+	g_free(row);
+	return diagonal;
+}
+
+/* Returns the field whose name is probably meant by a misspelt one, or NULL. */
+static const struct schema_field *
+find_similar_field(const struct schema_field *fields, const char *name)
+{
+	const struct schema_field *nearest = NULL;
+	size_t least = SCHEMA_TYPOS_MAX + 1, distance;
+
+	if (strlen(name) > SCHEMA_NAME_MAX)
+		return NULL;
+	for (; fields->name != NULL; fields++) {
+		distance = edit_distance(name, fields->name);
+		if (distance < least && distance < strlen(fields->name) / 2) {
+			nearest = fields;
+			least = distance;
+		}
+	}
+	return nearest;
+}
+
+static void
+add_unknown_name(struct schema_errors *errors,
+    const struct schema_field *fields, const char *name, const char *pointer)
+{
+	const struct schema_field *similar = find_similar_field(fields, name);
+
+	if (similar == NULL)
+		schema_add_error(errors, pointer, "is not a known name");
+	else
+		schema_add_error(errors, pointer,
+		    "is not a known name; did you mean %s?", similar->name);
+}
+
 void
 schema_read_object(void *out, const cJSON *object,
     const struct schema_field *fields, const char *pointer,
@@ -184,8 +244,8 @@
 		field = find_field(fields, value->string);
 		value_pointer = schema_pointer_append(pointer, value->string);
 		if (field == NULL)
-			schema_add_error(
-			    errors, value_pointer, "is not a known name");
+			add_unknown_name(
+			    errors, fields, value->string, value_pointer);
 		else
 			read_field(out, field, value, value_pointer, errors);
 		g_free(value_pointer);
