worker: a kept report no longer logs that the worker is ready

A restarted agent takes the report that its earlier incarnation has kept, and logged state=ready from it, also when the worker is gone for good. It now logs state=kept-report, and ready or draining with the first report of its own. What the agent does with the report is unchanged.

golden/worker/kept_report_gone shows it; in kept_report the two lines after a kept report change accordingly.

--- a/src/core/worker/worker.c
+++ b/src/core/worker/worker.c
@@ -79,9 +79,25 @@
 	agent->description_version++;
 }
 
-void
-mst_worker_handle_report(
-    struct mst_agent *agent, const struct mst_worker_report *report)
+/* Emits the state in a report, if it is new. A kept report does not show that
+ * the worker still exists. */
+static void
+emit_reported_state(struct mst_agent *agent,
+    const struct mst_worker_report *report, bool is_kept)
+{
+	const struct worker *worker = &agent->worker;
+
+	if (is_kept)
+		mst_worker_emit_state(agent, "kept-report");
+	else if (!worker->has_reported || worker->report_is_kept ||
+	    worker->draining != report->draining)
+		mst_worker_emit_state(
+		    agent, report->draining ? "draining" : "ready");
+}
+
+static void
+handle_report(struct mst_agent *agent, const struct mst_worker_report *report,
+    bool is_kept)
 {
 	struct worker *worker = &agent->worker;
 	bool has_same_id;
@@ -104,9 +120,7 @@
 		g_free(worker->id);
 		worker->id = mst_bytes_to_str(report->id);
 	}
-	if (!worker->has_reported || worker->draining != report->draining)
-		mst_worker_emit_state(
-		    agent, report->draining ? "draining" : "ready");
+	emit_reported_state(agent, report, is_kept);
 	update_description(agent, &worker->service, report->service);
 	update_description(agent, &agent->rack, report->rack);
 	update_description(agent, &worker->labels, report->labels);
@@ -116,11 +130,18 @@
 	if (!worker->has_reported)
 		agent->next_heartbeat_us = agent->now_us;
 	worker->has_reported = true;
-	worker->report_is_kept = false;
+	worker->report_is_kept = is_kept;
 	if (worker->draining)
 		mst_agent_refuse_queued(agent, NULL, MST_REASON_DRAINING);
 }
 
+void
+mst_worker_handle_report(
+    struct mst_agent *agent, const struct mst_worker_report *report)
+{
+	handle_report(agent, report, false);
+}
+
 /* A kept report stands in for the first one of the same incarnation of the
  * worker, so that a restarted agent need not wait for the next report. It also
  * tells the incarnation, without which the fence cannot be raised above that of
@@ -130,14 +151,13 @@
 mst_worker_handle_kept_report(
     struct mst_agent *agent, const struct mst_worker_report *report)
 {
-	struct worker *worker = &agent->worker;
+	const struct worker *worker = &agent->worker;
 
 	if (worker->has_reported || report->incarnation == 0 ||
 	    (worker->incarnation != 0 &&
 		report->incarnation != worker->incarnation))
 		return;
-	mst_worker_handle_report(agent, report);
-	worker->report_is_kept = true;
+	handle_report(agent, report, true);
 }
 
 static void
