worker: completions that cannot be recorded are read once

If the record of a listed completion has another owner or term, the worker's lease is left to expire. Until then, the next tick found the completion due again and read its record again, as often as the store answered. Such completions are now marked; those of other records are still recorded meanwhile.

--- a/src/core/worker/completions.c
+++ b/src/core/worker/completions.c
@@ -32,6 +32,7 @@
 	bool failed;
 	bool in_update; /* part of an update without an answer so far */
 	bool recorded;
+	bool unrecordable; /* waits for the expiry of the worker's lease */
 	int64_t received_us;
 };
 
@@ -234,7 +235,7 @@
 	const struct session *session =
 	    mst_session_find(agent, completion->session);
 
-	if (completion->recorded)
+	if (completion->recorded || completion->unrecordable)
 		return false;
 	return agent->now_us - completion->received_us > ENTRY_ACK_TIMEOUT_US ||
 	    session == NULL || !mst_session_has_lease(agent, session);
@@ -372,6 +373,24 @@
 	}
 }
 
+/* Ends an update whose completions cannot be recorded. They are kept until the
+ * worker's lease expires, and the record is not read again for them. */
+static void
+abandon_update(struct mst_agent *agent, struct record_update *update)
+{
+	GList *link;
+
+	for (link = agent->worker.unacked_completions.head; link;
+	     link = link->next) {
+		struct unacked_completion *completion = link->data;
+
+		if (strcmp(completion->record, update->record) == 0)
+			completion->unrecordable = true;
+	}
+	g_ptr_array_remove_fast(agent->worker.record_updates, update);
+	let_lease_expire(agent);
+}
+
 static void
 process_record(struct mst_agent *agent, struct record_update *update,
     const struct mst_store_answer *answer)
@@ -384,8 +403,7 @@
 	g_clear_pointer(&update->unconfirmed_tasks, g_free);
 	if (stored == NULL ||
 	    !has_only_recordable_completions(agent, update, &stored->record)) {
-		g_ptr_array_remove_fast(agent->worker.record_updates, update);
-		let_lease_expire(agent);
+		abandon_update(agent, update);
 	} else if (stored->record.state != MST_RECORD_OPEN) {
 		finish_update(agent, update, false);
 	} else {
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -18,6 +18,8 @@
  *                                 valid for another 400 ms less AGE_MS; it
  *                                 echoes the agent's clock of ECHO_AGE_MS ago
  *                                 (default: AGE_MS)
+ *   stored E SEQ TASK             delivers a dispatch of a stored job's task,
+ *                                 whose record has the owner E and the term 1
  *   withdraw E SEQ                entry E withdraws a task
  *   start STATUS                  answers the oldest pending START order
  *   stop STATUS                   answers the oldest pending STOP order
@@ -26,8 +28,10 @@
  *                                 the running and the completed runs
  *   renew STATUS                  answers the oldest pending RENEW order
  *                                 without lists
- *   record FOUND                  answers the oldest lookup of a record: none,
- *                                 stored, or lost if there is no answer
+ *   record FOUND                  answers the oldest operation on a record:
+ *                                 none, stored (owned by another entry), owned
+ *                                 (owned by entry 1 with the term 1), or lost
+ *                                 if there is no answer
  *   run MS                        advances the clock
  */
 
@@ -138,8 +142,10 @@
 			log_line(harness, "worker %s", effect->state);
 			break;
 		case MST_AGENT_FX_STORE:
-			log_line(
-			    harness, "record of %s looked up", effect->op.key);
+			log_line(harness, "record of %s %s", effect->op.key,
+			    effect->op.kind == MST_STORE_GET_RECORD
+				? "looked up"
+				: "updated");
 			g_array_append_val(harness->lookups, effect->op.id);
 			break;
 		case MST_AGENT_FX_LOAD_REPORT:
@@ -223,6 +229,24 @@
 	deliver_message(harness, &msg);
 }
 
+/* Delivers a dispatch that was sent age_ms ago and echoes the agent's clock of
+ * echo_age_ms ago. */
+static void
+deliver_dispatch(struct harness *harness, uint64_t entry,
+    const struct mst_dispatch_item *item, int64_t age_ms, int64_t echo_age_ms)
+{
+	struct mst_msg msg = {.type = MST_MSG_DISPATCH, .from = entry};
+
+	msg.dispatch.echo_us = (uint64_t)(harness->now_us - echo_age_ms * 1000);
+	msg.dispatch.expires_us =
+	    (uint64_t)(harness->now_us + (DISPATCH_VALID_MS - age_ms) * 1000);
+	msg.dispatch.count = 1;
+	msg.dispatch.items = item;
+	g_hash_table_replace(harness->sent_through, (gpointer)entry,
+	    GUINT_TO_POINTER((guint)item->seq));
+	deliver_message(harness, &msg);
+}
+
 static void
 command_dispatch(struct harness *harness, char **words, int word_count)
 {
@@ -235,17 +259,26 @@
 	    .expected_service_us = 100000,
 	    .needs = {.millicores = MILLICORES},
 	    .path = mst_bytes_from_str(words[3])};
-	struct mst_msg msg = {
-	    .type = MST_MSG_DISPATCH, .from = strtoull(words[1], NULL, 10)};
 
-	msg.dispatch.echo_us = (uint64_t)(harness->now_us - echo_age_ms * 1000);
-	msg.dispatch.expires_us =
-	    (uint64_t)(harness->now_us + (DISPATCH_VALID_MS - age_ms) * 1000);
-	msg.dispatch.count = 1;
-	msg.dispatch.items = &item;
-	g_hash_table_replace(harness->sent_through, (gpointer)msg.from,
-	    GUINT_TO_POINTER((guint)item.seq));
-	deliver_message(harness, &msg);
+	deliver_dispatch(
+	    harness, strtoull(words[1], NULL, 10), &item, age_ms, echo_age_ms);
+}
+
+static void
+command_stored(struct harness *harness, char **words)
+{
+	uint64_t entry = strtoull(words[1], NULL, 10);
+	struct mst_dispatch_item item = {.seq = strtoull(words[2], NULL, 10),
+	    .timeout_ms = 1500,
+	    .run = 1,
+	    .expected_service_us = 100000,
+	    .needs = {.millicores = MILLICORES},
+	    .path = mst_bytes_from_str(words[3]),
+	    .record = {.data = words[3], .len = strcspn(words[3], ".")},
+	    .owner = entry,
+	    .term = 1};
+
+	deliver_dispatch(harness, entry, &item, 0, 0);
 }
 
 static void
@@ -354,10 +387,18 @@
 {
 	const struct mst_stored_record record = {
 	    .record = {.state = MST_RECORD_OPEN, .tasks = "w"}};
+	const struct mst_stored_record owned = {.version = 1,
+	    .record = {.owner = 1,
+		.term = 1,
+		.state = MST_RECORD_OPEN,
+		.tasks = "000"}};
 	struct mst_store_answer answer = {.status = MST_STORE_OK};
 	struct mst_agent_event event = {
 	    .type = MST_AGENT_EV_STORE_ANSWER, .store_answer = &answer};
 
+	if (harness->lookups->len == 0)
+		g_error("no pending operation on a record; log so far:\n%s",
+		    harness->log->str);
 	answer.id = g_array_index(harness->lookups, uint64_t, 0);
 	g_array_remove_index(harness->lookups, 0);
 	if (strcmp(words[1], "lost") == 0)
@@ -366,6 +407,10 @@
 		answer.records = &record;
 		answer.record_count = 1;
 	}
+	if (strcmp(words[1], "owned") == 0) {
+		answer.records = &owned;
+		answer.record_count = 1;
+	}
 	step_event(harness, &event);
 }
 
@@ -397,6 +442,8 @@
 		command_heartbeat(harness, words);
 	else if (strcmp(name, "dispatch") == 0)
 		command_dispatch(harness, words, word_count);
+	else if (strcmp(name, "stored") == 0)
+		command_stored(harness, words);
 	else if (strcmp(name, "withdraw") == 0)
 		command_withdraw(harness, words);
 	else if (strcmp(name, "list") == 0)
@@ -475,7 +522,8 @@
 	static const char *const scripts[] = {"run_completes",
 	    "earlier_incarnation", "unanswered_start", "restarted",
 	    "lease_lapses", "fenced", "start_after_stop", "worker_down",
-	    "kept_report", "kept_report_gone", "unknown_completions", "long_lease", "unreachable"};
+	    "kept_report", "kept_report_gone", "unknown_completions",
+	    "unrecordable_completions", "long_lease", "unreachable"};
 	size_t i;
 
 	g_test_init(&argc, &argv, NULL);
