worker: lookups keep their records' names until they are requested

With more than 64 unknown completions the agent drops its lookups and lets the worker's lease expire. If some of the lookups were added by the same list, their requests referred to freed names. The lookups are now kept until the lease has expired; they delay nothing meanwhile.

golden/worker/many_unknown_completions: before, four requests named garbage.

--- a/src/core/worker/completions.c
+++ b/src/core/worker/completions.c
@@ -170,6 +170,7 @@
 	if (!worker->lease_expiring)
 		return;
 	worker->lease_expiring = false;
+	mst_unknown_drop(worker);
 	mst_worker_emit_state(agent, "lapsed");
 }
 
--- a/src/core/worker/unknown.c
+++ b/src/core/worker/unknown.c
@@ -101,7 +101,8 @@
 		g_free(key);
 	} else if (worker->unknown_records->len >= UNKNOWN_RECORDS_MAX) {
 		g_free(key);
-		g_ptr_array_set_size(worker->unknown_records, 0);
+		/* The lookups are kept, because effects of this step may refer
+		 * to their keys. */
 		mst_completions_handle_unknown(agent);
 	} else {
 		look_up(agent, key);
@@ -111,7 +112,7 @@
 bool
 mst_unknown_completions_are_pending(const struct worker *worker)
 {
-	return worker->unknown_records->len > 0;
+	return !worker->lease_expiring && worker->unknown_records->len > 0;
 }
 
 void
--- a/src/core/worker/worker_internal.h
+++ b/src/core/worker/worker_internal.h
@@ -85,7 +85,8 @@
 void mst_completions_tick(struct mst_agent *agent);
 
 /* unknown.c */
-/* Drops all lookups, because the worker no longer lists the completions. */
+/* Drops all lookups, because the worker no longer lists the completions or they
+ * have no effect any more. */
 void mst_unknown_drop(struct worker *worker);
 /* Handles a listed completion whose run this agent does not know, because the
  * run was started by an earlier incarnation of the agent. */
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -523,7 +523,8 @@
 	    "earlier_incarnation", "unanswered_start", "restarted",
 	    "lease_lapses", "fenced", "start_after_stop", "worker_down",
 	    "kept_report", "kept_report_gone", "unknown_completions",
-	    "unrecordable_completions", "long_lease", "unreachable"};
+	    "many_unknown_completions", "unrecordable_completions",
+	    "long_lease", "unreachable"};
 	size_t i;
 
 	g_test_init(&argc, &argv, NULL);
