core: the read of a lost owner's job is known by its id

The answer to a read was matched by the address of the unowned record. After an entry had lost its ownership and gained a new one, new records reused the addresses of dropped ones: a late answer of the earlier ownership claimed its job with the version and tasks of another record.

Matching elsewhere has no such fault: writes (record.c) are matched by the job's handle, which has a generation; lookups of state (lookup.c) have one operation in flight and are freed only by its answer; record updates of agents (completions.c) are matched by the operation's id.

--- a/src/core/stored/owner.c
+++ b/src/core/stored/owner.c
@@ -381,7 +381,7 @@
 		    (struct stored_lookup *)(uintptr_t)context.cookie, answer);
 		break;
 	case MST_STORE_GET_JOB:
-		mst_unowned_handle_loaded(entry, &context, answer);
+		mst_unowned_handle_loaded(entry, answer);
 		break;
 	case MST_STORE_SCAN:
 		mst_sweep_handle_page(entry, answer);
--- a/src/core/stored/owner_internal.h
+++ b/src/core/stored/owner_internal.h
@@ -26,13 +26,13 @@
 	char *key;
 	uint64_t version;
 	struct mst_record record; /* owns tasks */
-	bool loading;             /* its job is being read from the store */
+	uint64_t load_op; /* operation that reads its job; 0: not requested */
 };
 
 /* Context of a store operation, kept until it is answered. */
 struct op_context {
 	enum mst_store_op_kind kind;
-	uint64_t cookie; /* depends on kind: job, owner, partition or pointer */
+	uint64_t cookie; /* depends on kind: job, owner, partition or lookup */
 	int64_t sent_us;
 	bool released; /* RENEW: the row was written as released */
 };
@@ -68,8 +68,8 @@
  * concurrent reads. */
 void mst_unowned_load_next(struct mst_entry *entry);
 /* Claims an unowned record whose job has been read from the store. */
-void mst_unowned_handle_loaded(struct mst_entry *entry,
-    const struct op_context *op, const struct mst_store_answer *answer);
+void mst_unowned_handle_loaded(
+    struct mst_entry *entry, const struct mst_store_answer *answer);
 /* expiry.c */
 void mst_expiring_record_free(gpointer data);
 /* Removes the record that expired first, if any has expired. */
--- a/src/core/stored/sweep.c
+++ b/src/core/stored/sweep.c
@@ -172,19 +172,31 @@
 		struct unowned_record *unowned = owner->unowned->pdata[i];
 		struct mst_store_op *op;
 
-		if (unowned->loading)
+		if (unowned->load_op != 0)
 			continue;
-		unowned->loading = true;
 		owner->loads_pending++;
-		op = mst_entry_store_op(
-		    entry, MST_STORE_GET_JOB, (uint64_t)(uintptr_t)unowned);
+		op = mst_entry_store_op(entry, MST_STORE_GET_JOB, 0);
 		op->key = unowned->key;
+		unowned->load_op = op->id;
 	}
 }
 
+static bool
+find_unowned_by_op(const struct owner *owner, uint64_t op, guint *index)
+{
+	for (*index = 0; *index < owner->unowned->len; (*index)++) {
+		const struct unowned_record *unowned =
+		    owner->unowned->pdata[*index];
+
+		if (unowned->load_op == op)
+			return true;
+	}
+	return false;
+}
+
 void
-mst_unowned_handle_loaded(struct mst_entry *entry, const struct op_context *op,
-    const struct mst_store_answer *answer)
+mst_unowned_handle_loaded(
+    struct mst_entry *entry, const struct mst_store_answer *answer)
 {
 	struct owner *owner = &entry->owner;
 	struct mst_stored_record stored_record;
@@ -192,8 +204,7 @@
 	guint index;
 
 	/* The record was dropped when the ownership was relinquished. */
-	if (!g_ptr_array_find(
-		owner->unowned, (gconstpointer)(uintptr_t)op->cookie, &index))
+	if (!find_unowned_by_op(owner, answer->id, &index))
 		return;
 	unowned = owner->unowned->pdata[index];
 	owner->loads_pending--;
