tests: a process with the mechanism PLAIN is refused by a listener with keys

An authentication request (ZAP) of more than 7 frames would be read as two by the listener. It cannot occur: requests come only from libzmq in the same process, with 7 frames for CURVE; only PLAIN makes 8, and libzmq ends such a connection before it makes a request, as the listener expects CURVE.

--- a/tests/test_bus.c
+++ b/tests/test_bus.c
@@ -1,11 +1,12 @@
 /*
  * Tests of the bus over loopback: what a process sends while it has no
  * connection to an entry is not delivered later, and it learns of each new
- * connection.
+ * connection. Processes without the shared key are refused.
  */
 
 #include <glib.h>
 #include <masticstall.h>
+#include <zmq.h>
 
 #include "net/bus.h"
 #include "support/free_address.h"
@@ -23,6 +24,7 @@
 	struct mst_bus *agent;
 	unsigned connections;
 	unsigned received; /* by the entry */
+	struct mst_curve_keys curve;
 };
 
 static void
@@ -57,6 +59,7 @@
 	const struct mst_bus_options options = {.loop = &f->loop,
 	    .listen = f->address,
 	    .self_address = f->address,
+	    .curve = f->curve,
 	    .on_message = on_message,
 	    .ctx = f};
 	GError *error = NULL;
@@ -78,6 +81,7 @@
 setup(struct fixture *f)
 {
 	const struct mst_bus_options options = {.loop = &f->loop,
+	    .curve = f->curve,
 	    .on_message = ignore_message,
 	    .on_connected = on_connected,
 	    .ctx = f};
@@ -160,11 +164,57 @@
 	teardown(&f);
 }
 
+/* A process that uses the mechanism PLAIN is refused before an authentication
+ * request is made. Such a request would have 8 frames, one more than those for
+ * CURVE, which the listener reads. */
+static void
+test_plain_refused(void)
+{
+	struct fixture f = {0};
+	char *text = NULL;
+	char **keys;
+	void *context = zmq_ctx_new();
+	void *stranger = zmq_socket(context, ZMQ_DEALER);
+	char *endpoint;
+	int linger = 0, i;
+
+	g_assert_true(
+	    g_file_get_contents("golden/curve_keys.txt", &text, NULL, NULL));
+	keys = g_strsplit(g_strstrip(text), " ", 2);
+	f.curve = (struct mst_curve_keys){
+	    .public_key = keys[0], .secret_key = keys[1]};
+	setup(&f);
+	open_entry(&f);
+	endpoint = g_strdup_printf("tcp://%s", f.address);
+	zmq_setsockopt(stranger, ZMQ_LINGER, &linger, sizeof(linger));
+	zmq_setsockopt(stranger, ZMQ_PLAIN_USERNAME, "user", 4);
+	zmq_setsockopt(stranger, ZMQ_PLAIN_PASSWORD, "password", 8);
+	g_assert_cmpint(zmq_connect(stranger, endpoint), ==, 0);
+	zmq_send(stranger, "x", 1, ZMQ_DONTWAIT);
+	run_until(&f, &f.connections, 1);
+	for (i = 0; i < 50; i++)
+		uv_run(&f.loop, UV_RUN_ONCE);
+	g_assert_cmpuint(f.received, ==, 0);
+	/* The listener still accepts new connections. */
+	close_bus(&f, &f.entry);
+	open_entry(&f);
+	run_until(&f, &f.connections, 2);
+	send_announcement(&f);
+	run_until(&f, &f.received, 1);
+	zmq_close(stranger);
+	zmq_ctx_term(context);
+	teardown(&f);
+	g_strfreev(keys);
+	g_free(endpoint);
+	g_free(text);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/bus/nothing-queued", test_nothing_queued);
 	g_test_add_func("/bus/reconnected", test_reconnected);
+	g_test_add_func("/bus/plain-refused", test_plain_refused);
 	return g_test_run();
 }
