--- a/cli/main.c
+++ b/cli/main.c
@@ -30,6 +30,8 @@
     {"top", "show the main metrics of several daemons", cli_top},
     {"load", "generate load and measure response times", cli_load}, {0}};
 
+/* The manual page and the shell completion are made from the usages by
+ * script/help-pages, which relies on their layout. */
 static void
 print_usage(FILE *out)
 {
@@ -37,7 +39,9 @@
 
 	fprintf(out,
 	    "Usage: masticstall [--entry URL] [--token-file FILE] [--json] "
-	    "[--quiet] COMMAND ...\n\nCommands:\n");
+	    "[--quiet] COMMAND ...\n\n"
+	    "Submits jobs to entries, and checks and operates entries and "
+	    "agents.\n\nCommands:\n");
 	for (command = commands; command->name != NULL; command++)
 		fprintf(out, "  %-8s  %s\n", command->name, command->help);
 	fprintf(out,
--- a/src/runtime/daemon_main.c
+++ b/src/runtime/daemon_main.c
@@ -8,20 +8,34 @@
 
 #include "base/log.h"
 
+static const char *
+role_description(enum mst_settings_role role)
+{
+	return role == MST_SETTINGS_ENTRY
+	    ? "Accepts jobs from callers and places their tasks on agents."
+	    : "Runs tasks of entries on the upstream or worker beside it.";
+}
+
+/* The manual pages and the shell completion are made from this text by
+ * script/help-pages, which relies on its layout. */
 static void
-print_usage(FILE *out, const char *program)
+print_usage(FILE *out, const char *program, enum mst_settings_role role)
 {
 	fprintf(out,
-	    "Usage: %s --settings FILE\n"
+	    "Usage: %s [--check] --settings FILE\n"
 	    "\n"
+	    "%s\n"
+	    "\n"
+	    "Options:\n"
 	    "  -s, --settings FILE  settings file (JSON with comments)\n"
 	    "  -c, --check          validate the settings and exit\n"
 	    "  -h, --help           print this help and exit\n"
 	    "\n"
 	    "SIGTERM stops gracefully, without interrupting open requests.\n"
+	    "\n"
 	    "Exit status: 0 stopped or settings valid, 1 failed,\n"
 	    "2 invalid usage or settings.\n",
-	    program);
+	    program, role_description(role));
 }
 
 static int
@@ -74,15 +88,15 @@
 			check = true;
 			break;
 		case 'h':
-			print_usage(stdout, program);
+			print_usage(stdout, program, role);
 			return EXIT_SUCCESS;
 		default:
-			print_usage(stderr, program);
+			print_usage(stderr, program, role);
 			return 2;
 		}
 	}
 	if (path == NULL || optind != argc) {
-		print_usage(stderr, program);
+		print_usage(stderr, program, role);
 		return 2;
 	}
 	return load_and_run(path, check, program, role, run, drivers);
