runtime: metrics get the figures that they print

metrics.c read the internals of the entry's runtime. entry_http.c now passes a struct of figures, so that the format can be tested without a runtime.

A running entry prints the same metrics as before.

--- a/src/runtime/drivers.h
+++ b/src/runtime/drivers.h
@@ -65,6 +65,9 @@
 	FRONTEND_OUTCOME_MAX
 };
 
+/* Returns the name of an enum frontend_outcome for logs and metrics. */
+const char *frontend_outcome_name(int outcome);
+
 struct frontend_result {
 	enum frontend_outcome outcome;
 	uint32_t retry_after_ms; /* NOT_RUN, STORE_UNAVAILABLE */
--- a/src/runtime/entry_drains.c
+++ b/src/runtime/entry_drains.c
@@ -10,6 +10,7 @@
 #include "api/problem.h"
 #include "base/log.h"
 #include "runtime/entry_runtime.h"
+#include "runtime/metrics.h"
 #include "runtime/operators.h"
 
 static void
@@ -49,33 +50,33 @@
 static void
 domain_clear(gpointer data)
 {
-	g_free(((struct runtime_domain *)data)->name);
+	g_free(((struct domain_figures *)data)->name);
 }
 
 static gint
 compare_domains(gconstpointer a, gconstpointer b)
 {
-	return strcmp(((const struct runtime_domain *)a)->name,
-	    ((const struct runtime_domain *)b)->name);
+	return strcmp(((const struct domain_figures *)a)->name,
+	    ((const struct domain_figures *)b)->name);
 }
 
 /* Returns the domain of this name, which is added if the list lacks it. */
-static struct runtime_domain *
+static struct domain_figures *
 get_domain(GArray *domains, const char *name)
 {
-	struct runtime_domain added = {0};
+	struct domain_figures added = {0};
 	guint i;
 
 	for (i = 0; i < domains->len; i++) {
-		struct runtime_domain *domain =
-		    &g_array_index(domains, struct runtime_domain, i);
+		struct domain_figures *domain =
+		    &g_array_index(domains, struct domain_figures, i);
 
 		if (strcmp(domain->name, name) == 0)
 			return domain;
 	}
 	added.name = g_strdup(name);
 	g_array_append_val(domains, added);
-	return &g_array_index(domains, struct runtime_domain, i);
+	return &g_array_index(domains, struct domain_figures, i);
 }
 
 /* Returns the names of the drained domains; free with g_strfreev(). */
@@ -93,7 +94,7 @@
 runtime_domains(const struct entry_runtime *rt)
 {
 	GArray *domains =
-	    g_array_new(FALSE, FALSE, sizeof(struct runtime_domain));
+	    g_array_new(FALSE, FALSE, sizeof(struct domain_figures));
 	GArray *members = mst_entry_members(rt->entry);
 	char **drained = drained_names(rt);
 	guint i;
@@ -102,7 +103,7 @@
 	for (i = 0; i < members->len; i++) {
 		const struct mst_member_view *view =
 		    &g_array_index(members, struct mst_member_view, i);
-		struct runtime_domain *domain;
+		struct domain_figures *domain;
 
 		/* A member is described with its first announcement. */
 		if (view->failure_domain == NULL)
@@ -137,8 +138,8 @@
 		(const char *const *)drained, (int)g_strv_length(drained)));
 	list = cJSON_AddArrayToObject(out, "domains");
 	for (i = 0; i < domains->len; i++) {
-		const struct runtime_domain *domain =
-		    &g_array_index(domains, struct runtime_domain, i);
+		const struct domain_figures *domain =
+		    &g_array_index(domains, struct domain_figures, i);
 		cJSON *item = cJSON_CreateObject();
 
 		cJSON_AddStringToObject(item, "name", domain->name);
--- a/src/runtime/entry_frontend.c
+++ b/src/runtime/entry_frontend.c
@@ -21,27 +21,6 @@
 #define FRONTEND_STOP_MARGIN_MS 300
 #define FRONTEND_RETRY_AFTER_MS 1000 /* if there is no better estimate */
 
-static const char *const outcome_names[] = {[FRONTEND_COMPLETED] = "completed",
-    [FRONTEND_FAILED] = "failed",
-    [FRONTEND_NOT_RUN] = "not-run",
-    [FRONTEND_MAY_HAVE_RUN] = "may-have-run",
-    [FRONTEND_ACCEPTED] = "accepted",
-    [FRONTEND_UNKNOWN_JOB] = "unknown",
-    [FRONTEND_QUEUED] = "queued",
-    [FRONTEND_RUNNING] = "running",
-    [FRONTEND_CANCELLED] = "cancelled",
-    [FRONTEND_STORE_UNAVAILABLE] = "store-away"};
-
-const char *
-runtime_outcome_name(int outcome)
-{
-	bool has_name = outcome > 0 &&
-	    (size_t)outcome < G_N_ELEMENTS(outcome_names) &&
-	    outcome_names[outcome] != NULL;
-
-	return has_name ? outcome_names[outcome] : "none";
-}
-
 static void
 send_result(struct entry_runtime *rt, struct mst_httpd *httpd, uint64_t id,
     const struct frontend_result *result)
@@ -87,7 +66,7 @@
 	mst_log(MST_LOG_INFO, "job-ended",
 	    "job=%s queue=%s outcome=%s reason=%s tasks=%" PRIu32
 	    " sent=%" PRIu32 " took_ms=%" PRId64 " objective_ms=%" PRId64,
-	    view->key, view->team, outcome_names[outcome],
+	    view->key, view->team, frontend_outcome_name(outcome),
 	    mst_reason_name(view->reason), view->count, view->started,
 	    took_us / 1000, view->objective_us / 1000);
 	if (outcome == FRONTEND_COMPLETED && took_us <= view->objective_us)
@@ -198,7 +177,7 @@
 			: pending->request_kind == FRONTEND_REQ_STATE
 			? "state"
 			: "cancel",
-		    outcome_names[result.outcome]);
+		    frontend_outcome_name(result.outcome));
 	send_pending_result(rt, pending, &result);
 }
 
--- a/src/runtime/entry_http.c
+++ b/src/runtime/entry_http.c
@@ -9,6 +9,7 @@
 #include "api/problem.h"
 #include "base/log.h"
 #include "runtime/entry_runtime.h"
+#include "runtime/metrics.h"
 #include "runtime/operators.h"
 
 #define JSON_TYPE              "application/json"
@@ -423,14 +424,38 @@
 		    gauges.draining ? "leaving\n" : "not ready\n");
 }
 
+static double
+config_age_s(const struct entry_runtime *rt)
+{
+	return rt->config_applied_us == 0
+	    ? 0
+	    : (double)(runtime_now_us() - rt->config_applied_us) /
+		G_USEC_PER_SEC;
+}
+
 static void
 on_metrics(struct entry_runtime *rt, const struct mst_http_request *request)
 {
-	GString *text = runtime_entry_metrics(rt);
+	const struct mst_entry_gauges gauges = mst_entry_gauges(rt->entry);
+	const struct frontend_figures frontend = {.job_times = rt->job_times,
+	    .config_failures = rt->config_watch.failures,
+	    .entries_failures = rt->entries_watch.failures,
+	    .config_age_s = config_age_s(rt)};
+	GArray *domains = runtime_domains(rt);
+	const struct entry_figures figures = {
+	    .counters = mst_entry_counters(rt->entry),
+	    .gauges = &gauges,
+	    .domains = domains,
+	    .bus = mst_bus_counters(rt->bus),
+	    .loop_lag = &rt->loop.lag,
+	    .frontend = rt->frontend_httpd != NULL ? &frontend : NULL,
+	    .table = rt->table != NULL ? mst_table_counters(rt->table) : NULL};
+	GString *text = metrics_format_entry(&figures);
 
 	runtime_respond_text(rt, request->id, 200,
 	    "text/plain; version=0.0.4; charset=utf-8", text->str);
 	g_string_free(text, TRUE);
+	g_array_unref(domains);
 }
 
 void
--- a/src/runtime/entry_runtime.h
+++ b/src/runtime/entry_runtime.h
@@ -153,14 +153,6 @@
     struct entry_runtime *rt, const struct mst_http_request *request);
 
 /* entry_drains.c */
-/* A failure domain and its members, as this entry knows them. */
-struct runtime_domain {
-	char *name;
-	bool drained;
-	uint32_t members; /* without lost ones */
-	uint32_t running; /* this entry's tasks at the members */
-};
-
 /*
  * Lists the failure domains of the known members, sorted by name; free with
  * g_array_unref().
@@ -214,14 +206,8 @@
     struct entry_runtime *rt, const struct mst_entry_effect *effect);
 /* Publishes this entry's address in the store; retries on failure. */
 void runtime_publish_address(uv_timer_t *timer);
-/* Returns the name of an enum frontend_outcome for logs and metrics. */
-const char *runtime_outcome_name(int outcome);
 
 /* Connects to the entries in peers, a comma-separated list of addresses. */
 void runtime_connect_peers(struct entry_runtime *rt, struct mst_bytes peers);
 
-/* metrics.c */
-/* Formats all metrics of the entry; free with g_string_free(). */
-GString *runtime_entry_metrics(const struct entry_runtime *rt);
-
 #endif
--- a/src/runtime/metrics.c
+++ b/src/runtime/metrics.c
@@ -3,8 +3,7 @@
 #include <inttypes.h>
 
 #include "base/log.h"
-
-#include "runtime/entry_runtime.h"
+#include "runtime/drivers.h"
 
 void
 metrics_add_family(
@@ -194,16 +193,15 @@
 }
 
 static void
-add_domains(GString *out, const struct entry_runtime *rt)
+add_domains(GString *out, const GArray *domains)
 {
-	GArray *domains = runtime_domains(rt);
 	guint i;
 
 	metrics_add_family(out, "domain_drained", "gauge",
 	    "Whether the failure domain is drained.");
 	for (i = 0; i < domains->len; i++) {
-		const struct runtime_domain *domain =
-		    &g_array_index(domains, struct runtime_domain, i);
+		const struct domain_figures *domain =
+		    &g_array_index(domains, struct domain_figures, i);
 
 		add_domain_sample(
 		    out, "domain_drained", domain->name, domain->drained);
@@ -211,13 +209,12 @@
 	metrics_add_family(out, "domain_running", "gauge",
 	    "Tasks of this entry at the agents of the failure domain.");
 	for (i = 0; i < domains->len; i++) {
-		const struct runtime_domain *domain =
-		    &g_array_index(domains, struct runtime_domain, i);
+		const struct domain_figures *domain =
+		    &g_array_index(domains, struct domain_figures, i);
 
 		add_domain_sample(
 		    out, "domain_running", domain->name, domain->running);
 	}
-	g_array_unref(domains);
 }
 
 static void
@@ -247,62 +244,54 @@
 }
 
 static void
-add_store_failures(
-    GString *out, const struct store_watch *watch, const char *subject)
-{
-	metrics_add_sample(out, "store_failures_in_a_row", "subject", subject,
-	    watch->failures);
-}
-
-static void
-add_frontend_metrics(GString *out, const struct entry_runtime *rt)
+add_frontend_figures(GString *out, const struct frontend_figures *figures)
 {
 	int i;
 
-	if (rt->frontend_httpd == NULL)
-		return;
 	metrics_add_family(out, "job_seconds", "histogram",
 	    "Time from a job's arrival to its answer, by outcome.");
 	for (i = 0; i < FRONTEND_OUTCOME_MAX; i++) {
-		if (rt->job_times[i].count > 0)
+		if (figures->job_times[i].count > 0)
 			metrics_add_histogram(out, "job_seconds", "outcome",
-			    runtime_outcome_name(i), &rt->job_times[i]);
+			    frontend_outcome_name(i), &figures->job_times[i]);
 	}
 	metrics_add_family(out, "store_failures_in_a_row", "gauge",
 	    "Calls to the store that have failed since the last success.");
-	add_store_failures(out, &rt->config_watch, "config");
-	add_store_failures(out, &rt->entries_watch, "entries");
+	metrics_add_sample(out, "store_failures_in_a_row", "subject", "config",
+	    figures->config_failures);
+	metrics_add_sample(out, "store_failures_in_a_row", "subject", "entries",
+	    figures->entries_failures);
 	metrics_add_single(out, "config_age_seconds", "gauge",
 	    "Time since the configuration came into force.",
-	    rt->config_applied_us == 0
-		? 0
-		: (double)(runtime_now_us() - rt->config_applied_us) /
-		    G_USEC_PER_SEC);
+	    figures->config_age_s);
 }
 
-GString *
-runtime_entry_metrics(const struct entry_runtime *rt)
+static void
+add_table_counters(GString *out, const struct mst_table_counters *counters)
 {
-	GString *out = g_string_new(NULL);
-	struct mst_entry_gauges gauges = mst_entry_gauges(rt->entry);
-	const struct mst_table_counters *table;
-
-	add_entry_counters(out, mst_entry_counters(rt->entry));
-	add_entry_gauges(out, &gauges);
-	add_domains(out, rt);
-	add_bus_counters(out, mst_bus_counters(rt->bus));
-	metrics_add_process(out, &rt->loop.lag);
-	add_frontend_metrics(out, rt);
-	if (rt->table == NULL)
-		return out;
-	table = mst_table_counters(rt->table);
 	metrics_add_single(out, "table_reads_total", "counter",
-	    "Reads of the platform's table.", (double)table->reads);
+	    "Reads of the platform's table.", (double)counters->reads);
 	metrics_add_single(out, "table_writes_total", "counter",
-	    "Writes to the platform's table.", (double)table->writes);
+	    "Writes to the platform's table.", (double)counters->writes);
 	metrics_add_single(out, "table_failures_total", "counter",
 	    "Requests to the table without a usable answer.",
-	    (double)table->failures);
+	    (double)counters->failures);
+}
+
+GString *
+metrics_format_entry(const struct entry_figures *figures)
+{
+	GString *out = g_string_new(NULL);
+
+	add_entry_counters(out, figures->counters);
+	add_entry_gauges(out, figures->gauges);
+	add_domains(out, figures->domains);
+	add_bus_counters(out, figures->bus);
+	metrics_add_process(out, figures->loop_lag);
+	if (figures->frontend != NULL)
+		add_frontend_figures(out, figures->frontend);
+	if (figures->table != NULL)
+		add_table_counters(out, figures->table);
 	return out;
 }
 
@@ -349,6 +338,9 @@
 	metrics_add_single(out, "orders_repeated_total", "counter",
 	    "Orders to the worker that were sent again after a failure.",
 	    (double)counters->orders_repeated);
+	metrics_add_single(out, "offers_total", "counter",
+	    "Free slots reserved for entries whose tasks wait.",
+	    (double)counters->offers);
 	metrics_add_single(out, "drained", "gauge",
 	    "Whether the failure domain is drained.", gauges->drained);
 	metrics_add_single(
--- a/src/runtime/metrics.h
+++ b/src/runtime/metrics.h
@@ -5,9 +5,38 @@
 
 #include <glib.h>
 #include <masticstall/agent.h>
+#include <masticstall/entry.h>
 
 #include "base/histogram.h"
 #include "net/bus.h"
+#include "net/dynamodb_table.h"
+
+/* Figures of an entry's frontend and store. */
+struct frontend_figures {
+	const struct mst_histogram *job_times; /* by enum frontend_outcome */
+	unsigned config_failures;  /* consecutive failed calls to the store */
+	unsigned entries_failures; /* consecutive failed calls to the store */
+	double config_age_s;       /* 0: there is no configuration yet */
+};
+
+/* A failure domain and its members, as an entry knows them. */
+struct domain_figures {
+	char *name;
+	bool drained;
+	uint32_t members; /* without lost ones */
+	uint32_t running; /* the entry's tasks at the members */
+};
+
+/* Figures of an entry that are printed as its metrics. */
+struct entry_figures {
+	const struct mst_entry_counters *counters;
+	const struct mst_entry_gauges *gauges;
+	const GArray *domains; /* struct domain_figures */
+	const struct mst_bus_counters *bus;
+	const struct mst_histogram *loop_lag;
+	const struct frontend_figures *frontend; /* NULL: it has none */
+	const struct mst_table_counters *table;  /* NULL: it has none */
+};
 
 /* Writes the HELP and TYPE lines of a metric family. */
 void metrics_add_family(
@@ -28,6 +57,9 @@
 /* Writes the event loop's lag and the log's counters, for either daemon. */
 void metrics_add_process(GString *out, const struct mst_histogram *lag);
 
+/* Formats all metrics of an entry. Free with g_string_free(). */
+GString *metrics_format_entry(const struct entry_figures *figures);
+
 /*
  * Formats an agent's metrics, except those of metrics_add_process(). Free with
  * g_string_free().
