--- a/cli/admin.c
+++ b/cli/admin.c
@@ -219,9 +219,8 @@
 	    "Usage: masticstall drain http://AGENT-IP:PORT\n"
 	    "\n"
 	    "The agent accepts no new tasks, finishes those that run and "
-	    "exits. "
-	    "Needs an\n"
-	    "operator's token.\n";
+	    "exits.\n"
+	    "Needs an operator's token.\n";
 	struct cli agent = *cli;
 	struct cli_response answer;
 	enum cli_exit rc = CLI_OK;
