worker: a stop that an unhealthy worker refuses is sent again

Traced by the agents' logs: the second copy of a start was refused as unhealthy while the first had no answer, so the run was to be stopped; the stop was refused as well and taken for done; the next list did not show the run, which was reported as ended; then the first copy started it, beside the run elsewhere.

An unhealthy worker has done nothing, so the stop stays due.

golden/worker/refused_stop: before, the run ended with the list that follows the refused stop.

--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -320,8 +320,10 @@
 {
 	if (answer->status == MST_ORDER_FENCED)
 		mst_worker_raise_fence(agent);
+	/* An unhealthy worker has done nothing. */
 	if (answer->status == MST_ORDER_NO_ANSWER ||
 	    answer->status == MST_ORDER_FENCED ||
+	    answer->status == MST_ORDER_UNHEALTHY ||
 	    answer->status == MST_ORDER_DOWN) {
 		repeat_order_later(agent, run, ORDER_STOP_DUE);
 		return;
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -524,7 +524,7 @@
 	    "lease_lapses", "fenced", "start_after_stop", "worker_down",
 	    "kept_report", "kept_report_gone", "unknown_completions",
 	    "many_unknown_completions", "unrecordable_completions",
-	    "long_lease", "unreachable"};
+	    "long_lease", "refused_stop", "unreachable"};
 	size_t i;
 
 	g_test_init(&argc, &argv, NULL);
