Reading the change again: offers that end in time, cold state, small faults

- An offer counted on after its time, or after its entry had lost its lease, until the agent next sent results; others were told of too few slots.
It now counts only while it is valid.
- A kept report made a worker cold for a time that had passed in part.
- A delayed announcement brought back the speed of a member while it was cold.
- masticstall domains read the action before the options were moved aside.
- More than 16 drained domains in the store are logged.
- Comments and docs that the code contradicted.

--- a/cli/domains.c
+++ b/cli/domains.c
@@ -115,10 +115,7 @@
 
 	if (argc == 1)
 		return list_domains(cli);
-	drains = strcmp(argv[1], "drain") == 0;
-	restores = strcmp(argv[1], "restore") == 0;
-	/* 0 makes getopt_long() forget that main() stops at the first argument
-	 * that is no option. */
+	/* 0 resets getopt_long(), which main() has used with a leading '+'. */
 	optind = 0;
 	while ((c = getopt_long(argc, argv, "r:h", options, NULL)) != -1) {
 		if (c == 'r') {
@@ -128,7 +125,8 @@
 		print_domains_usage(c == 'h' ? stdout : stderr);
 		return c == 'h' ? CLI_OK : CLI_USAGE;
 	}
-	/* argv[optind] is the action, as options are moved to the front. */
+	drains = optind < argc && strcmp(argv[optind], "drain") == 0;
+	restores = optind < argc && strcmp(argv[optind], "restore") == 0;
 	if (optind + 2 != argc || reason == NULL || (!drains && !restores)) {
 		print_domains_usage(stderr);
 		return CLI_USAGE;
--- a/include/masticstall/message.h
+++ b/include/masticstall/message.h
@@ -258,9 +258,8 @@
 	struct mst_bytes address;
 	uint64_t config_version;
 	bool leaving;
-	bool is_reply; /* encoded, but unused */
-	/* Service time of the tasks that were submitted in the last second. */
-	uint32_t demand_ms;
+	bool is_reply;      /* encoded, but unused */
+	uint32_t demand_ms; /* encoded, but unused */
 	struct mst_drains_msg drains;
 };
 
--- a/src/core/agent/offer.c
+++ b/src/core/agent/offer.c
@@ -12,15 +12,26 @@
  * busy entry. */
 #define OFFER_TIMEOUT_US (6 * 1000)
 
+/* Returns the number of slots that are reserved for an entry. */
+static uint32_t
+count_offers(const struct mst_agent *agent, const struct session *session)
+{
+	bool valid = agent->now_us < session->offered_until_us &&
+	    mst_session_has_lease(agent, session);
+
+	return valid ? session->offers : 0;
+}
+
 /* Returns the number of tasks that wait at an entry and have no offer. */
 static uint32_t
 unmet_demand(const struct mst_agent *agent, const struct session *session)
 {
-	if (session->fenced || session->unwanted ||
-	    session->demand <= session->offers ||
+	uint32_t offers = count_offers(agent, session);
+
+	if (session->fenced || session->unwanted || session->demand <= offers ||
 	    !mst_session_has_lease(agent, session))
 		return 0;
-	return session->demand - session->offers;
+	return session->demand - offers;
 }
 
 /* Slots are offered if several entries could use them. A single entry has all
@@ -53,7 +64,7 @@
 		const struct session *other = value;
 
 		if (other != session)
-			offers += other->offers;
+			offers += count_offers(agent, other);
 	}
 	return offers;
 }
@@ -70,7 +81,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct session *session = value;
 
-		if (session->offers > 0 || unmet_demand(agent, session) > 0)
+		if (count_offers(agent, session) > 0 ||
+		    unmet_demand(agent, session) > 0)
 			return true;
 	}
 	return false;
--- a/src/core/drains.h
+++ b/src/core/drains.h
@@ -10,7 +10,7 @@
 #include <glib.h>
 #include <masticstall/message.h>
 
-/* Most names in a set. Every message carries them. */
+/* Most names in a set. Heartbeats, announcements and greetings carry them. */
 #define MST_DRAINS_MAX 16
 
 struct mst_drains {
--- a/src/core/entry/entry.c
+++ b/src/core/entry/entry.c
@@ -189,7 +189,8 @@
 	entry->document = g_strdup(event->document);
 	mst_config_pull_finish(&entry->config_pull);
 	mst_teams_reconfigure(entry);
-	/* The greetings borrow the drains, so they change first. */
+	/* Messages borrow the text of the drained domains, which must not
+	 * change after the first one of a step. */
 	mst_entry_apply_config_drains(entry);
 	mst_entry_greet_all(entry);
 	mst_entry_place_tasks(entry);
--- a/src/core/member/member.c
+++ b/src/core/member/member.c
@@ -61,14 +61,18 @@
 	bool is_leaving = announce->draining && !outdated &&
 	    !mst_drains_contains(&entry->drains, member->failure_domain);
 
-	/* A delayed announcement must not make a warm member cold again. */
-	if ((int64_t)announce->clock_us >= member->clock_us)
+	/* A delayed announcement must not make a warm member cold again, or
+	 * bring back the speed that it had while it was cold. */
+	bool is_newest = (int64_t)announce->clock_us >= member->clock_us;
+
+	if (is_newest)
 		mst_member_set_cold(entry, member, announce->cold_ms);
+	if (is_recipient && is_newest)
+		member->reported_slowness = announce->slowness_milli / 1000.0;
 	if (is_recipient) {
 		member->grant = announce->grant;
 		member->free_slots = announce->free_slots;
 		member->queued_tasks = announce->queued;
-		member->reported_slowness = announce->slowness_milli / 1000.0;
 		member->roster_version =
 		    MAX(member->roster_version, announce->roster_version);
 		mst_member_repair(entry, member, announce);
--- a/src/core/place/slow_start.c
+++ b/src/core/place/slow_start.c
@@ -5,8 +5,8 @@
 /* Slowness of a cold worker of which nothing else is known. Its first tasks are
  * chosen so that they end in time at this slowness. */
 #define COLD_SLOWNESS 2.0
-/* A task that takes longer than this multiple of its expected time shows that
- * the member bears no more tasks yet. */
+/* A task that takes longer than this multiple of its expected time halves the
+ * count. */
 #define LATE_FACTOR 2.0
 
 double
--- a/src/core/worker/worker.c
+++ b/src/core/worker/worker.c
@@ -126,7 +126,9 @@
 	update_description(agent, &worker->labels, report->labels);
 	agent->options.resources = report->capacity;
 	worker->draining = report->draining;
-	mst_worker_set_cold(agent, report->cold_ms);
+	/* The time in a kept report has passed in part. */
+	if (!is_kept)
+		mst_worker_set_cold(agent, report->cold_ms);
 	if (!worker->has_reported)
 		agent->next_heartbeat_us = agent->now_us;
 	worker->has_reported = true;
--- a/src/runtime/drain_set.c
+++ b/src/runtime/drain_set.c
@@ -1,5 +1,8 @@
 #include "runtime/drain_set.h"
 
+#include "base/log.h"
+#include "core/drains.h"
+
 void
 drain_set_init(struct drain_set *set)
 {
@@ -41,6 +44,9 @@
 		if (!find_domain(set, name, NULL))
 			g_ptr_array_add(set->domains, g_strdup(name));
 	}
+	if (set->domains->len > MST_DRAINS_MAX)
+		mst_log(MST_LOG_ERROR, "drains-ignored", "count=%u max=%d",
+		    set->domains->len, MST_DRAINS_MAX);
 	set->was_drained |= set->domains->len > 0;
 	return set->was_drained;
 }
--- a/src/runtime/entry_frontend.c
+++ b/src/runtime/entry_frontend.c
@@ -418,8 +418,9 @@
 	int64_t grace_ms = (int64_t)(rt->settings->frontend.grace_s * 1000);
 	uint64_t serve_ms = (uint64_t)((double)grace_ms * FRONTEND_SERVE_SHARE);
 	struct mst_entry_event event = {.type = MST_ENTRY_EV_STOPPING,
-	    .stop_us =
-		runtime_now_us() + (grace_ms - FRONTEND_STOP_MARGIN_MS) * 1000};
+	    .stop_us = runtime_now_us() +
+		MAX(grace_ms - FRONTEND_STOP_MARGIN_MS, (int64_t)serve_ms) *
+		    1000};
 
 	if (rt->shutting_down)
 		return;
