--- a/tests/test_offers.c
+++ b/tests/test_offers.c
@@ -7,6 +7,7 @@
 
 #include <masticstall.h>
 
+#include "core/agent/agent_internal.h"
 #include "sim/load.h"
 
 #define SEEDS   3
@@ -47,6 +48,12 @@
 	return (double)counts->in_time / MAX(counts->submitted, 1);
 }
 
+static double
+weight_of(int entry)
+{
+	return shape.entry_weights[(unsigned)entry % shape.entry_weight_count];
+}
+
 static struct counts_by_weight
 play(bool offer_slots)
 {
@@ -68,8 +75,8 @@
 			if (job->submitted_ms < LOAD_PEAK_START_MS ||
 			    job->submitted_ms >= LOAD_PEAK_END_MS)
 				continue;
-			load_count_job(
-			    job->entry % 4 < 2 ? &counts.many : &counts.few,
+			load_count_job(weight_of(job->entry) > 1 ? &counts.many
+								 : &counts.few,
 			    load, job);
 		}
 		load_free(load);
@@ -80,6 +87,8 @@
 	return counts;
 }
 
+/* Guards against agents whose slots go to the entries with most running tasks.
+ */
 static void
 offers__entries_with_few_callers_are_served_alike(void)
 {
@@ -102,6 +111,79 @@
 	    without.few.in_time + without.many.in_time);
 }
 
+/* A leased agent whose worker has one free slot, and two entries with a lease.
+ */
+struct agent_fixture {
+	struct mst_agent *agent;
+	struct session *waiting; /* of the entry whose task waits */
+	struct session *other;
+};
+
+static void
+agent_fixture_init(struct agent_fixture *fixture)
+{
+	struct mst_agent_options options = MST_AGENT_OPTIONS_INIT;
+	struct mst_agent *agent;
+
+	options.incarnation = 1;
+	options.leased = true;
+	options.resources = (struct mst_resources){.millicores = 2000};
+	mst_lease_times(&options.leases, 1300, 1000);
+	mst_agent_new(&agent, &options);
+	agent->now_us = G_USEC_PER_SEC;
+	agent->worker.has_reported = true;
+	agent->worker.synced = true;
+	fixture->agent = agent;
+	fixture->waiting = mst_session_open(agent, 2);
+	fixture->other = mst_session_open(agent, 3);
+	fixture->waiting->echo_us = agent->now_us;
+	fixture->other->echo_us = agent->now_us;
+	fixture->waiting->demand = 1;
+	mst_agent_offer_slots(agent);
+}
+
+static void
+offers__slot_is_reserved(void)
+{
+	struct agent_fixture fixture;
+
+	agent_fixture_init(&fixture);
+	g_assert_true(fixture.waiting->offer_due);
+	g_assert_cmpuint(
+	    mst_session_free_slots(fixture.agent, fixture.waiting), ==, 1);
+	g_assert_cmpuint(
+	    mst_session_free_slots(fixture.agent, fixture.other), ==, 0);
+	mst_agent_free(fixture.agent);
+}
+
+/* An entry that does not use its offer must not keep the slot from others, also
+ * before the agent sends results again. */
+static void
+offers__unused_offer_ends(void)
+{
+	struct agent_fixture fixture;
+
+	agent_fixture_init(&fixture);
+	fixture.agent->now_us = fixture.waiting->offered_until_us;
+	g_assert_cmpuint(
+	    mst_session_free_slots(fixture.agent, fixture.other), ==, 1);
+	mst_agent_free(fixture.agent);
+}
+
+/* Neither must an entry that has lost its lease. */
+static void
+offers__offer_ends_with_the_lease(void)
+{
+	struct agent_fixture fixture;
+
+	agent_fixture_init(&fixture);
+	fixture.waiting->echo_us -=
+	    fixture.agent->options.leases.entry_lease_us + 1;
+	g_assert_cmpuint(
+	    mst_session_free_slots(fixture.agent, fixture.other), ==, 1);
+	mst_agent_free(fixture.agent);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -109,5 +191,9 @@
 	g_test_add_func("/offers/few-callers",
 	    offers__entries_with_few_callers_are_served_alike);
 	g_test_add_func("/offers/served", offers__serve_no_fewer_jobs);
+	g_test_add_func("/offers/reserved", offers__slot_is_reserved);
+	g_test_add_func("/offers/unused", offers__unused_offer_ends);
+	g_test_add_func(
+	    "/offers/lease-lost", offers__offer_ends_with_the_lease);
 	return g_test_run();
 }
