agent, entry: crashes of a worker are told from other lost runs

A run that ended with its worker was reported as run-lost, like a lapsed lease or a stopped run, so the logs of the incident could not tell which tasks were present at crashes, and how often. The result has a reason of its own now; the agent logs each crash and the entry each task with its count. No decision changes. A run that the worker's new incarnation lists did not end with the earlier one.

--- a/include/masticstall/agent.h
+++ b/include/masticstall/agent.h
@@ -99,7 +99,8 @@
 	/* No work is left of an entry that is not wanted. */
 	MST_AGENT_FX_ENTRY_UNUSED,
 	MST_AGENT_FX_LOAD_REPORT, /* read the kept report of the worker */
-	MST_AGENT_FX_DRAINS       /* the set of drained domains has changed */
+	MST_AGENT_FX_DRAINS,      /* the set of drained domains has changed */
+	MST_AGENT_FX_CRASH        /* the worker has crashed with active runs */
 };
 
 struct mst_agent_effect {
@@ -115,9 +116,11 @@
 	uint64_t entry;
 	uint32_t run_number;           /* RUN_FAILED: run number of the task */
 	struct mst_result_item result; /* RUN_FAILED */
-	int64_t silent_us;      /* LEASE_EXPIRED: age of the last clock echo */
-	uint32_t open;          /* LEASE_EXPIRED: queued and running tasks */
-	struct mst_store_op op; /* STORE */
+	int64_t silent_us; /* LEASE_EXPIRED: age of the last clock echo */
+	/* LEASE_EXPIRED: queued and running tasks; CRASH: runs in progress */
+	uint32_t open;
+	uint32_t jobs;                /* CRASH: jobs of these runs */
+	struct mst_store_op op;       /* STORE */
 	struct mst_drains_msg drains; /* DRAINS: the new set */
 	bool drained; /* DRAINS: it contains this agent's failure domain */
 };
@@ -137,6 +140,7 @@
 	uint64_t fences;
 	uint64_t runs_evicted; /* retained runs that were evicted */
 	uint64_t runs_lost;    /* runs that ended without a result */
+	uint64_t crashes;      /* of the worker, with runs in progress */
 	uint64_t runs_unknown; /* runs stopped that this agent did not start */
 	uint64_t leases_expired;
 	/* Worker leases left to expire to invalidate unrecorded completions. */
--- a/include/masticstall/entry.h
+++ b/include/masticstall/entry.h
@@ -246,7 +246,8 @@
 	MST_ENTRY_FX_STATE,    /* answer with the state of a stored job */
 	MST_ENTRY_FX_OWNER,    /* the ownership of stored jobs has changed */
 	MST_ENTRY_FX_CLOSED,   /* a stored job is closed */
-	MST_ENTRY_FX_DRAINS    /* the set of drained domains has changed */
+	MST_ENTRY_FX_DRAINS,   /* the set of drained domains has changed */
+	MST_ENTRY_FX_CRASHED   /* a worker crashed during a run of a task */
 };
 
 /** Kind of refusal of a request. */
@@ -262,20 +263,23 @@
 	enum mst_entry_effect_type type;
 	struct mst_msg msg; /* SEND, CONFIG */
 	uint64_t request;   /* ANSWER, REFUSE, TICKET, FORWARD, STATE */
-	uint64_t job;   /* ANSWER, TASK, CLOSED: handle for mst_entry_job() */
-	uint32_t index; /* TASK */
-	struct mst_ticket ticket;     /* TICKET */
-	enum mst_refusal refusal;     /* REFUSE */
-	enum mst_reason reason;       /* REFUSE */
-	bool may_have_run;            /* REFUSE */
-	uint32_t retry_after_ms;      /* REFUSE */
-	uint64_t peer;                /* FORWARD: entry; TASK, MEMBER: agent */
+	/* ANSWER, TASK, CLOSED, CRASHED: handle for mst_entry_job() */
+	uint64_t job;
+	uint32_t index;           /* TASK, CRASHED */
+	struct mst_ticket ticket; /* TICKET */
+	enum mst_refusal refusal; /* REFUSE */
+	enum mst_reason reason;   /* REFUSE */
+	bool may_have_run;        /* REFUSE */
+	uint32_t retry_after_ms;  /* REFUSE */
+	uint64_t peer; /* FORWARD: entry; TASK, MEMBER, CRASHED: agent */
 	struct mst_bytes peers;       /* PEERS */
 	const char *state;            /* MEMBER, OWNER */
 	struct mst_store_op op;       /* STORE */
 	enum mst_stored_state stored; /* STATE */
 	uint64_t owner; /* OWNER: id of this entry's ownership, or 0 */
-	uint32_t count; /* OWNER: number of affected jobs */
+	/* OWNER: number of affected jobs; CRASHED: crashes during runs of the
+	 * task */
+	uint32_t count;
 	/* DRAINS: the new set; state tells where it came from: "store",
 	 * "config", "entry" or "agent". */
 	struct mst_drains_msg drains;
@@ -300,6 +304,7 @@
 	uint64_t requeued[MST_REASON_MAX];
 	uint64_t retries; /* attempts after a failure or unknown outcome */
 	uint64_t withdrawals;
+	uint64_t crashed_runs; /* runs that ended with their worker */
 	uint64_t results;
 	uint64_t results_late; /* for tasks that were already closed */
 	uint64_t results_repeated;
--- a/include/masticstall/message.h
+++ b/include/masticstall/message.h
@@ -75,6 +75,7 @@
 	MST_REASON_CALLER_GONE,       /* the caller has disconnected */
 	MST_REASON_NO_QUEUE,          /* no queue matches host and path */
 	MST_REASON_NOT_SERVED,        /* this kind of job is not supported */
+	MST_REASON_WORKER_CRASHED,    /* the worker crashed during the run */
 	MST_REASON_MAX
 };
 
--- a/src/core/agent/agent_internal.h
+++ b/src/core/agent/agent_internal.h
@@ -51,6 +51,7 @@
 	uint8_t starts_open; /* start orders that are not answered yet */
 	/* A start order that got no answer may still be executed. */
 	bool start_unanswered;
+	bool crashed; /* was in progress when the worker crashed */
 	enum mst_reason stop_reason;
 	int64_t order_us; /* time of the last order */
 	/* ORDER_START_DUE, ORDER_STOP_DUE: not before; ORDER_STARTING: when the
--- a/src/core/job/result.c
+++ b/src/core/job/result.c
@@ -221,6 +221,23 @@
 		    entry, job, index, MST_OUTCOME_DONE, MST_REASON_RUN_FAILED);
 }
 
+/* Counts a run that ended because its worker crashed. */
+static void
+count_crash(struct mst_entry *entry, struct job *job, uint32_t index,
+    const struct member *member)
+{
+	struct task *task = &job->tasks[index];
+	struct mst_entry_effect *effect;
+
+	task->crashes = (uint8_t)MIN(task->crashes + 1, UINT8_MAX);
+	entry->counters.crashed_runs++;
+	effect = mst_entry_emit(entry, MST_ENTRY_FX_CRASHED);
+	effect->job = job->handle;
+	effect->index = index;
+	effect->peer = member->incarnation;
+	effect->count = task->crashes;
+}
+
 static void
 handle_task_result(struct mst_entry *entry, struct job *job, uint32_t index,
     struct member *member, const struct mst_result_item *result)
@@ -249,6 +266,8 @@
 		break;
 	case MST_OUTCOME_UNKNOWN:
 	case MST_OUTCOME_NONE:
+		if (result->reason == MST_REASON_WORKER_CRASHED)
+			count_crash(entry, job, index, member);
 		if (!is_ended_on_request(result->reason))
 			mst_member_update_health(entry, member, true);
 		if (job->restartable) {
--- a/src/core/job/task.h
+++ b/src/core/job/task.h
@@ -34,6 +34,7 @@
 	bool withdrawing;
 	bool may_have_run; /* an earlier attempt may have started */
 	uint8_t failures;  /* number of failed runs */
+	uint8_t crashes;   /* number of runs that ended with their worker */
 	uint8_t step;
 	uint16_t status;
 	uint32_t declared_us;
--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -162,7 +162,9 @@
 	struct mst_result_item result = {
 	    .outcome = MST_OUTCOME_UNKNOWN, .reason = (uint8_t)reason};
 
-	if (run->stop_reason != MST_REASON_NONE)
+	if (run->crashed)
+		result.reason = MST_REASON_WORKER_CRASHED;
+	else if (run->stop_reason != MST_REASON_NONE)
 		result.reason = (uint8_t)run->stop_reason;
 	else
 		agent->counters.runs_lost++;
@@ -231,6 +233,7 @@
 {
 	struct worker *worker = &agent->worker;
 
+	mst_worker_record_crash(agent);
 	if (worker->synced)
 		mst_worker_emit_state(agent, "down");
 	mst_worker_fail_runs(agent, false);
--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -130,6 +130,7 @@
 			continue;
 		}
 		unlisted = g_list_remove(unlisted, run);
+		run->crashed = false;
 		if (run->order_state == ORDER_STARTING ||
 		    run->order_state == ORDER_START_DUE) {
 			run->order_state = ORDER_STARTED;
--- a/src/core/worker/worker.c
+++ b/src/core/worker/worker.c
@@ -19,6 +19,7 @@
 {
 	struct worker *worker = &agent->worker;
 
+	mst_worker_record_crash(agent);
 	worker->incarnation = incarnation;
 	if (worker->clock_ms > 0)
 		mst_worker_expect_long_lease(agent);
--- a/src/core/worker/worker_internal.h
+++ b/src/core/worker/worker_internal.h
@@ -68,6 +68,12 @@
 void mst_worker_handle_stop_answer(struct mst_agent *agent, struct run *run,
     const struct mst_order_answer *answer);
 
+/* crash.c */
+/* Marks the runs in progress as ended by a crash of the worker. Called when the
+ * present incarnation of the worker is known to have ended, and before the
+ * state is reset; has no effect if the end was announced. */
+void mst_worker_record_crash(struct mst_agent *agent);
+
 /* completions.c */
 /* Drops all completions, because the worker no longer lists them. */
 void mst_completions_drop(struct worker *worker);
--- a/src/runtime/agent_runtime.c
+++ b/src/runtime/agent_runtime.c
@@ -185,6 +185,11 @@
 		if (rt->report_store != NULL)
 			report_store_load(rt->report_store);
 		break;
+	case MST_AGENT_FX_CRASH:
+		mst_log(MST_LOG_WARNING, "worker-crashed",
+		    "runs=%" PRIu32 " jobs=%" PRIu32, effect->open,
+		    effect->jobs);
+		break;
 	case MST_AGENT_FX_WORKER:
 		mst_log(MST_LOG_INFO, "worker", "state=%s", effect->state);
 		break;
--- a/src/runtime/entry_runtime.c
+++ b/src/runtime/entry_runtime.c
@@ -100,6 +100,22 @@
 	    effect->peer, effect->state);
 }
 
+/* Logs a run that ended because its worker crashed. */
+static void
+log_crashed_task(
+    const struct entry_runtime *rt, const struct mst_entry_effect *effect)
+{
+	struct mst_job_view job;
+
+	if (mst_entry_job(&job, rt->entry, effect->job) < 0)
+		return;
+	mst_log(MST_LOG_WARNING, "task-crashed",
+	    "job=%s queue=%s task=%" PRIu32 " crashes=%" PRIu32
+	    " agent=%016" PRIx64,
+	    job.key != NULL ? job.key : "", job.team, effect->index,
+	    effect->count, effect->peer);
+}
+
 static void
 trace_closed_task(
     struct entry_runtime *rt, const struct mst_entry_effect *effect)
@@ -186,6 +202,9 @@
 	case MST_ENTRY_FX_TASK:
 		trace_closed_task(rt, effect);
 		break;
+	case MST_ENTRY_FX_CRASHED:
+		log_crashed_task(rt, effect);
+		break;
 	case MST_ENTRY_FX_MEMBER:
 		log_member(effect);
 		break;
--- a/src/runtime/metrics.c
+++ b/src/runtime/metrics.c
@@ -141,6 +141,9 @@
 	    (double)counters->results_late);
 	metrics_add_sample(out, "wasted_total", "cause", "result-repeated",
 	    (double)counters->results_repeated);
+	metrics_add_single(out, "crashed_runs_total", "counter",
+	    "Runs that ended because their worker crashed.",
+	    (double)counters->crashed_runs);
 	add_counters_by_reason(out, "tasks_returned_total",
 	    "Tasks that agents gave back, not run.", counters->requeued);
 	metrics_add_single(out, "ejections_total", "counter",
@@ -324,6 +327,9 @@
 	    (double)counters->forced_expiries);
 	metrics_add_single(out, "runs_lost_total", "counter",
 	    "Runs that ended without a result.", (double)counters->runs_lost);
+	metrics_add_single(out, "worker_crashes_total", "counter",
+	    "Crashes of the worker while runs were in progress.",
+	    (double)counters->crashes);
 	metrics_add_single(out, "runs_unknown_total", "counter",
 	    "Runs found on the worker that are nobody's, and stopped.",
 	    (double)counters->runs_unknown);
