--- a/tests/sim/leased_agent.c
+++ b/tests/sim/leased_agent.c
@@ -151,7 +151,8 @@
 	struct mst_agent_event event = {
 	    .type = MST_AGENT_EV_REPORT, .report = &report};
 
-	if (node->worker == NULL || sim->now_us < node->next_report_us)
+	if (node->worker == NULL || sim_worker_is_down(node->worker) ||
+	    sim->now_us < node->next_report_us)
 		return;
 	node->next_report_us = sim->now_us + WORKER_REPORT_INTERVAL_US;
 	report.cold_ms = sim_worker_cold_ms(node->worker);
--- a/tests/sim/load.c
+++ b/tests/sim/load.c
@@ -1,6 +1,7 @@
 #include "sim/load.h"
 
 #include <math.h>
+#include <string.h>
 
 #include "sim/worker.h"
 
@@ -17,6 +18,9 @@
 #define SERVICE_SPREAD   0.15 /* largest deviation of a run's service time */
 #define REFUSAL_MAX_MS   5    /* longest time until an immediate refusal */
 #define FAILING_RUN_US   (10 * MS)
+/* From the start of a task that crashes its worker. */
+#define CRASH_MIN_MS 2
+#define CRASH_MAX_MS 60
 
 double
 load_random_normal(GRand *rand)
@@ -82,6 +86,22 @@
 	return factor;
 }
 
+/* Returns true if a task crashes each worker that runs it. */
+static bool
+is_crashing(const struct load_job *job, const char *task_name)
+{
+	return job->crashing && strcmp(job->task_names[0], task_name) == 0;
+}
+
+static struct sim_task_result
+crash_worker(struct load *load, struct load_job *job)
+{
+	job->crashing_starts++;
+	return (struct sim_task_result){.duration_us = MS *
+		g_rand_int_range(load->rand, CRASH_MIN_MS, CRASH_MAX_MS),
+	    .crashes = true};
+}
+
 static struct sim_task_result
 serve_task(void *ctx, int node_id, const struct mst_dispatch_item *task,
     int64_t now_us)
@@ -90,8 +110,8 @@
 	int agent = agent_index(load, node_id);
 	char *key = g_strndup(task->path.data, 16);
 	char *name = mst_bytes_to_str(task->path);
-	const struct load_job *job =
-	    g_hash_table_lookup(load->jobs_by_key, key);
+	struct load_job *job = g_hash_table_lookup(load->jobs_by_key, key);
+	bool crashes = is_crashing(job, name);
 	double duration_ms = job->service_ms * load->slowdowns[agent] *
 	    load->shape
 		.service_factors[(unsigned)node_id % load->shape.factor_count];
@@ -100,6 +120,8 @@
 	duration_ms *= straggler_factor(load, name);
 	g_free(name);
 	g_free(key);
+	if (crashes)
+		return crash_worker(load, job);
 	if (load->fails[agent] || job->poisoned)
 		return (struct sim_task_result){.duration_us = FAILING_RUN_US,
 		    .outcome = MST_OUTCOME_DONE,
@@ -251,6 +273,9 @@
 	if (load->poisoned_share > 0)
 		job->poisoned =
 		    g_rand_double(load->rand) < load->poisoned_share;
+	if (load->crashing_share > 0 && job->kind == &load->shape.kinds[0])
+		job->crashing =
+		    g_rand_double(load->rand) < load->crashing_share;
 	g_snprintf(job->key, sizeof(job->key), "%016x", load->jobs->len + 1);
 	g_hash_table_insert(load->jobs_by_key, job->key, job);
 	g_ptr_array_add(load->jobs, job);
@@ -423,9 +448,10 @@
 load_run(struct load *load)
 {
 	double capacity = load_capacity_jobs_per_s(&load->shape);
+	int64_t end_ms = LOAD_END_MS + load->options.extra_ms;
 	int64_t now_ms;
 
-	for (now_ms = LOAD_START_MS; now_ms < LOAD_END_MS; now_ms += STEP_MS) {
+	for (now_ms = LOAD_START_MS; now_ms < end_ms; now_ms += STEP_MS) {
 		bool at_peak =
 		    now_ms >= LOAD_PEAK_START_MS && now_ms < LOAD_PEAK_END_MS;
 
@@ -440,8 +466,8 @@
 		for (; load->due_burst_jobs >= 1; load->due_burst_jobs -= 1)
 			load_submit(load, load->burst_kind, now_ms);
 	}
-	sim_run_until(load->sim,
-	    G_USEC_PER_SEC + (LOAD_END_MS + drain_ms(&load->shape)) * MS);
+	sim_run_until(
+	    load->sim, G_USEC_PER_SEC + (end_ms + drain_ms(&load->shape)) * MS);
 }
 
 /* Returns the time that the callers of a job wait. */
--- a/tests/sim/load.h
+++ b/tests/sim/load.h
@@ -89,6 +89,8 @@
 	int entry;       /* index of the entry asked */
 	unsigned domain; /* failure domain of the caller, with waves */
 	bool poisoned;   /* its tasks fail wherever they run */
+	bool crashing;   /* its first task crashes each worker that runs it */
+	unsigned crashing_starts; /* of that task */
 };
 
 struct load;
@@ -117,6 +119,7 @@
 	const struct load_fault *fault;  /* NULL: none */
 	const struct mst_tuning *tuning; /* NULL: the default one */
 	const char *config; /* JSON of the configuration; NULL: the default */
+	int64_t extra_ms;   /* base load beyond LOAD_END_MS */
 };
 
 struct load {
@@ -135,6 +138,7 @@
 	bool hangs[CLUSTER_NODES_MAX];
 	double declared_sigma;
 	double poisoned_share; /* of the jobs */
+	double crashing_share; /* of the jobs of the first kind */
 	double due_burst_jobs; /* the same for the extra jobs of burst_kind */
 	/* Kind whose jobs come more often; NULL: none. */
 	const struct load_kind *burst_kind;
--- a/tests/sim/load_faults.c
+++ b/tests/sim/load_faults.c
@@ -13,6 +13,7 @@
 #define LOST_PERIOD_MS       1000 /* between two replaced workers */
 #define BURST_OF_ONE_FACTOR  1.8
 #define POISONED_SHARE       0.05
+#define CRASHING_SHARE       0.1 /* of the jobs of one kind */
 #define WRONG_SIGMA          1.0 /* of declared over true time */
 
 static int
@@ -189,6 +190,18 @@
 	load->poisoned_share = 0;
 }
 
+static void
+crashing_begin(struct load *load)
+{
+	load->crashing_share = CRASHING_SHARE;
+}
+
+static void
+crashing_end(struct load *load)
+{
+	load->crashing_share = 0;
+}
+
 static void
 wrong_times_begin(struct load *load)
 {
@@ -235,6 +248,7 @@
 	.step = entry_killed_step},
     {.name = "all-killed", .begin = all_killed_begin},
     {.name = "poison", .begin = poison_begin, .end = poison_end},
+    {.name = "crashing", .begin = crashing_begin, .end = crashing_end},
     {.name = "wrong-times", .begin = wrong_times_begin, .end = wrong_times_end},
     {0}};
 
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -23,6 +23,7 @@
 	enum mst_outcome outcome;
 	enum mst_reason reason;
 	uint16_t status;
+	bool crashes; /* leased: its worker crashes after duration_us */
 };
 
 /* Faults of the link from one node to another; it has one direction. */
--- a/tests/sim/worker.c
+++ b/tests/sim/worker.c
@@ -12,12 +12,15 @@
 #define ORDER_DELAY_MIN_US    (2 * G_USEC_PER_SEC)
 #define ORDER_DELAY_SPREAD_US (10 * G_USEC_PER_SEC)
 
+#define CRASH_DOWN_US (3 * G_USEC_PER_SEC) /* from a crash to the restart */
+
 struct sim_run {
 	char *task;
 	uint32_t run_number; /* counts the task's runs */
 	int64_t end_us;      /* G_MAXINT64: the task never finishes */
 	/* Status at the end, unless it is stopped or its lease lapses. */
 	enum mst_run_status status;
+	bool crashes; /* the worker crashes at end_us */
 	struct mst_resources needs;
 };
 
@@ -63,6 +66,8 @@
 	/* Answer to all orders, none of which is carried out; MST_ORDER_DONE:
 	 * none. */
 	enum mst_order_status order_fault;
+	int64_t down_until_us; /* after a crash; 0: it is up */
+	unsigned crash_count;
 	int64_t cold_us;         /* reported at cold_from_us; 0: warm */
 	int64_t cold_from_us;    /* 0: the reported time does not decrease */
 	double late_probability; /* probability that an order is late */
@@ -292,11 +297,12 @@
 }
 
 static void
-answer_with_fault(struct sim_worker *worker, const struct mst_order *order)
+answer_with_fault(struct sim_worker *worker, const struct mst_order *order,
+    enum mst_order_status status)
 {
 	struct mst_order_answer answer = {.kind = order->kind,
 	    .id = order->id,
-	    .status = worker->order_fault,
+	    .status = status,
 	    .sent_us = now_us(worker)};
 
 	worker->callbacks.deliver_answer(worker->callbacks.ctx,
@@ -310,8 +316,12 @@
 	struct sim_order *pending;
 	bool delayed;
 
+	if (worker->down_until_us > 0) {
+		answer_with_fault(worker, order, MST_ORDER_DOWN);
+		return;
+	}
 	if (worker->order_fault != MST_ORDER_DONE) {
-		answer_with_fault(worker, order);
+		answer_with_fault(worker, order, worker->order_fault);
 		return;
 	}
 	pending = g_new0(struct sim_order, 1);
@@ -407,6 +417,7 @@
 	run->run_number = order->run;
 	run->needs.millicores = 1000;
 	run->status = service.status < 500 ? MST_RUN_DONE : MST_RUN_FAILED;
+	run->crashes = service.crashes;
 	run->end_us = service.duration_us < 0
 	    ? G_MAXINT64
 	    : now_us(worker) + service.duration_us;
@@ -484,6 +495,75 @@
 	return true;
 }
 
+void
+sim_worker_restart(struct sim_worker *worker)
+{
+	guint i;
+
+	for (i = 0; i < worker->runs->len; i++)
+		worker->callbacks.run_ended(worker->callbacks.ctx,
+		    worker->callbacks.agent_node_id,
+		    mst_bytes_from_str(
+			((const struct sim_run *)worker->runs->pdata[i])
+			    ->task));
+	g_ptr_array_set_size(worker->runs, 0);
+	g_ptr_array_set_size(worker->completions, 0);
+	g_hash_table_remove_all(worker->last_run_numbers);
+	worker->started_us = now_us(worker);
+	worker->incarnation = (uint64_t)(worker->started_us / 1000);
+	worker->fence = 0;
+	worker->lease_end_ms = 0;
+	worker->last_completion_seq = 0;
+}
+
+/* Ends all waits for an answer, as when the connections are closed. */
+static void
+break_connections(struct sim_worker *worker)
+{
+	guint i;
+
+	g_ptr_array_set_size(worker->orders, 0);
+	for (i = 0; i < worker->waits->len; i++)
+		g_array_index(worker->waits, struct sim_wait, i).end_us =
+		    now_us(worker);
+	end_expired_waits(worker);
+}
+
+static void
+crash(struct sim_worker *worker)
+{
+	break_connections(worker);
+	sim_worker_restart(worker);
+	worker->crash_count++;
+	worker->down_until_us = now_us(worker) + CRASH_DOWN_US;
+	worker->callbacks.schedule_timer_at(worker->callbacks.ctx,
+	    worker->callbacks.agent_node_id, worker->down_until_us);
+}
+
+static void
+restart_if_due(struct sim_worker *worker)
+{
+	if (worker->down_until_us == 0 ||
+	    now_us(worker) < worker->down_until_us)
+		return;
+	worker->down_until_us = 0;
+	sim_worker_restart(worker);
+}
+
+static bool
+has_due_crash(const struct sim_worker *worker)
+{
+	guint i;
+
+	for (i = 0; i < worker->runs->len; i++) {
+		const struct sim_run *run = worker->runs->pdata[i];
+
+		if (run->crashes && run->end_us <= now_us(worker))
+			return true;
+	}
+	return false;
+}
+
 static void
 end_due_runs(struct sim_worker *worker)
 {
@@ -529,6 +609,11 @@
 {
 	guint i = 0;
 
+	restart_if_due(worker);
+	if (has_due_crash(worker)) {
+		crash(worker);
+		return;
+	}
 	end_due_runs(worker);
 	end_expired_waits(worker);
 	while (i < worker->orders->len) {
@@ -539,27 +624,6 @@
 	}
 }
 
-void
-sim_worker_restart(struct sim_worker *worker)
-{
-	guint i;
-
-	for (i = 0; i < worker->runs->len; i++)
-		worker->callbacks.run_ended(worker->callbacks.ctx,
-		    worker->callbacks.agent_node_id,
-		    mst_bytes_from_str(
-			((const struct sim_run *)worker->runs->pdata[i])
-			    ->task));
-	g_ptr_array_set_size(worker->runs, 0);
-	g_ptr_array_set_size(worker->completions, 0);
-	g_hash_table_remove_all(worker->last_run_numbers);
-	worker->started_us = now_us(worker);
-	worker->incarnation = (uint64_t)(worker->started_us / 1000);
-	worker->fence = 0;
-	worker->lease_end_ms = 0;
-	worker->last_completion_seq = 0;
-}
-
 void
 sim_worker_drop_orders(struct sim_worker *worker)
 {
@@ -609,6 +673,18 @@
 	return worker->incarnation;
 }
 
+bool
+sim_worker_is_down(const struct sim_worker *worker)
+{
+	return worker->down_until_us > 0;
+}
+
+unsigned
+sim_worker_crash_count(const struct sim_worker *worker)
+{
+	return worker->crash_count;
+}
+
 unsigned
 sim_worker_run_count(const struct sim_worker *worker)
 {
--- a/tests/sim/worker.h
+++ b/tests/sim/worker.h
@@ -96,6 +96,12 @@
 
 uint64_t sim_worker_incarnation(const struct sim_worker *worker);
 
+/* Returns true while the worker is down after a crash. */
+bool sim_worker_is_down(const struct sim_worker *worker);
+
+/* Returns the number of crashes that tasks have caused. */
+unsigned sim_worker_crash_count(const struct sim_worker *worker);
+
 /*
  * Returns the name of the task whose run has been in progress longest, or "" if
  * none is running.
--- /dev/null
+++ b/tests/test_crashes.c
@@ -0,0 +1,223 @@
+/*
+ * Tasks that crash every worker that runs them: for three seconds a tenth of
+ * the jobs of one kind has such a task. Its workers are back after three
+ * seconds. What callers get, during the fault and after it.
+ *
+ * MST_TEST_LOG=1 prints the outcomes of each kind.
+ */
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "sim/load.h"
+#include "sim/worker.h"
+
+#define SEEDS 4 /* counted together */
+
+/* Requirements. */
+#define STARTS_MAX          3   /* of a task that crashes its workers */
+#define OTHERS_IN_TIME_MIN  0.9 /* share of the jobs of the other kinds */
+#define INNOCENT_SERVED_MIN 0.25
+#define AFTER_IN_TIME_MIN   0.95
+/* From the end of the fault until all are served again: a worker's restart and
+ * as much again. */
+#define AFTER_MS 6000
+
+#define CRASHING_KIND 0
+
+static const struct load_shape shape = {.name = "crashes",
+    .entries = 3,
+    .workers = 11,
+    .slots = 8,
+    .service_factors = {0.8, 1, 1.3},
+    .factor_count = 3,
+    .kinds = {{.queue = "short",
+		  .tasks = 8,
+		  .service_ms = 60,
+		  .weight = 34,
+		  .priority = 0},
+	{.queue = "long",
+	    .tasks = 4,
+	    .service_ms = 900,
+	    .weight = 6,
+	    .priority = 2,
+	    .deadline_ms = 5000},
+	{.queue = "medium",
+	    .tasks = 2,
+	    .service_ms = 200,
+	    .weight = 100,
+	    .priority = 1}},
+    .kind_count = 3,
+    .service_sigma = 0.4,
+    .declared_sigma = 0.4,
+    .base_load = 0.5,
+    .peak_load = 0.5,
+    .stretch = 1.6,
+    .target_ms = 100,
+    .deadline_ms = 1500};
+
+/* Outcomes of the jobs without a crashing task, over all seeds. */
+struct results {
+	struct load_counts during[LOAD_KINDS_MAX]; /* submitted in the fault */
+	struct load_counts after[LOAD_KINDS_MAX];  /* submitted after it */
+	unsigned starts_max; /* of one task that crashes its workers */
+	unsigned crashes;
+	unsigned given_up; /* jobs answered as failed without cause */
+};
+
+static void
+count_job(struct results *results, const struct load *load,
+    const struct load_job *job)
+{
+	const struct sim_request *request =
+	    sim_get_request(load->sim, job->request);
+	size_t kind = (size_t)(job->kind - load->shape.kinds);
+
+	if (job->crashing) {
+		results->starts_max =
+		    MAX(results->starts_max, job->crashing_starts);
+		return;
+	}
+	results->given_up += request->state == MST_JOB_FAILED &&
+	    request->reason == MST_REASON_TASK_FAILED;
+	if (job->submitted_ms >= LOAD_PEAK_START_MS &&
+	    job->submitted_ms < LOAD_PEAK_END_MS)
+		load_count_job(&results->during[kind], load, job);
+	if (job->submitted_ms >= LOAD_PEAK_END_MS + AFTER_MS)
+		load_count_job(&results->after[kind], load, job);
+}
+
+static void
+run_seed(struct results *results, uint32_t seed)
+{
+	const struct load_options options = {.seed = seed,
+	    .paired = true,
+	    .fault = load_fault_find("crashing"),
+	    .extra_ms = AFTER_MS};
+	struct load *load = load_new(&shape, &options);
+	int w;
+	guint i;
+
+	load_run(load);
+	for (i = 0; i < load->jobs->len; i++)
+		count_job(results, load, load->jobs->pdata[i]);
+	for (w = 0; w < load->cluster.agent_count; w++)
+		results->crashes += sim_worker_crash_count(
+		    sim_get_worker(load->sim, load->cluster.agents[w]));
+	load_free(load);
+}
+
+static void
+log_counts(const char *period, unsigned kind, const struct load_counts *counts)
+{
+	fprintf(stderr,
+	    "%s, %s: %u jobs, %u in time, %u late, %u refused, %u failed\n",
+	    period, shape.kinds[kind].queue, counts->submitted, counts->in_time,
+	    counts->late, counts->refused, counts->failed);
+}
+
+static void
+log_results(const struct results *results)
+{
+	unsigned k;
+
+	if (getenv("MST_TEST_LOG") == NULL)
+		return;
+	for (k = 0; k < shape.kind_count; k++) {
+		log_counts("during", k, &results->during[k]);
+		log_counts("after", k, &results->after[k]);
+	}
+	fprintf(stderr, "%u crashes, up to %u by one task, %u given up\n",
+	    results->crashes, results->starts_max, results->given_up);
+}
+
+/* The load is played once for all tests. */
+static const struct results *
+get_results(void)
+{
+	static struct results results;
+	uint32_t seed;
+
+	if (results.crashes > 0)
+		return &results;
+	for (seed = 1; seed <= SEEDS; seed++)
+		run_seed(&results, seed);
+	log_results(&results);
+	return &results;
+}
+
+/* Guards against a task that is sent from one worker to the next and crashes
+ * them all. */
+static void
+crashes__starts_are_limited(void)
+{
+	g_assert_cmpuint(get_results()->starts_max, <=, STARTS_MAX);
+}
+
+/* Guards against one kind of job that takes down the workers of all others. */
+static void
+crashes__other_kinds_are_served(void)
+{
+	const struct results *results = get_results();
+	unsigned k;
+
+	for (k = 0; k < shape.kind_count; k++) {
+		const struct load_counts *counts = &results->during[k];
+
+		if (k != CRASHING_KIND)
+			g_assert_cmpfloat(counts->in_time, >=,
+			    OTHERS_IN_TIME_MIN * (double)counts->submitted);
+	}
+}
+
+/* Guards against serving none of a kind because some of its jobs crash workers.
+ */
+static void
+crashes__jobs_like_the_crashing_ones_are_served(void)
+{
+	const struct load_counts *counts =
+	    &get_results()->during[CRASHING_KIND];
+
+	g_assert_cmpfloat(counts->in_time + counts->late, >=,
+	    INNOCENT_SERVED_MIN * (double)counts->submitted);
+}
+
+/* Guards against giving up a task that ran beside one that crashes workers. */
+static void
+crashes__no_bystander_is_given_up(void)
+{
+	g_assert_cmpuint(get_results()->given_up, ==, 0);
+}
+
+/* Guards against a limit that outlasts its cause. */
+static void
+crashes__all_are_served_afterwards(void)
+{
+	const struct results *results = get_results();
+	unsigned k;
+
+	for (k = 0; k < shape.kind_count; k++) {
+		const struct load_counts *counts = &results->after[k];
+
+		g_assert_cmpuint(counts->submitted, >, 0);
+		g_assert_cmpfloat(counts->in_time, >=,
+		    AFTER_IN_TIME_MIN * (double)counts->submitted);
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func(
+	    "/crashes/starts-are-limited", crashes__starts_are_limited);
+	g_test_add_func(
+	    "/crashes/other-kinds-are-served", crashes__other_kinds_are_served);
+	g_test_add_func("/crashes/jobs-like-the-crashing-ones-are-served",
+	    crashes__jobs_like_the_crashing_ones_are_served);
+	g_test_add_func("/crashes/no-bystander-is-given-up",
+	    crashes__no_bystander_is_given_up);
+	g_test_add_func("/crashes/all-are-served-afterwards",
+	    crashes__all_are_served_afterwards);
+	return g_test_run();
+}
