--- a/src/core/entry/entry_internal.h
+++ b/src/core/entry/entry_internal.h
@@ -16,7 +16,7 @@
 /* Least time between two greetings on new connections. Many are made at once
  * when a fleet starts. */
 #define ENTRY_GREET_INTERVAL_US (20 * 1000)
-#define ENTRY_ATTEMPTS_MAX      100  /* attempts of a task */
+#define ENTRY_ATTEMPTS_MAX      100  /* of a task that is not restartable */
 #define ENTRY_RETRY_BURST       10.0 /* retries saved up in the retry budget */
 /* Expected service time of a task without a declared time. */
 #define ENTRY_DEFAULT_DECLARED_US (100 * 1000)
--- a/src/core/job/result.c
+++ b/src/core/job/result.c
@@ -123,7 +123,8 @@
 }
 
 /* Queues a task again that was returned without being run, or closes it if its
- * deadline has passed or it has used up its attempts. */
+ * deadline has passed. Tasks of jobs that are not restartable have a limit on
+ * their attempts. Those of restartable jobs fail only by runs that fail. */
 static void
 handle_task_not_run(struct mst_entry *entry, struct job *job, uint32_t index,
     enum mst_reason reason)
@@ -132,8 +133,10 @@
 
 	entry->counters.requeued[reason]++;
 	if (reason == MST_REASON_DEADLINE ||
-	    task->attempts >= ENTRY_ATTEMPTS_MAX)
+	    (!job->restartable && task->attempts >= ENTRY_ATTEMPTS_MAX))
 		mst_task_close(entry, job, index, MST_OUTCOME_NOT_RUN, reason);
+	else if (mst_stored_has_used_run_numbers(job, task))
+		mst_stored_abandon_run(entry, job, index);
 	else
 		mst_task_requeue(entry, job, index);
 }
--- a/src/core/job/task.h
+++ b/src/core/job/task.h
@@ -30,7 +30,7 @@
 	uint8_t outcome;
 	uint8_t reason;
 	uint8_t flags;
-	uint8_t attempts;
+	uint16_t attempts;
 	bool withdrawing;
 	bool may_have_run; /* an earlier attempt may have started */
 	uint8_t failures;  /* number of failed runs */
--- a/src/core/stored/state.c
+++ b/src/core/stored/state.c
@@ -65,6 +65,13 @@
 	return (job->stored->term << STORED_TERM_SHIFT) + task->attempts;
 }
 
+bool
+mst_stored_has_used_run_numbers(const struct job *job, const struct task *task)
+{
+	return job->stored != NULL &&
+	    task->attempts >= (1u << STORED_TERM_SHIFT) - 1;
+}
+
 void
 mst_stored_fill_dispatch(const struct mst_entry *entry, const struct job *job,
     struct mst_dispatch_item *item)
--- a/src/core/stored/stored.c
+++ b/src/core/stored/stored.c
@@ -45,8 +45,11 @@
 	task->avoid_member = task->member ? task->member->incarnation : 0;
 	task->member = NULL;
 	/* One increment is enough for all runs that one write abandons. */
-	if (stored->abandoned->len == 0)
+	if (stored->abandoned->len == 0 ||
+	    mst_stored_has_used_run_numbers(job, task))
 		stored->term++;
+	if (mst_stored_has_used_run_numbers(job, task))
+		task->attempts = 0;
 	g_array_append_val(stored->abandoned, task_index);
 	mst_stored_mark_dirty(entry, stored, 0);
 }
--- a/src/core/stored/stored.h
+++ b/src/core/stored/stored.h
@@ -65,6 +65,10 @@
 /* Returns the number of a task's present run. It increases with each attempt
  * and, for stored jobs, with each term. */
 uint32_t mst_stored_run_number(const struct job *job, const struct task *task);
+/* Returns true if a task of a stored job has used all run numbers of the term.
+ */
+bool mst_stored_has_used_run_numbers(
+    const struct job *job, const struct task *task);
 /* Sets the record key, owner and term of a stored job in a dispatch. */
 void mst_stored_fill_dispatch(const struct mst_entry *entry,
     const struct job *job, struct mst_dispatch_item *item);
