--- a/include/masticstall/agent.h
+++ b/include/masticstall/agent.h
@@ -67,6 +67,8 @@
 	MST_AGENT_EV_REPORT, /* the worker has reported its status */
 	/* A report that an earlier incarnation of this agent has kept. */
 	MST_AGENT_EV_KEPT_REPORT,
+	/* Crashes that an earlier incarnation of this agent has kept. */
+	MST_AGENT_EV_KEPT_CRASHES,
 	MST_AGENT_EV_ORDER_ANSWER, /* an order to the worker was answered */
 	MST_AGENT_EV_STORE_ANSWER  /* a store operation was answered */
 };
@@ -81,6 +83,7 @@
 	uint64_t entry;                /* ENTRY_WANTED: incarnation */
 	bool wanted;                   /* ENTRY_WANTED */
 	const struct mst_worker_report *report;      /* REPORT, KEPT_REPORT */
+	const struct mst_crashes *crashes;           /* KEPT_CRASHES */
 	const struct mst_order_answer *answer;       /* ORDER_ANSWER */
 	const struct mst_store_answer *store_answer; /* STORE_ANSWER */
 };
@@ -117,9 +120,9 @@
 	uint32_t run_number;           /* RUN_FAILED: run number of the task */
 	struct mst_result_item result; /* RUN_FAILED */
 	int64_t silent_us; /* LEASE_EXPIRED: age of the last clock echo */
-	/* LEASE_EXPIRED: queued and running tasks; CRASH: runs in progress */
-	uint32_t open;
-	uint32_t jobs;                /* CRASH: jobs of these runs */
+	uint32_t open;     /* LEASE_EXPIRED: queued and running tasks */
+	/* CRASH: all that are remembered; the new one is the last. */
+	struct mst_crashes crashes;
 	struct mst_store_op op;       /* STORE */
 	struct mst_drains_msg drains; /* DRAINS: the new set */
 	bool drained; /* DRAINS: it contains this agent's failure domain */
--- a/include/masticstall/entry.h
+++ b/include/masticstall/entry.h
@@ -247,7 +247,9 @@
 	MST_ENTRY_FX_OWNER,    /* the ownership of stored jobs has changed */
 	MST_ENTRY_FX_CLOSED,   /* a stored job is closed */
 	MST_ENTRY_FX_DRAINS,   /* the set of drained domains has changed */
-	MST_ENTRY_FX_CRASHED   /* a worker crashed during a run of a task */
+	MST_ENTRY_FX_CRASHED,  /* a worker crashed during a run of a task */
+	/* Jobs of a team are restricted in where they run, or no longer. */
+	MST_ENTRY_FX_QUARANTINE
 };
 
 /** Kind of refusal of a request. */
@@ -273,12 +275,13 @@
 	uint32_t retry_after_ms;  /* REFUSE */
 	uint64_t peer; /* FORWARD: entry; TASK, MEMBER, CRASHED: agent */
 	struct mst_bytes peers;       /* PEERS */
-	const char *state;            /* MEMBER, OWNER */
+	const char *state;            /* MEMBER, OWNER, QUARANTINE */
+	const char *team;             /* QUARANTINE */
 	struct mst_store_op op;       /* STORE */
 	enum mst_stored_state stored; /* STATE */
 	uint64_t owner; /* OWNER: id of this entry's ownership, or 0 */
 	/* OWNER: number of affected jobs; CRASHED: crashes during runs of the
-	 * task */
+	 * task; QUARANTINE: members for quarantined jobs */
 	uint32_t count;
 	/* DRAINS: the new set; state tells where it came from: "store",
 	 * "config", "entry" or "agent". */
@@ -305,6 +308,8 @@
 	uint64_t retries; /* attempts after a failure or unknown outcome */
 	uint64_t withdrawals;
 	uint64_t crashed_runs; /* runs that ended with their worker */
+	uint64_t suspect_jobs; /* jobs that were to run alone for crashes */
+	uint64_t quarantines;  /* restrictions of teams */
 	uint64_t results;
 	uint64_t results_late; /* for tasks that were already closed */
 	uint64_t results_repeated;
--- a/include/masticstall/message.h
+++ b/include/masticstall/message.h
@@ -15,7 +15,7 @@
 #include <masticstall/seqset.h>
 
 /** Version of the message format; messages of other versions are dropped. */
-#define MST_MSG_VERSION 5
+#define MST_MSG_VERSION 6
 /** Largest encoded message in bytes. */
 #define MST_MSG_MAX_BYTES (64u << 20)
 /** Most tasks in one job. */
@@ -92,6 +92,7 @@
 	MST_MSG_FORWARD,      /* entry to entry: request for the job's owner */
 	MST_MSG_FORWARDED,    /* entry to entry: HTTP answer of the owner */
 	MST_MSG_CONFIG_REQUEST, /* to any: asks for a newer configuration */
+	MST_MSG_CRASHES,        /* agent to entry: crashes of its worker */
 	MST_MSG_MAX
 };
 
@@ -155,7 +156,8 @@
 	uint64_t sent_through;   /* highest number sent to the receiver */
 	/* Sequence numbers of the results received from the receiver. */
 	struct mst_seqset results_received;
-	uint32_t demand; /* tasks that wait at this entry */
+	uint32_t demand;           /* tasks that wait at this entry */
+	uint64_t crashes_received; /* last crash received from the receiver */
 	uint64_t config_version;
 	struct mst_bytes peers; /* addresses of entries, comma-separated */
 	struct mst_drains_msg drains;
@@ -168,6 +170,16 @@
  * outcome of that run.
  */
 #define MST_TASK_RESTARTABLE 2u
+/**
+ * Flag of a task: no other job with such tasks may run at the worker at the
+ * same time, and no other job may start there meanwhile.
+ */
+#define MST_TASK_ISOLATED 4u
+/**
+ * Flag of a task that was present at several crashes. If it completes, its
+ * agent tells all entries that it was not the cause.
+ */
+#define MST_TASK_SUSPECT 8u
 
 struct mst_dispatch_item {
 	uint64_t seq;
@@ -178,6 +190,7 @@
 	uint32_t run;                 /* number of this attempt, from 1 */
 	uint32_t expected_service_us; /* service time on a typical upstream */
 	uint32_t slack_us; /* time from arrival to its latest start */
+	uint32_t team;     /* hash of the name of the job's team */
 	struct mst_resources needs;
 	struct mst_bytes method;
 	struct mst_bytes path;
@@ -255,6 +268,34 @@
 	const struct mst_fenced_item *items;
 };
 
+/** Most runs that the record of one crash lists. */
+#define MST_CRASH_RUNS_MAX 128
+/** Most crashes in one message. */
+#define MST_CRASHES_MAX 256
+
+/** Run that was in progress when a worker crashed, or that was cleared. */
+struct mst_crashed_run {
+	struct mst_bytes task; /* its name */
+	uint32_t team;         /* hash of the name of the job's team */
+};
+
+/** Crash of a worker, or that suspects of earlier crashes have completed. */
+struct mst_crash {
+	uint64_t number; /* of the crash at the sender, from 1 */
+	uint64_t id;     /* the same wherever the crash is reported */
+	uint32_t age_ms; /* time since the crash */
+	bool cleared;    /* no crash: the runs have completed */
+	uint32_t run_count;
+	const struct mst_crashed_run *runs;
+};
+
+/** Crashes that an agent remembers. */
+struct mst_crashes {
+	uint64_t after; /* all with greater numbers are listed */
+	uint32_t count;
+	const struct mst_crash *items;
+};
+
 struct mst_peer {
 	struct mst_bytes address;
 	uint64_t config_version;
@@ -309,6 +350,7 @@
 		struct mst_peer peer;
 		struct mst_config_msg config;
 		struct mst_config_request config_request;
+		struct mst_crashes crashes;
 		struct mst_forward forward;
 		struct mst_forwarded forwarded;
 	};
--- a/include/masticstall/tuning.h
+++ b/include/masticstall/tuning.h
@@ -28,11 +28,13 @@
 	double expiry_factor; /* of the objective; later answers are useless */
 	int64_t priority_step_us; /* in the queue, between two priorities */
 	/* Placing. */
-	bool use_slow_members; /* leave fast members to critical tasks */
-	bool wait_for_better;  /* wait for a member that finishes sooner */
-	bool spread;           /* prefer members with many free slots */
-	bool slow_start;       /* send few tasks to cold members at first */
-	double planned_share;  /* share of the time limit that is planned */
+	bool use_slow_members;   /* leave fast members to critical tasks */
+	bool wait_for_better;    /* wait for a member that finishes sooner */
+	bool spread;             /* prefer members with many free slots */
+	bool slow_start;         /* send few tasks to cold members at first */
+	bool quarantine;         /* confine teams whose jobs crash workers */
+	double quarantine_share; /* of the members, for such teams */
+	double planned_share;    /* share of the time limit that is planned */
 	/* Learnt deviations of a service time that a late finish allows for. */
 	double overrun_deviations;
 	double low_utilization;    /* no later finish is accepted below it */
@@ -60,7 +62,8 @@
 		.low_load = 0.6, .high_load = 0.9, .rate_share_min = 0.5,      \
 		.expiry_factor = 3.0, .priority_step_us = 100000,              \
 		.use_slow_members = true, .wait_for_better = true,             \
-		.spread = true, .slow_start = true, .planned_share = 0.85,     \
+		.spread = true, .slow_start = true, .quarantine = true,        \
+		.quarantine_share = 0.25, .planned_share = 0.85,               \
 		.overrun_deviations = 2.5, .low_utilization = 0.35,            \
 		.high_utilization = 0.75, .finish_stretch_max = 0.5,           \
 		.withdraw_overdue = true, .keep_long_tasks = true,             \
--- a/src/codec/codec.c
+++ b/src/codec/codec.c
@@ -7,9 +7,11 @@
 G_DEFINE_QUARK(mst_codec_error, mst_codec_error)
 
 /* Number of fields per item; a list of items is encoded as one flat array. */
-#define DISPATCH_ITEM_FIELDS 20
+#define DISPATCH_ITEM_FIELDS 21
 #define RESULT_FIELDS        9
 #define FENCED_ITEM_FIELDS   (2 + RESULT_FIELDS)
+#define CRASH_FIELDS         5
+#define CRASHED_RUN_FIELDS   2
 
 static void
 put_resources(msgpack_packer *pk, const struct mst_resources *resources)
@@ -116,6 +118,7 @@
 	codec_put_u64(pk, m->sent_through);
 	codec_put_seqset(pk, &m->results_received);
 	codec_put_u64(pk, m->demand);
+	codec_put_u64(pk, m->crashes_received);
 	codec_put_u64(pk, m->config_version);
 	codec_put_bytes(pk, m->peers);
 	put_drains(pk, &m->drains);
@@ -132,6 +135,7 @@
 	m->sent_through = codec_get_u64(r);
 	m->results_received = codec_get_seqset(r);
 	m->demand = codec_get_u32(r);
+	m->crashes_received = codec_get_u64(r);
 	m->config_version = codec_get_u64(r);
 	m->peers = codec_get_bytes(r);
 	m->drains = get_drains(r);
@@ -159,6 +163,7 @@
 		codec_put_u64(pk, item->run);
 		codec_put_u64(pk, item->expected_service_us);
 		codec_put_u64(pk, item->slack_us);
+		codec_put_u64(pk, item->team);
 		put_resources(pk, &item->needs);
 		codec_put_bytes(pk, item->method);
 		codec_put_bytes(pk, item->path);
@@ -199,6 +204,7 @@
 		items[i].run = codec_get_u32(&nested);
 		items[i].expected_service_us = codec_get_u32(&nested);
 		items[i].slack_us = codec_get_u32(&nested);
+		items[i].team = codec_get_u32(&nested);
 		items[i].needs = get_resources(&nested);
 		items[i].method = codec_get_bytes(&nested);
 		items[i].path = codec_get_bytes(&nested);
@@ -341,6 +347,79 @@
 	r->failed |= nested.failed;
 }
 
+static void
+put_crashes(msgpack_packer *pk, const struct mst_crashes *m)
+{
+	uint32_t i, k;
+
+	codec_put_u64(pk, m->after);
+	msgpack_pack_array(pk, (size_t)m->count * CRASH_FIELDS);
+	for (i = 0; i < m->count; i++) {
+		const struct mst_crash *crash = &m->items[i];
+
+		codec_put_u64(pk, crash->number);
+		codec_put_u64(pk, crash->id);
+		codec_put_u64(pk, crash->age_ms);
+		codec_put_u64(pk, crash->cleared);
+		msgpack_pack_array(
+		    pk, (size_t)crash->run_count * CRASHED_RUN_FIELDS);
+		for (k = 0; k < crash->run_count; k++) {
+			codec_put_bytes(pk, crash->runs[k].task);
+			codec_put_u64(pk, crash->runs[k].team);
+		}
+	}
+}
+
+static void
+get_crashed_runs(struct codec_reader *r, struct mst_crash *crash)
+{
+	struct mst_crashed_run *runs;
+	struct codec_reader nested;
+	uint32_t count, i;
+
+	nested = codec_get_array(r, &count);
+	if (nested.failed || count % CRASHED_RUN_FIELDS != 0 ||
+	    count / CRASHED_RUN_FIELDS > MST_CRASH_RUNS_MAX) {
+		r->failed = true;
+		return;
+	}
+	crash->run_count = count / CRASHED_RUN_FIELDS;
+	runs = codec_list_alloc(r, crash->run_count, sizeof(*runs));
+	for (i = 0; runs != NULL && i < crash->run_count; i++) {
+		runs[i].task = codec_get_bytes(&nested);
+		runs[i].team = codec_get_u32(&nested);
+	}
+	crash->runs = runs;
+	r->failed |= nested.failed;
+}
+
+static void
+get_crashes(struct codec_reader *r, struct mst_crashes *m)
+{
+	struct mst_crash *items;
+	struct codec_reader nested;
+	uint32_t count, i;
+
+	m->after = codec_get_u64(r);
+	nested = codec_get_array(r, &count);
+	if (nested.failed || count % CRASH_FIELDS != 0 ||
+	    count / CRASH_FIELDS > MST_CRASHES_MAX)
+		r->failed = true;
+	if (r->failed)
+		return;
+	m->count = count / CRASH_FIELDS;
+	items = codec_list_alloc(r, m->count, sizeof(*items));
+	for (i = 0; items != NULL && i < m->count; i++) {
+		items[i].number = codec_get_u64(&nested);
+		items[i].id = codec_get_u64(&nested);
+		items[i].age_ms = codec_get_u32(&nested);
+		items[i].cleared = codec_get_bool(&nested);
+		get_crashed_runs(&nested, &items[i]);
+	}
+	m->items = items;
+	r->failed |= nested.failed;
+}
+
 static void
 put_payload(msgpack_packer *pk, const struct mst_msg *msg)
 {
@@ -397,6 +476,9 @@
 		codec_put_u64(pk, msg->forwarded.retry_after_s);
 		codec_put_bytes(pk, msg->forwarded.body);
 		break;
+	case MST_MSG_CRASHES:
+		put_crashes(pk, &msg->crashes);
+		break;
 	case MST_MSG_MAX:
 		break;
 	}
@@ -446,6 +528,9 @@
 	case MST_MSG_CONFIG_REQUEST:
 		msg->config_request.version = codec_get_u64(r);
 		break;
+	case MST_MSG_CRASHES:
+		get_crashes(r, &msg->crashes);
+		break;
 	case MST_MSG_FORWARD:
 		msg->forward.id = codec_get_u64(r);
 		msg->forward.kind = codec_get_u32(r);
@@ -467,7 +552,7 @@
 /* Number of fields that follow the header (version, type, from, to). */
 static const uint8_t payload_fields[MST_MSG_MAX] = {
     [MST_MSG_ANNOUNCE] = 27,
-    [MST_MSG_HEARTBEAT] = 12,
+    [MST_MSG_HEARTBEAT] = 13,
     [MST_MSG_DISPATCH] = 5,
     [MST_MSG_RESULT] = 3,
     [MST_MSG_WITHDRAW] = 1,
@@ -478,6 +563,7 @@
     [MST_MSG_FORWARD] = 5,
     [MST_MSG_FORWARDED] = 4,
     [MST_MSG_CONFIG_REQUEST] = 1,
+    [MST_MSG_CRASHES] = 2,
 };
 
 void
--- a/src/core/agent/agent.c
+++ b/src/core/agent/agent.c
@@ -40,6 +40,7 @@
 	mst_drains_init(&agent->drains);
 	mst_completions_init(&agent->worker);
 	mst_unknown_init(&agent->worker);
+	mst_crash_list_init(&agent->crashes);
 	agent->description_version = 1;
 	agent->sessions = g_hash_table_new_full(g_direct_hash, g_direct_equal,
 	    NULL, (GDestroyNotify)mst_session_free);
@@ -65,6 +66,7 @@
 	mst_drains_clear(&agent->drains);
 	mst_completions_clear(&agent->worker);
 	mst_unknown_clear(&agent->worker);
+	mst_crash_list_clear(&agent->crashes);
 	g_hash_table_unref(agent->active);
 	g_hash_table_unref(agent->sessions);
 	g_hash_table_unref(agent->claims);
@@ -189,6 +191,7 @@
 	pull_config(agent, msg->from, heartbeat->config_version);
 	if (mst_agent_is_available(agent))
 		mst_agent_announce(agent, session);
+	mst_session_send_crashes(agent, session, heartbeat->crashes_received);
 	if (heartbeat->peers.len > 0) {
 		effect = mst_agent_emit(agent, MST_AGENT_FX_PEERS);
 		effect->peers = heartbeat->peers;
@@ -430,6 +433,9 @@
 	case MST_AGENT_EV_KEPT_REPORT:
 		mst_worker_handle_kept_report(agent, event->report);
 		break;
+	case MST_AGENT_EV_KEPT_CRASHES:
+		mst_agent_add_kept_crashes(agent, event->crashes);
+		break;
 	case MST_AGENT_EV_ORDER_ANSWER:
 		mst_worker_handle_answer(agent, event->answer);
 		mst_worker_tick(agent);
--- a/src/core/agent/agent_internal.h
+++ b/src/core/agent/agent_internal.h
@@ -6,6 +6,7 @@
 #include <masticstall/agent.h>
 
 #include "core/config_pull.h"
+#include "core/crash/crash.h"
 #include "core/drains.h"
 #include "core/worker/worker.h"
 
@@ -123,9 +124,10 @@
 	struct mst_drains drains;
 	bool drained; /* its failure domain is drained */
 	uint32_t running;
-	double service_us;      /* moving average of service times */
-	double task_millicores; /* leased: moving average per task */
-	struct worker worker;   /* leased */
+	double service_us;             /* moving average of service times */
+	double task_millicores;        /* leased: moving average per task */
+	struct worker worker;          /* leased */
+	struct mst_crash_list crashes; /* of the worker */
 	uint64_t next_handle;
 	GHashTable *sessions; /* entry incarnation -> struct session */
 	GHashTable *active;   /* handle -> running struct run */
@@ -181,6 +183,9 @@
     const struct mst_result_item *result);
 /* Starts queued runs while there is capacity. */
 void mst_agent_start_queued(struct mst_agent *agent);
+/* Returns true if isolated runs are queued or running, so that those of other
+ * jobs wait. */
+bool mst_agent_is_isolating(const struct mst_agent *agent);
 /* Refuses the queued runs of a session, or all if it is NULL. */
 void mst_agent_refuse_queued(struct mst_agent *agent,
     const struct session *session, enum mst_reason reason);
@@ -215,6 +220,19 @@
 /* Records that an entry has sent tasks, which use its offers. */
 void mst_session_use_offers(struct session *session, uint32_t count);
 
+/* crash.c */
+/* Records a crash of the worker and tells all entries. The runs were in
+ * progress. */
+void mst_agent_record_crash(struct mst_agent *agent, const GPtrArray *runs);
+/* Tells all entries that a suspect has completed. */
+void mst_agent_clear_suspect(struct mst_agent *agent, const struct run *run);
+/* Adds crashes that an earlier incarnation of this agent has kept. */
+void mst_agent_add_kept_crashes(
+    struct mst_agent *agent, const struct mst_crashes *crashes);
+/* Sends the crashes that an entry has not received to it. */
+void mst_session_send_crashes(
+    struct mst_agent *agent, const struct session *session, uint64_t received);
+
 /* report.c */
 /* Emits the collected results of all sessions. */
 void mst_agent_flush(struct mst_agent *agent);
--- a/src/core/agent/announce.c
+++ b/src/core/agent/announce.c
@@ -7,20 +7,23 @@
 /* Time after which all known entries are listed again. */
 #define ENTRIES_REPEAT_US (INT64_C(20) * G_USEC_PER_SEC)
 
+/* While its worker is down, a leased agent has no slots. */
 static uint32_t
 agent_slots(const struct mst_agent *agent)
 {
-	return agent->options.leased ? mst_worker_slots(agent)
-				     : agent->options.slots;
+	if (!agent->options.leased)
+		return agent->options.slots;
+	return agent->worker.synced ? mst_worker_slots(agent) : 0;
 }
 
 /* Returns true if this agent may announce itself to entries. A leased agent
- * must not do so before its worker is ready for orders. */
+ * must not do so before the runs of its earlier incarnation have ended. It does
+ * while its worker is down later, so that new entries learn of it as well. */
 bool
 mst_agent_is_available(const struct mst_agent *agent)
 {
 	return !agent->options.leased ||
-	    (agent->worker.has_reported && agent->worker.synced);
+	    (agent->worker.has_reported && agent->worker.was_synced);
 }
 
 /* Adds the description, which changes rarely and is therefore sent to an entry
--- a/src/core/agent/run.c
+++ b/src/core/agent/run.c
@@ -161,15 +161,21 @@
 	run->session->open--;
 }
 
+/* Runs of isolated jobs that wait at one agent. Entries send all tasks of such
+ * a job to one agent. */
+#define ISOLATED_QUEUE_MAX 128
+
 /* Returns the maximum length of the queue. A leased agent keeps it short,
  * because the entry can choose a better agent for the tasks that it refuses. */
 static uint32_t
-queue_limit(const struct mst_agent *agent)
+queue_limit(const struct mst_agent *agent, const struct mst_dispatch_item *item)
 {
 	if (!agent->options.leased)
 		return agent->options.queue_max;
 	if (!mst_worker_is_ready(agent))
 		return 0;
+	if (item->flags & MST_TASK_ISOLATED)
+		return ISOLATED_QUEUE_MAX;
 	return mst_worker_free_slots(agent) + agent->options.tuning.queue_max +
 	    1;
 }
@@ -232,7 +238,7 @@
 	} else if (agent->draining || agent->drained ||
 	    agent->worker.draining) {
 		refuse_run(agent, run, MST_REASON_DRAINING);
-	} else if (agent->queue.length >= queue_limit(agent)) {
+	} else if (agent->queue.length >= queue_limit(agent, item)) {
 		refuse_run(agent, run, MST_REASON_BUSY);
 	} else {
 		run->state = RUN_QUEUED;
@@ -313,6 +319,69 @@
 	return agent->running < agent->options.slots;
 }
 
+static bool
+is_isolated(const struct run *run)
+{
+	return (run->task.flags & MST_TASK_ISOLATED) != 0;
+}
+
+/* Returns a running isolated run, or NULL. */
+static const struct run *
+find_isolated_run(const struct mst_agent *agent)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, agent->active);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (is_isolated(value))
+			return value;
+	}
+	return NULL;
+}
+
+bool
+mst_agent_is_isolating(const struct mst_agent *agent)
+{
+	GList *link;
+
+	if (find_isolated_run(agent) != NULL)
+		return true;
+	for (link = agent->queue.head; link != NULL; link = link->next) {
+		if (is_isolated(link->data))
+			return true;
+	}
+	return false;
+}
+
+/* Returns the first queued run of the same job as another one, or NULL. */
+static struct run *
+find_queued_of_job(const struct mst_agent *agent, const struct run *other)
+{
+	GList *link;
+
+	for (link = agent->queue.head; link != NULL; link = link->next) {
+		struct run *run = link->data;
+
+		if (mst_job_id_equal(&run->task.job, &other->task.job))
+			return run;
+	}
+	return NULL;
+}
+
+/* Returns the queued run that is to start next, or NULL. While an isolated run
+ * is running, only runs of its job start. */
+static struct run *
+next_queued(const struct mst_agent *agent)
+{
+	const struct run *isolated = find_isolated_run(agent);
+	struct run *first = g_queue_peek_head((GQueue *)&agent->queue);
+
+	if (isolated != NULL)
+		return find_queued_of_job(agent, isolated);
+	return first;
+}
+
 void
 mst_agent_start_queued(struct mst_agent *agent)
 {
@@ -322,7 +391,7 @@
 	/* Other agents can run them sooner. */
 	if (agent->options.leased && !mst_worker_is_ready(agent))
 		mst_agent_refuse_queued(agent, NULL, MST_REASON_BUSY);
-	while ((run = g_queue_peek_head(&agent->queue)) != NULL &&
+	while ((run = next_queued(agent)) != NULL &&
 	    has_capacity_for(agent, run)) {
 		dequeue_run(agent, run);
 		limit_us = (int64_t)run->task.timeout_ms * 1000;
--- a/src/core/agent/session.c
+++ b/src/core/agent/session.c
@@ -168,6 +168,9 @@
 
 	if (!mst_worker_is_ready(agent))
 		return 0;
+	/* Each entry may have one isolated job wait here. */
+	if (mst_agent_is_isolating(agent))
+		return session->open + 1;
 	if (mst_agent_is_contended(agent))
 		max = MIN(max, CONTENDED_QUEUE_MAX);
 	queue_room = waiting < max ? max - waiting : 0;
--- a/src/core/entry/entry.c
+++ b/src/core/entry/entry.c
@@ -71,6 +71,7 @@
 	    g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
 	mst_owner_init(entry);
 	mst_drains_init(&entry->drains);
+	entry->crash_history = mst_crash_history_new();
 	entry->scratch_candidates = mst_candidates_new();
 	*out = entry;
 	return 0;
@@ -110,6 +111,7 @@
 	mst_seqset_clear(&entry->used_counters);
 	mst_config_free(entry->config);
 	mst_drains_clear(&entry->drains);
+	mst_crash_history_free(entry->crash_history);
 	g_rand_free(entry->rand);
 	g_free(entry->document);
 	g_free(entry->address);
@@ -160,6 +162,9 @@
 	case MST_MSG_FENCED:
 		mst_entry_handle_fenced(entry, msg);
 		break;
+	case MST_MSG_CRASHES:
+		mst_entry_handle_crashes(entry, msg);
+		break;
 	case MST_MSG_PEER:
 		mst_entry_handle_peer(entry, msg);
 		break;
--- a/src/core/entry/entry_internal.h
+++ b/src/core/entry/entry_internal.h
@@ -6,6 +6,7 @@
 #include <masticstall/entry.h>
 
 #include "core/config_pull.h"
+#include "core/crash/crash.h"
 #include "core/drains.h"
 #include "core/stored/stored.h"
 
@@ -88,6 +89,9 @@
 	bool mostly_warm;    /* warm members can serve for cold ones */
 	double capacity;     /* sum over usable members of slots / slowness */
 	double utilization;  /* share of the capacity in use */
+	struct mst_crash_history *crash_history;
+	bool has_suspects; /* some open job may be a suspect */
+	uint32_t quarantined_members;
 	double retry_tokens;
 	GArray *retries;             /* struct retry */
 	int64_t no_arbiter_since_us; /* 0: joining members can be recorded */
--- a/src/core/entry/view.c
+++ b/src/core/entry/view.c
@@ -107,7 +107,7 @@
 	for (i = 0; i < entry->members->len; i++) {
 		const struct member *member = entry->members->pdata[i];
 
-		if (!mst_member_is_active(entry, member))
+		if (!mst_member_is_up(entry, member))
 			continue;
 		gauges.members_active++;
 		gauges.members_cold += member->is_cold;
--- a/src/core/id.c
+++ b/src/core/id.c
@@ -1,7 +1,9 @@
-/* Ids as keys of hash tables. */
+/* Ids as keys of hash tables, and names of tasks. */
 
 #include "core/id.h"
 
+#include <string.h>
+
 guint
 mst_job_id_hash(gconstpointer key)
 {
@@ -19,3 +21,14 @@
 
 	return left->issuer == right->issuer && left->counter == right->counter;
 }
+
+struct mst_bytes
+mst_task_name_job(struct mst_bytes name)
+{
+	const char *dot =
+	    name.len > 0 ? memchr(name.data, '.', name.len) : NULL;
+
+	if (dot != NULL)
+		name.len = (size_t)(dot - name.data);
+	return name;
+}
--- a/src/core/id.h
+++ b/src/core/id.h
@@ -1,7 +1,7 @@
 #ifndef MST_ID_H
 #define MST_ID_H
 
-/* Ids as keys of hash tables, and copies of byte strings. */
+/* Ids as keys of hash tables, names of tasks, copies of byte strings. */
 
 #include <glib.h>
 #include <masticstall/message.h>
@@ -9,6 +9,9 @@
 guint mst_job_id_hash(gconstpointer key);
 gboolean mst_job_id_equal(gconstpointer a, gconstpointer b);
 
+/* Returns the key of a task's job: the task's name up to the first dot. */
+struct mst_bytes mst_task_name_job(struct mst_bytes name);
+
 static inline gpointer
 mst_u64_to_pointer(uint64_t value)
 {
--- a/src/core/job/job.h
+++ b/src/core/job/job.h
@@ -49,6 +49,7 @@
 	int64_t latest_start_us;     /* latest start that meets the objective */
 	int64_t virtual_deadline_us; /* queue order: latest start + priority */
 	bool demoted;                /* can no longer meet its objective */
+	bool suspect; /* a task of it may crash any worker that runs it */
 	uint32_t retry_after_ms;
 	uint64_t bytes;
 	GList closed_link;         /* link in the entry's closed_jobs */
@@ -152,6 +153,18 @@
 void mst_task_handle_unknown(struct mst_entry *entry, struct job *job,
     uint32_t index, enum mst_reason reason);
 
+/* crash.c */
+/* Counts a run of a sent task that ended because its worker crashed. Returns
+ * true if the task is given up and has been closed. */
+bool mst_task_handle_crash(struct mst_entry *entry, struct job *job,
+    uint32_t index, const struct member *member);
+/* Applies what is known of the crashes of a new job's tasks, which may have run
+ * for another entry. The job may be closed with it. */
+void mst_job_recall_crashes(struct mst_entry *entry, struct job *job);
+/* Handles the crashes that an agent has recorded. */
+void mst_entry_handle_crashes(
+    struct mst_entry *entry, const struct mst_msg *msg);
+
 /* adopt.c */
 /* Starts the adoption of a job whose ticket another entry has issued. */
 void mst_entry_adopt_job(struct mst_entry *entry, struct job *job);
--- a/src/core/job/progress.c
+++ b/src/core/job/progress.c
@@ -194,6 +194,7 @@
 		entry->counters.jobs_failed++;
 	} else {
 		entry->counters.jobs_complete++;
+		mst_quarantine_count_complete(entry, job);
 	}
 	release_job_key(entry, job);
 	job->state = state;
--- a/src/core/job/result.c
+++ b/src/core/job/result.c
@@ -201,13 +201,16 @@
 	mst_task_set_result(entry, job, index, result);
 }
 
-/* Returns true if a run was ended because of this entry or of an operator, so
- * that its result says nothing about the member's health. */
+/* Returns true if the result of a run says nothing about the member's health,
+ * because it was ended by this entry or an operator, or by a crash that any run
+ * may have caused. The agent grants nothing until the worker is back. */
 static bool
-is_ended_on_request(uint8_t reason)
+is_without_fault(uint8_t reason)
 {
 	return reason == MST_REASON_WITHDRAWN ||
-	    reason == MST_REASON_LEASE_LAPSED || reason == MST_REASON_DRAINING;
+	    reason == MST_REASON_LEASE_LAPSED ||
+	    reason == MST_REASON_DRAINING ||
+	    reason == MST_REASON_WORKER_CRASHED;
 }
 
 static void
@@ -224,23 +227,6 @@
 		    entry, job, index, MST_OUTCOME_DONE, MST_REASON_RUN_FAILED);
 }
 
-/* Counts a run that ended because its worker crashed. */
-static void
-count_crash(struct mst_entry *entry, struct job *job, uint32_t index,
-    const struct member *member)
-{
-	struct task *task = &job->tasks[index];
-	struct mst_entry_effect *effect;
-
-	task->crashes = (uint8_t)MIN(task->crashes + 1, UINT8_MAX);
-	entry->counters.crashed_runs++;
-	effect = mst_entry_emit(entry, MST_ENTRY_FX_CRASHED);
-	effect->job = job->handle;
-	effect->index = index;
-	effect->peer = member->incarnation;
-	effect->count = task->crashes;
-}
-
 static void
 handle_task_result(struct mst_entry *entry, struct job *job, uint32_t index,
     struct member *member, const struct mst_result_item *result)
@@ -269,9 +255,10 @@
 		break;
 	case MST_OUTCOME_UNKNOWN:
 	case MST_OUTCOME_NONE:
-		if (result->reason == MST_REASON_WORKER_CRASHED)
-			count_crash(entry, job, index, member);
-		if (!is_ended_on_request(result->reason))
+		if (result->reason == MST_REASON_WORKER_CRASHED &&
+		    mst_task_handle_crash(entry, job, index, member))
+			break;
+		if (!is_without_fault(result->reason))
 			mst_member_update_health(entry, member, true);
 		if (job->restartable) {
 			requeue_after_run(entry, job, index, member);
--- a/src/core/job/submit.c
+++ b/src/core/job/submit.c
@@ -80,12 +80,12 @@
 }
 
 static bool
-has_active_member(const struct mst_entry *entry)
+has_member_up(const struct mst_entry *entry)
 {
 	guint i;
 
 	for (i = 0; i < entry->members->len; i++) {
-		if (mst_member_is_active(entry, entry->members->pdata[i]))
+		if (mst_member_is_up(entry, entry->members->pdata[i]))
 			return true;
 	}
 	return false;
@@ -101,7 +101,7 @@
 		return MST_REASON_NO_CONFIG;
 	/* A leased entry that has just started accepts jobs, because its agents
 	 * announce themselves soon. It closes jobs that wait too long. */
-	if (!has_active_member(entry) &&
+	if (!has_member_up(entry) &&
 	    (!entry->options.leased ||
 		entry->now_us - entry->started_us > ENTRY_WARM_UP_US))
 		return MST_REASON_NO_MEMBERS;
@@ -228,6 +228,9 @@
 		mst_entry_adopt_job(entry, job);
 		return;
 	}
+	mst_job_recall_crashes(entry, job);
+	if (job->state != MST_JOB_OPEN)
+		return;
 	mst_job_queue_all(entry, job);
 	mst_entry_place_tasks(entry);
 }
--- a/src/core/job/task.h
+++ b/src/core/job/task.h
@@ -5,6 +5,8 @@
 
 #include <masticstall/entry.h>
 
+#include "core/crash/crash.h"
+
 struct member;
 
 #define STATUS_FAILED_MIN 500 /* lowest HTTP status of a failed run */
@@ -32,9 +34,10 @@
 	uint8_t flags;
 	uint16_t attempts;
 	bool withdrawing;
+	bool isolated;     /* sent to run without other jobs beside it */
 	bool may_have_run; /* an earlier attempt may have started */
 	uint8_t failures;  /* number of failed runs */
-	uint8_t crashes;   /* number of runs that ended with their worker */
+	struct mst_task_crashes crashes; /* of workers during its runs */
 	uint8_t step;
 	uint16_t status;
 	uint32_t declared_us;
--- a/src/core/member/health.c
+++ b/src/core/member/health.c
@@ -24,7 +24,7 @@
 	for (i = 0; i < entry->members->len; i++) {
 		const struct member *member = entry->members->pdata[i];
 
-		if (!mst_member_is_active(entry, member))
+		if (!mst_member_is_up(entry, member))
 			continue;
 		(*active)++;
 		if (member->probing || entry->now_us < member->ejected_until_us)
--- a/src/core/member/heartbeat.c
+++ b/src/core/member/heartbeat.c
@@ -54,6 +54,7 @@
 	heartbeat->sent_through = member->next_seq;
 	heartbeat->results_received = member->results_received;
 	heartbeat->demand = entry->tasks_waiting;
+	heartbeat->crashes_received = member->crashes_received;
 	heartbeat->config_version = mst_entry_config_version(entry);
 	heartbeat->drains = mst_drains_to_msg(&entry->drains);
 	if (peers_are_due(entry, member))
--- a/src/core/member/member.h
+++ b/src/core/member/member.h
@@ -52,6 +52,8 @@
 	bool roster_recorded; /* roster entry recorded: may run tasks and
 				 arbitrate */
 	int64_t gone_us;
+	uint64_t crashes_received; /* last crash received from it */
+	bool quarantined; /* runs only quarantined jobs; see quarantine.h */
 	uint64_t config_version; /* configuration that the member has */
 	struct mst_slowness slowness_avg;
 	double reported_slowness; /* leased: by the agent; 0: unknown */
--- a/src/core/member/timeout.c
+++ b/src/core/member/timeout.c
@@ -119,6 +119,10 @@
 		member_check_timeouts(entry, entry->members->pdata[i]);
 	}
 	mst_roster_check_arbiter(entry);
+	mst_crash_history_expire(entry->crash_history, entry->now_us);
+	if (entry->quarantined_members > 0)
+		mst_quarantine_lower(entry);
+	mst_quarantine_choose_members(entry);
 	mst_entry_rank_members(entry);
 	mst_roster_activate_recorded(entry);
 	mst_entry_place_tasks(entry);
--- a/src/core/place/dispatch.c
+++ b/src/core/place/dispatch.c
@@ -14,6 +14,14 @@
 	return (uint32_t)CLAMP(remaining_us / 1000, 0, UINT32_MAX);
 }
 
+static uint32_t
+isolation_flags(const struct job *job, const struct task *task)
+{
+	if (!task->isolated)
+		return 0;
+	return MST_TASK_ISOLATED | (job->suspect ? MST_TASK_SUSPECT : 0);
+}
+
 /* Appends the tasks in a member's outbox to the dispatch items; tasks that
  * were closed or moved since they were queued are left out. */
 static void
@@ -35,7 +43,7 @@
 		item = (struct mst_dispatch_item){.seq = task->seq,
 		    .job = job->ticket.job,
 		    .index = (uint32_t)(tag & 0xffff),
-		    .flags = task->flags,
+		    .flags = task->flags | isolation_flags(job, task),
 		    .timeout_ms = remaining_timeout_ms(entry, job),
 		    .run = mst_stored_run_number(job, task),
 		    .expected_service_us = (uint32_t)MIN(
@@ -44,6 +52,7 @@
 		    .slack_us = (uint32_t)CLAMP(
 			job->virtual_deadline_us - entry->now_us, 0,
 			UINT32_MAX),
+		    .team = job->team->hash,
 		    .needs = task->needs,
 		    .method = mst_span_bytes(job, task->method),
 		    .path = mst_span_bytes(job, task->path),
--- a/src/core/place/fit.c
+++ b/src/core/place/fit.c
@@ -50,6 +50,12 @@
 	    !mst_drains_contains(&entry->drains, member->failure_domain);
 }
 
+bool
+mst_member_is_up(const struct mst_entry *entry, const struct member *member)
+{
+	return mst_member_is_active(entry, member) && member->slots > 0;
+}
+
 bool
 mst_members_are_drained(const struct mst_entry *entry)
 {
@@ -72,7 +78,7 @@
 bool
 mst_member_is_usable(const struct mst_entry *entry, const struct member *member)
 {
-	return mst_member_is_active(entry, member) &&
+	return mst_member_is_up(entry, member) &&
 	    entry->now_us >= member->ejected_until_us &&
 	    entry->now_us >= member->down_until_us;
 }
@@ -229,12 +235,15 @@
 mst_member_is_candidate(const struct mst_entry *entry,
     const struct member *member, const struct job *job, const struct task *task)
 {
-	if (!mst_member_has_service(member, job) ||
+	bool is_quarantined = mst_job_is_quarantined(job);
+
+	if (member->quarantined != is_quarantined ||
+	    !mst_member_has_service(member, job) ||
 	    !mst_member_has_room(entry, member) ||
 	    !mst_member_has_resources(member, task) ||
 	    !mst_member_matches_step(member, job, task))
 		return false;
-	return task->avoid_member != member->incarnation ||
+	return task->avoid_member != member->incarnation || is_quarantined ||
 	    count_usable_members(entry) < 2;
 }
 
@@ -275,7 +284,7 @@
 		const struct member *member =
 		    mst_member_sample_get(entry, &sample, i);
 
-		if (!mst_member_is_usable(entry, member))
+		if (!mst_member_is_usable(entry, member) || member->quarantined)
 			continue;
 		capacity += member->slots / member->slowness;
 		idle_capacity +=
@@ -297,7 +306,7 @@
 		    mst_member_sample_get(entry, &sample, i);
 
 		if (mst_member_has_room(entry, member) &&
-		    member->slowness <= max_slowness &&
+		    !member->quarantined && member->slowness <= max_slowness &&
 		    (service == 0 || member->service == service))
 			free_slots += MIN(member->free_slots, member->slots);
 	}
--- a/src/core/place/fit.h
+++ b/src/core/place/fit.h
@@ -27,11 +27,14 @@
 /* Returns true if a member is active and its failure domain is not drained. */
 bool mst_member_is_active(
     const struct mst_entry *entry, const struct member *member);
+/* Returns true if a member is active and has slots, as it has not while its
+ * worker is down. */
+bool mst_member_is_up(
+    const struct mst_entry *entry, const struct member *member);
 /* Returns true if members are known that are not lost, and the failure domains
  * of all of them are drained. */
 bool mst_members_are_drained(const struct mst_entry *entry);
-/* Returns true if a member is active, not drained, not ejected and its upstream
- * not down. */
+/* Returns true if a member is up, not ejected and its upstream not down. */
 bool mst_member_is_usable(
     const struct mst_entry *entry, const struct member *member);
 /* Returns the number of slots of a member that this entry may use. */
--- a/src/core/place/objective.c
+++ b/src/core/place/objective.c
@@ -202,6 +202,9 @@
 		return false;
 	service_us = compute_spec_objective(&objective, entry, spec, team);
 	slack_us = (double)objective.limit_us - service_us;
+	if (team->quarantine != QUARANTINE_NONE)
+		return mst_quarantine_would_be_late(
+		    entry, team, spec->count, service_us, slack_us, wait_us);
 	max_slowness = (double)objective.limit_us *
 	    entry->options.tuning.planned_share * entry->min_slowness /
 	    MAX(service_us, 1);
@@ -211,6 +214,15 @@
 	return *wait_us > slack_us * max_wait_share(entry);
 }
 
+void
+mst_job_demote(struct mst_entry *entry, struct job *job)
+{
+	job->demoted = true;
+	job->virtual_deadline_us = job->expiry_us +
+	    PRIORITY_MAX * entry->options.tuning.priority_step_us;
+	mst_team_reorder(entry, job);
+}
+
 bool
 mst_job_demote_late(struct mst_entry *entry, struct job *job)
 {
@@ -220,11 +232,7 @@
 	    job->demoted || job->started > 0 ||
 	    entry->now_us <= job->latest_start_us)
 		return true;
-	/* Queued behind the jobs that can still meet their objectives. */
-	job->demoted = true;
-	job->virtual_deadline_us =
-	    job->expiry_us + PRIORITY_MAX * tuning->priority_step_us;
-	mst_team_reorder(entry, job);
+	mst_job_demote(entry, job);
 	return entry->now_us +
 	    (int64_t)mst_entry_queue_delay_us(
 		entry, job->virtual_deadline_us) <=
--- a/src/core/place/place.c
+++ b/src/core/place/place.c
@@ -177,6 +177,8 @@
 choose_member(struct mst_entry *entry, const struct job *job,
     const struct task *task, double service_us, double queued_us)
 {
+	if (mst_job_is_isolated(job))
+		return mst_quarantine_choose_isolated(entry, job, task);
 	switch (entry->config->policy.placement) {
 	case MST_PLACEMENT_RANDOM:
 		return choose_random(entry, job, task);
@@ -212,6 +214,7 @@
 	task->attempts++;
 	task->state = TASK_SENT;
 	task->withdrawing = false;
+	task->isolated = mst_job_is_isolated(job);
 	task->member = member;
 	task->last_member = member->incarnation;
 	task->seq = ++member->next_seq;
--- a/src/core/place/place.h
+++ b/src/core/place/place.h
@@ -6,6 +6,7 @@
 
 #include <masticstall/entry.h>
 #include "core/place/estimate.h"
+#include "core/place/quarantine.h"
 #include "core/slowness.h"
 
 struct job;
@@ -14,6 +15,7 @@
 
 struct team {
 	char *name;
+	uint32_t hash; /* of the name, the same at all entries */
 	struct mst_team_config config;
 	GSequence *jobs; /* jobs with waiting tasks, by virtual deadline */
 	uint32_t tasks_waiting;
@@ -27,6 +29,9 @@
 	struct mst_estimate estimate; /* for restartable tasks */
 	bool active;                  /* in the entry's active_teams */
 	uint32_t skipped_round; /* last round in which no task was placed */
+	enum quarantine_level quarantine;
+	/* Jobs completed since the level was set or a crash. */
+	uint32_t completed_in_quarantine;
 };
 
 /* team.c */
@@ -86,6 +91,8 @@
  * expected wait. */
 bool mst_spec_would_be_late(const struct mst_entry *entry,
     const struct mst_job_spec *spec, const struct team *team, double *wait_us);
+/* Moves a job behind those that are not demoted. */
+void mst_job_demote(struct mst_entry *entry, struct job *job);
 /* Moves a job that can no longer meet its objective behind those that can.
  * Returns false if it would then be first in the queue only after it expires,
  * so that it should be closed. */
--- a/src/core/place/place_leased.c
+++ b/src/core/place/place_leased.c
@@ -39,8 +39,33 @@
 	const struct job *job;
 	const struct task *task;
 	struct member_sample sample; /* members that are considered */
+	/* Avoid members with a task of another job that was present at a crash
+	 * as well. If this one crashes, it is known which task is the cause. */
+	bool separate;
 };
 
+/* Returns true if a member has a task of another job that was present at a
+ * crash. */
+static bool
+has_other_crashed_task(const struct mst_entry *entry,
+    const struct member *member, const struct job *job)
+{
+	GHashTableIter iter;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&iter, member->sent_tasks);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		struct job *other;
+		const struct task *task =
+		    mst_find_sent_task(entry, member, (uint64_t)(uintptr_t)key,
+			(uint64_t)(uintptr_t)value, &other);
+
+		if (task != NULL && other != job && task->crashes.total > 0)
+			return true;
+	}
+	return false;
+}
+
 /* Returns the expected time until a task would finish at a member, in
  * microseconds, if its service time were the expected one times a factor. */
 static double
@@ -83,6 +108,8 @@
 		    mst_member_sample_get(entry, &placement->sample, i);
 
 		if (!mst_member_is_usable(entry, member) ||
+		    member->quarantined !=
+			mst_job_is_quarantined(placement->job) ||
 		    !mst_member_has_service(member, placement->job) ||
 		    !mst_member_has_resources(member, placement->task) ||
 		    mst_member_has_room(entry, member))
@@ -178,7 +205,10 @@
 			mst_member_sample_get(entry, &placement->sample, i)};
 
 		if (!mst_member_is_candidate(entry, candidate.member,
-			placement->job, placement->task))
+			placement->job, placement->task) ||
+		    (placement->separate &&
+			has_other_crashed_task(
+			    entry, candidate.member, placement->job)))
 			continue;
 		candidate.finish_us =
 		    expected_finish_us(placement, candidate.member, 1) *
@@ -260,12 +290,18 @@
 	struct placement placement = {.entry = entry,
 	    .job = job,
 	    .task = task,
-	    .sample = mst_member_sample(entry)};
+	    .sample = mst_member_sample(entry),
+	    .separate = task->crashes.total > 0};
 	const GArray *candidates = collect_candidates(&placement);
 	const struct candidate *first = find_first_to_finish(candidates);
 	const struct candidate *last;
 	struct member *cold;
 
+	if (first == NULL && placement.separate) {
+		placement.separate = false;
+		candidates = collect_candidates(&placement);
+		first = find_first_to_finish(candidates);
+	}
 	if (first == NULL && placement.sample.count < entry->members->len) {
 		/* Few members fit the task. */
 		placement.sample = mst_member_sample_all(entry);
--- a/src/core/place/rank.c
+++ b/src/core/place/rank.c
@@ -134,7 +134,7 @@
 
 		member->slowness =
 		    estimate_slowness(entry, member, entry->min_slowness);
-		if (mst_member_is_usable(entry, member))
+		if (mst_member_is_usable(entry, member) && !member->quarantined)
 			g_ptr_array_add(entry->ranked, member);
 	}
 	update_capacities(entry);
--- a/src/core/place/team.c
+++ b/src/core/place/team.c
@@ -51,9 +51,11 @@
 		return NULL;
 	team = g_new0(struct team, 1);
 	team->name = g_strdup(name);
+	team->hash = g_str_hash(name);
 	team->config = get_team_config(entry, name);
 	team->jobs = g_sequence_new(NULL);
 	g_hash_table_insert(entry->teams, team->name, team);
+	team->quarantine = mst_quarantine_initial_level(entry, team->hash);
 	return team;
 }
 
--- a/src/core/stored/record.c
+++ b/src/core/stored/record.c
@@ -177,6 +177,8 @@
 	g_clear_pointer(&stored->serialized_job, g_free);
 	mst_stored_answer_requests(
 	    entry, job, job->requests, MST_STORED_ACCEPTED);
+	if (stored->state == MST_RECORD_OPEN)
+		mst_job_recall_crashes(entry, job);
 	if (stored->state == MST_RECORD_OPEN)
 		mst_job_queue_all(entry, job);
 }
--- a/src/core/worker/capacity.c
+++ b/src/core/worker/capacity.c
@@ -39,7 +39,10 @@
 uint32_t
 mst_worker_slots(const struct mst_agent *agent)
 {
-	return count_slots(agent, agent->options.resources.millicores);
+	uint32_t total = agent->options.resources.millicores;
+
+	/* A worker smaller than a task of average size may fit some. */
+	return total > 0 ? MAX(count_slots(agent, total), 1) : 0;
 }
 
 uint32_t
@@ -49,7 +52,8 @@
 	uint32_t used = agent->worker.used_resources.millicores;
 	uint32_t free_slots;
 
-	if (!mst_worker_is_ready(agent) || used >= total)
+	if (!mst_worker_is_ready(agent) || used >= total ||
+	    mst_agent_is_isolating(agent))
 		return 0;
 	free_slots = count_slots(agent, total - used);
 	return free_slots > agent->queue.length
--- a/src/core/worker/crash.c
+++ b/src/core/worker/crash.c
@@ -4,7 +4,6 @@
  */
 
 #include "core/agent/agent_internal.h"
-#include "core/id.h"
 #include "core/worker/worker_internal.h"
 
 /* Returns true if a run may have been in progress at the worker. A start that
@@ -16,35 +15,16 @@
 	return run->order_state != ORDER_STARTING || run->start_unanswered;
 }
 
-static uint32_t
-count_jobs(GHashTable *jobs, const struct run *run)
-{
-	g_hash_table_add(jobs, (gpointer)&run->task.job);
-	return g_hash_table_size(jobs);
-}
-
-static void
-report_crash(struct mst_agent *agent, uint32_t runs, uint32_t jobs)
-{
-	struct mst_agent_effect *effect =
-	    mst_agent_emit(agent, MST_AGENT_FX_CRASH);
-
-	effect->open = runs;
-	effect->jobs = jobs;
-	agent->counters.crashes++;
-}
-
 void
 mst_worker_record_crash(struct mst_agent *agent)
 {
-	GHashTable *jobs;
+	GPtrArray *runs;
 	GHashTableIter iter;
 	gpointer value;
-	uint32_t run_count = 0, job_count = 0;
 
 	if (!agent->worker.synced || agent->worker.draining)
 		return;
-	jobs = g_hash_table_new(mst_job_id_hash, mst_job_id_equal);
+	runs = g_ptr_array_new();
 	g_hash_table_iter_init(&iter, agent->active);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct run *run = value;
@@ -52,10 +32,9 @@
 		if (!may_have_been_running(run))
 			continue;
 		run->crashed = true;
-		run_count++;
-		job_count = count_jobs(jobs, run);
+		g_ptr_array_add(runs, run);
 	}
-	g_hash_table_unref(jobs);
-	if (run_count > 0)
-		report_crash(agent, run_count, job_count);
+	if (runs->len > 0)
+		mst_agent_record_crash(agent, runs);
+	g_ptr_array_unref(runs);
 }
--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -61,6 +61,8 @@
 		completion->status == MST_RUN_FAILED);
 	switch (completion->status) {
 	case MST_RUN_DONE:
+		if (run->task.flags & MST_TASK_SUSPECT)
+			mst_agent_clear_suspect(agent, run);
 		mst_worker_update_slowness(agent, run);
 		mst_worker_complete_run(agent, run, &result);
 		break;
@@ -249,7 +251,7 @@
 	/* Announces the worker without delay. */
 	if (!worker->synced)
 		agent->next_heartbeat_us = agent->now_us;
-	worker->synced = true;
+	worker->synced = worker->was_synced = true;
 	if (was_lost)
 		mst_agent_announce_all(agent, agent->now_us);
 }
--- a/src/core/worker/unknown.c
+++ b/src/core/worker/unknown.c
@@ -6,6 +6,7 @@
  */
 
 #include "core/agent/agent_internal.h"
+#include "core/id.h"
 #include "core/worker/worker_internal.h"
 
 #include <string.h>
@@ -78,16 +79,6 @@
 	    .key = unknown->key};
 }
 
-/* Returns the key of the job of a task: its name up to the first dot. */
-static char *
-job_key(struct mst_bytes task)
-{
-	const char *dot = memchr(task.data, '.', task.len);
-
-	return g_strndup(
-	    task.data, dot != NULL ? (gsize)(dot - task.data) : task.len);
-}
-
 void
 mst_unknown_completion_add(struct mst_agent *agent, struct mst_bytes task)
 {
@@ -96,7 +87,7 @@
 
 	if (!agent->options.stored_jobs || worker->lease_expiring)
 		return;
-	key = job_key(task);
+	key = mst_bytes_to_str(mst_task_name_job(task));
 	if (is_looked_up(worker, key)) {
 		g_free(key);
 	} else if (worker->unknown_records->len >= UNKNOWN_RECORDS_MAX) {
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -30,6 +30,7 @@
 	bool report_is_kept; /* from the kept report only */
 	bool report_loaded;  /* the kept report was asked for */
 	bool synced; /* has answered, and its lists were read since its start */
+	bool was_synced; /* has been so before, perhaps in an earlier life */
 	bool draining;
 	char *id;
 	char *service;
--- a/src/runtime/agent_runtime.c
+++ b/src/runtime/agent_runtime.c
@@ -11,6 +11,7 @@
 
 #include "base/log.h"
 #include "base/random.h"
+#include "core/id.h"
 #include "net/bus.h"
 #include "net/httpd.h"
 #include "net/upstream.h"
@@ -124,14 +125,12 @@
 	    effect->msg.config.version);
 }
 
-/* Logs a run that ended without success. The part of the task's name before the
- * first dot is the key of its job. */
+/* Logs a run that ended without success. */
 static void
 log_failed_run(const struct mst_agent_effect *effect)
 {
 	const struct mst_bytes *name = &effect->task->path;
-	const char *dot = memchr(name->data, '.', name->len);
-	int job_len = (int)(dot ? dot - name->data : (ssize_t)name->len);
+	int job_len = (int)mst_task_name_job(*name).len;
 
 	mst_log(MST_LOG_INFO, "run-ended",
 	    "job=%.*s task=%.*s run=%" PRIu32 " entry=%016" PRIx64
@@ -142,6 +141,23 @@
 	    effect->result.queue_us / 1000, effect->result.service_us / 1000);
 }
 
+/* Logs the record that was added last. Each run of a crash is logged when it
+ * ends. */
+static void
+log_crash(const struct mst_agent_effect *effect)
+{
+	const struct mst_crash *crash =
+	    &effect->crashes.items[effect->crashes.count - 1];
+
+	if (crash->cleared) {
+		mst_log(MST_LOG_INFO, "suspect-cleared", "task=%.*s",
+		    (int)crash->runs[0].task.len, crash->runs[0].task.data);
+		return;
+	}
+	mst_log(MST_LOG_WARNING, "worker-crashed",
+	    "crash=%016" PRIx64 " runs=%" PRIu32, crash->id, crash->run_count);
+}
+
 static void
 execute_effect(struct agent_runtime *rt, const struct mst_agent_effect *effect)
 {
@@ -186,9 +202,7 @@
 			report_store_load(rt->report_store);
 		break;
 	case MST_AGENT_FX_CRASH:
-		mst_log(MST_LOG_WARNING, "worker-crashed",
-		    "runs=%" PRIu32 " jobs=%" PRIu32, effect->open,
-		    effect->jobs);
+		log_crash(effect);
 		break;
 	case MST_AGENT_FX_WORKER:
 		mst_log(MST_LOG_INFO, "worker", "state=%s", effect->state);
--- a/src/runtime/entry_runtime.c
+++ b/src/runtime/entry_runtime.c
@@ -205,6 +205,11 @@
 	case MST_ENTRY_FX_CRASHED:
 		log_crashed_task(rt, effect);
 		break;
+	case MST_ENTRY_FX_QUARANTINE:
+		mst_log(MST_LOG_WARNING, "quarantine",
+		    "queue=%s state=%s members=%" PRIu32, effect->team,
+		    effect->state, effect->count);
+		break;
 	case MST_ENTRY_FX_MEMBER:
 		log_member(effect);
 		break;
--- a/src/runtime/metrics.c
+++ b/src/runtime/metrics.c
@@ -144,6 +144,12 @@
 	metrics_add_single(out, "crashed_runs_total", "counter",
 	    "Runs that ended because their worker crashed.",
 	    (double)counters->crashed_runs);
+	metrics_add_single(out, "suspect_jobs_total", "counter",
+	    "Jobs that were to run alone, as workers crashed under them.",
+	    (double)counters->suspect_jobs);
+	metrics_add_single(out, "quarantines_total", "counter",
+	    "Restrictions of queues whose jobs crash workers.",
+	    (double)counters->quarantines);
 	add_counters_by_reason(out, "tasks_returned_total",
 	    "Tasks that agents gave back, not run.", counters->requeued);
 	metrics_add_single(out, "ejections_total", "counter",
