quarantine: a crash with runs of a confined queue alone isolates it

Hypothesis: while confined, jobs of the queue run side by side, so a crash costs all of them, and the one that caused it is tried again twice. A crash at which all runs were of the confined queue is evidence enough to isolate it.

--- a/src/core/crash/attribution.c
+++ b/src/core/crash/attribution.c
@@ -224,6 +224,19 @@
 	return blame;
 }
 
+bool
+mst_crash_has_one_team(const struct crash_record *record, uint32_t team)
+{
+	guint i;
+
+	for (i = 0; i < record->runs->len; i++) {
+		if (g_array_index(record->runs, struct crash_presence, i)
+			.team != team)
+			return false;
+	}
+	return true;
+}
+
 double
 mst_crash_evidence(
     const struct mst_crash_history *history, uint32_t team, int64_t now_us)
--- a/src/core/crash/crash.h
+++ b/src/core/crash/crash.h
@@ -67,6 +67,8 @@
 /* Returns the probability that a job of a team has caused a crash. */
 double mst_crash_blame(struct mst_crash_history *history,
     const struct crash_record *record, uint32_t team);
+/* Returns true if all runs that a crash has ended were of one team. */
+bool mst_crash_has_one_team(const struct crash_record *record, uint32_t team);
 /* Returns the expected number of a team's jobs that have caused crashes. */
 double mst_crash_evidence(
     const struct mst_crash_history *history, uint32_t team, int64_t now_us);
--- a/src/core/place/quarantine.c
+++ b/src/core/place/quarantine.c
@@ -86,14 +86,39 @@
 	g_hash_table_iter_init(&iter, entry->teams);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct team *team = value;
-		enum quarantine_level level =
-		    mst_quarantine_initial_level(entry, team->hash);
-
-		if (level < team->quarantine)
-			set_level(entry, team, level);
+		if (team->quarantine != QUARANTINE_NONE &&
+		    mst_quarantine_initial_level(entry, team->hash) ==
+			QUARANTINE_NONE)
+			set_level(entry, team, QUARANTINE_NONE);
 	}
 }
 
+/* Returns the level of a team after a crash. A confined team that was the only
+ * one at the worker has caused it. */
+static enum quarantine_level
+level_after_crash(const struct mst_entry *entry, const struct team *team,
+    const struct crash_record *record)
+{
+	enum quarantine_level level =
+	    mst_quarantine_initial_level(entry, team->hash);
+
+	if (team->quarantine != QUARANTINE_NONE &&
+	    mst_crash_has_one_team(record, team->hash))
+		level = QUARANTINE_ISOLATED;
+	return MAX(level, team->quarantine);
+}
+
+static bool
+is_blamed(struct mst_entry *entry, const struct team *team,
+    const struct crash_record *record)
+{
+	if (team->quarantine != QUARANTINE_NONE &&
+	    mst_crash_has_one_team(record, team->hash))
+		return true;
+	return mst_crash_blame(entry->crash_history, record, team->hash) >=
+	    BLAME_MIN;
+}
+
 void
 mst_quarantine_raise(struct mst_entry *entry, const struct crash_record *record)
 {
@@ -103,14 +128,10 @@
 	g_hash_table_iter_init(&iter, entry->teams);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct team *team = value;
-		double blame =
-		    mst_crash_blame(entry->crash_history, record, team->hash);
 
-		if (blame >= BLAME_MIN)
+		if (is_blamed(entry, team, record))
 			set_level(entry, team,
-			    MAX(team->quarantine,
-				mst_quarantine_initial_level(
-				    entry, team->hash)));
+			    level_after_crash(entry, team, record));
 	}
 }
 
