agent: crashes are kept in the store

An agent that was restarted had forgotten which tasks were present when its worker crashed; with all entries lost as well (a loss of power), a crashing task could start from nothing again. The agent writes its crashes to a row of its own, one write at a time, and its next incarnation reads them, again until the store answers. Times are of the wall clock; one that was set back gives an age of 0.

test_crash_store: read by the next incarnation, load repeated, writes joined, malformed rows ignored. The check of numbers in JSON exists once now.

--- a/src/api/worker_json.c
+++ b/src/api/worker_json.c
@@ -1,5 +1,7 @@
 #include "api/worker_json.h"
 
+#include "api/json_field.h"
+
 #include <glib.h>
 
 static void
@@ -46,26 +48,14 @@
 	return true;
 }
 
-static bool
-get_number(double *out, const cJSON *json, const char *name, double max)
-{
-	const cJSON *item = cJSON_GetObjectItemCaseSensitive(json, name);
-
-	if (!cJSON_IsNumber(item) || item->valuedouble < 0 ||
-	    item->valuedouble > max)
-		return false;
-	*out = item->valuedouble;
-	return true;
-}
-
 static bool
 get_capacity(struct mst_resources *out, const cJSON *json)
 {
 	double millicores, memory_mb, accelerators;
 
-	if (!get_number(&millicores, json, "millicores", UINT32_MAX) ||
-	    !get_number(&memory_mb, json, "memory_mb", UINT32_MAX) ||
-	    !get_number(&accelerators, json, "accelerators", UINT32_MAX))
+	if (!json_get_number(&millicores, json, "millicores", UINT32_MAX) ||
+	    !json_get_number(&memory_mb, json, "memory_mb", UINT32_MAX) ||
+	    !json_get_number(&accelerators, json, "accelerators", UINT32_MAX))
 		return false;
 	*out = (struct mst_resources){.millicores = (uint32_t)millicores,
 	    .memory_mb = (uint32_t)memory_mb,
@@ -76,7 +66,6 @@
 cJSON *
 worker_json_read(struct mst_worker_report *out, const char *text)
 {
-	const double integers_max = 9007199254740992.0; /* 2^53 */
 	cJSON *json = cJSON_Parse(text);
 	double incarnation;
 
@@ -85,7 +74,8 @@
 	    !get_bytes(&out->service, json, "service") ||
 	    !get_bytes(&out->rack, json, "rack") ||
 	    !get_bytes(&out->labels, json, "labels") ||
-	    !get_number(&incarnation, json, "incarnation", integers_max) ||
+	    !json_get_number(
+		&incarnation, json, "incarnation", JSON_INTEGER_MAX) ||
 	    !get_capacity(&out->capacity, json)) {
 		cJSON_Delete(json);
 		return NULL;
--- a/src/runtime/agent_runtime.c
+++ b/src/runtime/agent_runtime.c
@@ -15,6 +15,7 @@
 #include "net/bus.h"
 #include "net/httpd.h"
 #include "net/upstream.h"
+#include "runtime/crash_store.h"
 #include "runtime/entry_links.h"
 #include "runtime/loop.h"
 #include "runtime/metrics.h"
@@ -60,6 +61,7 @@
 	struct store_watch entries_watch;
 	struct record_store *record_store;
 	struct report_store *report_store; /* NULL without a store */
+	struct crash_store *crash_store;   /* NULL without a store */
 };
 
 static void agent_step(struct agent_runtime *rt, struct mst_agent_event *event);
@@ -200,9 +202,13 @@
 	case MST_AGENT_FX_LOAD_REPORT:
 		if (rt->report_store != NULL)
 			report_store_load(rt->report_store);
+		if (rt->crash_store != NULL)
+			crash_store_load(rt->crash_store);
 		break;
 	case MST_AGENT_FX_CRASH:
 		log_crash(effect);
+		if (rt->crash_store != NULL)
+			crash_store_save(rt->crash_store, &effect->crashes);
 		break;
 	case MST_AGENT_FX_WORKER:
 		mst_log(MST_LOG_INFO, "worker", "state=%s", effect->state);
@@ -438,6 +444,35 @@
 	agent_step(ctx, &event);
 }
 
+static void
+on_kept_crashes(const struct mst_crashes *crashes, void *ctx)
+{
+	struct mst_agent_event event = {
+	    .type = MST_AGENT_EV_KEPT_CRASHES, .crashes = crashes};
+
+	agent_step(ctx, &event);
+}
+
+static int64_t
+wall_ms(void)
+{
+	return g_get_real_time() / 1000;
+}
+
+static void
+open_crash_store(struct agent_runtime *rt)
+{
+	const struct crash_store_options options = {.loop = &rt->loop.uv,
+	    .drivers = rt->drivers,
+	    .store = rt->store,
+	    .name = rt->settings->name,
+	    .wall_ms = wall_ms,
+	    .on_crashes = on_kept_crashes,
+	    .ctx = rt};
+
+	rt->crash_store = crash_store_new(&options);
+}
+
 static void
 open_report_store(struct agent_runtime *rt)
 {
@@ -500,6 +535,7 @@
 	    rt->store_http_client, rt->settings->store);
 	open_record_store(rt);
 	open_report_store(rt);
+	open_crash_store(rt);
 	rt->entries_watch = (struct store_watch){.driver = rt->drivers->store,
 	    .store = rt->store,
 	    .subject = STORE_ENTRIES,
--- a/src/runtime/drivers.h
+++ b/src/runtime/drivers.h
@@ -22,6 +22,7 @@
 #define STORE_TABLE_RECORDS "masticstall-records"
 #define STORE_TABLE_OWNERS  "masticstall-owners"
 #define STORE_TABLE_REPORTS "masticstall-reports"
+#define STORE_TABLE_CRASHES "masticstall-crashes"
 
 /* Kinds of requests that callers send to an entry. */
 enum frontend_request_kind {
