worker: a capacity that shrinks while the worker runs

New requirement: what a worker can run may shrink and grow. Three faults beside that, each shown by a test that failed first: a queued task that no longer fits held up those behind it until its deadline; entries were told with the next announcement only; and a job was answered as one that can never run while its workers were small, as stored jobs would have been for good. Queued tasks that no longer fit are returned, a change is announced at once, and announcements say how much the worker has had since its start, by which 'never' is judged. Slots are also limited by memory.

--- a/include/masticstall/agent.h
+++ b/include/masticstall/agent.h
@@ -101,7 +101,7 @@
 	MST_AGENT_FX_STORE,         /* execute a store operation */
 	/* No work is left of an entry that is not wanted. */
 	MST_AGENT_FX_ENTRY_UNUSED,
-	MST_AGENT_FX_LOAD_REPORT, /* read the kept report of the worker */
+	MST_AGENT_FX_LOAD_REPORT, /* read the kept report and crashes */
 	MST_AGENT_FX_DRAINS,      /* the set of drained domains has changed */
 	MST_AGENT_FX_CRASH        /* the worker has crashed with active runs */
 };
--- a/include/masticstall/message.h
+++ b/include/masticstall/message.h
@@ -124,7 +124,9 @@
 	uint64_t clock_us; /* clock of the sender, for leases */
 	uint32_t slots;
 	uint32_t connections;
-	struct mst_resources resources;
+	struct mst_resources resources; /* of its worker at present */
+	/* Most that its worker has had since its start. */
+	struct mst_resources resources_max;
 	bool draining;
 	bool fenced;         /* the receiver is fenced at this agent */
 	uint32_t grant;      /* tasks that the receiver may have open here */
--- a/src/codec/codec.c
+++ b/src/codec/codec.c
@@ -62,6 +62,7 @@
 	codec_put_u64(pk, m->slots);
 	codec_put_u64(pk, m->connections);
 	put_resources(pk, &m->resources);
+	put_resources(pk, &m->resources_max);
 	codec_put_u64(pk, m->draining);
 	codec_put_u64(pk, m->fenced);
 	codec_put_u64(pk, m->grant);
@@ -91,6 +92,7 @@
 	m->slots = codec_get_u32(r);
 	m->connections = codec_get_u32(r);
 	m->resources = get_resources(r);
+	m->resources_max = get_resources(r);
 	m->draining = codec_get_bool(r);
 	m->fenced = codec_get_bool(r);
 	m->grant = codec_get_u32(r);
@@ -551,7 +553,7 @@
 
 /* Number of fields that follow the header (version, type, from, to). */
 static const uint8_t payload_fields[MST_MSG_MAX] = {
-    [MST_MSG_ANNOUNCE] = 27,
+    [MST_MSG_ANNOUNCE] = 30,
     [MST_MSG_HEARTBEAT] = 13,
     [MST_MSG_DISPATCH] = 5,
     [MST_MSG_RESULT] = 3,
--- a/src/core/agent/agent_internal.h
+++ b/src/core/agent/agent_internal.h
@@ -126,6 +126,7 @@
 	uint32_t running;
 	double service_us;             /* moving average of service times */
 	double task_millicores;        /* leased: moving average per task */
+	double task_memory_mb;         /* leased: the same */
 	struct worker worker;          /* leased */
 	struct mst_crash_list crashes; /* of the worker */
 	uint64_t next_handle;
@@ -186,6 +187,8 @@
 /* Returns true if isolated runs are queued or running, so that those of other
  * jobs wait. */
 bool mst_agent_is_isolating(const struct mst_agent *agent);
+/* Refuses the queued runs that do not fit into the worker, even if idle. */
+void mst_agent_refuse_unfit(struct mst_agent *agent);
 /* Refuses the queued runs of a session, or all if it is NULL. */
 void mst_agent_refuse_queued(struct mst_agent *agent,
     const struct session *session, enum mst_reason reason);
--- a/src/core/agent/announce.c
+++ b/src/core/agent/announce.c
@@ -84,6 +84,9 @@
 	announce->slots = agent_slots(agent);
 	announce->connections = agent->options.connections;
 	announce->resources = agent->options.resources;
+	announce->resources_max = agent->options.leased
+	    ? agent->worker.capacity_max
+	    : agent->options.resources;
 	announce->draining = agent->draining || agent->drained ||
 	    agent->worker.draining || (session != NULL && session->unwanted);
 	announce->drains = mst_drains_to_msg(&agent->drains);
--- a/src/core/agent/run.c
+++ b/src/core/agent/run.c
@@ -402,24 +402,58 @@
 	}
 }
 
-void
-mst_agent_refuse_queued(struct mst_agent *agent, const struct session *session,
-    enum mst_reason reason)
+/* Refuses the queued runs for which a condition holds. */
+static void
+refuse_queued_if(struct mst_agent *agent, enum mst_reason reason,
+    bool (*condition)(
+	const struct mst_agent *, const struct run *, const void *),
+    const void *ctx)
 {
 	GList *link = agent->queue.head;
 	GList *next;
-	struct run *run;
 
 	for (; link != NULL; link = next) {
+		struct run *run = link->data;
+
 		next = link->next;
-		run = link->data;
-		if (session != NULL && run->session != session)
+		if (!condition(agent, run, ctx))
 			continue;
 		dequeue_run(agent, run);
 		refuse_run(agent, run, reason);
 	}
 }
 
+static bool
+is_of_session(
+    const struct mst_agent *agent, const struct run *run, const void *session)
+{
+	return session == NULL || run->session == session;
+}
+
+static bool
+is_unfit(const struct mst_agent *agent, const struct run *run, const void *ctx)
+{
+	const struct mst_resources *total = &agent->options.resources;
+	const struct mst_resources *needs = &run->task.needs;
+
+	return needs->millicores > total->millicores ||
+	    needs->memory_mb > total->memory_mb ||
+	    needs->accelerators > total->accelerators;
+}
+
+void
+mst_agent_refuse_unfit(struct mst_agent *agent)
+{
+	refuse_queued_if(agent, MST_REASON_BUSY, is_unfit, NULL);
+}
+
+void
+mst_agent_refuse_queued(struct mst_agent *agent, const struct session *session,
+    enum mst_reason reason)
+{
+	refuse_queued_if(agent, reason, is_of_session, session);
+}
+
 void
 mst_agent_handle_finished(struct mst_agent *agent, uint64_t handle,
     const struct mst_result_item *result)
--- a/src/core/job/expire.c
+++ b/src/core/job/expire.c
@@ -27,7 +27,7 @@
 		if (!mst_member_has_service(member, job))
 			continue;
 		is_served = true;
-		if (mst_member_has_resources(member, &job->tasks[index]))
+		if (mst_member_may_have_resources(member, &job->tasks[index]))
 			return false;
 	}
 	return is_served;
--- a/src/core/member/member.c
+++ b/src/core/member/member.c
@@ -45,6 +45,7 @@
 	}
 	member->slots = announce->slots;
 	member->resources = announce->resources;
+	member->resources_max = announce->resources_max;
 	member->config_version = announce->config_version;
 }
 
--- a/src/core/member/member.h
+++ b/src/core/member/member.h
@@ -24,6 +24,7 @@
 	enum member_state state;
 	uint32_t slots;
 	struct mst_resources resources;
+	struct mst_resources resources_max; /* since its worker's start */
 	bool leased;
 	GQuark service;
 	uint32_t description_version; /* version of name, rack and labels */
--- a/src/core/place/fit.c
+++ b/src/core/place/fit.c
@@ -29,12 +29,25 @@
 	return MAX(service_us, job->steps[task->step].max_observed_us);
 }
 
+static bool
+suffices(const struct mst_resources *total, const struct mst_resources *needs)
+{
+	return total->millicores >= needs->millicores &&
+	    total->memory_mb >= needs->memory_mb &&
+	    total->accelerators >= needs->accelerators;
+}
+
 bool
 mst_member_has_resources(const struct member *member, const struct task *task)
 {
-	return member->resources.millicores >= task->needs.millicores &&
-	    member->resources.memory_mb >= task->needs.memory_mb &&
-	    member->resources.accelerators >= task->needs.accelerators;
+	return suffices(&member->resources, &task->needs);
+}
+
+bool
+mst_member_may_have_resources(
+    const struct member *member, const struct task *task)
+{
+	return suffices(&member->resources_max, &task->needs);
 }
 
 bool
@@ -143,7 +156,7 @@
 	const struct task needs = {.needs = spec->tasks[step->first].needs};
 
 	return (service == 0 || member->service == service) &&
-	    mst_member_has_resources(member, &needs) &&
+	    mst_member_may_have_resources(member, &needs) &&
 	    (step->required_label.len == 0 ||
 		member_has_label(member, step->required_label));
 }
--- a/src/core/place/fit.h
+++ b/src/core/place/fit.h
@@ -22,6 +22,10 @@
 /* Returns true if the total resources of a member suffice for a task. */
 bool mst_member_has_resources(
     const struct member *member, const struct task *task);
+/* The same for the most resources that the member has had. Its worker may be
+ * smaller for a while. */
+bool mst_member_may_have_resources(
+    const struct member *member, const struct task *task);
 /* Returns true if a member has the service that a job requires. */
 bool mst_member_has_service(const struct member *member, const struct job *job);
 /* Returns true if a member is active and its failure domain is not drained. */
--- a/src/core/worker/capacity.c
+++ b/src/core/worker/capacity.c
@@ -15,6 +15,37 @@
 #define WORKER_LAG_FACTOR   1.5
 #define WORKER_LAG_RUNS_MIN 3
 
+static bool
+resources_equal(const struct mst_resources *a, const struct mst_resources *b)
+{
+	return a->millicores == b->millicores && a->memory_mb == b->memory_mb &&
+	    a->accelerators == b->accelerators;
+}
+
+static void
+raise_to(struct mst_resources *max, const struct mst_resources *value)
+{
+	max->millicores = MAX(max->millicores, value->millicores);
+	max->memory_mb = MAX(max->memory_mb, value->memory_mb);
+	max->accelerators = MAX(max->accelerators, value->accelerators);
+}
+
+void
+mst_worker_set_capacity(
+    struct mst_agent *agent, const struct mst_resources *capacity)
+{
+	bool changed = agent->worker.has_reported &&
+	    !resources_equal(&agent->options.resources, capacity);
+
+	agent->options.resources = *capacity;
+	raise_to(&agent->worker.capacity_max, capacity);
+	if (!changed)
+		return;
+	mst_worker_emit_state(agent, "resized");
+	mst_agent_refuse_unfit(agent);
+	mst_agent_announce_all(agent, agent->now_us);
+}
+
 bool
 mst_worker_has_capacity(
     const struct mst_agent *agent, const struct mst_resources *needs)
@@ -27,38 +58,47 @@
 	    used->accelerators + needs->accelerators <= total->accelerators;
 }
 
+/* Returns how many tasks of average size fit into resources. */
 static uint32_t
-count_slots(const struct mst_agent *agent, uint32_t millicores)
+count_slots(const struct mst_agent *agent, const struct mst_resources *room)
 {
-	double size = agent->task_millicores > 0 ? agent->task_millicores
-						 : WORKER_TASK_MILLICORES;
-
-	return (uint32_t)MIN(millicores / size, WORKER_SLOTS_MAX);
+	double slots = room->millicores /
+	    (agent->task_millicores > 0 ? agent->task_millicores
+					: WORKER_TASK_MILLICORES);
+
+	/* Tasks may need no memory. */
+	if (agent->task_memory_mb > 0)
+		slots = MIN(slots, room->memory_mb / agent->task_memory_mb);
+	return (uint32_t)MIN(slots, WORKER_SLOTS_MAX);
 }
 
 uint32_t
 mst_worker_slots(const struct mst_agent *agent)
 {
-	uint32_t total = agent->options.resources.millicores;
+	const struct mst_resources *total = &agent->options.resources;
 
 	/* A worker smaller than a task of average size may fit some. */
-	return total > 0 ? MAX(count_slots(agent, total), 1) : 0;
+	return total->millicores > 0 ? MAX(count_slots(agent, total), 1) : 0;
+}
+
+static uint32_t
+subtract(uint32_t total, uint32_t used)
+{
+	return total > used ? total - used : 0;
 }
 
 uint32_t
 mst_worker_free_slots(const struct mst_agent *agent)
 {
-	uint32_t total = agent->options.resources.millicores;
-	uint32_t used = agent->worker.used_resources.millicores;
-	uint32_t free_slots;
+	const struct mst_resources *total = &agent->options.resources;
+	const struct mst_resources *used = &agent->worker.used_resources;
+	const struct mst_resources room = {
+	    .millicores = subtract(total->millicores, used->millicores),
+	    .memory_mb = subtract(total->memory_mb, used->memory_mb)};
 
-	if (!mst_worker_is_ready(agent) || used >= total ||
-	    mst_agent_is_isolating(agent))
+	if (!mst_worker_is_ready(agent) || mst_agent_is_isolating(agent))
 		return 0;
-	free_slots = count_slots(agent, total - used);
-	return free_slots > agent->queue.length
-	    ? free_slots - agent->queue.length
-	    : 0;
+	return subtract(count_slots(agent, &room), agent->queue.length);
 }
 
 /* Returns the ratio of the elapsed to the expected time of the running runs. It
--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -132,6 +132,8 @@
 		agent->task_millicores = needs->millicores;
 	agent->task_millicores += (needs->millicores - agent->task_millicores) /
 	    WORKER_TASK_SIZE_WINDOW;
+	agent->task_memory_mb += (needs->memory_mb - agent->task_memory_mb) /
+	    WORKER_TASK_SIZE_WINDOW;
 	run->run_number = MAX(run->task.run, 1);
 	send_start(agent, run);
 }
--- a/src/core/worker/worker.c
+++ b/src/core/worker/worker.c
@@ -32,6 +32,7 @@
 	mst_completions_drop(worker);
 	mst_unknown_drop(worker);
 	worker->lease_expiring = false;
+	worker->capacity_max = (struct mst_resources){0};
 	worker->clock_ms = 0;
 	worker->next_renew_us = agent->now_us;
 	mst_worker_reset_warm_up(agent);
@@ -125,7 +126,7 @@
 	update_description(agent, &worker->service, report->service);
 	update_description(agent, &agent->rack, report->rack);
 	update_description(agent, &worker->labels, report->labels);
-	agent->options.resources = report->capacity;
+	mst_worker_set_capacity(agent, &report->capacity);
 	worker->draining = report->draining;
 	/* The time in a kept report has passed in part. */
 	if (!is_kept)
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -58,6 +58,7 @@
 	double answer_deviation_us;
 	unsigned renew_failures; /* consecutive failures */
 	struct mst_resources used_resources;
+	struct mst_resources capacity_max; /* most that it has reported */
 	struct mst_slowness slowness_avg; /* slowness as an average over runs */
 	bool is_cold;
 	int64_t cold_since_us; /* first report of this warm-up; 0: none */
