crash list: what a step refers to outlives later changes of the step

Cause found by reading: several suspects may complete in one answer of the worker; each call refilled, and at times moved, the array to which the effects of the calls before referred, and a full list freed its oldest crash. Both are released at the next step now.

--- a/src/core/agent/agent.c
+++ b/src/core/agent/agent.c
@@ -402,6 +402,7 @@
 mst_agent_step(struct mst_agent *agent, const struct mst_agent_event *event)
 {
 	g_array_set_size(agent->effects, 0);
+	mst_crash_list_release(&agent->crashes);
 	agent->now_us = MAX(agent->now_us, event->now_us);
 	switch (event->type) {
 	case MST_AGENT_EV_TICK:
--- a/src/core/crash/crash.h
+++ b/src/core/crash/crash.h
@@ -28,7 +28,8 @@
 struct mst_crash_list {
 	GQueue records; /* struct listed_crash */
 	uint64_t last_number;
-	GArray *view; /* struct mst_crash */
+	GPtrArray *views;   /* arrays returned since the last release */
+	GPtrArray *dropped; /* struct listed_crash, perhaps in a view */
 };
 
 void mst_crash_list_init(struct mst_crash_list *list);
@@ -39,10 +40,12 @@
     const struct mst_crash *crash, int64_t crashed_us);
 /* Drops the crashes that are too old to matter. */
 void mst_crash_list_expire(struct mst_crash_list *list, int64_t now_us);
-/* Returns the crashes with numbers above after. They are valid until the next
- * call or change. */
+/* Returns the crashes with numbers above after. They are valid until
+ * mst_crash_list_release(). */
 struct mst_crashes mst_crash_list_after(
     struct mst_crash_list *list, uint64_t after, int64_t now_us);
+/* Releases what mst_crash_list_after() has returned. */
+void mst_crash_list_release(struct mst_crash_list *list);
 
 /* history.c */
 /* Crashes that an entry has learnt of from all agents. */
--- a/src/core/crash/list.c
+++ b/src/core/crash/list.c
@@ -34,14 +34,17 @@
 {
 	g_queue_init(&list->records);
 	list->last_number = 0;
-	list->view = g_array_new(FALSE, FALSE, sizeof(struct mst_crash));
+	list->views =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
+	list->dropped = g_ptr_array_new_with_free_func(listed_crash_free);
 }
 
 void
 mst_crash_list_clear(struct mst_crash_list *list)
 {
 	g_queue_clear_full(&list->records, listed_crash_free);
-	g_array_unref(list->view);
+	g_ptr_array_unref(list->views);
+	g_ptr_array_unref(list->dropped);
 }
 
 static bool
@@ -73,6 +76,13 @@
 	return runs;
 }
 
+/* Effects of this step may still refer to the crash. */
+static void
+drop_oldest(struct mst_crash_list *list)
+{
+	g_ptr_array_add(list->dropped, g_queue_pop_head(&list->records));
+}
+
 bool
 mst_crash_list_add(struct mst_crash_list *list, const struct mst_crash *crash,
     int64_t crashed_us)
@@ -89,7 +99,7 @@
 	record->runs = copy_runs(crash);
 	g_queue_push_tail(&list->records, record);
 	if (list->records.length > CRASHES_MAX)
-		listed_crash_free(g_queue_pop_head(&list->records));
+		drop_oldest(list);
 	return true;
 }
 
@@ -100,16 +110,17 @@
 
 	while ((record = g_queue_peek_head(&list->records)) != NULL &&
 	    now_us - record->crashed_us > CRASH_KEEP_US)
-		listed_crash_free(g_queue_pop_head(&list->records));
+		drop_oldest(list);
 }
 
 struct mst_crashes
 mst_crash_list_after(
     struct mst_crash_list *list, uint64_t after, int64_t now_us)
 {
+	GArray *view = g_array_new(FALSE, FALSE, sizeof(struct mst_crash));
 	GList *link;
 
-	g_array_set_size(list->view, 0);
+	g_ptr_array_add(list->views, view);
 	for (link = list->records.head; link != NULL; link = link->next) {
 		const struct listed_crash *record = link->data;
 		const struct mst_crash crash = {.number = record->number,
@@ -121,9 +132,16 @@
 		    .runs = (const void *)record->runs->data};
 
 		if (record->number > after)
-			g_array_append_val(list->view, crash);
+			g_array_append_val(view, crash);
 	}
 	return (struct mst_crashes){.after = after,
-	    .count = list->view->len,
-	    .items = (const void *)list->view->data};
+	    .count = view->len,
+	    .items = (const void *)view->data};
+}
+
+void
+mst_crash_list_release(struct mst_crash_list *list)
+{
+	g_ptr_array_set_size(list->views, 0);
+	g_ptr_array_set_size(list->dropped, 0);
 }
