quarantine: takes the room that other queues leave

The quarantine grows by one member at a time up to what the load of the others leaves at three quarters of utilization, less one, and less those of the others that are down; it shrinks at once. Isolation is lowered after 16 completed jobs, as 8 were often reached between two crashes.

--- a/src/core/entry/entry_internal.h
+++ b/src/core/entry/entry_internal.h
@@ -92,6 +92,8 @@
 	struct mst_crash_history *crash_history;
 	bool has_suspects; /* some open job may be a suspect */
 	uint32_t quarantined_members;
+	int64_t next_quarantine_growth_us;
+	double others_busy; /* average load of the other members, in slots */
 	double retry_tokens;
 	GArray *retries;             /* struct retry */
 	int64_t no_arbiter_since_us; /* 0: joining members can be recorded */
--- a/src/core/place/quarantine.c
+++ b/src/core/place/quarantine.c
@@ -24,11 +24,16 @@
 /* Least probability that a team has caused a crash for it to count. */
 #define BLAME_MIN 0.25
 /* Jobs that complete without a crash before a level is lowered. */
-#define ISOLATED_COMPLETE_MIN 8
+#define ISOLATED_COMPLETE_MIN 16
 #define CONFINED_COMPLETE_MIN 24
 /* A lost member stays chosen for this time. If another one took its place, the
  * crashes would reach one member after the other. */
 #define LOST_KEEP_US (INT64_C(10) * G_USEC_PER_SEC)
+/* Highest utilization of the other members at which more are quarantined. */
+#define OTHERS_UTILIZATION 0.75
+#define LOAD_WEIGHT        0.2 /* of a sample in the average load */
+#define RESERVED_MEMBERS   1   /* never quarantined, for jobs of other teams */
+#define GROWTH_INTERVAL_US (200 * 1000)
 /* Tasks of an isolated job that are sent to its member, per slot. */
 #define ISOLATED_TASKS_PER_SLOT 2
 /* Wait that is assumed until one of the members is back. */
@@ -227,30 +232,116 @@
 	return left < right ? -1 : left > right;
 }
 
-void
-mst_quarantine_choose_members(struct mst_entry *entry)
+/* Members by their part in the quarantine, and what the others serve. */
+struct fleet {
+	uint32_t usable;
+	uint32_t others_down; /* not quarantined, and not usable now */
+	double capacity;      /* slots / slowness of the usable members */
+	double others_busy;   /* the same, in use at members not quarantined */
+};
+
+static struct fleet
+measure_fleet(const GPtrArray *eligible, const struct mst_entry *entry)
+{
+	struct fleet fleet = {0};
+	guint i;
+
+	for (i = 0; i < eligible->len; i++) {
+		const struct member *member = eligible->pdata[i];
+		double busy =
+		    member->slots - MIN(member->free_slots, member->slots);
+
+		if (!mst_member_is_usable(entry, member)) {
+			fleet.others_down += !member->quarantined;
+			continue;
+		}
+		fleet.usable++;
+		fleet.capacity += member->slots / member->slowness;
+		if (!member->quarantined)
+			fleet.others_busy += busy / member->slowness;
+	}
+	return fleet;
+}
+
+/* Returns the number of members that the jobs of other teams leave. */
+static double
+spare_members(struct mst_entry *entry, const GPtrArray *eligible)
+{
+	struct fleet fleet = measure_fleet(eligible, entry);
+	double mean_capacity = fleet.capacity / MAX(fleet.usable, 1);
+
+	entry->others_busy +=
+	    LOAD_WEIGHT * (fleet.others_busy - entry->others_busy);
+	if (mean_capacity <= 0)
+		return 0;
+	return eligible->len - fleet.others_down -
+	    ceil(entry->others_busy / OTHERS_UTILIZATION / mean_capacity) -
+	    RESERVED_MEMBERS;
+}
+
+/* Returns how many members to quarantine: a fixed share at least, and as many
+ * as the jobs of other teams leave. It grows one by one. */
+static uint32_t
+quarantine_size(struct mst_entry *entry, const GPtrArray *eligible)
+{
+	double least =
+	    ceil(eligible->len * entry->options.tuning.quarantine_share);
+	double most = MAX(least, (double)eligible->len - RESERVED_MEMBERS);
+	double size = CLAMP(spare_members(entry, eligible), least, most);
+
+	if (size <= entry->quarantined_members)
+		return (uint32_t)size;
+	if (entry->quarantined_members < least)
+		return (uint32_t)least;
+	if (entry->now_us < entry->next_quarantine_growth_us)
+		return MIN(entry->quarantined_members, eligible->len);
+	entry->next_quarantine_growth_us = entry->now_us + GROWTH_INTERVAL_US;
+	return entry->quarantined_members + 1;
+}
+
+static void
+quarantine_first(GPtrArray *eligible, uint32_t count)
+{
+	guint i;
+
+	g_ptr_array_sort(eligible, compare_ranks);
+	for (i = 0; i < eligible->len; i++)
+		((struct member *)eligible->pdata[i])->quarantined = i < count;
+}
+
+static void
+end_quarantine(struct mst_entry *entry)
 {
-	GPtrArray *eligible;
 	guint i;
 
 	for (i = 0; i < entry->members->len; i++)
 		((struct member *)entry->members->pdata[i])->quarantined =
 		    false;
 	entry->quarantined_members = 0;
+	entry->has_suspects = false;
+}
+
+void
+mst_quarantine_choose_members(struct mst_entry *entry)
+{
+	GPtrArray *eligible;
+	guint i;
+
 	if (!has_quarantined_jobs(entry)) {
-		entry->has_suspects = false;
+		end_quarantine(entry);
 		return;
 	}
 	eligible = g_ptr_array_new();
 	for (i = 0; i < entry->members->len; i++) {
-		if (is_eligible(entry, entry->members->pdata[i]))
-			g_ptr_array_add(eligible, entry->members->pdata[i]);
+		struct member *member = entry->members->pdata[i];
+
+		if (is_eligible(entry, member))
+			g_ptr_array_add(eligible, member);
+		else
+			member->quarantined = false;
 	}
-	g_ptr_array_sort(eligible, compare_ranks);
-	entry->quarantined_members = (uint32_t)ceil(
-	    eligible->len * entry->options.tuning.quarantine_share);
-	for (i = 0; i < entry->quarantined_members; i++)
-		((struct member *)eligible->pdata[i])->quarantined = true;
+	entry->quarantined_members = quarantine_size(entry, eligible);
+	quarantine_first(eligible, entry->quarantined_members);
 	g_ptr_array_unref(eligible);
 }
 
