tests, quarantine: crash history, isolation, choice of members; a known job

Two faults found on the way, each by its test: the first job of a quarantined team at a new entry was refused, as no members had been chosen yet; and a job whose task is known to be given up could be refused as not run although it had run for another entry. It is answered as failed now.

--- a/src/core/job/crash.c
+++ b/src/core/job/crash.c
@@ -107,6 +107,22 @@
 	}
 }
 
+bool
+mst_spec_is_given_up(
+    const struct mst_entry *entry, const struct mst_job_spec *spec)
+{
+	uint32_t i;
+
+	for (i = 0; i < spec->count; i++) {
+		struct mst_task_crashes crashes = mst_crash_history_task(
+		    entry->crash_history, spec->tasks[i].path);
+
+		if (mst_crash_judge(&crashes) == MST_CRASH_GIVE_UP)
+			return true;
+	}
+	return false;
+}
+
 void
 mst_entry_handle_crashes(struct mst_entry *entry, const struct mst_msg *msg)
 {
--- a/src/core/job/job.h
+++ b/src/core/job/job.h
@@ -161,6 +161,9 @@
 /* Applies what is known of the crashes of a new job's tasks, which may have run
  * for another entry. The job may be closed with it. */
 void mst_job_recall_crashes(struct mst_entry *entry, struct job *job);
+/* Returns true if a task of a new job is known not to be started again. */
+bool mst_spec_is_given_up(
+    const struct mst_entry *entry, const struct mst_job_spec *spec);
 /* Handles the crashes that an agent has recorded. */
 void mst_entry_handle_crashes(
     struct mst_entry *entry, const struct mst_msg *msg);
--- a/src/core/place/quarantine.c
+++ b/src/core/place/quarantine.c
@@ -54,8 +54,8 @@
 					    : QUARANTINE_NONE;
 }
 
-enum quarantine_level
-mst_quarantine_initial_level(const struct mst_entry *entry, uint32_t team_hash)
+static enum quarantine_level
+level_by_history(const struct mst_entry *entry, uint32_t team_hash)
 {
 	if (!entry->options.tuning.quarantine)
 		return QUARANTINE_NONE;
@@ -82,6 +82,12 @@
 	effect->count = entry->quarantined_members;
 }
 
+void
+mst_quarantine_add_team(struct mst_entry *entry, struct team *team)
+{
+	set_level(entry, team, level_by_history(entry, team->hash));
+}
+
 void
 mst_quarantine_lower(struct mst_entry *entry)
 {
@@ -92,8 +98,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct team *team = value;
 		if (team->quarantine != QUARANTINE_NONE &&
-		    mst_quarantine_initial_level(entry, team->hash) ==
-			QUARANTINE_NONE)
+		    level_by_history(entry, team->hash) == QUARANTINE_NONE)
 			set_level(entry, team, QUARANTINE_NONE);
 	}
 }
@@ -104,8 +109,7 @@
 level_after_crash(const struct mst_entry *entry, const struct team *team,
     const struct crash_record *record)
 {
-	enum quarantine_level level =
-	    mst_quarantine_initial_level(entry, team->hash);
+	enum quarantine_level level = level_by_history(entry, team->hash);
 
 	if (team->quarantine != QUARANTINE_NONE &&
 	    mst_crash_has_one_team(record, team->hash))
--- a/src/core/place/quarantine.h
+++ b/src/core/place/quarantine.h
@@ -27,9 +27,8 @@
 /* Lowers the levels of the teams against which there is no evidence any more,
  * because suspects have been cleared. */
 void mst_quarantine_lower(struct mst_entry *entry);
-/* Returns the level of a new team, by the evidence so far. */
-enum quarantine_level mst_quarantine_initial_level(
-    const struct mst_entry *entry, uint32_t team_hash);
+/* Sets the level of a new team by the evidence so far. */
+void mst_quarantine_add_team(struct mst_entry *entry, struct team *team);
 /* Counts a job that completed. Enough of them lower the level of its team. */
 void mst_quarantine_count_complete(
     struct mst_entry *entry, const struct job *job);
--- a/src/core/place/team.c
+++ b/src/core/place/team.c
@@ -55,7 +55,7 @@
 	team->config = get_team_config(entry, name);
 	team->jobs = g_sequence_new(NULL);
 	g_hash_table_insert(entry->teams, team->name, team);
-	team->quarantine = mst_quarantine_initial_level(entry, team->hash);
+	mst_quarantine_add_team(entry, team);
 	return team;
 }
 
--- a/tests/sim/load.c
+++ b/tests/sim/load.c
@@ -235,39 +235,69 @@
 }
 
 static void
-set_tasks(struct load_job *job, struct mst_task_spec *tasks, double declared_ms)
+name_tasks(struct load_job *job)
 {
 	uint32_t i;
 
-	for (i = 0; i < job->kind->tasks; i++) {
+	for (i = 0; i < job->kind->tasks; i++)
 		g_snprintf(job->task_names[i], sizeof(job->task_names[i]),
 		    "%s.0.0.%u", job->key, i);
+}
+
+static void
+set_tasks(const struct load_job *job, struct mst_task_spec *tasks)
+{
+	uint32_t i;
+
+	for (i = 0; i < job->kind->tasks; i++)
 		tasks[i] = (struct mst_task_spec){
 		    .path = mst_bytes_from_str(job->task_names[i]),
 		    .flags = MST_TASK_RESTARTABLE,
-		    .declared_us = (uint32_t)(declared_ms * MS),
+		    .declared_us = (uint32_t)(job->declared_ms * MS),
 		    .needs = {.millicores = TASK_MILLICORES}};
-	}
 }
 
-void
-load_submit(struct load *load, const struct load_kind *kind, int64_t now_ms)
+/* Sends a job to its entry. */
+static void
+send_job(struct load *load, struct load_job *job)
 {
 	struct mst_task_spec tasks[LOAD_TASKS_MAX] = {0};
-	struct load_job *job = g_new0(struct load_job, 1);
-	struct mst_job_spec spec = {.tasks = tasks,
+	const struct mst_job_spec spec = {.tasks = tasks,
+	    .key = job->key,
+	    .count = job->kind->tasks,
+	    .team = job->kind->queue,
+	    .priority = job->kind->priority,
 	    .timeout_ms = (uint32_t)load->shape.deadline_ms,
+	    .caller_deadline_ms = (uint32_t)job->kind->deadline_ms,
 	    .restartable = true,
 	    .service = "service",
 	    .attempts = ATTEMPTS,
 	    .stretch = load->shape.stretch,
 	    .target_ms = (uint32_t)load->shape.target_ms};
-	double declared_ms;
+
+	set_tasks(job, tasks);
+	job->request =
+	    sim_submit(load->sim, load->cluster.entries[job->entry], &spec);
+}
+
+void
+load_resubmit(struct load *load, guint index)
+{
+	struct load_job *job = load->jobs->pdata[index];
+
+	job->entry = (job->entry + 1) % load->shape.entries;
+	send_job(load, job);
+}
+
+void
+load_submit(struct load *load, const struct load_kind *kind, int64_t now_ms)
+{
+	struct load_job *job = g_new0(struct load_job, 1);
 
 	job->kind = kind != NULL ? kind : choose_job_kind(load);
 	job->service_ms = job->kind->service_ms *
 	    exp(load->shape.service_sigma * load_random_normal(load->rand));
-	declared_ms = job->service_ms *
+	job->declared_ms = job->service_ms *
 	    exp(load->declared_sigma * load_random_normal(load->rand));
 	job->submitted_ms = now_ms;
 	if (load->poisoned_share > 0)
@@ -279,17 +309,11 @@
 	g_snprintf(job->key, sizeof(job->key), "%016x", load->jobs->len + 1);
 	g_hash_table_insert(load->jobs_by_key, job->key, job);
 	g_ptr_array_add(load->jobs, job);
-	set_tasks(job, tasks, declared_ms);
+	name_tasks(job);
 	set_longest(load, job);
 	job->domain = choose_domain(load, now_ms);
 	job->entry = choose_entry(load);
-	spec.key = job->key;
-	spec.count = job->kind->tasks;
-	spec.priority = job->kind->priority;
-	spec.team = job->kind->queue;
-	spec.caller_deadline_ms = (uint32_t)job->kind->deadline_ms;
-	job->request =
-	    sim_submit(load->sim, load->cluster.entries[job->entry], &spec);
+	send_job(load, job);
 }
 
 /* Returns the number of slots of a worker. */
--- a/tests/sim/load.h
+++ b/tests/sim/load.h
@@ -83,6 +83,7 @@
 	char task_names[LOAD_TASKS_MAX][32];
 	const struct load_kind *kind;
 	double service_ms;
+	double declared_ms;
 	double longest_ms; /* service time of its longest task */
 	int64_t submitted_ms;
 	uint64_t request;
@@ -166,6 +167,8 @@
 /* Submits one job of a kind, or of a random one if it is NULL. */
 void load_submit(
     struct load *load, const struct load_kind *kind, int64_t now_ms);
+/* Submits a job again, at the entry after the one that was asked before. */
+void load_resubmit(struct load *load, guint index);
 /* Plays the whole load. */
 void load_run(struct load *load);
 /* Returns the time within which a job must end to be in time. */
--- a/tests/sim/load_faults.c
+++ b/tests/sim/load_faults.c
@@ -13,6 +13,8 @@
 #define LOST_PERIOD_MS       1000 /* between two replaced workers */
 #define BURST_OF_ONE_FACTOR  1.8
 #define POISONED_SHARE       0.05
+#define RACK_PERIOD_MS       1000 /* between two lost racks */
+#define RACK_WORKERS         2
 #define CRASHING_SHARE       0.1 /* of the jobs of one kind */
 #define WRONG_SIGMA          1.0 /* of declared over true time */
 
@@ -202,6 +204,20 @@
 	load->crashing_share = 0;
 }
 
+/* All workers of a rack crash at the same time. */
+static void
+rack_lost_step(struct load *load, int64_t now_ms)
+{
+	int i;
+
+	if (now_ms % RACK_PERIOD_MS != 0)
+		return;
+	for (i = 0; i < RACK_WORKERS; i++)
+		sim_worker_crash(get_worker(load,
+		    (int)(now_ms / RACK_PERIOD_MS * RACK_WORKERS + i) %
+			load->cluster.agent_count));
+}
+
 static void
 wrong_times_begin(struct load *load)
 {
@@ -249,6 +265,7 @@
     {.name = "all-killed", .begin = all_killed_begin},
     {.name = "poison", .begin = poison_begin, .end = poison_end},
     {.name = "crashing", .begin = crashing_begin, .end = crashing_end},
+    {.name = "rack-lost", .step = rack_lost_step},
     {.name = "wrong-times", .begin = wrong_times_begin, .end = wrong_times_end},
     {0}};
 
--- a/tests/sim/worker.c
+++ b/tests/sim/worker.c
@@ -529,12 +529,11 @@
 	end_expired_waits(worker);
 }
 
-static void
-crash(struct sim_worker *worker)
+void
+sim_worker_crash(struct sim_worker *worker)
 {
 	break_connections(worker);
 	sim_worker_restart(worker);
-	worker->crash_count++;
 	worker->down_until_us = now_us(worker) + CRASH_DOWN_US;
 	worker->callbacks.schedule_timer_at(worker->callbacks.ctx,
 	    worker->callbacks.agent_node_id, worker->down_until_us);
@@ -611,7 +610,8 @@
 
 	restart_if_due(worker);
 	if (has_due_crash(worker)) {
-		crash(worker);
+		worker->crash_count++;
+		sim_worker_crash(worker);
 		return;
 	}
 	end_due_runs(worker);
--- a/tests/sim/worker.h
+++ b/tests/sim/worker.h
@@ -96,6 +96,10 @@
 
 uint64_t sim_worker_incarnation(const struct sim_worker *worker);
 
+/* Makes the worker crash: its runs are lost, its connections break, and it is
+ * down until it starts as a new incarnation after three seconds. */
+void sim_worker_crash(struct sim_worker *worker);
+
 /* Returns true while the worker is down after a crash. */
 bool sim_worker_is_down(const struct sim_worker *worker);
 
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -25,6 +25,11 @@
 
 #define CRASHING_KIND 0
 
+/* Share of the jobs in time with a lost rack, over that without quarantine. */
+#define RACKS_IN_TIME_MIN 0.99
+/* Until the caller of a lost entry submits its job again. */
+#define RESUBMIT_US (INT64_C(1300) * 1000)
+
 static const struct load_shape shape = {.name = "crashes",
     .entries = 3,
     .workers = 11,
@@ -205,6 +210,73 @@
 	}
 }
 
+/* Workers that crash for other reasons: a rack goes down during the peak. */
+static struct load_counts
+play_lost_racks(bool quarantine)
+{
+	struct mst_tuning tuning = MST_TUNING_INIT;
+	struct load_counts total = {0};
+	uint32_t seed;
+
+	tuning.quarantine = quarantine;
+	for (seed = 1; seed <= SEEDS; seed++) {
+		const struct load_options options = {.seed = seed,
+		    .paired = true,
+		    .tuning = &tuning,
+		    .fault = load_fault_find("rack-lost")};
+		struct load *load = load_new(&shape, &options);
+		struct load_counts counts;
+
+		load_run(load);
+		counts = load_count(load, LOAD_START_MS, LOAD_END_MS);
+		total.submitted += counts.submitted;
+		total.in_time += counts.in_time;
+		load_free(load);
+	}
+	return total;
+}
+
+/* Guards against a quarantine of jobs that were only present when a rack was
+ * lost. */
+static void
+crashes__lost_racks_quarantine_nobody(void)
+{
+	struct load_counts with = play_lost_racks(true);
+	struct load_counts without = play_lost_racks(false);
+
+	g_test_message("in time: %u with, %u without, of %u", with.in_time,
+	    without.in_time, with.submitted);
+	g_assert_cmpuint(with.submitted, ==, without.submitted);
+	g_assert_cmpfloat(
+	    with.in_time, >=, RACKS_IN_TIME_MIN * (double)without.in_time);
+}
+
+/* A crashing task's job is submitted at one entry after the other, each of
+ * which is killed meanwhile. */
+static void
+crashes__count_outlives_entries(void)
+{
+	const struct load_options options = {.seed = 1, .paired = true};
+	struct load *load = load_new(&shape, &options);
+	const struct load_job *job;
+	unsigned e;
+
+	load_run(load);
+	load->crashing_share = 1;
+	load_submit(load, &load->shape.kinds[CRASHING_KIND], LOAD_END_MS);
+	job = load->jobs->pdata[load->jobs->len - 1];
+	for (e = 0; e < (unsigned)load->shape.entries; e++) {
+		sim_run_until(load->sim, sim_now(load->sim) + RESUBMIT_US);
+		sim_kill(load->sim, load->cluster.entries[job->entry]);
+		cluster_restart(&load->cluster, job->entry);
+		load_resubmit(load, load->jobs->len - 1);
+	}
+	sim_run_until(load->sim, sim_now(load->sim) + RESUBMIT_US);
+	g_assert_cmpuint(job->crashing_starts, >, 0);
+	g_assert_cmpuint(job->crashing_starts, <=, STARTS_MAX);
+	load_free(load);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -219,5 +291,9 @@
 	    crashes__no_bystander_is_given_up);
 	g_test_add_func("/crashes/all-are-served-afterwards",
 	    crashes__all_are_served_afterwards);
+	g_test_add_func("/crashes/lost-racks-quarantine-nobody",
+	    crashes__lost_racks_quarantine_nobody);
+	g_test_add_func(
+	    "/crashes/count-outlives-entries", crashes__count_outlives_entries);
 	return g_test_run();
 }
--- /dev/null
+++ b/tests/test_quarantine.c
@@ -0,0 +1,344 @@
+/*
+ * Where an entry sends the tasks of quarantined teams and of others. Leased
+ * entries are driven under a simulated clock; their members are played by the
+ * test.
+ */
+
+#include <masticstall.h>
+#include <string.h>
+
+#include "core/entry/entry_internal.h"
+#include "core/member/member.h"
+
+#define MS          INT64_C(1000)
+#define ENTRY       7
+#define AGENT       100 /* incarnation of the first agent */
+#define MEMBERS     12
+#define QUARANTINED 3 /* a quarter */
+#define SLOTS       8
+#define BAD_TEAM    "bad"
+#define GOOD_TEAM   "good"
+#define BAD_JOB     "00000000000000aa"
+#define GOOD_JOB    "00000000000000bb"
+
+/* What an entry has emitted. */
+struct outcome {
+	uint64_t dispatched_to; /* incarnation; 0: no dispatch */
+	uint32_t flags;         /* of the first task */
+	bool answered;
+	uint64_t job; /* handle, if answered */
+};
+
+struct fixture {
+	struct mst_entry *entry;
+	int64_t now_us;
+};
+
+static struct outcome
+step(struct fixture *fixture, struct mst_entry_event *event)
+{
+	struct outcome outcome = {0};
+	const GArray *effects;
+	guint i;
+
+	event->now_us = fixture->now_us;
+	effects = mst_entry_step(fixture->entry, event);
+	for (i = 0; i < effects->len; i++) {
+		const struct mst_entry_effect *effect =
+		    &g_array_index(effects, struct mst_entry_effect, i);
+
+		if (effect->type == MST_ENTRY_FX_SEND &&
+		    effect->msg.type == MST_MSG_DISPATCH) {
+			outcome.dispatched_to = effect->msg.to;
+			outcome.flags = effect->msg.dispatch.items[0].flags;
+		} else if (effect->type == MST_ENTRY_FX_ANSWER) {
+			outcome.answered = true;
+			outcome.job = effect->job;
+		}
+	}
+	return outcome;
+}
+
+static void
+deliver(struct fixture *fixture, unsigned member, struct mst_msg *msg)
+{
+	struct mst_entry_event event = {
+	    .type = MST_ENTRY_EV_MESSAGE, .msg = msg};
+
+	msg->from = AGENT + member;
+	msg->to = ENTRY;
+	step(fixture, &event);
+}
+
+/* A member without slots is one whose worker is down. */
+static void
+announce(struct fixture *fixture, unsigned member, uint32_t slots)
+{
+	char name[16];
+	struct mst_msg msg = {.type = MST_MSG_ANNOUNCE,
+	    .announce = {.failure_domain = mst_bytes_from_str("domain"),
+		.service = mst_bytes_from_str("service"),
+		.description_version = 1,
+		.clock_us = (uint64_t)fixture->now_us,
+		.slots = slots,
+		.resources = {.millicores = SLOTS * 1000, .memory_mb = 1024},
+		.resources_max = {.millicores = SLOTS * 1000,
+		    .memory_mb = 1024},
+		.grant = slots,
+		.free_slots = slots}};
+
+	g_snprintf(name, sizeof(name), "member-%u", member);
+	msg.announce.name = mst_bytes_from_str(name);
+	deliver(fixture, member, &msg);
+}
+
+static struct fixture *
+fixture_new(void)
+{
+	struct fixture *fixture = g_new0(struct fixture, 1);
+	struct mst_entry_options options = MST_ENTRY_OPTIONS_INIT;
+	struct mst_entry_event config = {
+	    .type = MST_ENTRY_EV_CONFIG, .document = "{}"};
+	struct mst_lease_times times;
+
+	mst_lease_times(&times, 1300, 1000);
+	mst_entry_options_set_leases(&options, &times);
+	options.incarnation = ENTRY;
+	mst_entry_new(&fixture->entry, &options);
+	fixture->now_us = 10 * G_USEC_PER_SEC;
+	g_assert_cmpint(
+	    mst_config_parse(&config.config, config.document, 1, NULL), ==, 0);
+	step(fixture, &config);
+	return fixture;
+}
+
+static void
+announce_all(struct fixture *fixture, bool backwards)
+{
+	unsigned i;
+
+	for (i = 0; i < MEMBERS; i++)
+		announce(fixture, backwards ? MEMBERS - 1 - i : i, SLOTS);
+}
+
+static void
+fixture_free(struct fixture *fixture)
+{
+	mst_entry_free(fixture->entry);
+	g_free(fixture);
+}
+
+/* Reports a crash at which one task of the bad team was present, beside a task
+ * of the good team that is another one each time. */
+static void
+report_crash(struct fixture *fixture, unsigned member, uint64_t number,
+    const char *bystander)
+{
+	const struct mst_crashed_run runs[] = {
+	    {.task = mst_bytes_from_str(BAD_JOB ".0.0.0"),
+		.team = g_str_hash(BAD_TEAM)},
+	    {.task = mst_bytes_from_str(bystander),
+		.team = g_str_hash(GOOD_TEAM)}};
+	const struct mst_crash crash = {.number = 1,
+	    .id = number,
+	    .run_count = G_N_ELEMENTS(runs),
+	    .runs = runs};
+	struct mst_msg msg = {
+	    .type = MST_MSG_CRASHES, .crashes = {.count = 1, .items = &crash}};
+
+	deliver(fixture, member, &msg);
+}
+
+static void
+report_crashes(struct fixture *fixture, unsigned count)
+{
+	static const char *const bystanders[] = {"0000000000000001.0.0.0",
+	    "0000000000000002.0.0.0", "0000000000000003.0.0.0"};
+	unsigned i;
+
+	for (i = 0; i < count; i++)
+		report_crash(fixture, i, i + 1, bystanders[i]);
+}
+
+static struct outcome
+submit(struct fixture *fixture, const char *key, const char *team)
+{
+	char name[32];
+	const struct mst_task_spec task = {.path = {name, strlen(key) + 6},
+	    .flags = MST_TASK_RESTARTABLE,
+	    .declared_us = 50 * MS,
+	    .needs = {.millicores = 1000}};
+	const struct mst_job_spec spec = {.key = key,
+	    .team = team,
+	    .service = "service",
+	    .timeout_ms = 1500,
+	    .restartable = true,
+	    .attempts = 2,
+	    .stretch = 1.6,
+	    .target_ms = 1000,
+	    .count = 1,
+	    .tasks = &task};
+	struct mst_entry_event event = {
+	    .type = MST_ENTRY_EV_SUBMIT, .request = 1, .spec = &spec};
+	struct mst_entry_event flush = {.type = MST_ENTRY_EV_FLUSH};
+	struct outcome outcome;
+
+	g_snprintf(name, sizeof(name), "%s.0.0.0", key);
+	outcome = step(fixture, &event);
+	return outcome.answered ? outcome : step(fixture, &flush);
+}
+
+static bool
+is_quarantined(const struct fixture *fixture, uint64_t incarnation)
+{
+	return mst_member_find(fixture->entry, incarnation)->quarantined;
+}
+
+static unsigned
+count_quarantined(const struct fixture *fixture)
+{
+	unsigned count = 0;
+	unsigned i;
+
+	for (i = 0; i < MEMBERS; i++)
+		count += is_quarantined(fixture, AGENT + i);
+	return count;
+}
+
+/* Guards against tasks of a team that crashes workers and tasks of others being
+ * sent to the same members. */
+static void
+quarantine__teams_are_kept_apart(void)
+{
+	struct fixture *fixture = fixture_new();
+	struct outcome bad, good;
+
+	announce_all(fixture, false);
+	submit(fixture, GOOD_JOB, GOOD_TEAM);
+	submit(fixture, "00000000000000cc", BAD_TEAM);
+	g_assert_cmpuint(count_quarantined(fixture), ==, 0);
+	report_crashes(fixture, 2);
+	g_assert_cmpuint(count_quarantined(fixture), ==, QUARANTINED);
+	bad = submit(fixture, "00000000000000cd", BAD_TEAM);
+	good = submit(fixture, "00000000000000bc", GOOD_TEAM);
+	g_assert_true(is_quarantined(fixture, bad.dispatched_to));
+	g_assert_false(is_quarantined(fixture, good.dispatched_to));
+	fixture_free(fixture);
+}
+
+/* Guards against entries that put different members at risk. */
+static void
+quarantine__entries_choose_alike(void)
+{
+	struct fixture *one = fixture_new();
+	struct fixture *other = fixture_new();
+	unsigned i;
+
+	announce_all(one, false);
+	announce_all(other, true);
+	submit(one, "00000000000000cc", BAD_TEAM);
+	submit(other, "00000000000000cd", BAD_TEAM);
+	report_crashes(one, 2);
+	report_crashes(other, 2);
+	for (i = 0; i < MEMBERS; i++)
+		g_assert_true(is_quarantined(one, AGENT + i) ==
+		    is_quarantined(other, AGENT + i));
+	fixture_free(one);
+	fixture_free(other);
+}
+
+/* Guards against crashes reaching one member after the other, because those
+ * that are down are replaced by others. */
+static void
+quarantine__members_that_are_down_are_not_replaced(void)
+{
+	struct fixture *fixture = fixture_new();
+	struct mst_entry_event tick = {.type = MST_ENTRY_EV_TICK};
+	bool before[MEMBERS];
+	unsigned i;
+
+	announce_all(fixture, false);
+	submit(fixture, "00000000000000cc", BAD_TEAM);
+	report_crashes(fixture, 2);
+	for (i = 0; i < MEMBERS; i++) {
+		before[i] = is_quarantined(fixture, AGENT + i);
+		if (before[i])
+			announce(fixture, i, 0);
+	}
+	fixture->now_us += 100 * MS;
+	step(fixture, &tick);
+	for (i = 0; i < MEMBERS; i++)
+		g_assert_true(!before[i] || is_quarantined(fixture, AGENT + i));
+	fixture_free(fixture);
+}
+
+/* Guards against an entry that starts anew and takes a task that has crashed
+ * workers for another entry for a new one. */
+static void
+quarantine__new_entry_gives_known_task_up(void)
+{
+	struct fixture *fixture = fixture_new();
+	struct mst_job_view view;
+	struct outcome outcome;
+
+	announce_all(fixture, false);
+	report_crashes(fixture, 3);
+	outcome = submit(fixture, BAD_JOB, BAD_TEAM);
+	g_assert_true(outcome.answered);
+	g_assert_cmpint(
+	    mst_entry_job(&view, fixture->entry, outcome.job), ==, 0);
+	g_assert_cmpint(view.state, ==, MST_JOB_FAILED);
+	g_assert_cmpint(view.reason, ==, MST_REASON_TASK_FAILED);
+	fixture_free(fixture);
+}
+
+/* Guards against a suspect running beside other jobs once more. */
+static void
+quarantine__suspect_is_isolated(void)
+{
+	struct fixture *fixture = fixture_new();
+	struct outcome outcome;
+
+	announce_all(fixture, false);
+	report_crashes(fixture, 2);
+	outcome = submit(fixture, BAD_JOB, BAD_TEAM);
+	g_assert_true(outcome.flags & MST_TASK_ISOLATED);
+	g_assert_true(outcome.flags & MST_TASK_SUSPECT);
+	outcome = submit(fixture, GOOD_JOB, GOOD_TEAM);
+	g_assert_false(outcome.flags & MST_TASK_ISOLATED);
+	fixture_free(fixture);
+}
+
+/* Guards against decisions that differ where nothing has ever crashed. */
+static void
+quarantine__nothing_changes_without_crashes(void)
+{
+	struct fixture *fixture = fixture_new();
+	struct outcome outcome;
+
+	announce_all(fixture, false);
+	outcome = submit(fixture, GOOD_JOB, GOOD_TEAM);
+	g_assert_cmpuint(outcome.dispatched_to, !=, 0);
+	g_assert_cmpuint(outcome.flags, ==, MST_TASK_RESTARTABLE);
+	g_assert_cmpuint(count_quarantined(fixture), ==, 0);
+	fixture_free(fixture);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/quarantine/teams-are-kept-apart",
+	    quarantine__teams_are_kept_apart);
+	g_test_add_func("/quarantine/entries-choose-alike",
+	    quarantine__entries_choose_alike);
+	g_test_add_func("/quarantine/members-that-are-down-are-not-replaced",
+	    quarantine__members_that_are_down_are_not_replaced);
+	g_test_add_func("/quarantine/new-entry-gives-known-task-up",
+	    quarantine__new_entry_gives_known_task_up);
+	g_test_add_func(
+	    "/quarantine/suspect-is-isolated", quarantine__suspect_is_isolated);
+	g_test_add_func("/quarantine/nothing-changes-without-crashes",
+	    quarantine__nothing_changes_without_crashes);
+	return g_test_run();
+}
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -20,6 +20,8 @@
  *                                 (default: AGE_MS)
  *   stored E SEQ TASK             delivers a dispatch of a stored job's task,
  *                                 whose record has the owner E and the term 1
+ *   isolated E SEQ TASK           the same for an isolated task
+ *   suspect E SEQ TASK            the same for a suspect, which is isolated too
  *   withdraw E SEQ                entry E withdraws a task
  *   start STATUS                  answers the oldest pending START order
  *   stop STATUS                   answers the oldest pending STOP order
@@ -107,6 +109,22 @@
 	g_array_append_val(harness->orders, pending);
 }
 
+static void
+log_crashes(struct harness *harness, const struct mst_crashes *crashes)
+{
+	uint32_t i, k;
+
+	for (i = 0; i < crashes->count; i++) {
+		const struct mst_crash *crash = &crashes->items[i];
+
+		for (k = 0; k < crash->run_count; k++)
+			log_line(harness, "crash %" PRIu64 ": %.*s %s",
+			    crash->number, (int)crash->runs[k].task.len,
+			    crash->runs[k].task.data,
+			    crash->cleared ? "cleared" : "present");
+	}
+}
+
 static void
 log_message(struct harness *harness, const struct mst_msg *msg)
 {
@@ -114,6 +132,8 @@
 
 	if (msg->type == MST_MSG_ANNOUNCE && msg->to == 0)
 		log_line(harness, "announcement to all entries");
+	if (msg->type == MST_MSG_CRASHES)
+		log_crashes(harness, &msg->crashes);
 	for (i = 0; msg->type == MST_MSG_RESULT && i < msg->results.count; i++)
 		log_line(harness,
 		    "result for entry %" PRIu64 ": %" PRIu64 " %s %s", msg->to,
@@ -248,12 +268,16 @@
 }
 
 static void
-command_dispatch(struct harness *harness, char **words, int word_count)
+command_dispatch(
+    struct harness *harness, uint32_t flags, char **words, int word_count)
 {
 	int64_t age_ms = word_count > 4 ? strtol(words[4], NULL, 10) : 0;
 	int64_t echo_age_ms =
 	    word_count > 5 ? strtol(words[5], NULL, 10) : age_ms;
+	/* Tasks of one job have names with the same first letter. */
 	struct mst_dispatch_item item = {.seq = strtoull(words[2], NULL, 10),
+	    .job = {.issuer = 1, .counter = (uint64_t)words[3][0]},
+	    .flags = flags,
 	    .timeout_ms = 1500,
 	    .run = 1,
 	    .expected_service_us = 100000,
@@ -441,7 +465,12 @@
 	else if (strcmp(name, "heartbeat") == 0)
 		command_heartbeat(harness, words);
 	else if (strcmp(name, "dispatch") == 0)
-		command_dispatch(harness, words, word_count);
+		command_dispatch(harness, 0, words, word_count);
+	else if (strcmp(name, "isolated") == 0)
+		command_dispatch(harness, MST_TASK_ISOLATED, words, word_count);
+	else if (strcmp(name, "suspect") == 0)
+		command_dispatch(harness, MST_TASK_ISOLATED | MST_TASK_SUSPECT,
+		    words, word_count);
 	else if (strcmp(name, "stored") == 0)
 		command_stored(harness, words);
 	else if (strcmp(name, "withdraw") == 0)
@@ -524,7 +553,7 @@
 	    "lease_lapses", "fenced", "start_after_stop", "worker_down",
 	    "kept_report", "kept_report_gone", "unknown_completions",
 	    "many_unknown_completions", "unrecordable_completions",
-	    "long_lease", "refused_stop", "unreachable"};
+	    "long_lease", "refused_stop", "unreachable", "crash", "isolated"};
 	size_t i;
 
 	g_test_init(&argc, &argv, NULL);
