retries: an idempotent task that crashes its upstreams is not retried for ever

The same cause elsewhere: without leases, an idempotent task whose upstream closes the connection was retried for as long as its deadline and the budget allowed, at one upstream after the other.

--- a/src/core/job/result.c
+++ b/src/core/job/result.c
@@ -34,6 +34,7 @@
 {
 	return (task->flags & MST_TASK_IDEMPOTENT) != 0 &&
 	    task->attempts < ENTRY_ATTEMPTS_MAX &&
+	    mst_crash_judge(&task->crashes) != MST_CRASH_GIVE_UP &&
 	    entry->now_us < job->deadline_us && !entry->stopped &&
 	    take_retry_token(entry);
 }
@@ -258,6 +259,9 @@
 		if (result->reason == MST_REASON_WORKER_CRASHED &&
 		    mst_task_handle_crash(entry, job, index, member))
 			break;
+		/* An upstream that crashes closes its connections. */
+		if (result->reason == MST_REASON_UPSTREAM_RESET)
+			task->crashes.total++;
 		if (!is_without_fault(result->reason))
 			mst_member_update_health(entry, member, true);
 		if (job->restartable) {
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -27,6 +27,9 @@
 
 /* Share of the jobs in time with a lost rack, over that without quarantine. */
 #define RACKS_IN_TIME_MIN 0.99
+/* An idempotent task without leases. */
+#define RESET_US  (INT64_C(10) * 1000) /* until its upstream crashes */
+#define UPSTREAMS 8
 /* Until the caller of a lost entry submits its job again. */
 #define RESUBMIT_US (INT64_C(1300) * 1000)
 
@@ -277,6 +280,45 @@
 	load_free(load);
 }
 
+static struct sim_task_result
+crash_upstream(
+    void *ctx, int agent, const struct mst_dispatch_item *task, int64_t now_us)
+{
+	return (struct sim_task_result){.duration_us = RESET_US,
+	    .outcome = MST_OUTCOME_UNKNOWN,
+	    .reason = MST_REASON_UPSTREAM_RESET};
+}
+
+/* Guards against an idempotent task without leases that crashes one upstream
+ * after the other. */
+static void
+crashes__idempotent_task_is_not_retried_for_ever(void)
+{
+	const struct sim_options sim_options = {
+	    .seed = 1, .latency_us = 500, .get_task_result = crash_upstream};
+	const struct mst_agent_options agent_options = MST_AGENT_OPTIONS_INIT;
+	const struct mst_task_spec task = {
+	    .flags = MST_TASK_IDEMPOTENT, .declared_us = RESET_US};
+	const struct mst_job_spec spec = {
+	    .team = "team", .timeout_ms = 60000, .count = 1, .tasks = &task};
+	struct sim *sim = sim_new(&sim_options);
+	int entry = sim_add_entry(sim, "entry");
+	char name[16];
+	int i;
+
+	sim_configure(sim, entry, 1, "{\"policy\":{\"retry_budget\":1}}");
+	for (i = 0; i < UPSTREAMS; i++) {
+		g_snprintf(name, sizeof(name), "agent%d", i);
+		sim_add_agent(sim, name, &agent_options);
+	}
+	sim_run_until(sim, sim_now(sim) + 5 * G_USEC_PER_SEC);
+	sim_submit(sim, entry, &spec);
+	sim_run_until(sim, sim_now(sim) + 60 * G_USEC_PER_SEC);
+	g_assert_cmpuint(sim_count_all_starts(sim), >, 1);
+	g_assert_cmpuint(sim_count_all_starts(sim), <=, STARTS_MAX);
+	sim_free(sim);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -295,5 +337,7 @@
 	    crashes__lost_racks_quarantine_nobody);
 	g_test_add_func(
 	    "/crashes/count-outlives-entries", crashes__count_outlives_entries);
+	g_test_add_func("/crashes/idempotent-task-is-not-retried-for-ever",
+	    crashes__idempotent_task_is_not_retried_for_ever);
 	return g_test_run();
 }
