--- a/include/masticstall/entry.h
+++ b/include/masticstall/entry.h
@@ -330,6 +330,8 @@
 	uint32_t members_cold; /* active ones that are still warming up */
 	uint32_t peers;
 	uint32_t teams;
+	uint32_t teams_quarantined;   /* whose jobs crash workers */
+	uint32_t members_quarantined; /* for the jobs of such teams */
 	uint64_t bytes;
 	uint64_t config_version;
 	bool draining;
--- a/src/core/entry/view.c
+++ b/src/core/entry/view.c
@@ -99,6 +99,8 @@
 	    .members = entry->members->len,
 	    .peers = mst_entry_count_live_entries(entry) - 1,
 	    .teams = g_hash_table_size(entry->teams),
+	    .teams_quarantined = mst_quarantine_count_teams(entry),
+	    .members_quarantined = entry->quarantined_members,
 	    .bytes = entry->bytes,
 	    .config_version = entry->config ? entry->config->version : 0,
 	    .draining = entry->draining};
--- a/src/core/place/quarantine.c
+++ b/src/core/place/quarantine.c
@@ -169,19 +169,28 @@
 	return job->suspect || job->team->quarantine != QUARANTINE_NONE;
 }
 
+uint32_t
+mst_quarantine_count_teams(const struct mst_entry *entry)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, entry->teams);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		count += ((const struct team *)value)->quarantine !=
+		    QUARANTINE_NONE;
+	return count;
+}
+
 /* Returns true if some open job must run at quarantined members. */
 static bool
 has_quarantined_jobs(const struct mst_entry *entry)
 {
-	GHashTableIter iter;
-	gpointer value;
 	guint i;
 
-	g_hash_table_iter_init(&iter, entry->teams);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (((const struct team *)value)->quarantine != QUARANTINE_NONE)
-			return true;
-	}
+	if (mst_quarantine_count_teams(entry) > 0)
+		return true;
 	for (i = 0; i < entry->jobs->len && entry->has_suspects; i++) {
 		const struct job *job = entry->jobs->pdata[i];
 
--- a/src/core/place/quarantine.h
+++ b/src/core/place/quarantine.h
@@ -32,6 +32,8 @@
 /* Counts a job that completed. Enough of them lower the level of its team. */
 void mst_quarantine_count_complete(
     struct mst_entry *entry, const struct job *job);
+/* Returns the number of teams that are quarantined. */
+uint32_t mst_quarantine_count_teams(const struct mst_entry *entry);
 /* Chooses the quarantined members if there are jobs for them, else none. */
 void mst_quarantine_choose_members(struct mst_entry *entry);
 /* Returns true if a job runs only at quarantined members. */
