crash history: drops the oldest crash when full, not the newest

A history with its limit of crashes ignored new ones until old ones expired. Found by reading; test_crash_history /oldest-of-many-is-dropped.

--- a/src/core/crash/history.c
+++ b/src/core/crash/history.c
@@ -7,7 +7,7 @@
 /* Crashes after which a task is a suspect, or is given up. */
 #define SUSPECT_CRASHES 2
 #define GIVE_UP_CRASHES 3
-#define CRASHES_MAX     4096
+#define CRASHES_MAX     1024 /* remembered by one entry */
 
 enum mst_crash_verdict
 mst_crash_judge(const struct mst_task_crashes *crashes)
@@ -128,15 +128,26 @@
 	}
 }
 
+/* Drops a record. The tables refer to its strings, so they are emptied and have
+ * to be filled again. */
+static void
+drop_record(struct mst_crash_history *history, guint index)
+{
+	g_hash_table_remove_all(history->tasks);
+	g_hash_table_remove_all(history->candidates);
+	g_ptr_array_remove_index(history->records, index);
+}
+
 const struct crash_record *
 mst_crash_history_add(struct mst_crash_history *history,
     const struct mst_crash *crash, int64_t now_us)
 {
 	struct crash_record *record;
 
-	if (crash->run_count == 0 || is_known(history, crash->id) ||
-	    history->records->len >= CRASHES_MAX)
+	if (crash->run_count == 0 || is_known(history, crash->id))
 		return NULL;
+	if (history->records->len >= CRASHES_MAX)
+		drop_record(history, 0);
 	record = record_new(crash, now_us);
 	g_ptr_array_add(history->records, record);
 	count_tasks(history);
@@ -172,10 +183,7 @@
 			i++;
 			continue;
 		}
-		/* The tables refer to strings of the record. */
-		g_hash_table_remove_all(history->tasks);
-		g_hash_table_remove_all(history->candidates);
-		g_ptr_array_remove_index(history->records, i);
+		drop_record(history, i);
 	}
 	if (history->records->len == count)
 		return;
--- a/src/core/place/quarantine.c
+++ b/src/core/place/quarantine.c
@@ -178,8 +178,8 @@
 
 	g_hash_table_iter_init(&iter, entry->teams);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		count += ((const struct team *)value)->quarantine !=
-		    QUARANTINE_NONE;
+		count +=
+		    ((const struct team *)value)->quarantine != QUARANTINE_NONE;
 	return count;
 }
 
--- a/src/runtime/metrics.c
+++ b/src/runtime/metrics.c
@@ -184,8 +184,7 @@
 	metrics_add_single(out, "teams_quarantined", "gauge",
 	    "Teams whose jobs crash workers.", gauges->teams_quarantined);
 	metrics_add_single(out, "members_quarantined", "gauge",
-	    "Members for the jobs of such teams.",
-	    gauges->members_quarantined);
+	    "Members for the jobs of such teams.", gauges->members_quarantined);
 	metrics_add_single(out, "job_bytes", "gauge", "Memory of jobs.",
 	    (double)gauges->bytes);
 	metrics_add_single(out, "config_version", "gauge",
--- a/tests/test_crash_history.c
+++ b/tests/test_crash_history.c
@@ -12,7 +12,8 @@
 #define NOW_US       (INT64_C(1000) * G_USEC_PER_SEC)
 #define TEAM         'a'
 #define OTHER_TEAM   'A'
-#define ALL_MS       100 /* all crashes of a test have happened by then */
+#define MANY_CRASHES 1500 /* more than are remembered */
+#define ALL_MS       100  /* all crashes of a test have happened by then */
 #define LAPSED_US    (2 * G_USEC_PER_SEC) /* suspects count no more */
 #define FORGOTTEN_US (INT64_C(3600) * G_USEC_PER_SEC)
 
@@ -173,6 +174,29 @@
 	mst_crash_history_free(history);
 }
 
+/* Guards against new crashes being ignored because there were many. */
+static void
+crash_history__oldest_of_many_is_dropped(void)
+{
+	struct mst_crash_history *history = mst_crash_history_new();
+	struct crash_text crash = {"b.0", 0};
+	char name[16];
+	unsigned i;
+
+	for (i = 0; i < MANY_CRASHES; i++) {
+		g_snprintf(name, sizeof(name), "b.%u", i);
+		crash.tasks = name;
+		add(history, &crash, false);
+	}
+	g_assert_cmpuint(
+	    mst_crash_history_task(history, mst_bytes_from_str("b.0")).total,
+	    ==, 0);
+	g_assert_cmpuint(
+	    mst_crash_history_task(history, mst_bytes_from_str(name)).total, ==,
+	    1);
+	mst_crash_history_free(history);
+}
+
 /* Guards against giving up a task that may have been a bystander twice, and
  * against starting one again that has crashed three workers. */
 static void
@@ -212,6 +236,8 @@
 	    crash_history__known_crash_counts_once);
 	g_test_add_func("/crash-history/old-crashes-are-forgotten",
 	    crash_history__old_crashes_are_forgotten);
+	g_test_add_func("/crash-history/oldest-of-many-is-dropped",
+	    crash_history__oldest_of_many_is_dropped);
 	g_test_add_func("/crash-history/verdicts", crash_history__verdicts);
 	return g_test_run();
 }
