quarantine: one function each for a sole cause and for the sent tasks

What a reader met: the condition for a team that alone was at a crashed worker stood twice, and two functions counted the sent tasks of a job. One each now.

--- a/src/core/place/quarantine.c
+++ b/src/core/place/quarantine.c
@@ -83,16 +83,22 @@
 	}
 }
 
-/* Returns the level of a team after a crash. A confined team that was the only
- * one at the worker has caused it. */
+/* Returns true if a quarantined team was the only one at a worker that crashed,
+ * and so has caused the crash. */
+static bool
+is_sole_cause(const struct team *team, const struct crash_record *record)
+{
+	return team->quarantine != QUARANTINE_NONE &&
+	    mst_crash_has_one_team(record, team->hash);
+}
+
 static enum quarantine_level
 level_after_crash(const struct mst_entry *entry, const struct team *team,
     const struct crash_record *record)
 {
 	enum quarantine_level level = level_by_history(entry, team->hash);
 
-	if (team->quarantine != QUARANTINE_NONE &&
-	    mst_crash_has_one_team(record, team->hash))
+	if (is_sole_cause(team, record))
 		level = QUARANTINE_ISOLATED;
 	return MAX(level, team->quarantine);
 }
@@ -101,10 +107,8 @@
 is_blamed(struct mst_entry *entry, const struct team *team,
     const struct crash_record *record)
 {
-	if (team->quarantine != QUARANTINE_NONE &&
-	    mst_crash_has_one_team(record, team->hash))
-		return true;
-	return mst_crash_blame(entry->crash_history, record, team->hash) >=
+	return is_sole_cause(team, record) ||
+	    mst_crash_blame(entry->crash_history, record, team->hash) >=
 	    BLAME_MIN;
 }
 
--- a/src/core/place/quarantine_place.c
+++ b/src/core/place/quarantine_place.c
@@ -14,26 +14,20 @@
 /* Share of its slack that a job of a confined team may wait. */
 #define CONFINED_WAIT_SHARE 0.5
 
+/* Returns the number of sent tasks of a job, at one member or, if NULL, at all
+ * members. */
 static uint32_t
-count_sent_to(const struct job *job, const struct member *member)
+count_sent(const struct job *job, const struct member *member)
 {
 	uint32_t count = 0;
 	uint32_t i;
 
-	for (i = 0; i < job->count; i++)
-		count += job->tasks[i].state == TASK_SENT &&
-		    job->tasks[i].member == member;
-	return count;
-}
-
-static uint32_t
-count_sent(const struct job *job)
-{
-	uint32_t count = 0;
-	uint32_t i;
+	for (i = 0; i < job->count; i++) {
+		const struct task *task = &job->tasks[i];
 
-	for (i = 0; i < job->count; i++)
-		count += job->tasks[i].state == TASK_SENT;
+		count += task->state == TASK_SENT &&
+		    (member == NULL || task->member == member);
+	}
 	return count;
 }
 
@@ -44,11 +38,11 @@
 can_isolate_at(const struct mst_entry *entry, const struct member *member,
     const struct job *job, const struct task *task)
 {
-	uint32_t sent_there = count_sent_to(job, member);
+	uint32_t sent_there = count_sent(job, member);
 
 	return member->quarantined && mst_member_is_usable(entry, member) &&
 	    member->grant > 0 && member->outstanding == sent_there &&
-	    count_sent(job) == sent_there &&
+	    count_sent(job, NULL) == sent_there &&
 	    sent_there < member->slots * ISOLATED_TASKS_PER_SLOT &&
 	    mst_member_has_service(member, job) &&
 	    mst_member_has_resources(member, task) &&
