--- a/cli/admin.c
+++ b/cli/admin.c
@@ -29,13 +29,13 @@
 	} else if (cli->json) {
 		cli_print_json(&answer);
 	} else {
-		printf("%-16s %-12s %-10s %-8s %-9s %5s %5s %5s %8s %6s\n",
+		printf("%-16s %-12s %-10s %-8s %-9s %5s %5s %5s %8s %6s %s\n",
 		    "INCARNATION", "NAME", "DOMAIN", "RACK", "STATE", "SLOTS",
-		    "GRANT", "SENT", "SLOWNESS", "CONFIG");
+		    "GRANT", "SENT", "SLOWNESS", "CONFIG", "VERSION");
 		cJSON_ArrayForEach (member,
 		    cJSON_GetObjectItemCaseSensitive(answer.json, "members"))
 			printf("%-16s %-12s %-10s %-8s %-9s %5.0f %5.0f %5.0f "
-			       "%8.2f %6.0f\n",
+			       "%8.2f %6.0f %s\n",
 			    cli_json_string(member, "incarnation"),
 			    cli_json_string(member, "name"),
 			    cli_json_string(member, "failure_domain"),
@@ -45,7 +45,8 @@
 			    cli_json_number(member, "grant"),
 			    cli_json_number(member, "outstanding"),
 			    cli_json_number(member, "slowness"),
-			    cli_json_number(member, "config_version"));
+			    cli_json_number(member, "config_version"),
+			    cli_json_string(member, "version"));
 	}
 	cli_response_clear(&answer);
 	return rc;
--- a/cli/top.c
+++ b/cli/top.c
@@ -33,7 +33,8 @@
     {.title = "config", .metric = "config_version"},
     {.title = "dropped", .metric = "log_dropped_total"}, {0}};
 
-#define COLUMN_COUNT (G_N_ELEMENTS(columns) - 1)
+#define COLUMN_COUNT  (G_N_ELEMENTS(columns) - 1)
+#define VERSION_WIDTH 9
 
 struct daemon {
 	const char *url;
@@ -41,6 +42,7 @@
 	double values[COLUMN_COUNT];
 	double previous[COLUMN_COUNT]; /* values before the last poll */
 	bool is_present[COLUMN_COUNT]; /* the last response had this metric */
+	char version[VERSION_WIDTH + 1];
 };
 
 /* Sums a metric over its labels; returns false if the text lacks it. */
@@ -77,6 +79,18 @@
 		sum_metric(text, column->agent_metric, value));
 }
 
+/* Reads the version that the metric build_info has as its label; "-" if there
+ * is none, as in builds before 0.2.0. */
+static void
+read_version(const char *text, char *version)
+{
+	static const char name[] = "\nmasticstall_build_info{version=\"";
+	const char *found = strstr(text, name);
+	const char *start = found != NULL ? found + sizeof(name) - 1 : "-";
+
+	g_strlcpy(version, start, MIN(strcspn(start, "\""), VERSION_WIDTH) + 1);
+}
+
 static void
 poll_daemon(struct daemon *daemon, const struct cli *cli)
 {
@@ -87,6 +101,7 @@
 	target.entry = daemon->url;
 	cli_call(&answer, &target, "GET", "/metrics", NULL, NULL);
 	daemon->reached = answer.status == 200;
+	read_version(daemon->reached ? answer.body->str : "", daemon->version);
 	for (i = 0; i < COLUMN_COUNT; i++) {
 		daemon->previous[i] = daemon->values[i];
 		daemon->is_present[i] = daemon->reached &&
@@ -102,7 +117,7 @@
 	size_t col;
 	int row;
 
-	printf("%-28s", "daemon");
+	printf("%-28s %*s", "daemon", VERSION_WIDTH, "version");
 	for (col = 0; col < COLUMN_COUNT; col++)
 		printf(" %9s", columns[col].title);
 	putchar('\n');
@@ -112,6 +127,7 @@
 			printf(" no answer\n");
 			continue;
 		}
+		printf(" %*s", VERSION_WIDTH, daemons[row].version);
 		for (col = 0; col < COLUMN_COUNT; col++) {
 			double value = daemons[row].values[col];
 
--- a/include/masticstall.h
+++ b/include/masticstall.h
@@ -13,6 +13,7 @@
 #include <masticstall/seqset.h>
 #include <masticstall/settings.h>
 #include <masticstall/tuning.h>
+#include <masticstall/version.h>
 #include <masticstall/worker.h>
 
 #endif
--- a/include/masticstall/agent.h
+++ b/include/masticstall/agent.h
@@ -12,6 +12,7 @@
 #include <masticstall/message.h>
 #include <masticstall/record.h>
 #include <masticstall/tuning.h>
+#include <masticstall/version.h>
 #include <masticstall/worker.h>
 
 struct mst_agent;
@@ -103,7 +104,8 @@
 	MST_AGENT_FX_ENTRY_UNUSED,
 	MST_AGENT_FX_LOAD_REPORT, /* read the kept report and crashes */
 	MST_AGENT_FX_DRAINS,      /* the set of drained domains has changed */
-	MST_AGENT_FX_CRASH        /* the worker has crashed with active runs */
+	MST_AGENT_FX_CRASH,       /* the worker has crashed with active runs */
+	MST_AGENT_FX_BUILD /* an entry of another version was met or is gone */
 };
 
 struct mst_agent_effect {
@@ -115,7 +117,7 @@
 	struct mst_bytes peers;               /* PEERS */
 	struct mst_order order;               /* ORDER */
 	const char *state;                    /* WORKER */
-	/* RUN_FAILED, LEASE_EXPIRED, ENTRY_UNUSED: entry incarnation */
+	/* RUN_FAILED, LEASE_EXPIRED, ENTRY_UNUSED, BUILD: its incarnation */
 	uint64_t entry;
 	uint32_t run_number;           /* RUN_FAILED: run number of the task */
 	struct mst_result_item result; /* RUN_FAILED */
@@ -126,6 +128,7 @@
 	struct mst_store_op op;       /* STORE */
 	struct mst_drains_msg drains; /* DRAINS: the new set */
 	bool drained; /* DRAINS: it contains this agent's failure domain */
+	struct mst_build_change build; /* BUILD */
 };
 
 /** Counters of one agent since its start. */
@@ -203,6 +206,14 @@
 const struct mst_agent_counters *mst_agent_counters(
     const struct mst_agent *agent);
 
+/**
+ * Counts the known entries by the version of their builds.
+ *
+ * @param agent the agent
+ * @return array of struct mst_build_count, to be released by g_array_unref()
+ */
+GArray *mst_agent_builds(const struct mst_agent *agent);
+
 /** Returns the present values of the gauges. */
 struct mst_agent_gauges mst_agent_gauges(const struct mst_agent *agent);
 
--- a/include/masticstall/config.h
+++ b/include/masticstall/config.h
@@ -86,6 +86,21 @@
 int mst_config_parse(struct mst_config **out, const char *document,
     uint64_t version, GError **error);
 
+/**
+ * Parses a configuration that another process has accepted. Names that this
+ * build doesn't know are skipped, as that process may be of a newer one.
+ *
+ * @param out set to the configuration, which mst_config_free() releases
+ * @param unknown set to the JSON pointers of the skipped members, separated by
+ *     spaces, or to NULL; to be freed with g_free()
+ * @param document JSON text
+ * @param version version of the document
+ * @param error an MST_CONFIG_ERROR on failure
+ * @return 0, or -1 on failure
+ */
+int mst_config_parse_known(struct mst_config **out, char **unknown,
+    const char *document, uint64_t version, GError **error);
+
 /**
  * Finds the queue for a request: among the queues of its host the one with
  * the longest prefix that matches the path.
--- a/include/masticstall/entry.h
+++ b/include/masticstall/entry.h
@@ -14,6 +14,7 @@
 #include <masticstall/message.h>
 #include <masticstall/record.h>
 #include <masticstall/tuning.h>
+#include <masticstall/version.h>
 
 struct mst_entry;
 
@@ -249,7 +250,8 @@
 	MST_ENTRY_FX_DRAINS,   /* the set of drained domains has changed */
 	MST_ENTRY_FX_CRASHED,  /* a worker crashed during a run of a task */
 	/* Jobs of a team are restricted in where they run, or no longer. */
-	MST_ENTRY_FX_QUARANTINE
+	MST_ENTRY_FX_QUARANTINE,
+	MST_ENTRY_FX_BUILD /* a process of another version was met or is gone */
 };
 
 /** Kind of refusal of a request. */
@@ -286,6 +288,7 @@
 	/* DRAINS: the new set; state tells where it came from: "store",
 	 * "config", "entry" or "agent". */
 	struct mst_drains_msg drains;
+	struct mst_build_change build; /* BUILD; peer is the process */
 };
 
 /** Counters of one entry since its start. */
@@ -349,6 +352,7 @@
 	uint32_t outstanding;
 	double slowness; /* ratio of observed to expected service times */
 	uint64_t config_version;
+	const char *version; /* of its build; static */
 };
 
 /**
@@ -415,6 +419,14 @@
  */
 struct mst_drains_msg mst_entry_drains(const struct mst_entry *entry);
 
+/**
+ * Counts the live agents and other entries by the version of their builds.
+ *
+ * @param entry the entry
+ * @return array of struct mst_build_count, to be released by g_array_unref()
+ */
+GArray *mst_entry_builds(const struct mst_entry *entry);
+
 /**
  * Lists the members.
  *
--- a/include/masticstall/message.h
+++ b/include/masticstall/message.h
@@ -14,7 +14,11 @@
 
 #include <masticstall/seqset.h>
 
-/** Version of the message format; messages of other versions are dropped. */
+/**
+ * Version of the message format; messages of other versions are dropped. It
+ * stays as it is while fields and types are only added: receivers skip fields
+ * and types that they don't know, see docs/design/upgrades.md.
+ */
 #define MST_MSG_VERSION 6
 /** Largest encoded message in bytes. */
 #define MST_MSG_MAX_BYTES (64u << 20)
@@ -76,6 +80,8 @@
 	MST_REASON_NO_QUEUE,          /* no queue matches host and path */
 	MST_REASON_NOT_SERVED,        /* this kind of job is not supported */
 	MST_REASON_WORKER_CRASHED,    /* the worker crashed during the run */
+	/* One that a newer build has added; received, but never sent. */
+	MST_REASON_OTHER,
 	MST_REASON_MAX
 };
 
@@ -96,6 +102,24 @@
 	MST_MSG_MAX
 };
 
+/**
+ * What a build can receive beyond the first format of messages, as bits. A
+ * process sends what needs a feature only to processes that have announced it.
+ */
+enum mst_feature {
+	/* Results with reasons and outcomes that it doesn't know. */
+	MST_FEATURE_NEW_REASONS = 1u << 0,
+};
+
+/** Features of this build. */
+#define MST_FEATURES MST_FEATURE_NEW_REASONS
+
+/** Build of the sender; the version is empty where it is not announced. */
+struct mst_build_msg {
+	struct mst_bytes version; /* of the program */
+	uint64_t features;        /* bits of enum mst_feature */
+};
+
 /** Resources of a worker, or the resources that a task needs. */
 struct mst_resources {
 	uint32_t millicores;
@@ -118,8 +142,9 @@
 	struct mst_bytes rack;
 	struct mst_bytes service; /* service of its upstream; may be empty */
 	struct mst_bytes labels;  /* labels of its worker, comma-separated */
-	/* Version of the description, which consists of the fields above. They
-	 * are empty if the receiver's last heartbeat named this version. */
+	/* Version of the description, which consists of the fields above and
+	 * the build. They are empty if the receiver's last heartbeat named this
+	 * version. */
 	uint32_t description_version;
 	uint64_t clock_us; /* clock of the sender, for leases */
 	uint32_t slots;
@@ -146,6 +171,7 @@
 	 * comma-separated. */
 	struct mst_bytes entries;
 	struct mst_drains_msg drains;
+	struct mst_build_msg build;
 };
 
 struct mst_heartbeat {
@@ -163,6 +189,7 @@
 	uint64_t config_version;
 	struct mst_bytes peers; /* addresses of entries, comma-separated */
 	struct mst_drains_msg drains;
+	struct mst_build_msg build; /* sent together with the addresses */
 };
 
 /** Flag of a task: it may run more than once. */
@@ -305,6 +332,7 @@
 	bool is_reply;      /* encoded, but unused */
 	uint32_t demand_ms; /* encoded, but unused */
 	struct mst_drains_msg drains;
+	struct mst_build_msg build;
 };
 
 struct mst_config_msg {
--- a/include/masticstall/record.h
+++ b/include/masticstall/record.h
@@ -35,6 +35,9 @@
 	uint8_t state;       /* enum mst_record_state */
 	const char *tasks;   /* one character for each task */
 	int64_t closed_ms;   /* wall-clock time; 0: open */
+	/* JSON object with what a newer build has added to the record, to be
+	 * written with each change; NULL: nothing. */
+	const char *extra;
 };
 
 /** Number of jobs of a queue that an owner has not started. */
--- a/include/masticstall/settings.h
+++ b/include/masticstall/settings.h
@@ -119,6 +119,21 @@
 int mst_settings_load(struct mst_settings **out, const char *path,
     enum mst_settings_role role, GError **error);
 
+/**
+ * Loads settings as mst_settings_load() does, but skips names that this build
+ * doesn't know: a file may have been written for a newer build.
+ *
+ * @param out set to the settings, which mst_settings_free() releases
+ * @param unknown set to the JSON pointers of the skipped members, separated by
+ *     spaces, or to NULL; to be freed with g_free()
+ * @param path the file
+ * @param role role of the process, or 0 to tell it from the file
+ * @param error an MST_SETTINGS_ERROR on failure
+ * @return 0, or -1 on failure
+ */
+int mst_settings_load_known(struct mst_settings **out, char **unknown,
+    const char *path, enum mst_settings_role role, GError **error);
+
 /**
  * Checks that two entries can work in one system.
  *
--- a/src/api/crash_json.c
+++ b/src/api/crash_json.c
@@ -1,5 +1,6 @@
 #include "api/crash_json.h"
 
+#include "api/json_extra.h"
 #include "api/json_field.h"
 
 #include <glib.h>
@@ -9,6 +10,10 @@
 #define RUNS_MAX 256
 #define ID_TEXT  17 /* 16 hexadecimal digits and NUL */
 
+static const char *const text_names[] = {"crashes", NULL};
+static const char *const crash_names[] = {
+    "id", "wall_ms", "cleared", "runs", NULL};
+
 static cJSON *
 write_run(const struct mst_crashed_run *run)
 {
@@ -21,8 +26,25 @@
 	return json;
 }
 
+/* Returns the crash with an id in the text that was read, or NULL. */
+static const cJSON *
+find_crash(const cJSON *last, const char *id)
+{
+	const cJSON *item;
+
+	cJSON_ArrayForEach (
+	    item, cJSON_GetObjectItemCaseSensitive(last, "crashes")) {
+		const char *other = cJSON_GetStringValue(
+		    cJSON_GetObjectItemCaseSensitive(item, "id"));
+
+		if (g_strcmp0(other, id) == 0)
+			return item;
+	}
+	return NULL;
+}
+
 static cJSON *
-write_crash(const struct mst_crash *crash, int64_t wall_ms)
+write_crash(const struct mst_crash *crash, int64_t wall_ms, const cJSON *last)
 {
 	cJSON *json = cJSON_CreateObject();
 	cJSON *runs;
@@ -37,6 +59,7 @@
 	runs = cJSON_AddArrayToObject(json, "runs");
 	for (i = 0; i < crash->run_count; i++)
 		cJSON_AddItemToArray(runs, write_run(&crash->runs[i]));
+	json_extra_copy(json, find_crash(last, id), crash_names);
 	return json;
 }
 
@@ -54,7 +77,8 @@
 }
 
 char *
-crash_json_write(const struct mst_crashes *crashes, int64_t wall_ms)
+crash_json_write(
+    const struct mst_crashes *crashes, int64_t wall_ms, const cJSON *last)
 {
 	cJSON *json = cJSON_CreateObject();
 	cJSON *list = cJSON_AddArrayToObject(json, "crashes");
@@ -63,7 +87,8 @@
 
 	for (i = first_to_write(crashes); i < crashes->count; i++)
 		cJSON_AddItemToArray(
-		    list, write_crash(&crashes->items[i], wall_ms));
+		    list, write_crash(&crashes->items[i], wall_ms, last));
+	json_extra_copy(json, last, text_names);
 	text = cJSON_PrintUnformatted(json);
 	cJSON_Delete(json);
 	return text;
--- a/src/api/crash_json.h
+++ b/src/api/crash_json.h
@@ -15,8 +15,10 @@
 };
 
 /* Returns the text for the latest crashes, as many as fit into a row of the
- * store. wall_ms is the present time. Free with cJSON_free(). */
-char *crash_json_write(const struct mst_crashes *crashes, int64_t wall_ms);
+ * store. wall_ms is the present time. What a newer build has added to the last
+ * text read is kept; last may be NULL. Free with cJSON_free(). */
+char *crash_json_write(
+    const struct mst_crashes *crashes, int64_t wall_ms, const cJSON *last);
 /* Reads the text. Returns false if it is malformed; out is to be cleared in
  * either case. */
 bool crash_json_read(struct crash_json *out, const char *text, int64_t wall_ms);
--- a/src/api/record_json.c
+++ b/src/api/record_json.c
@@ -1,9 +1,16 @@
 #include "api/record_json.h"
 
+#include "api/json_extra.h"
+
 #include <stdlib.h>
 #include <string.h>
 
 #define OWNER_HEX_LEN 16
+/* Member of a document that was read, which owns the text of the extra ones. */
+#define EXTRA_NAME "extra"
+
+static const char *const record_names[] = {
+    "owner", "term", "change", "state", "tasks", "closed_ms", NULL};
 
 static const char *
 json_get_string(const cJSON *json, const char *name)
@@ -34,6 +41,7 @@
 record_json_write(const struct mst_record *record)
 {
 	cJSON *json = cJSON_CreateObject();
+	cJSON *extra;
 	char owner[OWNER_HEX_LEN + 1];
 
 	/* JSON numbers are doubles, which can't hold every 64-bit value. */
@@ -48,6 +56,11 @@
 	if (record->closed_ms != 0)
 		cJSON_AddNumberToObject(
 		    json, "closed_ms", (double)record->closed_ms);
+	if (record->extra != NULL) {
+		extra = cJSON_Parse(record->extra);
+		json_extra_copy(json, extra, record_names);
+		cJSON_Delete(extra);
+	}
 	return print_and_delete(json);
 }
 
@@ -63,6 +76,26 @@
 	return 0;
 }
 
+/* Returns the text of the members that this build doesn't know, which the
+ * document owns, or NULL if there are none. */
+static const char *
+read_extra(cJSON *json)
+{
+	cJSON *extra = cJSON_CreateObject();
+	char *text;
+
+	json_extra_copy(extra, json, record_names);
+	if (extra->child == NULL) {
+		cJSON_Delete(extra);
+		return NULL;
+	}
+	text = print_and_delete(extra);
+	cJSON_DeleteItemFromObjectCaseSensitive(json, EXTRA_NAME);
+	cJSON_AddStringToObject(json, EXTRA_NAME, text);
+	cJSON_free(text);
+	return json_get_string(json, EXTRA_NAME);
+}
+
 cJSON *
 record_json_read(struct mst_record *out, const char *text)
 {
@@ -75,10 +108,12 @@
 	    .state = record_state_from_name(json_get_string(json, "state")),
 	    .tasks = json_get_string(json, "tasks"),
 	    .closed_ms = (int64_t)json_get_number(json, "closed_ms")};
-	if (out->owner != 0 && out->state != 0)
-		return json;
-	cJSON_Delete(json);
-	return NULL;
+	if (out->owner == 0 || out->state == 0) {
+		cJSON_Delete(json);
+		return NULL;
+	}
+	out->extra = read_extra(json);
+	return json;
 }
 
 char *
--- a/src/codec/codec.h
+++ b/src/codec/codec.h
@@ -9,6 +9,7 @@
 enum mst_codec_error {
 	MST_CODEC_ERROR_MALFORMED,
 	MST_CODEC_ERROR_VERSION, /* not MST_MSG_VERSION */
+	MST_CODEC_ERROR_TYPE,    /* a type that this build doesn't know */
 	MST_CODEC_ERROR_TOO_LONG /* more than MST_MSG_MAX_BYTES */
 };
 
@@ -23,8 +24,10 @@
 /**
  * Decodes one message. The message points into the input and into the decoder's
  * memory; it is valid until the decoder is used again or the input is freed.
+ * Fields after those that this build knows are skipped.
  *
- * @param msg receives the message; cleared first
+ * @param msg receives the message; cleared first. If the version or the type is
+ *     not known, it receives the sender and the receiver nevertheless.
  * @param decoder reused for any number of messages
  * @param data encoded bytes
  * @param len number of encoded bytes, at most MST_MSG_MAX_BYTES
--- a/src/codec/fields.c
+++ b/src/codec/fields.c
@@ -44,6 +44,12 @@
 	}
 }
 
+bool
+codec_at_end(const struct codec_reader *r)
+{
+	return r->failed || r->next == r->end;
+}
+
 const msgpack_object *
 codec_get_object(struct codec_reader *r, msgpack_object_type type)
 {
@@ -166,3 +172,22 @@
 	r->failed |= nested.failed;
 	return set;
 }
+
+void
+codec_put_resources(msgpack_packer *pk, const struct mst_resources *resources)
+{
+	codec_put_u64(pk, resources->millicores);
+	codec_put_u64(pk, resources->memory_mb);
+	codec_put_u64(pk, resources->accelerators);
+}
+
+struct mst_resources
+codec_get_resources(struct codec_reader *r)
+{
+	struct mst_resources resources;
+
+	resources.millicores = codec_get_u32(r);
+	resources.memory_mb = codec_get_u32(r);
+	resources.accelerators = codec_get_u32(r);
+	return resources;
+}
--- a/src/codec/fields.h
+++ b/src/codec/fields.h
@@ -30,9 +30,13 @@
 void codec_put_u64_list(
     msgpack_packer *pk, const uint64_t *list, uint32_t count);
 void codec_put_seqset(msgpack_packer *pk, const struct mst_seqset *set);
+void codec_put_resources(
+    msgpack_packer *pk, const struct mst_resources *resources);
 
 /* Reading: each function consumes one field. The reader fails if the field has
  * another type or no field is left. */
+/* Returns true if no field is left to read. */
+bool codec_at_end(const struct codec_reader *r);
 const msgpack_object *codec_get_object(
     struct codec_reader *r, msgpack_object_type type);
 uint64_t codec_get_u64(struct codec_reader *r);
@@ -47,5 +51,6 @@
 void *codec_list_alloc(struct codec_reader *r, uint32_t count, size_t size);
 const uint64_t *codec_get_u64_list(struct codec_reader *r, uint32_t *count);
 struct mst_seqset codec_get_seqset(struct codec_reader *r);
+struct mst_resources codec_get_resources(struct codec_reader *r);
 
 #endif
--- /dev/null
+++ b/src/codec/payload_task.c
@@ -0,0 +1,219 @@
+/* Payloads of messages about tasks. Their lists of items are flat arrays with a
+ * fixed number of fields for each item; a new field of an item goes into a list
+ * of its own that is appended to the message. */
+
+#include "codec/payload.h"
+
+#define DISPATCH_ITEM_FIELDS 21
+#define RESULT_FIELDS        9
+#define FENCED_ITEM_FIELDS   (2 + RESULT_FIELDS)
+
+void
+codec_put_dispatch(msgpack_packer *pk, const struct mst_dispatch *m)
+{
+	const struct mst_dispatch_item *item;
+	uint32_t i;
+
+	codec_put_u64(pk, m->echo_us);
+	codec_put_u64(pk, m->expires_us);
+	codec_put_u64(pk, m->received_frontier);
+	codec_put_u64(pk, m->demand);
+	msgpack_pack_array(pk, (size_t)m->count * DISPATCH_ITEM_FIELDS);
+	for (i = 0; i < m->count; i++) {
+		item = &m->items[i];
+		codec_put_u64(pk, item->seq);
+		codec_put_u64(pk, item->job.issuer);
+		codec_put_u64(pk, item->job.counter);
+		codec_put_u64(pk, item->index);
+		codec_put_u64(pk, item->flags);
+		codec_put_u64(pk, item->timeout_ms);
+		codec_put_u64(pk, item->run);
+		codec_put_u64(pk, item->expected_service_us);
+		codec_put_u64(pk, item->slack_us);
+		codec_put_u64(pk, item->team);
+		codec_put_resources(pk, &item->needs);
+		codec_put_bytes(pk, item->method);
+		codec_put_bytes(pk, item->path);
+		codec_put_bytes(pk, item->content_type);
+		codec_put_bytes(pk, item->body);
+		codec_put_bytes(pk, item->traceparent);
+		codec_put_bytes(pk, item->record);
+		codec_put_u64(pk, item->owner);
+		codec_put_u64(pk, item->term);
+	}
+}
+
+void
+codec_get_dispatch(struct codec_reader *r, struct mst_dispatch *m)
+{
+	struct mst_dispatch_item *items;
+	struct codec_reader nested;
+	uint32_t count, i;
+
+	m->echo_us = codec_get_u64(r);
+	m->expires_us = codec_get_u64(r);
+	m->received_frontier = codec_get_u64(r);
+	m->demand = codec_get_u32(r);
+	nested = codec_get_array(r, &count);
+	if (nested.failed || count % DISPATCH_ITEM_FIELDS != 0)
+		r->failed = true;
+	if (r->failed)
+		return;
+	m->count = count / DISPATCH_ITEM_FIELDS;
+	items = codec_list_alloc(r, m->count, sizeof(*items));
+	for (i = 0; items != NULL && i < m->count; i++) {
+		items[i].seq = codec_get_u64(&nested);
+		items[i].job.issuer = codec_get_u64(&nested);
+		items[i].job.counter = codec_get_u64(&nested);
+		items[i].index = codec_get_u32(&nested);
+		items[i].flags = codec_get_u32(&nested);
+		items[i].timeout_ms = codec_get_u32(&nested);
+		items[i].run = codec_get_u32(&nested);
+		items[i].expected_service_us = codec_get_u32(&nested);
+		items[i].slack_us = codec_get_u32(&nested);
+		items[i].team = codec_get_u32(&nested);
+		items[i].needs = codec_get_resources(&nested);
+		items[i].method = codec_get_bytes(&nested);
+		items[i].path = codec_get_bytes(&nested);
+		items[i].content_type = codec_get_bytes(&nested);
+		items[i].body = codec_get_bytes(&nested);
+		items[i].traceparent = codec_get_bytes(&nested);
+		items[i].record = codec_get_bytes(&nested);
+		items[i].owner = codec_get_u64(&nested);
+		items[i].term = codec_get_u32(&nested);
+		if (items[i].seq == 0 || items[i].index >= MST_JOB_TASKS_MAX)
+			r->failed = true;
+	}
+	m->items = items;
+	r->failed |= nested.failed;
+}
+
+static void
+put_result(msgpack_packer *pk, const struct mst_result_item *item)
+{
+	codec_put_u64(pk, item->seq);
+	codec_put_u64(pk, item->outcome);
+	codec_put_u64(pk, item->reason);
+	codec_put_u64(pk, item->status);
+	codec_put_u64(pk, item->ack_after_record);
+	codec_put_u64(pk, item->queue_us);
+	codec_put_u64(pk, item->service_us);
+	codec_put_bytes(pk, item->content_type);
+	codec_put_bytes(pk, item->body);
+}
+
+static void
+get_result(struct codec_reader *r, struct mst_result_item *item)
+{
+	uint64_t outcome, reason, status;
+
+	item->seq = codec_get_u64(r);
+	outcome = codec_get_u64(r);
+	reason = codec_get_u64(r);
+	status = codec_get_u64(r);
+	item->ack_after_record = codec_get_bool(r);
+	item->queue_us = codec_get_u32(r);
+	item->service_us = codec_get_u32(r);
+	item->content_type = codec_get_bytes(r);
+	item->body = codec_get_bytes(r);
+	if (status > 999)
+		r->failed = true;
+	/* Values that a newer build has added: the task may have run. */
+	if (outcome > MST_OUTCOME_UNKNOWN)
+		outcome = MST_OUTCOME_UNKNOWN;
+	if (reason >= MST_REASON_MAX)
+		reason = MST_REASON_OTHER;
+	item->outcome = (uint8_t)outcome;
+	item->reason = (uint8_t)reason;
+	item->status = (uint16_t)status;
+}
+
+void
+codec_put_results(msgpack_packer *pk, const struct mst_results *m)
+{
+	uint32_t i;
+
+	codec_put_u64(pk, m->grant);
+	codec_put_u64(pk, m->free_slots);
+	msgpack_pack_array(pk, (size_t)m->count * RESULT_FIELDS);
+	for (i = 0; i < m->count; i++)
+		put_result(pk, &m->items[i]);
+}
+
+void
+codec_get_results(struct codec_reader *r, struct mst_results *m)
+{
+	struct mst_result_item *items;
+	struct codec_reader nested;
+	uint32_t count, i;
+
+	m->grant = codec_get_u32(r);
+	m->free_slots = codec_get_u32(r);
+	nested = codec_get_array(r, &count);
+	if (nested.failed || count % RESULT_FIELDS != 0)
+		r->failed = true;
+	if (r->failed)
+		return;
+	m->count = count / RESULT_FIELDS;
+	items = codec_list_alloc(r, m->count, sizeof(*items));
+	for (i = 0; items != NULL && i < m->count; i++)
+		get_result(&nested, &items[i]);
+	m->items = items;
+	r->failed |= nested.failed;
+}
+
+void
+codec_put_fenced(msgpack_packer *pk, const struct mst_fenced *m)
+{
+	uint32_t i;
+
+	codec_put_u64(pk, m->fenced_entry);
+	codec_put_u64(pk, m->job.issuer);
+	codec_put_u64(pk, m->job.counter);
+	codec_put_u64(pk, m->has_session);
+	codec_put_u64(pk, m->alive);
+	codec_put_u64(pk, m->history_incomplete);
+	codec_put_u64(pk, m->adopter);
+	codec_put_u64_list(pk, m->past_owners, m->past_owner_count);
+	codec_put_u64_list(pk, m->agents, m->agent_count);
+	msgpack_pack_array(pk, (size_t)m->count * FENCED_ITEM_FIELDS);
+	for (i = 0; i < m->count; i++) {
+		codec_put_u64(pk, m->items[i].index);
+		codec_put_u64(pk, m->items[i].finished);
+		put_result(pk, &m->items[i].result);
+	}
+}
+
+void
+codec_get_fenced(struct codec_reader *r, struct mst_fenced *m)
+{
+	struct mst_fenced_item *items;
+	struct codec_reader nested;
+	uint32_t count, i;
+
+	m->fenced_entry = codec_get_u64(r);
+	m->job.issuer = codec_get_u64(r);
+	m->job.counter = codec_get_u64(r);
+	m->has_session = codec_get_bool(r);
+	m->alive = codec_get_bool(r);
+	m->history_incomplete = codec_get_bool(r);
+	m->adopter = codec_get_u64(r);
+	m->past_owners = codec_get_u64_list(r, &m->past_owner_count);
+	m->agents = codec_get_u64_list(r, &m->agent_count);
+	nested = codec_get_array(r, &count);
+	if (nested.failed || count % FENCED_ITEM_FIELDS != 0)
+		r->failed = true;
+	if (r->failed)
+		return;
+	m->count = count / FENCED_ITEM_FIELDS;
+	items = codec_list_alloc(r, m->count, sizeof(*items));
+	for (i = 0; items != NULL && i < m->count; i++) {
+		items[i].index = codec_get_u32(&nested);
+		items[i].finished = codec_get_bool(&nested);
+		get_result(&nested, &items[i].result);
+		if (items[i].index >= MST_JOB_TASKS_MAX)
+			r->failed = true;
+	}
+	m->items = items;
+	r->failed |= nested.failed;
+}
--- a/src/core/agent/agent.c
+++ b/src/core/agent/agent.c
@@ -193,6 +193,7 @@
 		mst_agent_announce(agent, session);
 	mst_session_send_crashes(agent, session, heartbeat->crashes_received);
 	if (heartbeat->peers.len > 0) {
+		mst_session_update_build(agent, session, &heartbeat->build);
 		effect = mst_agent_emit(agent, MST_AGENT_FX_PEERS);
 		effect->peers = heartbeat->peers;
 	}
--- a/src/core/agent/agent_internal.h
+++ b/src/core/agent/agent_internal.h
@@ -5,6 +5,7 @@
 
 #include <masticstall/agent.h>
 
+#include "core/build.h"
 #include "core/config_pull.h"
 #include "core/crash/crash.h"
 #include "core/drains.h"
@@ -90,6 +91,7 @@
 	int64_t offered_until_us;
 	bool offer_due; /* the entry has not been told of an offer */
 	uint64_t config_version;
+	struct build build; /* of the entry */
 	/* No run of a job that the entry issued with a greater counter was
 	 * evicted. The entry's adoption floor raises it as well. */
 	uint64_t evicted_counter;
@@ -255,6 +257,10 @@
 /* Returns true if the entry's lease at this agent has not expired. */
 bool mst_session_has_lease(
     const struct mst_agent *agent, const struct session *session);
+/* Records the build that an entry has announced, and reports one of another
+ * version. */
+void mst_session_update_build(struct mst_agent *agent, struct session *session,
+    const struct mst_build_msg *msg);
 /* Removes the sessions of entries that have been silent for too long, and
  * retains the unacknowledged results of silent ones. */
 void mst_agent_prune_sessions(struct mst_agent *agent);
--- a/src/core/agent/announce.c
+++ b/src/core/agent/announce.c
@@ -36,6 +36,7 @@
 	announce->rack = mst_bytes_from_str(agent->rack);
 	announce->service = mst_bytes_from_str(agent->worker.service);
 	announce->labels = mst_bytes_from_str(agent->worker.labels);
+	announce->build = mst_build_own();
 }
 
 /* Adds the addresses of entries that the entry of a session has not been sent
--- a/src/core/agent/session.c
+++ b/src/core/agent/session.c
@@ -74,6 +74,49 @@
 	    agent->options.leases.entry_lease_us;
 }
 
+static void
+report_build(struct mst_agent *agent, const struct session *session, bool gone)
+{
+	struct mst_agent_effect *effect;
+
+	if (!mst_build_differs(&session->build))
+		return;
+	effect = mst_agent_emit(agent, MST_AGENT_FX_BUILD);
+	effect->entry = session->entry;
+	effect->build = (struct mst_build_change){.kind = MST_PROCESS_ENTRY,
+	    .version = session->build.version,
+	    .features = session->build.features,
+	    .is_gone = gone};
+}
+
+void
+mst_session_update_build(struct mst_agent *agent, struct session *session,
+    const struct mst_build_msg *msg)
+{
+	if (mst_build_update(&session->build, msg))
+		report_build(agent, session, false);
+}
+
+GArray *
+mst_agent_builds(const struct mst_agent *agent)
+{
+	GArray *counts =
+	    g_array_new(FALSE, FALSE, sizeof(struct mst_build_count));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, agent->sessions);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct session *session = value;
+
+		if (agent->now_us - session->last_heard_us <=
+		    AGENT_ENTRY_SILENT_US)
+			mst_build_count(
+			    counts, MST_PROCESS_ENTRY, &session->build);
+	}
+	return counts;
+}
+
 void
 mst_agent_prune_sessions(struct mst_agent *agent)
 {
@@ -91,9 +134,11 @@
 		if (silent_us > AGENT_UNACKED_KEEP_US)
 			mst_agent_retain_all(agent, session);
 		/* A session is kept until all its runs have been evicted. */
-		if (silent_us > keep_us &&
-		    g_hash_table_size(session->runs) == 0)
-			g_hash_table_iter_remove(&iter);
+		if (silent_us <= keep_us ||
+		    g_hash_table_size(session->runs) > 0)
+			continue;
+		report_build(agent, session, true);
+		g_hash_table_iter_remove(&iter);
 	}
 }
 
--- a/src/core/entry/view.c
+++ b/src/core/entry/view.c
@@ -75,7 +75,9 @@
 		    .grant = member->grant,
 		    .outstanding = member->outstanding,
 		    .slowness = mst_slowness_ratio(&member->slowness_avg),
-		    .config_version = member->config_version};
+		    .config_version = member->config_version,
+		    .version = member->build.version ? member->build.version
+						     : MST_BUILD_UNKNOWN};
 
 		g_array_append_val(views, view);
 	}
--- a/src/core/member/heartbeat.c
+++ b/src/core/member/heartbeat.c
@@ -32,6 +32,7 @@
 	heartbeat->peers =
 	    (struct mst_bytes){.data = entry->peer_addresses->str,
 		.len = entry->peer_addresses->len};
+	heartbeat->build = mst_build_own();
 }
 
 void
--- a/src/core/member/member.c
+++ b/src/core/member/member.c
@@ -29,8 +29,8 @@
 }
 
 static void
-member_set_description(
-    struct member *member, const struct mst_announce *announce)
+member_set_description(struct mst_entry *entry, struct member *member,
+    const struct mst_announce *announce)
 {
 	/* The description is sent with the first announcement and whenever it
 	 * changes. */
@@ -42,6 +42,8 @@
 		mst_string_replace(&member->rack, announce->rack);
 		member_set_labels(member, announce->labels);
 		member_set_service(member, announce->service);
+		mst_entry_update_build(entry, member->incarnation,
+		    MST_PROCESS_AGENT, &member->build, &announce->build);
 	}
 	member->slots = announce->slots;
 	member->resources = announce->resources;
@@ -139,7 +141,7 @@
 		member = mst_member_new(entry, msg->from);
 		if (member == NULL)
 			return;
-		member_set_description(member, announce);
+		member_set_description(entry, member, announce);
 		mst_member_report(entry, member);
 		if (entry->options.leased)
 			member_replace_predecessor(entry, member);
@@ -148,7 +150,7 @@
 		mst_member_set_state(entry, member, MEMBER_JOINING);
 		mst_roster_add(entry, member);
 	}
-	member_set_description(member, announce);
+	member_set_description(entry, member, announce);
 	member->last_heard_us = entry->now_us;
 	member_update_clock(entry, member, announce);
 	member_update(
--- a/src/core/member/member.h
+++ b/src/core/member/member.h
@@ -4,6 +4,7 @@
 /* Members and peers of an entry, as told by their messages. */
 
 #include <masticstall/entry.h>
+#include "core/build.h"
 #include "core/slowness.h"
 
 enum member_state {
@@ -56,6 +57,7 @@
 	uint64_t crashes_received; /* last crash received from it */
 	bool quarantined; /* runs only quarantined jobs; see quarantine.h */
 	uint64_t config_version; /* configuration that the member has */
+	struct build build;
 	struct mst_slowness slowness_avg;
 	double reported_slowness; /* leased: by the agent; 0: unknown */
 	bool is_cold;             /* its worker is still slow after a start */
@@ -79,6 +81,7 @@
 	int64_t last_heard_us;
 	bool leaving;
 	uint64_t config_version;
+	struct build build;
 };
 
 /* member.c */
--- a/src/core/member/member_internal.h
+++ b/src/core/member/member_internal.h
@@ -31,6 +31,16 @@
 /* Starts a new incarnation if members have waited too long to be recorded. */
 void mst_roster_check_arbiter(struct mst_entry *entry);
 
+/* build.c */
+/* Records the build that a process has announced, and reports one of another
+ * version. */
+void mst_entry_update_build(struct mst_entry *entry, uint64_t incarnation,
+    enum mst_process_kind kind, struct build *build,
+    const struct mst_build_msg *msg);
+/* Reports that a process is gone if its build is of another version. */
+void mst_entry_forget_build(struct mst_entry *entry, uint64_t incarnation,
+    enum mst_process_kind kind, const struct build *build);
+
 /* timeout.c */
 /* Marks a member as lost. The outcome of its runs is unknown. */
 void mst_member_mark_lost(struct mst_entry *entry, struct member *member);
--- a/src/core/member/peer.c
+++ b/src/core/member/peer.c
@@ -2,7 +2,7 @@
 
 #include "core/entry/entry_internal.h"
 #include "core/id.h"
-#include "core/member/member.h"
+#include "core/member/member_internal.h"
 
 void
 mst_string_replace(char **text, struct mst_bytes bytes)
@@ -54,6 +54,7 @@
 	msg->peer.config_version = mst_entry_config_version(entry);
 	msg->peer.leaving = entry->draining;
 	msg->peer.drains = mst_drains_to_msg(&entry->drains);
+	msg->peer.build = mst_build_own();
 }
 
 void
@@ -79,6 +80,8 @@
 	peer->last_heard_us = entry->now_us;
 	peer->leaving = msg->peer.leaving;
 	peer->config_version = msg->peer.config_version;
+	mst_entry_update_build(entry, msg->from, MST_PROCESS_ENTRY,
+	    &peer->build, &msg->peer.build);
 	mst_entry_pull_config(entry, msg->from, msg->peer.config_version);
 	effect = mst_entry_emit(entry, MST_ENTRY_FX_PEERS);
 	effect->peers = msg->peer.address;
@@ -132,9 +135,12 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct peer *peer = value;
 
-		if (entry->now_us - peer->last_heard_us >
+		if (entry->now_us - peer->last_heard_us <=
 		    entry->options.remove_us)
-			g_hash_table_iter_remove(&iter);
+			continue;
+		mst_entry_forget_build(
+		    entry, peer->incarnation, MST_PROCESS_ENTRY, &peer->build);
+		g_hash_table_iter_remove(&iter);
 	}
 	collect_addresses(entry, addresses);
 	if (!g_string_equal(addresses, entry->peer_addresses)) {
--- a/src/core/member/timeout.c
+++ b/src/core/member/timeout.c
@@ -57,6 +57,8 @@
 {
 	mst_member_set_state(entry, member, MEMBER_GONE);
 	member->gone_us = entry->now_us;
+	mst_entry_forget_build(
+	    entry, member->incarnation, MST_PROCESS_AGENT, &member->build);
 	entry->counters.members_lost++;
 	member_release_tasks(entry, member);
 }
--- a/src/core/stored/lookup.c
+++ b/src/core/stored/lookup.c
@@ -42,14 +42,14 @@
 	int64_t due_us;           /* time of the next attempt */
 	bool in_flight;           /* a store operation is in flight */
 	uint64_t version;         /* version to replace; 0: not read yet */
-	struct mst_record record; /* cancelled record to write; owns tasks */
+	struct mst_record record; /* cancelled record to write; a copy */
 };
 
 void
 mst_stored_lookup_free(struct stored_lookup *lookup)
 {
 	g_free(lookup->key);
-	g_free((char *)lookup->record.tasks);
+	mst_record_clear(&lookup->record);
 	g_free(lookup);
 }
 
@@ -92,9 +92,8 @@
 lookup_write_cancelled(struct mst_entry *entry, struct stored_lookup *lookup,
     const struct mst_stored_record *current)
 {
-	g_free((char *)lookup->record.tasks);
-	lookup->record = current->record;
-	lookup->record.tasks = g_strdup(current->record.tasks);
+	mst_record_clear(&lookup->record);
+	mst_record_copy(&lookup->record, &current->record);
 	lookup->record.state = MST_RECORD_CANCELLED;
 	lookup->record.closed_ms = entry->wall_ms;
 	lookup->version = current->version;
--- a/src/core/stored/ownership.c
+++ b/src/core/stored/ownership.c
@@ -232,7 +232,7 @@
 	struct unowned_record *unowned = data;
 
 	g_free(unowned->key);
-	g_free((char *)unowned->record.tasks);
+	mst_record_clear(&unowned->record);
 	g_free(unowned);
 }
 
--- a/src/core/stored/record.c
+++ b/src/core/stored/record.c
@@ -100,7 +100,8 @@
 	    .update_seq = stored->update_seq_last,
 	    .state = (uint8_t)stored->state,
 	    .tasks = stored->task_codes->str,
-	    .closed_ms = stored->state == MST_RECORD_OPEN ? 0 : entry->wall_ms};
+	    .closed_ms = stored->state == MST_RECORD_OPEN ? 0 : entry->wall_ms,
+	    .extra = stored->extra};
 }
 
 void
@@ -264,6 +265,8 @@
 
 	stored->version = current->version;
 	stored->term = MAX(stored->term, current->record.term);
+	g_free(stored->extra);
+	stored->extra = g_strdup(current->record.extra);
 	if (current->record.state != MST_RECORD_OPEN) {
 		stored->state = current->record.state;
 		if (stored->state == MST_RECORD_CANCELLED)
--- a/src/core/stored/state.c
+++ b/src/core/stored/state.c
@@ -12,6 +12,22 @@
 	return entry->now_us + STORED_NO_DEADLINE_US;
 }
 
+void
+mst_record_copy(struct mst_record *to, const struct mst_record *from)
+{
+	*to = *from;
+	to->tasks = g_strdup(from->tasks);
+	to->extra = g_strdup(from->extra);
+}
+
+void
+mst_record_clear(struct mst_record *record)
+{
+	g_free((char *)record->tasks);
+	g_free((char *)record->extra);
+	*record = (struct mst_record){0};
+}
+
 struct stored_job *
 mst_stored_state_new(enum stored_phase phase)
 {
@@ -43,6 +59,7 @@
 	g_array_unref(stored->cancel_requests);
 	g_string_free(stored->task_codes, TRUE);
 	g_free(stored->serialized_job);
+	g_free(stored->extra);
 	g_free(stored);
 }
 
--- a/src/core/stored/stored.c
+++ b/src/core/stored/stored.c
@@ -276,6 +276,7 @@
 	job->stored->claimed_from = stored_record->record.owner;
 	job->stored->version = stored_record->version;
 	job->stored->term = stored_record->record.term + 1;
+	job->stored->extra = g_strdup(stored_record->record.extra);
 	mst_stored_merge_tasks(entry, job, stored_record->record.tasks);
 	mst_stored_mark_dirty(entry, job->stored, 0);
 	mst_stored_write_if_due(entry, job);
--- a/src/core/stored/stored_internal.h
+++ b/src/core/stored/stored_internal.h
@@ -45,6 +45,7 @@
 	GArray *cancel_requests;     /* uint64_t ids of waiting requests */
 	GString *task_codes;         /* codes of the tasks in the last write */
 	char *serialized_job;        /* job to create in the store, or NULL */
+	char *extra; /* what a newer build has added to the record, or NULL */
 };
 
 /* Result that is to be acknowledged once it is recorded. */
@@ -100,6 +101,9 @@
 void mst_stored_lookups_retry(struct mst_entry *entry);
 
 /* state.c */
+/* Copies a record with its strings, and releases the strings of a copy. */
+void mst_record_copy(struct mst_record *to, const struct mst_record *from);
+void mst_record_clear(struct mst_record *record);
 void mst_entry_report_state(
     struct mst_entry *entry, uint64_t request, enum mst_stored_state state);
 /* Creates the part of a stored job that concerns its record. */
--- a/src/core/stored/sweep.c
+++ b/src/core/stored/sweep.c
@@ -67,8 +67,7 @@
 	unowned = g_new0(struct unowned_record, 1);
 	unowned->key = g_strdup(stored_record->key);
 	unowned->version = stored_record->version;
-	unowned->record = stored_record->record;
-	unowned->record.tasks = g_strdup(stored_record->record.tasks);
+	mst_record_copy(&unowned->record, &stored_record->record);
 	g_ptr_array_add(entry->owner.unowned, unowned);
 }
 
--- a/src/net/bus.c
+++ b/src/net/bus.c
@@ -1,6 +1,7 @@
 #include "net/bus.h"
 
 #include <errno.h>
+#include <inttypes.h>
 #include <string.h>
 #include <zmq.h>
 
@@ -24,6 +25,8 @@
 #define BUS_HWM_MESSAGES         100000
 #define BUS_ZAP_ENDPOINT         "inproc://zeromq.zap.01"
 #define BUS_ID_BYTES             9 /* length of a routing id */
+/* Senders of undecodable messages that are remembered as logged. */
+#define BUS_REPORTED_MAX 4096
 
 /* One ZeroMQ socket with its poll handle. */
 struct link {
@@ -60,7 +63,8 @@
 	uv_prepare_t prepare;
 	uv_idle_t idle;
 	struct mst_decoder *decoder;
-	GByteArray *buffer; /* the message to be sent, encoded */
+	GHashTable *reported; /* incarnations whose messages are not known */
+	GByteArray *buffer;   /* the message to be sent, encoded */
 	struct mst_bus_counters counters;
 };
 
@@ -99,6 +103,33 @@
 		memcpy(route->identity, identity, route->identity_len);
 }
 
+/* Logs the first message of a sender whose version or type is not known; it
+ * sends more of them, as it is of a newer build. */
+static void
+report_undecoded(struct mst_bus *bus, uint64_t from, const GError *error)
+{
+	if (g_hash_table_size(bus->reported) >= BUS_REPORTED_MAX)
+		g_hash_table_remove_all(bus->reported);
+	if (g_hash_table_add(bus->reported, (gpointer)from))
+		mst_log(MST_LOG_WARNING, "messages-not-known",
+		    "from=%016" PRIx64 " reason=%s", from,
+		    mst_log_quote(error->message));
+}
+
+static void
+report_dropped(
+    struct mst_bus *bus, uint64_t from, size_t len, const GError *error)
+{
+	bus->counters.dropped++;
+	if (g_error_matches(error, MST_CODEC_ERROR, MST_CODEC_ERROR_VERSION) ||
+	    g_error_matches(error, MST_CODEC_ERROR, MST_CODEC_ERROR_TYPE)) {
+		report_undecoded(bus, from, error);
+		return;
+	}
+	mst_log(MST_LOG_WARNING, "message-dropped", "bytes=%zu reason=%s", len,
+	    mst_log_quote(error->message));
+}
+
 /* Decodes a message, records the route to its sender and calls on_message. */
 static void
 link_deliver(struct link *link, const char *identity, size_t identity_len,
@@ -110,9 +141,7 @@
 
 	bus->counters.bytes_received += len;
 	if (mst_decoder_decode(&msg, bus->decoder, data, len, &error) < 0) {
-		bus->counters.dropped++;
-		mst_log(MST_LOG_WARNING, "message-dropped",
-		    "bytes=%zu reason=%s", len, mst_log_quote(error->message));
+		report_dropped(bus, msg.from, len, error);
 		g_clear_error(&error);
 		return;
 	}
@@ -434,6 +463,7 @@
 	bus->routes =
 	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 	bus->decoder = mst_decoder_new();
+	bus->reported = g_hash_table_new(g_direct_hash, g_direct_equal);
 	bus->buffer = g_byte_array_new();
 	uv_prepare_init(options->loop, &bus->prepare);
 	bus->prepare.data = bus;
@@ -688,6 +718,7 @@
 	g_ptr_array_unref(bus->links);
 	g_hash_table_unref(bus->routes);
 	mst_decoder_free(bus->decoder);
+	g_hash_table_unref(bus->reported);
 	g_byte_array_unref(bus->buffer);
 	g_free(bus);
 }
--- a/src/runtime/agent_runtime.c
+++ b/src/runtime/agent_runtime.c
@@ -15,6 +15,7 @@
 #include "net/bus.h"
 #include "net/httpd.h"
 #include "net/upstream.h"
+#include "runtime/builds.h"
 #include "runtime/crash_store.h"
 #include "runtime/entry_links.h"
 #include "runtime/loop.h"
@@ -179,6 +180,9 @@
 	case MST_AGENT_FX_DRAINS:
 		log_drains(effect);
 		break;
+	case MST_AGENT_FX_BUILD:
+		builds_log_change(effect->entry, &effect->build);
+		break;
 	case MST_AGENT_FX_STOPPED:
 		agent_stop(rt);
 		break;
@@ -362,6 +366,7 @@
 	char *path = mst_bytes_to_str(request->path);
 	bool is_post = request->method.len == 4 &&
 	    memcmp(request->method.data, "POST", 4) == 0;
+	GArray *builds;
 	GString *text;
 
 	if (strcmp(path, "/healthz") == 0) {
@@ -371,6 +376,9 @@
 		text = runtime_agent_metrics(mst_agent_counters(rt->agent),
 		    &gauges, mst_bus_counters(rt->bus));
 		metrics_add_process(text, &rt->loop.lag);
+		builds = mst_agent_builds(rt->agent);
+		builds_add_metrics(text, builds);
+		g_array_unref(builds);
 		respond_text(rt, request->id, 200, text->str);
 		g_string_free(text, TRUE);
 	} else if (is_post && strcmp(path, "/v1/drain") == 0 &&
@@ -607,7 +615,8 @@
 	runtime_loop_start(&rt->loop);
 	update_entries(rt);
 	mst_log(MST_LOG_INFO, "started",
-	    "incarnation=%016" PRIx64 " upstream=%s", options.incarnation,
+	    "version=%s features=%x incarnation=%016" PRIx64 " upstream=%s",
+	    mst_version(), MST_FEATURES, options.incarnation,
 	    settings->upstream.address ? settings->upstream.address
 				       : settings->worker.address);
 	return 0;
--- a/src/runtime/crash_store.c
+++ b/src/runtime/crash_store.c
@@ -11,7 +11,11 @@
 	struct crash_store_options options;
 	uv_timer_t retry;
 	bool writing;
-	char *next; /* to be written; NULL: nothing */
+	char *next;  /* to be written; NULL: nothing */
+	cJSON *last; /* row that was read; NULL: none, or not read yet */
+	/* The row has a format that this build doesn't know; it is left alone.
+	 */
+	bool is_foreign;
 };
 
 static void write_next(struct crash_store *store);
@@ -63,8 +67,11 @@
 void
 crash_store_save(struct crash_store *store, const struct mst_crashes *crashes)
 {
+	if (store->is_foreign)
+		return;
 	cJSON_free(store->next);
-	store->next = crash_json_write(crashes, store->options.wall_ms());
+	store->next =
+	    crash_json_write(crashes, store->options.wall_ms(), store->last);
 	write_next(store);
 }
 
@@ -89,11 +96,16 @@
 	if (result->count == 0 || result->rows[0].value == NULL)
 		return;
 	if (crash_json_read(
-		&kept, result->rows[0].value, store->options.wall_ms()))
+		&kept, result->rows[0].value, store->options.wall_ms())) {
+		cJSON_Delete(store->last);
+		store->last = g_steal_pointer(&kept.json);
 		store->options.on_crashes(&kept.crashes, store->options.ctx);
-	else
-		mst_log(MST_LOG_WARNING, "crashes-invalid", "value=%s",
+	} else {
+		store->is_foreign = true;
+		mst_log(MST_LOG_WARNING, "crashes-invalid",
+		    "value=%s kept=false",
 		    mst_log_quote(result->rows[0].value));
+	}
 	crash_json_clear(&kept);
 }
 
--- a/src/runtime/daemon_main.c
+++ b/src/runtime/daemon_main.c
@@ -38,6 +38,18 @@
 	    program, role_description(role));
 }
 
+/* Validates all names only if the settings are to be checked: those of a newer
+ * build must not keep this one from starting after a rollback. */
+static int
+load_settings(struct mst_settings **out, char **unknown, const char *path,
+    bool check, enum mst_settings_role role, GError **error)
+{
+	*unknown = NULL;
+	if (check)
+		return mst_settings_load(out, path, role, error);
+	return mst_settings_load_known(out, unknown, path, role, error);
+}
+
 static int
 load_and_run(const char *path, bool check, const char *program,
     enum mst_settings_role role, mst_daemon_run_cb run,
@@ -45,15 +57,21 @@
 {
 	struct mst_settings *settings;
 	GError *error = NULL;
+	char *unknown;
 	int exit_status = EXIT_SUCCESS;
 
-	if (mst_settings_load(&settings, path, role, &error) < 0) {
+	if (load_settings(&settings, &unknown, path, check, role, &error) < 0) {
 		fprintf(stderr, "%s: cannot load the settings:\n%s\n", path,
 		    error->message);
 		g_clear_error(&error);
+		g_free(unknown);
 		return 2;
 	}
 	mst_log_open(program, (enum mst_log_level)settings->log_level);
+	if (unknown != NULL)
+		mst_log(MST_LOG_WARNING, "settings-unknown", "names=%s",
+		    mst_log_quote(unknown));
+	g_free(unknown);
 	if (!check && run(settings, drivers, &error) < 0) {
 		mst_log(MST_LOG_ERROR, "failed", "reason=%s",
 		    mst_log_quote(error->message));
--- a/src/runtime/entry_config.c
+++ b/src/runtime/entry_config.c
@@ -54,17 +54,25 @@
 	struct mst_entry_event event = {
 	    .type = MST_ENTRY_EV_CONFIG, .document = document};
 	GError *error = NULL;
+	char *unknown;
 
 	if (version <= mst_entry_gauges(rt->entry).config_version)
 		return;
-	if (mst_config_parse(&event.config, document, version, &error) < 0) {
+	if (mst_config_parse_known(
+		&event.config, &unknown, document, version, &error) < 0) {
 		mst_log(MST_LOG_ERROR, "config-rejected",
 		    "version=%" PRIu64 " reason=%s", version,
 		    mst_log_quote(error->message));
 		g_clear_error(&error);
+		g_free(unknown);
 		return;
 	}
 	mst_log(MST_LOG_INFO, "config", "version=%" PRIu64, version);
+	if (unknown != NULL)
+		mst_log(MST_LOG_WARNING, "config-unknown",
+		    "version=%" PRIu64 " names=%s", version,
+		    mst_log_quote(unknown));
+	g_free(unknown);
 	rt->config_applied_us = runtime_now_us();
 	runtime_step(rt, &event);
 }
--- a/src/runtime/entry_http.c
+++ b/src/runtime/entry_http.c
@@ -8,6 +8,7 @@
 #include "api/job_json.h"
 #include "api/problem.h"
 #include "base/log.h"
+#include "runtime/builds.h"
 #include "runtime/entry_runtime.h"
 #include "runtime/metrics.h"
 #include "runtime/operators.h"
@@ -383,6 +384,7 @@
 		cJSON_AddNumberToObject(item, "slowness", view->slowness);
 		cJSON_AddNumberToObject(
 		    item, "config_version", (double)view->config_version);
+		cJSON_AddStringToObject(item, "version", view->version);
 		cJSON_AddItemToArray(member_list, item);
 	}
 	text = cJSON_PrintUnformatted(out);
@@ -451,10 +453,14 @@
 	    .frontend = rt->frontend_httpd != NULL ? &frontend : NULL,
 	    .table = rt->table != NULL ? mst_table_counters(rt->table) : NULL};
 	GString *text = metrics_format_entry(&figures);
+	GArray *builds = mst_entry_builds(rt->entry);
+
+	builds_add_metrics(text, builds);
 
 	runtime_respond_text(rt, request->id, 200,
 	    "text/plain; version=0.0.4; charset=utf-8", text->str);
 	g_string_free(text, TRUE);
+	g_array_unref(builds);
 	g_array_unref(domains);
 }
 
--- a/src/runtime/entry_links.c
+++ b/src/runtime/entry_links.c
@@ -135,9 +135,13 @@
 	const struct mst_settings *settings = links->options.settings;
 	struct mst_settings *reloaded = NULL;
 	GError *error = NULL;
+	char *unknown;
+	int rc;
 
-	if (mst_settings_load(
-		&reloaded, settings->path, settings->role, &error) < 0) {
+	rc = mst_settings_load_known(
+	    &reloaded, &unknown, settings->path, settings->role, &error);
+	g_free(unknown);
+	if (rc < 0) {
 		mst_log(MST_LOG_ERROR, "reload-failed", "reason=%s",
 		    mst_log_quote(error->message));
 		g_clear_error(&error);
--- a/src/runtime/entry_runtime.c
+++ b/src/runtime/entry_runtime.c
@@ -1,3 +1,4 @@
+#include "runtime/builds.h"
 #include "runtime/entry_runtime.h"
 
 #include <inttypes.h>
@@ -216,6 +217,9 @@
 	case MST_ENTRY_FX_DRAINS:
 		runtime_drains_log(effect);
 		break;
+	case MST_ENTRY_FX_BUILD:
+		builds_log_change(effect->peer, &effect->build);
+		break;
 	case MST_ENTRY_FX_CONFIG:
 	case MST_ENTRY_FX_STOPPED:
 		break;
@@ -471,9 +475,10 @@
 		return -1;
 	}
 	mst_log(MST_LOG_INFO, "started",
-	    "incarnation=%016" PRIx64 " http=%s members=%s",
-	    options.incarnation, settings->http_listen,
-	    settings->members_listen);
+	    "version=%s features=%x incarnation=%016" PRIx64
+	    " http=%s members=%s",
+	    mst_version(), MST_FEATURES, options.incarnation,
+	    settings->http_listen, settings->members_listen);
 	return 0;
 }
 
--- a/src/runtime/record_store.c
+++ b/src/runtime/record_store.c
@@ -105,7 +105,9 @@
 	g_ptr_array_unref(list->documents);
 }
 
-static void
+/* Returns false for a record whose format is not known. It is left alone: a
+ * newer build may have written it. */
+static bool
 record_list_add(struct record_list *list, const struct store_row *row)
 {
 	struct mst_stored_record record = {
@@ -114,10 +116,11 @@
 
 	if (document == NULL) {
 		mst_log(MST_LOG_ERROR, "record-unreadable", "job=%s", row->key);
-		return;
+		return false;
 	}
 	g_ptr_array_add(list->documents, document);
 	g_array_append_val(list->records, record);
+	return true;
 }
 
 /* Changes to records */
@@ -311,9 +314,13 @@
 		    strcmp(result->rows[i].key, pending->key) == 0;
 
 		/* Ranges include their first key; scans start after it. */
-		if (is_requested_key ==
+		if (is_requested_key !=
 		    (pending->op.kind == MST_STORE_GET_RECORD))
-			record_list_add(&list, &result->rows[i]);
+			continue;
+		/* The job exists, but its state is not known. */
+		if (!record_list_add(&list, &result->rows[i]) &&
+		    is_requested_key)
+			answer.status = MST_STORE_UNAVAILABLE;
 	}
 	answer.records = (const struct mst_stored_record *)list.records->data;
 	answer.record_count = list.records->len;
--- a/src/settings/config.c
+++ b/src/settings/config.c
@@ -225,11 +225,13 @@
 	.custom = read_drained_domains},
     {0}};
 
-int
-mst_config_parse(struct mst_config **out, const char *document,
-    uint64_t version, GError **error)
+/* Parses a document. Unknown names are errors if unknown is NULL. */
+static int
+parse(struct mst_config **out, const char *document, uint64_t version,
+    GString *unknown, GError **error)
 {
-	struct schema_errors errors = {.text = g_string_new(NULL)};
+	struct schema_errors errors = {
+	    .text = g_string_new(NULL), .unknown = unknown};
 	struct mst_config *config = g_new0(struct mst_config, 1);
 	cJSON *json = schema_parse_json(document, &errors);
 	int rc = -1;
@@ -263,6 +265,24 @@
 	return rc;
 }
 
+int
+mst_config_parse(struct mst_config **out, const char *document,
+    uint64_t version, GError **error)
+{
+	return parse(out, document, version, NULL, error);
+}
+
+int
+mst_config_parse_known(struct mst_config **out, char **unknown,
+    const char *document, uint64_t version, GError **error)
+{
+	GString *names = g_string_new(NULL);
+	int rc = parse(out, document, version, names, error);
+
+	*unknown = g_string_free(names, names->len == 0);
+	return rc;
+}
+
 void
 mst_config_free(struct mst_config *config)
 {
--- a/src/settings/schema.c
+++ b/src/settings/schema.c
@@ -218,8 +218,14 @@
 add_unknown_name(struct schema_errors *errors,
     const struct schema_field *fields, const char *name, const char *pointer)
 {
-	const struct schema_field *similar = find_similar_field(fields, name);
+	const struct schema_field *similar;
 
+	if (errors->unknown != NULL) {
+		g_string_append_printf(errors->unknown, "%s%s",
+		    errors->unknown->len > 0 ? " " : "", pointer);
+		return;
+	}
+	similar = find_similar_field(fields, name);
 	if (similar == NULL)
 		schema_add_error(errors, pointer, "is not a known name");
 	else
--- a/src/settings/schema.h
+++ b/src/settings/schema.h
@@ -26,6 +26,9 @@
 struct schema_errors {
 	GString *text;  /* "pointer: error", one per line, at most 32 */
 	unsigned count; /* number of errors, including those not in text */
+	/* Receives the pointers to members with unknown names, separated by
+	 * spaces; NULL: such members are errors. */
+	GString *unknown;
 };
 
 /* Reads a value into the struct member at out. Errors are added with pointer,
@@ -71,8 +74,9 @@
 char *schema_pointer_append(const char *pointer, const char *name);
 
 /**
- * Reads a JSON object into a struct. Unknown members are errors; members that
- * are absent leave the struct's members as they are.
+ * Reads a JSON object into a struct. Unknown members are errors unless
+ * errors->unknown is set; members that are absent leave the struct's members as
+ * they are.
  *
  * @param out the struct
  * @param object the JSON object
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -392,11 +392,13 @@
 		    "/entry_hosts are on loopback or /trusted_network is true");
 }
 
-int
-mst_settings_load(struct mst_settings **out, const char *path,
-    enum mst_settings_role role, GError **error)
+/* Loads a file. Unknown names are errors if unknown is NULL. */
+static int
+load(struct mst_settings **out, const char *path, enum mst_settings_role role,
+    GString *unknown, GError **error)
 {
-	struct schema_errors errors = {.text = g_string_new(NULL)};
+	struct schema_errors errors = {
+	    .text = g_string_new(NULL), .unknown = unknown};
 	struct mst_settings *settings = settings_new();
 	GError *cause = NULL;
 	char *text = NULL;
@@ -441,6 +443,24 @@
 	return rc;
 }
 
+int
+mst_settings_load(struct mst_settings **out, const char *path,
+    enum mst_settings_role role, GError **error)
+{
+	return load(out, path, role, NULL, error);
+}
+
+int
+mst_settings_load_known(struct mst_settings **out, char **unknown,
+    const char *path, enum mst_settings_role role, GError **error)
+{
+	GString *names = g_string_new(NULL);
+	int rc = load(out, path, role, names, error);
+
+	*unknown = g_string_free(names, names->len == 0);
+	return rc;
+}
+
 void
 mst_settings_free(struct mst_settings *settings)
 {
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -160,6 +160,10 @@
 /* Restarts a node as a new incarnation; kills it first if it is alive. */
 void sim_restart(struct sim *sim, int node_id);
 
+/* Sets whether a node sends and receives messages of the first format only, as
+ * builds before 0.2.0 do. It stays so when the node is restarted. */
+void sim_set_first_format(struct sim *sim, int node_id, bool first_format);
+
 /* Pauses a node; its events are delivered after sim_resume(). */
 void sim_pause(struct sim *sim, int node_id);
 void sim_resume(struct sim *sim, int node_id);
--- a/tests/sim/sim_internal.h
+++ b/tests/sim/sim_internal.h
@@ -18,6 +18,7 @@
 	bool alive;
 	bool paused;
 	bool stopped;
+	bool first_format;         /* see sim_set_first_format() */
 	GQueue backlog;            /* struct sim_event; arrived while paused */
 	struct sim_worker *worker; /* of a leased agent, else NULL */
 	struct mst_resources capacity;
--- a/tests/test_crash_store.c
+++ b/tests/test_crash_store.c
@@ -223,6 +223,44 @@
 	g_assert_cmpuint(loaded.calls, ==, 0);
 }
 
+/* Guards against an older build that drops what a newer one has added. */
+static void
+crash_store__added_members_are_kept(void)
+{
+	struct fake_store fake;
+	struct loaded loaded;
+	uv_loop_t loop;
+	struct crash_store *store = open_store(&fake, &loop, &loaded);
+
+	fake.value = g_strdup("{\"crashes\":[{\"id\":\"0000000000000001\","
+			      "\"wall_ms\":1,\"cleared\":false,\"signal\":9,"
+			      "\"runs\":[{\"task\":\"a\",\"team\":5}]}],"
+			      "\"format\":2}");
+	crash_store_load(store);
+	g_assert_cmpuint(loaded.calls, ==, 1);
+	save(store, 1);
+	g_assert_nonnull(strstr(fake.value, "\"signal\":9"));
+	g_assert_nonnull(strstr(fake.value, "\"format\":2"));
+}
+
+/* Guards against a row in a format that this build doesn't know being replaced
+ * by one that has only what this build has seen. */
+static void
+crash_store__unknown_format_is_left_alone(void)
+{
+	static const char other[] = "{\"crashes\":{\"first\":1}}";
+	struct fake_store fake;
+	struct loaded loaded;
+	uv_loop_t loop;
+	struct crash_store *store = open_store(&fake, &loop, &loaded);
+
+	fake.value = g_strdup(other);
+	crash_store_load(store);
+	save(store, 1);
+	g_assert_cmpuint(fake.writes, ==, 0);
+	g_assert_cmpstr(fake.value, ==, other);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -237,5 +275,9 @@
 	    crash_store__last_save_waits_for_write);
 	g_test_add_func("/crash-store/malformed-row-is-ignored",
 	    crash_store__malformed_row_is_ignored);
+	g_test_add_func("/crash-store/added-members-are-kept",
+	    crash_store__added_members_are_kept);
+	g_test_add_func("/crash-store/unknown-format-is-left-alone",
+	    crash_store__unknown_format_is_left_alone);
 	return g_test_run();
 }
--- a/tests/test_json.c
+++ b/tests/test_json.c
@@ -144,6 +144,29 @@
 	mst_config_free(config);
 }
 
+/* A configuration that a newer build has accepted is applied without what this
+ * build doesn't know; errors in what it knows are still errors. */
+static void
+json__accepted_config_may_have_unknown_names(void)
+{
+	struct mst_config *config;
+	char *unknown;
+
+	g_assert_cmpint(mst_config_parse_known(&config, &unknown,
+			    "{\"policy\":{\"eject_ms\":700,\"new\":1},"
+			    "\"z\":{}}",
+			    3, NULL),
+	    ==, 0);
+	g_assert_cmpuint(config->policy.eject_ms, ==, 700);
+	g_assert_cmpstr(unknown, ==, "/policy/new /z");
+	mst_config_free(config);
+	g_free(unknown);
+	g_assert_cmpint(mst_config_parse_known(
+			    &config, &unknown, "{\"default_team\":7}", 3, NULL),
+	    ==, -1);
+	g_assert_null(unknown);
+}
+
 /* Guards against a set of drains that can't be sent to other processes, and
  * against an absent field that is taken for an empty set. */
 static void
@@ -266,6 +289,29 @@
 	mst_settings_free(settings);
 }
 
+/* A build that is started with the settings of a newer one, after a rollback,
+ * starts without the settings that it doesn't know. */
+static void
+json__settings_of_newer_build_are_read(void)
+{
+	struct mst_settings *settings;
+	GError *error = NULL;
+	char *unknown;
+
+	mst_settings_load_known(&settings, &unknown,
+	    "golden/settings_newer.json", MST_SETTINGS_AGENT, &error);
+	g_assert_no_error(error);
+	g_assert_cmpstr(unknown, ==, "/upstream/colour /shade");
+	g_assert_cmpuint(settings->upstream.slots, ==, 3);
+	mst_settings_free(settings);
+	g_free(unknown);
+	g_assert_cmpint(
+	    mst_settings_load(&settings, "golden/settings_newer.json",
+		MST_SETTINGS_AGENT, &error),
+	    ==, -1);
+	g_clear_error(&error);
+}
+
 /* Loads settings from a text; returns the error's message, or NULL. */
 static char *
 load_settings_text(const char *text)
@@ -328,6 +374,10 @@
 	g_test_add_func(
 	    "/json/drain-patch", json__drain_patch_changes_one_domain);
 	g_test_add_func("/json/settings", json__settings_errors_name_location);
+	g_test_add_func("/json/accepted-config",
+	    json__accepted_config_may_have_unknown_names);
+	g_test_add_func("/json/settings-of-newer-build",
+	    json__settings_of_newer_build_are_read);
 	g_test_add_func("/json/hosts-need-keys", test_hosts_need_keys);
 	return g_test_run();
 }
--- a/tests/test_sessions.c
+++ b/tests/test_sessions.c
@@ -241,6 +241,10 @@
 		sim_resume(session->sim, node);
 	else if (strcmp(words[0], "drain") == 0)
 		sim_drain(session->sim, node);
+	else if (strcmp(words[0], "first_format") == 0)
+		sim_set_first_format(session->sim, node, true);
+	else if (strcmp(words[0], "current_format") == 0)
+		sim_set_first_format(session->sim, node, false);
 	else
 		g_error("unknown command: %s", words[0]);
 }
