--- /dev/null
+++ b/tests/standins/runner.c
@@ -0,0 +1,501 @@
+/*
+ * Stand-in for a runner of the platform. It takes orders at LISTEN and sends
+ * reports of itself to REPORT. A task takes the time that its specification
+ * names ("ms=80"); one with "crash" in place of it makes the runner lose all
+ * that it knows and be silent for a while, as a new incarnation. What runs is
+ * ended when the lease runs out. Each start and end of a run is a line on
+ * standard output: "start TIME TASK RUN", "end TIME TASK RUN HOW", with the
+ * time of the monotonic clock in microseconds, which runners share.
+ *
+ * Usage: standin-runner LISTEN REPORT ID SLOTS
+ */
+
+#include <cjson/cJSON.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "net/http_client.h"
+#include "net/httpd.h"
+
+#define REPORT_MS     300
+#define LEASE_MAX_MS  1000
+#define CRASH_DOWN_MS 600
+#define TASK_MC       1000 /* capacity of a slot, in thousandths of a core */
+#define TASK_MB       1024
+#define CALL_MS       500
+
+struct run {
+	uv_timer_t timer; /* first member; cast to and from the structure */
+	char *task;
+	unsigned number;
+};
+
+/* An order to renew that waits for an end. */
+struct hold {
+	uv_timer_t timer; /* first member; cast to and from the structure */
+	uint64_t request;
+};
+
+static struct mst_httpd *httpd;
+static struct mst_http_client *client;
+static const char *report_url;
+static const char *id;
+static unsigned slots;
+static uint64_t seq;    /* of the reports of this incarnation */
+static int64_t born_ms; /* wall-clock time of this incarnation's start */
+static int64_t born_us; /* the same, of the monotonic clock */
+static int64_t down_until_us;
+static int64_t until_ms; /* end of the lease, on this incarnation's clock */
+static uint64_t fence;   /* highest seen */
+static uint64_t end_count;
+static GHashTable *runs;    /* task -> struct run */
+static GHashTable *highest; /* task -> highest run that ended or stopped */
+static cJSON *ended;        /* rows that are not acknowledged yet */
+static GPtrArray *holds;    /* struct hold */
+
+static int64_t
+now_us(void)
+{
+	return g_get_monotonic_time();
+}
+
+static int64_t
+clock_ms(void)
+{
+	return (now_us() - born_us) / 1000;
+}
+
+static bool
+is_down(void)
+{
+	return now_us() < down_until_us;
+}
+
+static void
+respond(uint64_t request, int status, cJSON *json)
+{
+	char *text;
+
+	cJSON_AddNumberToObject(json, "clockMs", (double)clock_ms());
+	cJSON_AddNumberToObject(json, "born", (double)born_ms);
+	text = cJSON_PrintUnformatted(json);
+	mst_http_respond(httpd, request, status, NULL, 0, text, strlen(text));
+	cJSON_free(text);
+	cJSON_Delete(json);
+}
+
+static void
+refuse(uint64_t request, const char *reason)
+{
+	cJSON *json = cJSON_CreateObject();
+
+	cJSON_AddStringToObject(json, "reason", reason);
+	respond(request, 409, json);
+}
+
+static void
+respond_lists(uint64_t request)
+{
+	cJSON *json = cJSON_CreateObject();
+	cJSON *running = cJSON_AddArrayToObject(json, "running");
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, runs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct run *run = value;
+		cJSON *row = cJSON_CreateArray();
+
+		cJSON_AddItemToArray(row, cJSON_CreateString(run->task));
+		cJSON_AddItemToArray(row, cJSON_CreateNumber(run->number));
+		cJSON_AddItemToArray(row, cJSON_CreateString(""));
+		cJSON_AddItemToArray(row, cJSON_CreateNumber(100));
+		cJSON_AddItemToArray(running, row);
+	}
+	cJSON_AddItemToObject(json, "ended", cJSON_Duplicate(ended, 1));
+	respond(request, 200, json);
+}
+
+static void
+free_handle(uv_handle_t *handle)
+{
+	g_free(handle);
+}
+
+static void
+answer_holds(void)
+{
+	while (holds->len > 0) {
+		struct hold *hold = g_ptr_array_steal_index(holds, 0);
+
+		respond_lists(hold->request);
+		uv_close((uv_handle_t *)&hold->timer, free_handle);
+	}
+}
+
+static void
+free_run(uv_handle_t *handle)
+{
+	struct run *run = (struct run *)handle;
+
+	g_free(run->task);
+	g_free(run);
+}
+
+static void
+record_highest(const char *task, unsigned number)
+{
+	unsigned known = GPOINTER_TO_UINT(g_hash_table_lookup(highest, task));
+
+	g_hash_table_replace(
+	    highest, g_strdup(task), GUINT_TO_POINTER(MAX(known, number)));
+}
+
+static void
+log_end(const struct run *run, const char *how)
+{
+	printf("end %" G_GINT64_FORMAT " %s %u %s\n", now_us(), run->task,
+	    run->number, how);
+}
+
+static void
+end_run(struct run *run, const char *how)
+{
+	cJSON *row = cJSON_CreateArray();
+
+	log_end(run, how);
+	cJSON_AddItemToArray(row, cJSON_CreateNumber((double)++end_count));
+	cJSON_AddItemToArray(row, cJSON_CreateString(run->task));
+	cJSON_AddItemToArray(row, cJSON_CreateNumber(run->number));
+	cJSON_AddItemToArray(row, cJSON_CreateString(how));
+	cJSON_AddItemToArray(row, cJSON_CreateString(""));
+	cJSON_AddItemToArray(ended, row);
+	record_highest(run->task, run->number);
+	g_hash_table_remove(runs, run->task);
+	uv_close((uv_handle_t *)&run->timer, free_run);
+	answer_holds();
+}
+
+/* Ends all runs; of an incarnation that is lost, nothing is listed. */
+static void
+end_all(const char *how, bool lost)
+{
+	GList *list = g_hash_table_get_values(runs);
+	GList *item;
+
+	for (item = list; item != NULL; item = item->next) {
+		struct run *run = item->data;
+
+		if (!lost) {
+			end_run(run, how);
+			continue;
+		}
+		log_end(run, how);
+		g_hash_table_remove(runs, run->task);
+		uv_close((uv_handle_t *)&run->timer, free_run);
+	}
+	g_list_free(list);
+}
+
+static void
+start_incarnation(void)
+{
+	born_us = now_us();
+	born_ms = g_get_real_time() / 1000;
+	seq = end_count = fence = 0;
+	until_ms = 0;
+	g_hash_table_remove_all(highest);
+	cJSON_Delete(ended);
+	ended = cJSON_CreateArray();
+}
+
+static void
+crash(void)
+{
+	end_all("crashed", true);
+	down_until_us = now_us() + CRASH_DOWN_MS * 1000;
+	start_incarnation();
+}
+
+static void
+on_run_due(uv_timer_t *timer)
+{
+	struct run *run = (struct run *)timer;
+
+	if (run->timer.data != NULL)
+		crash();
+	else
+		end_run(run, "done");
+}
+
+/* Extends the lease, by at most its greatest length. */
+static void
+renew(const cJSON *order)
+{
+	const cJSON *until = cJSON_GetObjectItemCaseSensitive(order, "untilMs");
+
+	if (cJSON_IsNumber(until))
+		until_ms = MAX(until_ms,
+		    MIN((int64_t)until->valuedouble,
+			clock_ms() + LEASE_MAX_MS));
+}
+
+/* Returns false, after a response, if the order is of a lower fence. */
+static bool
+check_fence(uint64_t request, const cJSON *order)
+{
+	const cJSON *item = cJSON_GetObjectItemCaseSensitive(order, "fence");
+	uint64_t value = cJSON_IsNumber(item) ? (uint64_t)item->valuedouble : 0;
+
+	if (value < fence) {
+		refuse(request, "fence");
+		return false;
+	}
+	fence = value;
+	return true;
+}
+
+static const char *
+get_string(const cJSON *object, const char *name)
+{
+	const char *text = cJSON_GetStringValue(
+	    cJSON_GetObjectItemCaseSensitive(object, name));
+
+	return text != NULL ? text : "";
+}
+
+static unsigned
+get_number(const cJSON *object, const char *name)
+{
+	const cJSON *item = cJSON_GetObjectItemCaseSensitive(object, name);
+
+	return cJSON_IsNumber(item) ? (unsigned)item->valuedouble : 0;
+}
+
+static void
+add_run(const cJSON *order)
+{
+	struct run *run = g_new0(struct run, 1);
+	const char *spec = get_string(order, "spec");
+	const char *ms = strstr(spec, "ms=");
+
+	run->task = g_strdup(get_string(order, "task"));
+	run->number = get_number(order, "run");
+	g_hash_table_insert(runs, run->task, run);
+	printf("start %" G_GINT64_FORMAT " %s %u\n", now_us(), run->task,
+	    run->number);
+	uv_timer_init(uv_default_loop(), &run->timer);
+	/* Marks the runs that crash this runner. */
+	run->timer.data = strstr(spec, "crash") != NULL ? run : NULL;
+	uv_timer_start(&run->timer, on_run_due,
+	    ms != NULL ? strtoul(ms + 3, NULL, 10) : 50, 0);
+}
+
+static void
+start_run(uint64_t request, const cJSON *order)
+{
+	const char *task = get_string(order, "task");
+	unsigned number = get_number(order, "run");
+	const struct run *present = g_hash_table_lookup(runs, task);
+
+	if (!check_fence(request, order))
+		return;
+	renew(order);
+	if (present != NULL && present->number == number) {
+		respond(request, 200, cJSON_CreateObject());
+		return;
+	}
+	if (present != NULL ||
+	    number <= GPOINTER_TO_UINT(g_hash_table_lookup(highest, task))) {
+		refuse(request, "old");
+	} else if (until_ms <= clock_ms()) {
+		refuse(request, "late");
+	} else if (g_hash_table_size(runs) >= slots) {
+		refuse(request, "room");
+	} else {
+		add_run(order);
+		respond(request, 200, cJSON_CreateObject());
+	}
+}
+
+static void
+stop_run(uint64_t request, const cJSON *order)
+{
+	const char *task = get_string(order, "task");
+	unsigned number = get_number(order, "run");
+	struct run *run = g_hash_table_lookup(runs, task);
+
+	if (!check_fence(request, order))
+		return;
+	record_highest(task, number);
+	if (run != NULL && run->number <= number)
+		end_run(run, "stopped");
+	respond(request, 200, cJSON_CreateObject());
+}
+
+static void
+forget_ended(unsigned last_seen)
+{
+	while (cJSON_GetArraySize(ended) > 0 &&
+	    cJSON_GetArrayItem(cJSON_GetArrayItem(ended, 0), 0)->valuedouble <=
+		last_seen)
+		cJSON_DeleteItemFromArray(ended, 0);
+}
+
+static void
+on_hold_due(uv_timer_t *timer)
+{
+	struct hold *hold = (struct hold *)timer;
+
+	g_ptr_array_remove(holds, hold);
+	respond_lists(hold->request);
+	uv_close((uv_handle_t *)timer, free_handle);
+}
+
+static void
+hold(uint64_t request, const cJSON *order)
+{
+	struct hold *waiting;
+
+	if (!check_fence(request, order))
+		return;
+	renew(order);
+	forget_ended(get_number(order, "lastSeen"));
+	if (cJSON_GetArraySize(ended) > 0 || get_number(order, "waitMs") == 0) {
+		respond_lists(request);
+		return;
+	}
+	waiting = g_new0(struct hold, 1);
+	waiting->request = request;
+	uv_timer_init(uv_default_loop(), &waiting->timer);
+	uv_timer_start(
+	    &waiting->timer, on_hold_due, get_number(order, "waitMs"), 0);
+	g_ptr_array_add(holds, waiting);
+}
+
+static void
+on_request(struct mst_http_request *request, void *ctx)
+{
+	struct mst_bytes expected =
+	    mst_http_header(request, "x-expect-instance");
+	cJSON *order =
+	    cJSON_ParseWithLength(request->body.data, request->body.len);
+	char *path = mst_bytes_to_str(request->path);
+
+	if (is_down())
+		mst_http_respond(httpd, request->id, 503, NULL, 0, "", 0);
+	else if (expected.len > 0 && !mst_bytes_equal_str(expected, id))
+		respond(request->id, 421, cJSON_CreateObject());
+	else if (strcmp(path, "/v1/run-start") == 0)
+		start_run(request->id, order);
+	else if (strcmp(path, "/v1/run-stop") == 0)
+		stop_run(request->id, order);
+	else if (strcmp(path, "/v1/hold") == 0)
+		hold(request->id, order);
+	else
+		mst_http_respond(httpd, request->id, 404, NULL, 0, "", 0);
+	g_free(path);
+	cJSON_Delete(order);
+	fflush(stdout);
+}
+
+static void
+on_disconnect(uint64_t request, void *ctx)
+{
+	guint i;
+
+	for (i = 0; i < holds->len; i++) {
+		struct hold *waiting = holds->pdata[i];
+
+		if (waiting->request != request)
+			continue;
+		g_ptr_array_remove_index(holds, i);
+		uv_close((uv_handle_t *)&waiting->timer, free_handle);
+		return;
+	}
+}
+
+static void
+on_reported(int status, const char *body, size_t len, void *ctx)
+{
+}
+
+static void
+on_report_due(uv_timer_t *timer)
+{
+	static const char *const headers[] = {
+	    "Content-Type: application/json", NULL};
+	char *body = g_strdup_printf(
+	    "{\"service\":\"s\",\"address\":\"\",\"zone\":\"z\","
+	    "\"version\":\"v1\",\"slots\":%u,\"state\":\"ready\","
+	    "\"coldRemainingMs\":0,\"capacity\":{\"cpu\":%u,\"memMb\":%u},"
+	    "\"labels\":[\"a\",\"r1\"],\"clockMs\":%" G_GINT64_FORMAT
+	    ",\"born\":%" G_GINT64_FORMAT ",\"seq\":%" G_GUINT64_FORMAT "}",
+	    slots, slots * TASK_MC, slots * TASK_MB, clock_ms(), born_ms,
+	    ++seq);
+	const struct mst_http_call call = {.url = report_url,
+	    .method = "PUT",
+	    .headers = headers,
+	    .body = body,
+	    .timeout_ms = CALL_MS,
+	    .on_done = on_reported};
+
+	if (!is_down())
+		mst_http_client_send(client, &call);
+	g_free(body);
+}
+
+static void
+on_lease_check(uv_timer_t *timer)
+{
+	if (until_ms <= clock_ms())
+		end_all("lapsed", false);
+	fflush(stdout);
+}
+
+static void
+on_signal(uv_signal_t *signal, int number)
+{
+	exit(0);
+}
+
+int
+main(int argc, char **argv)
+{
+	struct mst_httpd_options options = {.loop = uv_default_loop(),
+	    .body_max_bytes = 1 << 20,
+	    .on_request = on_request,
+	    .on_disconnect = on_disconnect};
+	uv_timer_t report_timer, lease_timer;
+	uv_signal_t sigterm;
+	GError *error = NULL;
+
+	if (argc != 5) {
+		fprintf(
+		    stderr, "Usage: standin-runner LISTEN REPORT ID SLOTS\n");
+		return 2;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	options.listen = argv[1];
+	id = argv[3];
+	report_url = g_strdup_printf("http://%s/v1/instances/%s", argv[2], id);
+	slots = (unsigned)strtoul(argv[4], NULL, 10);
+	runs = g_hash_table_new(g_str_hash, g_str_equal);
+	highest = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	holds = g_ptr_array_new();
+	start_incarnation();
+	client = mst_http_client_new(uv_default_loop(), 0);
+	if (mst_httpd_new(&httpd, &options, &error) < 0) {
+		fprintf(stderr, "%s\n", error->message);
+		return 1;
+	}
+	uv_timer_init(uv_default_loop(), &report_timer);
+	uv_timer_start(&report_timer, on_report_due, 1, REPORT_MS);
+	uv_timer_init(uv_default_loop(), &lease_timer);
+	uv_timer_start(&lease_timer, on_lease_check, 20, 20);
+	uv_signal_init(uv_default_loop(), &sigterm);
+	uv_signal_start(&sigterm, on_signal, SIGTERM);
+	return uv_run(uv_default_loop(), UV_RUN_DEFAULT);
+}
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -114,10 +114,12 @@
 	return false;
 }
 
-/* Responds with the rows of a table: the present ones, or with after the
- * changes since that revision. Returns the number of rows. */
+/* Responds with the present rows of a part of a table, or with after the
+ * changes of the whole table since that revision. Returns the number of rows.
+ */
 static unsigned
-respond_rows(uint64_t id, const char *table, const uint64_t *after, bool force)
+respond_rows(uint64_t id, const char *table, const char *part,
+    const uint64_t *after, bool force)
 {
 	cJSON *json = cJSON_CreateObject();
 	cJSON *rows = cJSON_AddArrayToObject(json, "rows");
@@ -133,7 +135,8 @@
 		if (strcmp(get_string(row, "table"), table) != 0 ||
 		    (after != NULL && ver <= (double)*after) ||
 		    (after == NULL &&
-			(is_replaced(i) ||
+			(strcmp(get_string(row, "part"), part) != 0 ||
+			    is_replaced(i) ||
 			    cJSON_HasObjectItem(row, "removed"))))
 			continue;
 		cJSON_AddItemToArray(rows, cJSON_Duplicate(row, 1));
@@ -159,7 +162,8 @@
 static void
 feed_update(struct feed *feed, bool force)
 {
-	if (respond_rows(feed->id, feed->table, &feed->after, force) == 0 &&
+	if (respond_rows(feed->id, feed->table, NULL, &feed->after, force) ==
+		0 &&
 	    !force)
 		return;
 	g_ptr_array_remove(feeds, feed);
@@ -243,6 +247,7 @@
 on_request(struct mst_http_request *request, void *ctx)
 {
 	char *table = get_param(request->query, "table");
+	char *part = get_param(request->query, "part");
 
 	if (mst_bytes_equal_str(request->path, "/faults")) {
 		set_faults(request);
@@ -253,7 +258,7 @@
 	} else if (mst_bytes_equal_str(request->path, "/v1/rows-get")) {
 		count_call("get", table);
 		if (!away)
-			respond_rows(request->id, table, NULL, true);
+			respond_rows(request->id, table, part, NULL, true);
 	} else if (mst_bytes_equal_str(request->path, "/v1/rows-feed")) {
 		count_call("feed", table);
 		if (!away)
@@ -262,6 +267,7 @@
 		respond_json(request->id, 404, cJSON_CreateObject());
 	}
 	g_free(table);
+	g_free(part);
 }
 
 static void
