Files that need each other: groups of 14, 8, 5 and 4 files opened

Cause: fourteen files around place/, eight of the agent and its worker, five of the runtime and four of stored jobs could only be read together.

Change, no behaviour: small questions that many files ask went to files of their own (who is alive, which jobs are isolated, sessions and their leases, a worker's speed and its resizing, requests that wait for a response, writes of records). A job's final state is set before its write is scheduled, so that progress.c needs no answer from stored.c.

--- a/src/api/problem.h
+++ b/src/api/problem.h
@@ -5,6 +5,9 @@
 
 #include <masticstall/entry.h>
 
+/* Media type of problem details (RFC 9457). */
+#define MST_PROBLEM_TYPE "application/problem+json"
+
 struct mst_problem {
 	int status;
 	const char *type; /* last component of the type URI */
--- a/src/core/agent/agent_internal.h
+++ b/src/core/agent/agent_internal.h
@@ -186,9 +186,6 @@
     const struct mst_result_item *result);
 /* Starts queued runs while there is capacity. */
 void mst_agent_start_queued(struct mst_agent *agent);
-/* Returns true if isolated runs are queued or running, so that those of other
- * jobs wait. */
-bool mst_agent_is_isolating(const struct mst_agent *agent);
 /* Refuses the queued runs that do not fit into the worker, even if idle. */
 void mst_agent_refuse_unfit(struct mst_agent *agent);
 /* Refuses the queued runs of a session, or all if it is NULL. */
@@ -214,6 +211,13 @@
 void mst_run_complete_started(struct mst_agent *agent, struct run *run,
     const struct mst_result_item *result);
 
+/* isolation.c */
+/* Returns true if isolated runs are queued or running, so that those of other
+ * jobs wait. */
+bool mst_agent_is_isolating(const struct mst_agent *agent);
+/* Returns a running isolated run, or NULL. */
+const struct run *mst_agent_find_isolated_run(const struct mst_agent *agent);
+
 /* offer.c */
 /* Offers the free slots to entries whose tasks wait. */
 void mst_agent_offer_slots(struct mst_agent *agent);
@@ -246,17 +250,19 @@
 /* Stops the runs of entries whose lease has expired. */
 void mst_agent_check_leases(struct mst_agent *agent);
 
-/* session.c */
+/* session_lease.c */
 struct session *mst_session_find(const struct mst_agent *agent, uint64_t entry);
-/* Creates the session of an entry; returns NULL if there are too many. */
-struct session *mst_session_open(struct mst_agent *agent, uint64_t entry);
-void mst_session_free(struct session *session);
 /* Records an entry's echo of this agent's clock, which extends its lease. */
 void mst_session_update_echo(
     struct mst_agent *agent, struct session *session, uint64_t echo_us);
 /* Returns true if the entry's lease at this agent has not expired. */
 bool mst_session_has_lease(
     const struct mst_agent *agent, const struct session *session);
+
+/* session.c */
+/* Creates the session of an entry; returns NULL if there are too many. */
+struct session *mst_session_open(struct mst_agent *agent, uint64_t entry);
+void mst_session_free(struct session *session);
 /* Records the build that an entry has announced, and reports one of another
  * version. */
 void mst_session_update_build(struct mst_agent *agent, struct session *session,
--- a/src/core/agent/run.c
+++ b/src/core/agent/run.c
@@ -319,41 +319,6 @@
 	return agent->running < agent->options.slots;
 }
 
-static bool
-is_isolated(const struct run *run)
-{
-	return (run->task.flags & MST_TASK_ISOLATED) != 0;
-}
-
-/* Returns a running isolated run, or NULL. */
-static const struct run *
-find_isolated_run(const struct mst_agent *agent)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, agent->active);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (is_isolated(value))
-			return value;
-	}
-	return NULL;
-}
-
-bool
-mst_agent_is_isolating(const struct mst_agent *agent)
-{
-	GList *link;
-
-	if (find_isolated_run(agent) != NULL)
-		return true;
-	for (link = agent->queue.head; link != NULL; link = link->next) {
-		if (is_isolated(link->data))
-			return true;
-	}
-	return false;
-}
-
 /* Returns the first queued run of the same job as another one, or NULL. */
 static struct run *
 find_queued_of_job(const struct mst_agent *agent, const struct run *other)
@@ -374,7 +339,7 @@
 static struct run *
 next_queued(const struct mst_agent *agent)
 {
-	const struct run *isolated = find_isolated_run(agent);
+	const struct run *isolated = mst_agent_find_isolated_run(agent);
 	struct run *first = g_queue_peek_head((GQueue *)&agent->queue);
 
 	if (isolated != NULL)
--- a/src/core/job/progress.c
+++ b/src/core/job/progress.c
@@ -178,14 +178,27 @@
 	}
 }
 
+/* Records the final state of a stored job, which is closed once that is done.
+ */
+static void
+record_final_state(struct mst_entry *entry, struct job *job,
+    enum mst_job_state state, enum mst_reason reason)
+{
+	if (mst_stored_set_final(job, state, reason) && state == MST_JOB_FAILED)
+		mst_job_close_tasks(entry, job, reason);
+	mst_stored_schedule_write(entry, job);
+}
+
 void
 mst_job_close(struct mst_entry *entry, struct job *job,
     enum mst_job_state state, enum mst_reason reason)
 {
-	if (job->state != MST_JOB_OPEN ||
-	    (job->stored != NULL &&
-		mst_stored_defer_close(entry, job, state, reason)))
+	if (job->state != MST_JOB_OPEN)
 		return;
+	if (!mst_stored_is_final_recorded(job)) {
+		record_final_state(entry, job, state, reason);
+		return;
+	}
 	/* An earlier owner may have started any task of an adopted job. */
 	if (job->adoption != NULL)
 		job->may_have_run = true;
--- a/src/core/member/member.h
+++ b/src/core/member/member.h
@@ -125,11 +125,13 @@
 /* Stops sending tasks to a member for a while, because its upstream is down. */
 void mst_member_back_off(struct mst_entry *entry, struct member *member);
 
+/* live.c */
+/* Returns the number of live entries, including this one. */
+uint32_t mst_entry_count_live_entries(const struct mst_entry *entry);
+
 /* peer.c */
 void mst_entry_handle_peer(struct mst_entry *entry, const struct mst_msg *msg);
 void mst_peer_free(struct peer *peer);
-/* Returns the number of live entries, including this one. */
-uint32_t mst_entry_count_live_entries(const struct mst_entry *entry);
 /* Tells all entries that this one connects to its address and state. */
 void mst_entry_greet_peers(struct mst_entry *entry);
 /* Tells all entries at once of a new configuration or set of drained domains,
--- a/src/core/place/quarantine.c
+++ b/src/core/place/quarantine.c
@@ -141,18 +141,6 @@
 		set_level(entry, team, team->quarantine - 1);
 }
 
-bool
-mst_job_is_isolated(const struct job *job)
-{
-	return job->suspect || job->team->quarantine == QUARANTINE_ISOLATED;
-}
-
-bool
-mst_job_is_quarantined(const struct job *job)
-{
-	return job->suspect || job->team->quarantine != QUARANTINE_NONE;
-}
-
 uint32_t
 mst_quarantine_count_teams(const struct mst_entry *entry)
 {
--- a/src/core/stored/state.c
+++ b/src/core/stored/state.c
@@ -28,6 +28,30 @@
 	*record = (struct mst_record){0};
 }
 
+bool
+mst_stored_is_final_recorded(const struct job *job)
+{
+	return job->stored == NULL || job->stored->final_recorded;
+}
+
+bool
+mst_stored_set_final(
+    struct job *job, enum mst_job_state state, enum mst_reason reason)
+{
+	struct stored_job *stored = job->stored;
+
+	if (stored->state != MST_RECORD_OPEN)
+		return false;
+	stored->reason = reason;
+	if (state == MST_JOB_COMPLETE)
+		stored->state = MST_RECORD_COMPLETE;
+	else if (reason == MST_REASON_CANCELLED)
+		stored->state = MST_RECORD_CANCELLED;
+	else
+		stored->state = MST_RECORD_FAILED;
+	return true;
+}
+
 struct stored_job *
 mst_stored_state_new(enum stored_phase phase)
 {
--- a/src/core/stored/stored.c
+++ b/src/core/stored/stored.c
@@ -54,30 +54,6 @@
 	mst_stored_mark_dirty(entry, stored, 0);
 }
 
-bool
-mst_stored_defer_close(struct mst_entry *entry, struct job *job,
-    enum mst_job_state state, enum mst_reason reason)
-{
-	struct stored_job *stored = job->stored;
-
-	if (stored->final_recorded)
-		return false;
-	if (stored->state == MST_RECORD_OPEN) {
-		stored->reason = reason;
-		if (state == MST_JOB_COMPLETE)
-			stored->state = MST_RECORD_COMPLETE;
-		else if (reason == MST_REASON_CANCELLED)
-			stored->state = MST_RECORD_CANCELLED;
-		else
-			stored->state = MST_RECORD_FAILED;
-		if (state == MST_JOB_FAILED)
-			mst_job_close_tasks(entry, job, reason);
-	}
-	mst_stored_mark_dirty(entry, stored, 0);
-	mst_stored_write_if_due(entry, job);
-	return true;
-}
-
 void
 mst_stored_drop(struct mst_entry *entry, struct job *job)
 {
--- a/src/core/stored/stored.h
+++ b/src/core/stored/stored.h
@@ -58,10 +58,15 @@
  * abandoned run is recorded in the store. */
 void mst_stored_abandon_run(
     struct mst_entry *entry, struct job *job, uint32_t index);
-/* Starts recording the final state of a job in the store. Returns true if the
- * job must not be closed yet, false once its final state is recorded. */
-bool mst_stored_defer_close(struct mst_entry *entry, struct job *job,
-    enum mst_job_state state, enum mst_reason reason);
+/* Returns true if a job may be closed: it is not stored, or its final state is
+ * recorded in the store. */
+bool mst_stored_is_final_recorded(const struct job *job);
+/* Sets the final state that is to be recorded. Returns false if there is one
+ * already. */
+bool mst_stored_set_final(
+    struct job *job, enum mst_job_state state, enum mst_reason reason);
+/* Writes the record of a stored job as soon as possible. */
+void mst_stored_schedule_write(struct mst_entry *entry, struct job *job);
 /* Returns the number of a task's present run. It increases with each attempt
  * and, for stored jobs, with each term. */
 uint32_t mst_stored_run_number(const struct job *job, const struct task *task);
--- a/src/core/stored/stored_internal.h
+++ b/src/core/stored/stored_internal.h
@@ -56,7 +56,7 @@
 
 struct stored_lookup;
 
-/* record.c */
+/* record_write.c */
 /* Marks a record dirty. It is due to be written after delay_us, or earlier if
  * it was dirty and due before. */
 void mst_stored_mark_dirty(
@@ -64,12 +64,14 @@
 /* Writes a record if it is dirty and due, no write is in flight and this entry
  * may write records. */
 void mst_stored_write_if_due(struct mst_entry *entry, struct job *job);
-/* Applies the task codes of a stored record to a job. */
-void mst_stored_merge_tasks(
-    struct mst_entry *entry, struct job *job, const char *tasks);
 /* Answers the requests of an array with a state and empties the array. */
 void mst_stored_answer_requests(struct mst_entry *entry, struct job *job,
     GArray *requests, enum mst_stored_state state);
+
+/* record.c */
+/* Applies the task codes of a stored record to a job. */
+void mst_stored_merge_tasks(
+    struct mst_entry *entry, struct job *job, const char *tasks);
 /* Closes a job whose final state is recorded. */
 void mst_stored_close_recorded(struct mst_entry *entry, struct job *job);
 void mst_stored_handle_write(struct mst_entry *entry, struct job *job,
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -104,6 +104,8 @@
 /* Returns how many tasks of average size fit into the resources that running
  * and queued tasks leave. */
 uint32_t mst_worker_free_slots(const struct mst_agent *agent);
+
+/* speed.c */
 /* Returns the ratio of observed to expected service times in thousandths, or 0
  * if it is not known yet. */
 uint32_t mst_worker_slowness_milli(const struct mst_agent *agent);
--- a/src/core/worker/worker_internal.h
+++ b/src/core/worker/worker_internal.h
@@ -38,14 +38,18 @@
 /* Returns true if the worker has recently left an order unanswered. */
 bool mst_worker_is_unreliable(const struct mst_agent *agent);
 
-/* capacity.c */
+/* resize.c */
 /* Sets the capacity that the worker has reported, which may change while it
  * runs. Refuses the queued tasks that no longer fit and tells the entries. */
 void mst_worker_set_capacity(
     struct mst_agent *agent, const struct mst_resources *capacity);
+
+/* capacity.c */
 /* Adds resources to the used ones, or subtracts them if the sign is -1. */
 void mst_worker_adjust_used(
     struct mst_resources *used, const struct mst_resources *needs, int sign);
+
+/* speed.c */
 /* Adds the service time of a completed run to the average slowness. */
 void mst_worker_update_slowness(struct mst_agent *agent, const struct run *run);
 
--- a/src/runtime/entry_config.c
+++ b/src/runtime/entry_config.c
@@ -74,7 +74,7 @@
 		    mst_log_quote(unknown));
 	g_free(unknown);
 	rt->config_applied_us = runtime_now_us();
-	runtime_step(rt, &event);
+	rt->step(rt, &event);
 }
 
 static void schedule_poll(struct entry_runtime *rt);
--- a/src/runtime/entry_drains.c
+++ b/src/runtime/entry_drains.c
@@ -18,7 +18,7 @@
 {
 	struct mst_entry_event event = drain_set_event(&rt->drain_set);
 
-	runtime_step(rt, &event);
+	rt->step(rt, &event);
 }
 
 void
--- a/src/runtime/entry_frontend.c
+++ b/src/runtime/entry_frontend.c
@@ -231,7 +231,7 @@
 	serialized = serialize_stored_job(request, mst_entry_config(rt->entry));
 	request->spec.serialized_job = serialized;
 	event.request = add_pending_request(rt, http_request, request)->id;
-	runtime_step(rt, &event);
+	rt->step(rt, &event);
 	cJSON_free(serialized);
 }
 
@@ -247,7 +247,7 @@
 	    .key = request->key};
 
 	event.request = add_pending_request(rt, http_request, request)->id;
-	runtime_step(rt, &event);
+	rt->step(rt, &event);
 }
 
 static void
@@ -348,11 +348,12 @@
 static void
 on_entries_update(const struct store_update *update, void *ctx)
 {
+	struct entry_runtime *rt = ctx;
 	guint i;
 
 	for (i = 0; i < update->added->len; i++)
-		runtime_connect_peers(
-		    ctx, mst_bytes_from_str(update->added->pdata[i]));
+		entry_links_add(rt->entry_links,
+		    mst_bytes_from_str(update->added->pdata[i]));
 }
 
 /*
@@ -363,16 +364,17 @@
 static void
 on_cancels_update(const struct store_update *update, void *ctx)
 {
+	struct entry_runtime *rt = ctx;
 	struct mst_entry_event event = {.type = MST_ENTRY_EV_STORED_CANCELLED};
 	guint i;
 
 	for (i = 0; i < update->added->len; i++) {
 		event.key = update->added->pdata[i];
-		runtime_step(ctx, &event);
+		rt->step(rt, &event);
 	}
 	event.key = NULL;
 	if (update->is_snapshot)
-		runtime_step(ctx, &event);
+		rt->step(rt, &event);
 }
 
 static void
@@ -400,9 +402,10 @@
 static void
 on_serve_timer(uv_timer_t *timer)
 {
+	struct entry_runtime *rt = timer->data;
 	struct mst_entry_event event = {.type = MST_ENTRY_EV_DRAIN};
 
-	runtime_step(timer->data, &event);
+	rt->step(rt, &event);
 }
 
 static void
@@ -425,7 +428,7 @@
 	if (rt->shutting_down)
 		return;
 	rt->shutting_down = true;
-	runtime_step(rt, &event);
+	rt->step(rt, &event);
 	rt->drivers->store->remove_entry(rt->store, rt->settings->advertise,
 	    STORE_CALL_TIMEOUT_MS, on_retracted, rt);
 	uv_timer_start(&rt->publish_timer, on_serve_timer, serve_ms, 0);
@@ -462,10 +465,11 @@
 static void
 on_store_answer(const struct mst_store_answer *answer, void *ctx)
 {
+	struct entry_runtime *rt = ctx;
 	struct mst_entry_event event = {
 	    .type = MST_ENTRY_EV_STORE_ANSWER, .answer = answer};
 
-	runtime_step(ctx, &event);
+	rt->step(rt, &event);
 }
 
 static void
--- a/src/runtime/entry_http.c
+++ b/src/runtime/entry_http.c
@@ -14,7 +14,6 @@
 #include "runtime/operators.h"
 
 #define JSON_TYPE              "application/json"
-#define PROBLEM_TYPE           "application/problem+json"
 #define PASSTHROUGH_PREFIX     "/upstream"
 #define DRAINS_PATH            "/v1/drains"
 #define PASSTHROUGH_TIMEOUT_MS 30000
@@ -33,25 +32,6 @@
 	    .data = bytes.data + count, .len = bytes.len - count};
 }
 
-void
-runtime_respond_text(struct entry_runtime *rt, uint64_t id, int status,
-    const char *type, const char *text)
-{
-	const struct mst_http_header header = {"content-type", type};
-
-	mst_http_respond(rt->httpd, id, status, &header, 1, text, strlen(text));
-}
-
-void
-runtime_respond_problem(
-    struct entry_runtime *rt, uint64_t id, const struct mst_problem *problem)
-{
-	char *text = mst_problem_json(problem);
-
-	runtime_respond_text(rt, id, problem->status, PROBLEM_TYPE, text);
-	g_free(text);
-}
-
 void
 runtime_respond_refusal(struct entry_runtime *rt,
     struct pending_request *pending, const struct mst_entry_effect *effect)
@@ -66,7 +46,7 @@
 	problem = mst_problem_from_refusal(effect);
 	text = mst_problem_json(&problem);
 
-	runtime_respond(rt, pending, problem.status, PROBLEM_TYPE, text,
+	runtime_respond(rt, pending, problem.status, MST_PROBLEM_TYPE, text,
 	    strlen(text), problem.retry_after_s);
 	g_free(text);
 }
@@ -157,7 +137,7 @@
 		mst_ticket_parse(
 		    &spec->ticket, mst_bytes_from_str(pending->ticket));
 	spec->traceparent = mst_bytes_from_str(pending->traceparent);
-	runtime_step(rt, &event);
+	rt->step(rt, &event);
 }
 
 static void
@@ -175,8 +155,8 @@
 	    .ran = "none"};
 	char *text = mst_problem_json(&problem);
 
-	runtime_respond(
-	    rt, pending, problem.status, PROBLEM_TYPE, text, strlen(text), 0);
+	runtime_respond(rt, pending, problem.status, MST_PROBLEM_TYPE, text,
+	    strlen(text), 0);
 	g_free(text);
 }
 
@@ -278,7 +258,7 @@
 	    .type = MST_ENTRY_EV_TICKET, .request = request->id};
 
 	pending_request_new(rt, request->id);
-	runtime_step(rt, &event);
+	rt->step(rt, &event);
 }
 
 static void
@@ -302,7 +282,7 @@
 	event.type = mst_bytes_equal_str(request->method, "DELETE")
 	    ? MST_ENTRY_EV_CANCEL
 	    : MST_ENTRY_EV_WAIT;
-	runtime_step(rt, &event);
+	rt->step(rt, &event);
 }
 
 static const struct mst_problem problem_no_versions = {.status = 409,
@@ -503,17 +483,6 @@
 		runtime_respond_problem(rt, request->id, &problem_not_found);
 }
 
-void
-runtime_on_disconnect(uint64_t id, void *ctx)
-{
-	struct entry_runtime *rt = ctx;
-	struct mst_entry_event event = {
-	    .type = MST_ENTRY_EV_DISCONNECT, .request = id};
-
-	if (g_hash_table_remove(rt->pending_requests, (gpointer)id))
-		runtime_step(rt, &event);
-}
-
 void
 runtime_forward(
     struct entry_runtime *rt, struct pending_request *pending, uint64_t peer)
@@ -558,7 +527,7 @@
 	}
 	event.job = ticket.job;
 	event.poll = forward->kind == MST_FORWARD_POLL;
-	runtime_step(rt, &event);
+	rt->step(rt, &event);
 }
 
 void
@@ -574,6 +543,6 @@
 	if (pending == NULL)
 		return;
 	runtime_respond(rt, pending, (int)reply->status,
-	    is_problem ? PROBLEM_TYPE : JSON_TYPE, reply->body.data,
+	    is_problem ? MST_PROBLEM_TYPE : JSON_TYPE, reply->body.data,
 	    reply->body.len, reply->retry_after_s);
 }
--- a/src/runtime/entry_runtime.c
+++ b/src/runtime/entry_runtime.c
@@ -16,84 +16,6 @@
 #define RUNTIME_TRACE_EXPORT_TICKS     200 /* ticks of 10 ms */
 #define RUNTIME_LINKS_TICKS            20  /* ticks of 10 ms */
 
-void
-pending_request_free(struct pending_request *pending)
-{
-	if (pending->origin_entry != 0)
-		g_free((char *)pending->body.data);
-	g_free(pending->ticket);
-	g_free(pending->job_key);
-	g_free(pending->traceparent);
-	g_free(pending);
-}
-
-struct pending_request *
-pending_request_new(struct entry_runtime *rt, uint64_t id)
-{
-	struct pending_request *pending = g_new0(struct pending_request, 1);
-
-	pending->id = id;
-	g_hash_table_insert(rt->pending_requests, (gpointer)id, pending);
-	return pending;
-}
-
-static void
-reply_to_origin(struct entry_runtime *rt, const struct pending_request *pending,
-    int status, const char *body, size_t len, uint32_t retry_after_s)
-{
-	struct mst_msg msg = {.type = MST_MSG_FORWARDED,
-	    .from = mst_entry_gauges(rt->entry).incarnation,
-	    .to = pending->origin_entry};
-
-	msg.forwarded.id = pending->origin_request_id;
-	msg.forwarded.status = (uint32_t)status;
-	msg.forwarded.retry_after_s = retry_after_s;
-	msg.forwarded.body = (struct mst_bytes){.data = body, .len = len};
-	mst_bus_send(rt->bus, &msg);
-}
-
-void
-runtime_respond(struct entry_runtime *rt, struct pending_request *pending,
-    int status, const char *type, const char *body, size_t len,
-    uint32_t retry_after_s)
-{
-	char retry[16];
-	char location[96];
-	struct mst_http_header headers[4];
-	size_t count = 0;
-
-	if (pending->origin_entry != 0) {
-		reply_to_origin(rt, pending, status, body, len, retry_after_s);
-		g_hash_table_remove(
-		    rt->pending_requests, (gpointer)pending->id);
-		return;
-	}
-	headers[count++] = (struct mst_http_header){"content-type", type};
-	if (retry_after_s > 0) {
-		g_snprintf(retry, sizeof(retry), "%u", retry_after_s);
-		headers[count++] =
-		    (struct mst_http_header){"retry-after", retry};
-	}
-	if (pending->ticket != NULL) {
-		g_snprintf(
-		    location, sizeof(location), "/v1/jobs/%s", pending->ticket);
-		headers[count++] =
-		    (struct mst_http_header){"location", location};
-	}
-	if (pending->traceparent != NULL)
-		headers[count++] = (struct mst_http_header){
-		    "traceparent", pending->traceparent};
-	mst_http_respond(
-	    rt->httpd, pending->id, status, headers, count, body, len);
-	g_hash_table_remove(rt->pending_requests, (gpointer)pending->id);
-}
-
-void
-runtime_connect_peers(struct entry_runtime *rt, struct mst_bytes peers)
-{
-	entry_links_add(rt->entry_links, peers);
-}
-
 static void
 log_member(const struct mst_entry_effect *effect)
 {
@@ -198,7 +120,7 @@
 			runtime_forward(rt, pending, effect->peer);
 		break;
 	case MST_ENTRY_FX_PEERS:
-		runtime_connect_peers(rt, effect->peers);
+		entry_links_add(rt->entry_links, effect->peers);
 		break;
 	case MST_ENTRY_FX_TASK:
 		trace_closed_task(rt, effect);
@@ -241,8 +163,8 @@
 				       : RUNTIME_STOP_GRACE_MS);
 }
 
-void
-runtime_step(struct entry_runtime *rt, struct mst_entry_event *event)
+static void
+step(struct entry_runtime *rt, struct mst_entry_event *event)
 {
 	const GArray *effects;
 	const struct mst_entry_effect *config = NULL;
@@ -281,17 +203,19 @@
 static void
 on_flush(void *ctx)
 {
+	struct entry_runtime *rt = ctx;
 	struct mst_entry_event event = {.type = MST_ENTRY_EV_FLUSH};
 
-	runtime_step(ctx, &event);
+	rt->step(rt, &event);
 }
 
 static void
 on_connected(void *ctx)
 {
+	struct entry_runtime *rt = ctx;
 	struct mst_entry_event event = {.type = MST_ENTRY_EV_CONNECTED};
 
-	runtime_step(ctx, &event);
+	rt->step(rt, &event);
 }
 
 static void
@@ -306,7 +230,7 @@
 	else if (msg->type == MST_MSG_FORWARDED)
 		runtime_on_forward_reply(rt, &msg->forwarded);
 	else
-		runtime_step(rt, &event);
+		rt->step(rt, &event);
 }
 
 /* Refuses forwarded requests whose owner is no longer reachable. */
@@ -341,7 +265,7 @@
 	struct entry_runtime *rt = ctx;
 	struct mst_entry_event event = {.type = MST_ENTRY_EV_TICK};
 
-	runtime_step(rt, &event);
+	rt->step(rt, &event);
 	if (rt->ticks % RUNTIME_LINKS_TICKS == 0)
 		entry_links_update(rt->entry_links);
 	if (++rt->ticks % 10 == 0)
@@ -355,11 +279,12 @@
 on_entries_listed(
     enum mst_table_result result, const GPtrArray *addresses, void *ctx)
 {
+	struct entry_runtime *rt = ctx;
 	guint i;
 
 	for (i = 0; i < addresses->len; i++)
-		runtime_connect_peers(
-		    ctx, mst_bytes_from_str(addresses->pdata[i]));
+		entry_links_add(
+		    rt->entry_links, mst_bytes_from_str(addresses->pdata[i]));
 }
 
 static void
@@ -401,7 +326,7 @@
 		runtime_frontend_drain(rt);
 		return;
 	}
-	runtime_step(rt, &event);
+	rt->step(rt, &event);
 }
 
 static void
@@ -496,6 +421,7 @@
 
 	rt->settings = settings;
 	rt->drivers = drivers;
+	rt->step = step;
 	drain_set_init(&rt->drain_set);
 	rt->pending_requests = g_hash_table_new_full(g_direct_hash,
 	    g_direct_equal, NULL, (GDestroyNotify)pending_request_free);
--- a/src/runtime/entry_runtime.h
+++ b/src/runtime/entry_runtime.h
@@ -47,6 +47,8 @@
 
 struct entry_runtime {
 	struct runtime_loop loop;
+	/* Applies an event to the reducer and executes the effects. */
+	void (*step)(struct entry_runtime *rt, struct mst_entry_event *event);
 	const struct mst_settings *settings;
 	struct mst_entry *entry;
 	struct mst_bus *bus;
@@ -79,9 +81,7 @@
 	struct mst_histogram job_times[FRONTEND_OUTCOME_MAX]; /* by outcome */
 };
 
-/* Applies an event to the reducer and executes the resulting effects. */
-void runtime_step(struct entry_runtime *rt, struct mst_entry_event *event);
-
+/* entry_requests.c */
 /**
  * Responds to a request, directly or through the entry that forwarded it, and
  * frees it.
@@ -103,9 +103,6 @@
 struct pending_request *pending_request_new(
     struct entry_runtime *rt, uint64_t id);
 
-/* entry_http.c */
-/* Routes a request; a callback of the HTTP server. */
-void runtime_on_request(struct mst_http_request *request, void *ctx);
 /* Drops the request of a caller that has disconnected; a callback of the HTTP
  * server. */
 void runtime_on_disconnect(uint64_t id, void *ctx);
@@ -114,6 +111,10 @@
     const char *type, const char *text);
 void runtime_respond_problem(
     struct entry_runtime *rt, uint64_t id, const struct mst_problem *problem);
+
+/* entry_http.c */
+/* Routes a request; a callback of the HTTP server. */
+void runtime_on_request(struct mst_http_request *request, void *ctx);
 /* Responds to a request with the state of a job, if the handle is not stale. */
 void runtime_respond_job(
     struct entry_runtime *rt, struct pending_request *pending, uint64_t job);
@@ -207,7 +208,4 @@
 /* Publishes this entry's address in the store; retries on failure. */
 void runtime_publish_address(uv_timer_t *timer);
 
-/* Connects to the entries in peers, a comma-separated list of addresses. */
-void runtime_connect_peers(struct entry_runtime *rt, struct mst_bytes peers);
-
 #endif
--- a/tests/standins/caller.c
+++ b/tests/standins/caller.c
@@ -96,6 +96,7 @@
 {
 	unsigned i;
 
+	g_assert(entry_count > 0);
 	for (i = 0; i < entry_count; i++) {
 		unsigned entry = next_entry++ % entry_count;
 
