crashes: how long causes run is learnt, older runs are bystanders

Load: a tenth of the jobs of one kind crash their workers; in a wide fleet nearly every worker has runs of the other kinds, many of which are present at two crashes. The candidates of a crash are only the jobs present at two, so a bystander gets the blame of a fresh cause beside it.

Hypothesis: causes crash their workers soon after their start where they do so at all. Agents tell how long each run had lasted; entries learn the time from jobs that were alone or are given up, and excuse runs that are much older.

--- a/include/masticstall/message.h
+++ b/include/masticstall/message.h
@@ -302,10 +302,16 @@
 /** Most crashes in one message. */
 #define MST_CRASHES_MAX 256
 
+/** Time for which a run lasted that is not known. */
+#define MST_LASTED_UNKNOWN UINT32_MAX
+
 /** Run that was in progress when a worker crashed, or that was cleared. */
 struct mst_crashed_run {
 	struct mst_bytes task; /* its name */
 	uint32_t team;         /* hash of the name of the job's team */
+	/* Time from its start until the crash was noticed; or
+	 * MST_LASTED_UNKNOWN, as from builds before 0.2.0. */
+	uint32_t lasted_ms;
 };
 
 /** Crash of a worker, or that suspects of earlier crashes have completed. */
--- a/src/api/crash_json.c
+++ b/src/api/crash_json.c
@@ -22,6 +22,8 @@
 
 	cJSON_AddStringToObject(json, "task", task);
 	cJSON_AddNumberToObject(json, "team", run->team);
+	if (run->lasted_ms != MST_LASTED_UNKNOWN)
+		cJSON_AddNumberToObject(json, "lasted_ms", run->lasted_ms);
 	g_free(task);
 	return json;
 }
@@ -98,13 +100,16 @@
 read_run(struct mst_crashed_run *out, const cJSON *json)
 {
 	const cJSON *task = cJSON_GetObjectItemCaseSensitive(json, "task");
-	double team;
+	double team, lasted_ms;
 
 	if (!cJSON_IsString(task) ||
 	    !json_get_number(&team, json, "team", UINT32_MAX))
 		return false;
 	out->task = mst_bytes_from_str(task->valuestring);
 	out->team = (uint32_t)team;
+	out->lasted_ms = MST_LASTED_UNKNOWN;
+	if (json_get_number(&lasted_ms, json, "lasted_ms", UINT32_MAX))
+		out->lasted_ms = (uint32_t)lasted_ms;
 	return true;
 }
 
--- a/src/codec/payload_member.c
+++ b/src/codec/payload_member.c
@@ -3,6 +3,7 @@
 #include "codec/payload.h"
 
 #define BUILD_FIELDS       2
+#define LASTED_FIELDS      1
 #define CRASH_FIELDS       5
 #define CRASHED_RUN_FIELDS 2
 
@@ -167,6 +168,58 @@
 	m->build = get_build(r);
 }
 
+static bool
+has_lasted_times(const struct mst_crashes *m)
+{
+	uint32_t i, k;
+
+	for (i = 0; i < m->count; i++) {
+		for (k = 0; k < m->items[i].run_count; k++) {
+			if (m->items[i].runs[k].lasted_ms != MST_LASTED_UNKNOWN)
+				return true;
+		}
+	}
+	return false;
+}
+
+/* Packs one number for each run of all crashes. */
+static void
+put_lasted_times(msgpack_packer *pk, const struct mst_crashes *m)
+{
+	size_t count = 0;
+	uint32_t i, k;
+
+	if (!has_lasted_times(m))
+		return;
+	for (i = 0; i < m->count; i++)
+		count += m->items[i].run_count;
+	msgpack_pack_array(pk, count);
+	for (i = 0; i < m->count; i++) {
+		for (k = 0; k < m->items[i].run_count; k++)
+			codec_put_u64(pk, m->items[i].runs[k].lasted_ms);
+	}
+}
+
+/* Builds before this list was added send messages that end before it. */
+static void
+get_lasted_times(struct codec_reader *r, const struct mst_crashes *m)
+{
+	struct codec_reader nested = {.failed = true};
+	uint32_t count, i, k;
+
+	if (!codec_at_end(r))
+		nested = codec_get_array(r, &count);
+	for (i = 0; i < m->count; i++) {
+		struct mst_crashed_run *runs =
+		    (struct mst_crashed_run *)m->items[i].runs;
+
+		for (k = 0; k < m->items[i].run_count; k++)
+			runs[k].lasted_ms = nested.failed
+			    ? MST_LASTED_UNKNOWN
+			    : codec_get_u32(&nested);
+	}
+}
+
 void
 codec_put_crashes(msgpack_packer *pk, const struct mst_crashes *m)
 {
@@ -188,6 +241,7 @@
 			codec_put_u64(pk, crash->runs[k].team);
 		}
 	}
+	put_lasted_times(pk, m);
 }
 
 static void
@@ -238,6 +292,8 @@
 	}
 	m->items = items;
 	r->failed |= nested.failed;
+	if (!r->failed && items != NULL)
+		get_lasted_times(r, m);
 }
 
 uint32_t
@@ -245,6 +301,8 @@
 {
 	const struct mst_build_msg *build = NULL;
 
+	if (msg->type == MST_MSG_CRASHES)
+		return has_lasted_times(&msg->crashes) ? LASTED_FIELDS : 0;
 	if (msg->type == MST_MSG_ANNOUNCE)
 		build = &msg->announce.build;
 	else if (msg->type == MST_MSG_HEARTBEAT)
--- a/src/core/agent/crash.c
+++ b/src/core/agent/crash.c
@@ -53,7 +53,10 @@
 		const struct run *run = runs->pdata[i];
 
 		listed[crash.run_count++] = (struct mst_crashed_run){
-		    .task = run->task.path, .team = run->task.team};
+		    .task = run->task.path,
+		    .team = run->task.team,
+		    .lasted_ms =
+			(uint32_t)((agent->now_us - run->started_us) / 1000)};
 	}
 	mst_crash_list_expire(&agent->crashes, agent->now_us);
 	if (!mst_crash_list_add(&agent->crashes, &crash, agent->now_us))
@@ -65,8 +68,9 @@
 void
 mst_agent_clear_suspect(struct mst_agent *agent, const struct run *run)
 {
-	const struct mst_crashed_run listed = {
-	    .task = run->task.path, .team = run->task.team};
+	const struct mst_crashed_run listed = {.task = run->task.path,
+	    .team = run->task.team,
+	    .lasted_ms = MST_LASTED_UNKNOWN};
 	const struct mst_crash cleared = {
 	    .id = XXH64(run->task.path.data, run->task.path.len, CLEARED_SEED),
 	    .cleared = true,
--- a/src/core/crash/attribution.c
+++ b/src/core/crash/attribution.c
@@ -5,6 +5,10 @@
  * crashes. This is refined in rounds, as in expectation maximization: a
  * bystander of two causes loses its share to them, because each of them is the
  * only explanation of another crash.
+ *
+ * Jobs that were alone at a worker, or present at so many crashes that they are
+ * given up, show how long a cause runs before it crashes its worker. Runs that
+ * have lasted much longer are bystanders.
  */
 
 #include "core/crash/crash.h"
@@ -25,6 +29,15 @@
  * it counts only for a team of which another job is a cause. */
 #define ALONE_PROBABILITY 0.5
 
+/* Crashes with a known cause after which the time to a crash is known. */
+#define LASTED_SAMPLES_MIN 3
+/* Share of the known causes that have crashed their workers within the time
+ * that is taken, and how much longer than that a cause may run. Some are known
+ * wrongly. */
+#define LASTED_QUANTILE  0.75
+#define LASTED_FACTOR    2
+#define LASTED_MARGIN_MS 20
+
 /* A job that may have caused crashes. */
 struct candidate {
 	uint32_t team;
@@ -42,6 +55,15 @@
 	    now_us - record->crashed_us <= EVIDENCE_KEEP_US;
 }
 
+/* Returns true if a run may have caused the crash that it was present at. */
+static bool
+is_possible_cause(
+    const struct mst_crash_history *history, const struct crash_presence *run)
+{
+	return run->lasted_ms == MST_LASTED_UNKNOWN ||
+	    run->lasted_ms <= history->cause_lasted_max_ms;
+}
+
 static struct candidate *
 get_candidate(
     struct mst_crash_history *history, const struct crash_presence *run)
@@ -71,7 +93,8 @@
 		    g_hash_table_lookup(history->tasks, run->task);
 		struct candidate *candidate;
 
-		if (crashes->total < 2 || crashes->cleared)
+		if (crashes->total < 2 || crashes->cleared ||
+		    !is_possible_cause(history, run))
 			continue;
 		candidate = get_candidate(history, run);
 		candidate->confirmed |=
@@ -95,7 +118,7 @@
 		struct candidate *candidate =
 		    g_hash_table_lookup(history->candidates, run->job);
 
-		if (candidate != NULL &&
+		if (candidate != NULL && is_possible_cause(history, run) &&
 		    !g_ptr_array_find(present, candidate, NULL))
 			g_ptr_array_add(present, candidate);
 	}
@@ -162,10 +185,9 @@
 	}
 }
 
-void
-mst_crash_attribute(struct mst_crash_history *history, int64_t now_us)
+static void
+find_candidates(struct mst_crash_history *history, int64_t now_us)
 {
-	unsigned round;
 	guint i;
 
 	g_hash_table_remove_all(history->candidates);
@@ -173,6 +195,69 @@
 		if (is_evidence(history->records->pdata[i], now_us))
 			add_candidates(history, history->records->pdata[i]);
 	}
+}
+
+/* Returns true if a run is of a job that has certainly caused the crash. */
+static bool
+is_known_cause(const struct mst_crash_history *history,
+    const struct crash_record *record, const struct crash_presence *run)
+{
+	const struct candidate *candidate =
+	    g_hash_table_lookup(history->candidates, run->job);
+
+	return record->alone || (candidate != NULL && candidate->confirmed);
+}
+
+static gint
+compare_times(gconstpointer a, gconstpointer b)
+{
+	uint32_t left = *(const uint32_t *)a, right = *(const uint32_t *)b;
+
+	return left < right ? -1 : left > right;
+}
+
+/* Learns how long a cause runs at most. */
+static void
+learn_lasted_max(struct mst_crash_history *history, int64_t now_us)
+{
+	GArray *times = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	guint i, k;
+
+	for (i = 0; i < history->records->len; i++) {
+		const struct crash_record *record = history->records->pdata[i];
+
+		for (k = 0;
+		     is_evidence(record, now_us) && k < record->runs->len;
+		     k++) {
+			const struct crash_presence *run = &g_array_index(
+			    record->runs, struct crash_presence, k);
+
+			if (run->lasted_ms != MST_LASTED_UNKNOWN &&
+			    is_known_cause(history, record, run))
+				g_array_append_val(times, run->lasted_ms);
+		}
+	}
+	history->cause_lasted_max_ms = MST_LASTED_UNKNOWN;
+	if (times->len >= LASTED_SAMPLES_MIN) {
+		g_array_sort(times, compare_times);
+		history->cause_lasted_max_ms = LASTED_MARGIN_MS +
+		    LASTED_FACTOR *
+			g_array_index(times, uint32_t,
+			    (guint)(LASTED_QUANTILE * times->len));
+	}
+	g_array_unref(times);
+}
+
+void
+mst_crash_attribute(struct mst_crash_history *history, int64_t now_us)
+{
+	unsigned round;
+	guint i;
+
+	history->cause_lasted_max_ms = MST_LASTED_UNKNOWN;
+	find_candidates(history, now_us);
+	learn_lasted_max(history, now_us);
+	find_candidates(history, now_us);
 	for (round = 0; round < ROUNDS; round++) {
 		start_round(history);
 		for (i = 0; i < history->records->len; i++) {
--- a/src/core/crash/crash_internal.h
+++ b/src/core/crash/crash_internal.h
@@ -14,6 +14,7 @@
 	char *task;
 	char *job;
 	uint32_t team;
+	uint32_t lasted_ms; /* until the crash; or MST_LASTED_UNKNOWN */
 };
 
 struct crash_record {
@@ -28,6 +29,9 @@
 	GPtrArray *records;     /* struct crash_record */
 	GHashTable *tasks;      /* name -> struct mst_task_crashes */
 	GHashTable *candidates; /* key of a job -> struct candidate */
+	/* Longest time for which a task can have run that has caused a crash;
+	 * MST_LASTED_UNKNOWN: any. */
+	uint32_t cause_lasted_max_ms;
 };
 
 /* attribution.c */
--- a/src/core/crash/history.c
+++ b/src/core/crash/history.c
@@ -47,6 +47,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	history->candidates =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	history->cause_lasted_max_ms = MST_LASTED_UNKNOWN;
 	return history;
 }
 
@@ -90,7 +91,8 @@
 		struct crash_presence presence = {
 		    .task = mst_bytes_to_str(run->task),
 		    .job = mst_bytes_to_str(mst_task_name_job(run->task)),
-		    .team = run->team};
+		    .team = run->team,
+		    .lasted_ms = run->lasted_ms};
 
 		g_array_append_val(record->runs, presence);
 		record->alone &= g_str_equal(presence.job,
--- a/tests/sim/sim.c
+++ b/tests/sim/sim.c
@@ -186,6 +186,28 @@
 	return -1;
 }
 
+/* Replaces the crashes by copies without the times of their runs, which are
+ * valid until the next call. */
+static void
+clear_lasted_times(struct mst_crashes *crashes)
+{
+	static struct mst_crashed_run runs[MST_CRASHES_MAX * 16];
+	static struct mst_crash items[MST_CRASHES_MAX];
+	size_t used = 0;
+	uint32_t i, k;
+
+	for (i = 0; i < crashes->count; i++) {
+		items[i] = crashes->items[i];
+		items[i].runs = &runs[used];
+		for (k = 0; k < items[i].run_count; k++) {
+			g_assert_cmpuint(used, <, G_N_ELEMENTS(runs));
+			runs[used] = crashes->items[i].runs[k];
+			runs[used++].lasted_ms = MST_LASTED_UNKNOWN;
+		}
+	}
+	crashes->items = items;
+}
+
 /* Clears the fields that were added after the first format. */
 static void
 clear_added_fields(struct mst_msg *msg)
@@ -198,6 +220,8 @@
 		msg->heartbeat.build = none;
 	else if (msg->type == MST_MSG_PEER)
 		msg->peer.build = none;
+	else if (msg->type == MST_MSG_CRASHES)
+		clear_lasted_times(&msg->crashes);
 }
 
 void
--- a/tests/support/wire_samples.c
+++ b/tests/support/wire_samples.c
@@ -162,9 +162,9 @@
 	static struct mst_crashed_run runs[2];
 	static struct mst_crash items[2];
 
-	runs[0] =
-	    (struct mst_crashed_run){text("5c0e7a21d94b36f8.0.0.1"), 0xfeed};
-	runs[1] = (struct mst_crashed_run){text("x"), 1};
+	runs[0] = (struct mst_crashed_run){
+	    text("5c0e7a21d94b36f8.0.0.1"), 0xfeed, MST_LASTED_UNKNOWN};
+	runs[1] = (struct mst_crashed_run){text("x"), 1, MST_LASTED_UNKNOWN};
 	items[0] = (struct mst_crash){.number = 6,
 	    .id = FROM,
 	    .age_ms = 100,
--- a/tests/test_crash_history.c
+++ b/tests/test_crash_history.c
@@ -2,10 +2,13 @@
  * Tests of what the crashes that agents report say of tasks and of teams. A
  * crash is written as the names of the tasks that were present; the first
  * letter of a name is the job and, in lower case, the team 'a', in upper case
- * the team 'A'.
+ * the team 'A'. A name may be followed by @ and the milliseconds for which the
+ * run had lasted.
  */
 
 #include <masticstall.h>
+#include <stdlib.h>
+#include <string.h>
 
 #include "core/crash/crash.h"
 
@@ -41,9 +44,19 @@
 	const struct crash_record *record;
 	char **name;
 
-	for (name = names; *name != NULL; name++)
-		runs[crash.run_count++] = (struct mst_crashed_run){
-		    .task = mst_bytes_from_str(*name), .team = team_of(*name)};
+	for (name = names; *name != NULL; name++) {
+		char *lasted = strchr(*name, '@');
+		struct mst_crashed_run *run = &runs[crash.run_count++];
+
+		run->lasted_ms = MST_LASTED_UNKNOWN;
+		if (lasted != NULL) {
+			*lasted = '\0';
+			run->lasted_ms =
+			    (uint32_t)strtoul(lasted + 1, NULL, 10);
+		}
+		run->task = mst_bytes_from_str(*name);
+		run->team = team_of(*name);
+	}
 	record = mst_crash_history_add(history, &crash, NOW_US);
 	g_strfreev(names);
 	return record;
@@ -104,6 +117,48 @@
 	mst_crash_history_free(history);
 }
 
+/* Long tasks (B) are present at two crashes of short-lived causes whose tasks
+ * are new each time. */
+static const struct crash_text long_bystander[] = {
+    {"c.0@11 B.0@400 B.1@380", 10}, {"d.0@10 B.0@250 B.1@120", 20}};
+
+/* Guards against a team of long tasks being taken for the cause. Where jobs
+ * were alone, crashes have followed their starts within some 10 ms. */
+static void
+crash_history__long_runs_are_bystanders(void)
+{
+	static const struct crash_text alone[] = {
+	    {"e.0@10", 30}, {"f.0@12", 40}, {"g.0@9", 50}};
+	struct mst_crash_history *history = mst_crash_history_new();
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(long_bystander); i++)
+		add(history, &long_bystander[i], false);
+	g_assert_cmpfloat(evidence(history, OTHER_TEAM), >, 0.5);
+	for (i = 0; i < G_N_ELEMENTS(alone); i++)
+		add(history, &alone[i], false);
+	g_assert_cmpfloat(evidence(history, OTHER_TEAM), ==, 0);
+	mst_crash_history_free(history);
+}
+
+/* Guards against excluding a cause because other causes were faster: where some
+ * have run for long, any run may be the cause. */
+static void
+crash_history__slow_causes_exclude_no_run(void)
+{
+	static const struct crash_text alone[] = {
+	    {"e.0@10", 30}, {"f.0@300", 40}, {"g.0@9", 50}};
+	struct mst_crash_history *history = mst_crash_history_new();
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(long_bystander); i++)
+		add(history, &long_bystander[i], false);
+	for (i = 0; i < G_N_ELEMENTS(alone); i++)
+		add(history, &alone[i], false);
+	g_assert_cmpfloat(evidence(history, OTHER_TEAM), >, 0.5);
+	mst_crash_history_free(history);
+}
+
 /* Guards against a suspect that has completed being held against its team. */
 static void
 crash_history__completed_suspect_is_cleared(void)
@@ -238,6 +293,10 @@
 	    crash_history__old_crashes_are_forgotten);
 	g_test_add_func("/crash-history/oldest-of-many-is-dropped",
 	    crash_history__oldest_of_many_is_dropped);
+	g_test_add_func("/crash-history/long-runs-are-bystanders",
+	    crash_history__long_runs_are_bystanders);
+	g_test_add_func("/crash-history/slow-causes-exclude-no-run",
+	    crash_history__slow_causes_exclude_no_run);
 	g_test_add_func("/crash-history/verdicts", crash_history__verdicts);
 	return g_test_run();
 }
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -25,6 +25,10 @@
 
 #define CRASHING_KIND 0
 
+/* The same in a wide fleet, which can spare the workers that crash. */
+#define WIDE_SEEDS              6
+#define WIDE_OTHERS_IN_TIME_MIN 0.985
+
 /* Share of the jobs in time with a lost rack, over that without quarantine. */
 #define RACKS_IN_TIME_MIN 0.99
 /* An idempotent task without leases. */
@@ -64,6 +68,18 @@
     .target_ms = 100,
     .deadline_ms = 1500};
 
+/* A fleet in which the jobs of the other kinds have a run at almost every
+ * worker, so that many are present at several crashes. */
+static struct load_shape
+wide_shape(void)
+{
+	struct load_shape wide = shape;
+
+	wide.entries = 4;
+	wide.workers = 40;
+	return wide;
+}
+
 /* Outcomes of the jobs without a crashing task, over all seeds. */
 struct results {
 	struct load_counts during[LOAD_KINDS_MAX]; /* submitted in the fault */
@@ -196,6 +212,39 @@
 	}
 }
 
+/* Guards against a quarantine of bystanders while the crashes of others are
+ * attributed: their kind would be served by a quarter of the workers. */
+static void
+crashes__other_kinds_are_served_by_wide_fleet(void)
+{
+	const struct load_shape wide = wide_shape();
+	struct load_counts others = {0};
+	uint32_t seed;
+	guint i;
+
+	for (seed = 1; seed <= WIDE_SEEDS; seed++) {
+		const struct load_options options = {.seed = seed,
+		    .paired = true,
+		    .fault = load_fault_find("crashing")};
+		struct load *load = load_new(&wide, &options);
+
+		load_run(load);
+		for (i = 0; i < load->jobs->len; i++) {
+			const struct load_job *job = load->jobs->pdata[i];
+
+			if (job->kind != &load->shape.kinds[CRASHING_KIND] &&
+			    job->submitted_ms >= LOAD_PEAK_START_MS &&
+			    job->submitted_ms < LOAD_PEAK_END_MS)
+				load_count_job(&others, load, job);
+		}
+		load_free(load);
+	}
+	g_test_message("in time: %u of %u, %u refused", others.in_time,
+	    others.submitted, others.refused);
+	g_assert_cmpfloat(others.in_time, >=,
+	    WIDE_OTHERS_IN_TIME_MIN * (double)others.submitted);
+}
+
 /* Guards against serving none of a kind because some of its jobs crash workers.
  */
 static void
@@ -345,6 +394,8 @@
 	    "/crashes/starts-are-limited", crashes__starts_are_limited);
 	g_test_add_func(
 	    "/crashes/other-kinds-are-served", crashes__other_kinds_are_served);
+	g_test_add_func("/crashes/other-kinds-wide",
+	    crashes__other_kinds_are_served_by_wide_fleet);
 	g_test_add_func("/crashes/jobs-like-the-crashing-ones-are-served",
 	    crashes__jobs_like_the_crashing_ones_are_served);
 	g_test_add_func("/crashes/no-bystander-is-given-up",
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -129,6 +129,25 @@
 		    text, "reason %d %s\n", i, mst_reason_name(i));
 }
 
+/* Sets the times for which the runs of a crash have lasted. */
+static void
+set_lasted_times(struct mst_crashes *crashes)
+{
+	static struct mst_crashed_run runs[4];
+	static struct mst_crash items[4];
+	uint32_t i, k, used = 0;
+
+	for (i = 0; i < crashes->count; i++) {
+		items[i] = crashes->items[i];
+		items[i].runs = &runs[used];
+		for (k = 0; k < items[i].run_count; k++) {
+			runs[used] = crashes->items[i].runs[k];
+			runs[used++].lasted_ms = 10 * (i + 1) + k;
+		}
+	}
+	crashes->items = items;
+}
+
 /* Appends every type of message with the added fields. */
 static void
 append_messages(GString *text)
@@ -148,6 +167,8 @@
 			msg.heartbeat.build = build;
 		else if (type == MST_MSG_PEER)
 			msg.peer.build = build;
+		else if (type == MST_MSG_CRASHES)
+			set_lasted_times(&msg.crashes);
 		mst_msg_encode(bytes, &msg);
 		append_record(text, mst_msg_type_name(type), bytes);
 		g_byte_array_unref(bytes);
@@ -206,6 +227,27 @@
 	mst_decoder_free(decoder);
 }
 
+/* Each run gets the time at its place in the list, over all crashes. */
+static void
+wire__lasted_times_belong_to_their_runs(void)
+{
+	struct mst_decoder *decoder = mst_decoder_new();
+	GByteArray *bytes = g_byte_array_new();
+	struct mst_msg msg;
+
+	wire_sample(&msg, MST_MSG_CRASHES);
+	set_lasted_times(&msg.crashes);
+	mst_msg_encode(bytes, &msg);
+	g_assert_cmpint(
+	    mst_decoder_decode(&msg, decoder, bytes->data, bytes->len, NULL),
+	    ==, 0);
+	g_assert_cmpuint(msg.crashes.items[0].runs[0].lasted_ms, ==, 10);
+	g_assert_cmpuint(msg.crashes.items[0].runs[1].lasted_ms, ==, 11);
+	g_assert_cmpuint(msg.crashes.items[1].runs[0].lasted_ms, ==, 20);
+	g_byte_array_unref(bytes);
+	mst_decoder_free(decoder);
+}
+
 /* A type that this build doesn't know is told from a malformed message, and its
  * sender is known, so that it is logged once for each sender. */
 static void
@@ -261,6 +303,8 @@
 	    "/wire/further-fields", wire__further_fields_are_skipped);
 	g_test_add_func(
 	    "/wire/unknown-type", wire__unknown_types_name_their_sender);
+	g_test_add_func(
+	    "/wire/lasted-times", wire__lasted_times_belong_to_their_runs);
 	g_test_add_func(
 	    "/wire/unknown-outcome", wire__unknown_outcomes_may_have_run);
 	return g_test_run();
