crashes: a list of times that is too short is malformed; attribution split

Found by reading: a truncated list of times left the rest unknown instead of refusing the message, and a large time from the wire could overflow the limit. One function collects the times of known causes, one learns from them.

--- a/src/codec/payload_member.c
+++ b/src/codec/payload_member.c
@@ -204,20 +204,21 @@
 static void
 get_lasted_times(struct codec_reader *r, const struct mst_crashes *m)
 {
-	struct codec_reader nested = {.failed = true};
+	bool is_listed = !codec_at_end(r);
+	struct codec_reader nested = {0};
 	uint32_t count, i, k;
 
-	if (!codec_at_end(r))
+	if (is_listed)
 		nested = codec_get_array(r, &count);
 	for (i = 0; i < m->count; i++) {
 		struct mst_crashed_run *runs =
 		    (struct mst_crashed_run *)m->items[i].runs;
 
 		for (k = 0; k < m->items[i].run_count; k++)
-			runs[k].lasted_ms = nested.failed
-			    ? MST_LASTED_UNKNOWN
-			    : codec_get_u32(&nested);
+			runs[k].lasted_ms = is_listed ? codec_get_u32(&nested)
+						      : MST_LASTED_UNKNOWN;
 	}
+	r->failed |= nested.failed;
 }
 
 void
--- a/src/core/crash/attribution.c
+++ b/src/core/crash/attribution.c
@@ -197,7 +197,7 @@
 	}
 }
 
-/* Returns true if a run is of a job that has certainly caused the crash. */
+/* Returns true if a run is of a job that is taken for the cause of a crash. */
 static bool
 is_known_cause(const struct mst_crash_history *history,
     const struct crash_record *record, const struct crash_presence *run)
@@ -216,34 +216,44 @@
 	return left < right ? -1 : left > right;
 }
 
+/* Adds the times for which the known causes of a crash had run. */
+static void
+collect_cause_times(GArray *times, const struct mst_crash_history *history,
+    const struct crash_record *record)
+{
+	guint i;
+
+	for (i = 0; i < record->runs->len; i++) {
+		const struct crash_presence *run =
+		    &g_array_index(record->runs, struct crash_presence, i);
+
+		if (run->lasted_ms != MST_LASTED_UNKNOWN &&
+		    is_known_cause(history, record, run))
+			g_array_append_val(times, run->lasted_ms);
+	}
+}
+
 /* Learns how long a cause runs at most. */
 static void
 learn_lasted_max(struct mst_crash_history *history, int64_t now_us)
 {
 	GArray *times = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-	guint i, k;
+	uint64_t typical_ms;
+	guint i;
 
 	for (i = 0; i < history->records->len; i++) {
-		const struct crash_record *record = history->records->pdata[i];
-
-		for (k = 0;
-		     is_evidence(record, now_us) && k < record->runs->len;
-		     k++) {
-			const struct crash_presence *run = &g_array_index(
-			    record->runs, struct crash_presence, k);
-
-			if (run->lasted_ms != MST_LASTED_UNKNOWN &&
-			    is_known_cause(history, record, run))
-				g_array_append_val(times, run->lasted_ms);
-		}
+		if (is_evidence(history->records->pdata[i], now_us))
+			collect_cause_times(
+			    times, history, history->records->pdata[i]);
 	}
 	history->cause_lasted_max_ms = MST_LASTED_UNKNOWN;
 	if (times->len >= LASTED_SAMPLES_MIN) {
 		g_array_sort(times, compare_times);
-		history->cause_lasted_max_ms = LASTED_MARGIN_MS +
-		    LASTED_FACTOR *
-			g_array_index(times, uint32_t,
-			    (guint)(LASTED_QUANTILE * times->len));
+		typical_ms = g_array_index(
+		    times, uint32_t, (guint)(LASTED_QUANTILE * times->len));
+		history->cause_lasted_max_ms =
+		    (uint32_t)MIN(typical_ms * LASTED_FACTOR + LASTED_MARGIN_MS,
+			MST_LASTED_UNKNOWN);
 	}
 	g_array_unref(times);
 }
