agent: unknown runs, uncertain starts and the worker's incarnation are logged

The hypotheses about two runs of one task differ in what the first list of a restarted worker shows, and logs had only a counter of it. Now event=unknown-run names each run that an agent finds and stops, with the worker's incarnation; event=worker has the incarnation; event=run-ended says start_uncertain=1 if a start of the run got no answer, counted as starts_uncertain_total.

--- a/include/masticstall/agent.h
+++ b/include/masticstall/agent.h
@@ -98,6 +98,9 @@
 	MST_AGENT_FX_ORDER,      /* send an order to the worker */
 	MST_AGENT_FX_WORKER,     /* the state of the worker has changed */
 	MST_AGENT_FX_RUN_FAILED, /* a run ended without success */
+	/* The worker runs a task that this agent has not started or has given
+	 * up; the run is stopped. */
+	MST_AGENT_FX_UNKNOWN_RUN,
 	MST_AGENT_FX_LEASE_EXPIRED, /* the lease of an entry has expired */
 	MST_AGENT_FX_STORE,         /* execute a store operation */
 	/* No work is left of an entry that is not wanted. */
@@ -119,10 +122,13 @@
 	const char *state;                    /* WORKER */
 	/* RUN_FAILED, LEASE_EXPIRED, ENTRY_UNUSED, BUILD: its incarnation */
 	uint64_t entry;
+	struct mst_worker_run unknown_run; /* UNKNOWN_RUN */
+	uint64_t worker_incarnation;       /* UNKNOWN_RUN, WORKER; 0: unknown */
 	uint32_t run_number;           /* RUN_FAILED: run number of the task */
 	struct mst_result_item result; /* RUN_FAILED */
-	int64_t silent_us; /* LEASE_EXPIRED: age of the last clock echo */
-	uint32_t open;     /* LEASE_EXPIRED: queued and running tasks */
+	bool start_uncertain; /* RUN_FAILED: a start of it got no answer */
+	int64_t silent_us;    /* LEASE_EXPIRED: age of the last clock echo */
+	uint32_t open;        /* LEASE_EXPIRED: queued and running tasks */
 	/* CRASH: all that are remembered; the new one is the last. */
 	struct mst_crashes crashes;
 	struct mst_store_op op;       /* STORE */
@@ -148,6 +154,8 @@
 	uint64_t runs_lost;    /* runs that ended without a result */
 	uint64_t crashes;      /* of the worker, with runs in progress */
 	uint64_t runs_unknown; /* runs stopped that this agent did not start */
+	/* Runs that ended while a start of them had no answer. */
+	uint64_t starts_uncertain;
 	uint64_t leases_expired;
 	/* Worker leases left to expire to invalidate unrecorded completions. */
 	uint64_t forced_expiries;
--- a/src/core/agent/run.c
+++ b/src/core/agent/run.c
@@ -121,6 +121,9 @@
 	effect->entry = run->session->entry;
 	effect->run_number = run->run_number;
 	effect->result = run->result;
+	effect->start_uncertain = mst_worker_start_is_uncertain(run);
+	if (effect->start_uncertain)
+		agent->counters.starts_uncertain++;
 }
 
 void
--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -173,9 +173,8 @@
 	mst_worker_complete_run(agent, run, &result);
 }
 
-/* Returns true if a start order of a run may still be executed. */
-static bool
-start_is_uncertain(const struct run *run)
+bool
+mst_worker_start_is_uncertain(const struct run *run)
 {
 	return run->start_unanswered || run->starts_open > 0;
 }
@@ -188,7 +187,7 @@
 	    .outcome = MST_OUTCOME_NOT_RUN, .reason = (uint8_t)reason};
 
 	/* Another copy of the order may have been executed. */
-	if (start_is_uncertain(run))
+	if (mst_worker_start_is_uncertain(run))
 		mst_worker_stop_run(agent, run, reason);
 	else
 		mst_worker_complete_run(agent, run, &result);
@@ -207,7 +206,7 @@
 static bool
 must_stop_first(const struct run *run, bool lease_expired)
 {
-	return start_is_uncertain(run) &&
+	return mst_worker_start_is_uncertain(run) &&
 	    (!lease_expired || run->task.record.len > 0);
 }
 
@@ -280,7 +279,7 @@
 		run->confirmed_us = agent->now_us;
 		break;
 	case MST_ORDER_OLD_RUN:
-		if (start_is_uncertain(run)) {
+		if (mst_worker_start_is_uncertain(run)) {
 			/* Another copy used the number; the lists show the
 			 * state of its run. */
 			run->order_state = ORDER_STARTED;
--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -82,9 +82,13 @@
 static void
 stop_unknown_run(struct mst_agent *agent, const struct mst_worker_run *listed)
 {
-	struct mst_order *order =
-	    mst_worker_emit_order(agent, MST_ORDER_STOP, 0);
+	struct mst_agent_effect *effect =
+	    mst_agent_emit(agent, MST_AGENT_FX_UNKNOWN_RUN);
+	struct mst_order *order;
 
+	effect->unknown_run = *listed;
+	effect->worker_incarnation = agent->worker.incarnation;
+	order = mst_worker_emit_order(agent, MST_ORDER_STOP, 0);
 	order->task = listed->task;
 	order->run = listed->run;
 	agent->counters.runs_unknown++;
--- a/src/core/worker/state.c
+++ b/src/core/worker/state.c
@@ -61,6 +61,7 @@
 	    mst_agent_emit(agent, MST_AGENT_FX_WORKER);
 
 	effect->state = state;
+	effect->worker_incarnation = agent->worker.incarnation;
 }
 
 int64_t
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -90,6 +90,9 @@
 /* Ends the runs whose start order waits to be repeated, because the failure
  * domain of the worker is drained. */
 void mst_worker_cancel_due_starts(struct mst_agent *agent);
+/* Returns true if a start order of a run got no answer and may still be
+ * executed. */
+bool mst_worker_start_is_uncertain(const struct run *run);
 /* Orders the worker to stop a run, unless that was done already. The reason is
  * reported if the run ends without a result. */
 void mst_worker_stop_run(
--- a/src/runtime/agent_runtime.c
+++ b/src/runtime/agent_runtime.c
@@ -137,11 +137,24 @@
 
 	mst_log(MST_LOG_INFO, "run-ended",
 	    "job=%.*s task=%.*s run=%" PRIu32 " entry=%016" PRIx64
-	    " outcome=%s reason=%s queue_ms=%" PRIu32 " run_ms=%" PRIu32,
+	    " outcome=%s reason=%s queue_ms=%" PRIu32 " run_ms=%" PRIu32
+	    " start_uncertain=%d",
 	    job_len, name->data, (int)name->len, name->data, effect->run_number,
 	    effect->entry, mst_outcome_name(effect->result.outcome),
 	    mst_reason_name(effect->result.reason),
-	    effect->result.queue_us / 1000, effect->result.service_us / 1000);
+	    effect->result.queue_us / 1000, effect->result.service_us / 1000,
+	    effect->start_uncertain);
+}
+
+static void
+log_unknown_run(const struct mst_agent_effect *effect)
+{
+	const struct mst_bytes *name = &effect->unknown_run.task;
+
+	mst_log(MST_LOG_WARNING, "unknown-run",
+	    "job=%.*s task=%.*s run=%" PRIu32 " worker=%" PRIu64,
+	    (int)mst_task_name_job(*name).len, name->data, (int)name->len,
+	    name->data, effect->unknown_run.run, effect->worker_incarnation);
 }
 
 /* Logs the record that was added last. Each run of a crash is logged when it
@@ -192,6 +205,9 @@
 	case MST_AGENT_FX_RUN_FAILED:
 		log_failed_run(effect);
 		break;
+	case MST_AGENT_FX_UNKNOWN_RUN:
+		log_unknown_run(effect);
+		break;
 	case MST_AGENT_FX_LEASE_EXPIRED:
 		mst_log(MST_LOG_WARNING, "entry-lease-lapsed",
 		    "entry=%016" PRIx64 " silent_ms=%" PRId64 " tasks=%" PRIu32,
@@ -215,7 +231,8 @@
 			crash_store_save(rt->crash_store, &effect->crashes);
 		break;
 	case MST_AGENT_FX_WORKER:
-		mst_log(MST_LOG_INFO, "worker", "state=%s", effect->state);
+		mst_log(MST_LOG_INFO, "worker", "state=%s worker=%" PRIu64,
+		    effect->state, effect->worker_incarnation);
 		break;
 	}
 }
--- a/src/runtime/metrics.c
+++ b/src/runtime/metrics.c
@@ -343,6 +343,9 @@
 	metrics_add_single(out, "runs_unknown_total", "counter",
 	    "Runs found on the worker that are nobody's, and stopped.",
 	    (double)counters->runs_unknown);
+	metrics_add_single(out, "starts_uncertain_total", "counter",
+	    "Runs that ended while a start of them had no answer.",
+	    (double)counters->starts_uncertain);
 	metrics_add_single(out, "entry_leases_lapsed_total", "counter",
 	    "Times that an entry's work was ended for its silence.",
 	    (double)counters->leases_expired);
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -171,6 +171,20 @@
 		case MST_AGENT_FX_LOAD_REPORT:
 			log_line(harness, "kept report asked for");
 			break;
+		case MST_AGENT_FX_UNKNOWN_RUN:
+			log_line(harness,
+			    "unknown run %.*s/%u at worker %" PRIu64,
+			    (int)effect->unknown_run.task.len,
+			    effect->unknown_run.task.data,
+			    effect->unknown_run.run,
+			    effect->worker_incarnation);
+			break;
+		case MST_AGENT_FX_RUN_FAILED:
+			if (effect->start_uncertain)
+				log_line(harness, "%.*s ended, start uncertain",
+				    (int)effect->task->path.len,
+				    effect->task->path.data);
+			break;
 		case MST_AGENT_FX_LEASE_EXPIRED:
 			log_line(harness, "lease of entry %" PRIu64 " lapsed",
 			    effect->entry);
