worker: a new incarnation counts as read only once the new fence is in force

What callers could see: two runs of a best-effort task at once. While answers get lost an agent keeps two renewals in flight. When the worker is restarted under its id, the first answer raised the fence in the agent, and the second one, to an order with the old fence, was taken for a list under the new one: runs were reported as lost and the agent announced itself while the worker still accepted delayed starts of its earlier incarnation.

The list of an unsynchronized worker now counts only in an answer to an order with the present fence. golden/worker/fence_not_in_force plays it: 'worker answers' came with the second list before, with the third one now. Whether this is what was reported is not shown.

--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -152,34 +152,44 @@
 	return unknown_runs;
 }
 
-uint64_t *
-mst_worker_find_renew_slot(struct worker *worker, uint64_t id)
+struct renewal *
+mst_worker_find_renewal(struct worker *worker, uint64_t id)
 {
 	size_t i;
 
 	for (i = 0; i < WORKER_RENEWS_MAX; i++) {
-		if (worker->renew_ids[i] == id)
-			return &worker->renew_ids[i];
+		if (worker->renewals[i].id == id)
+			return &worker->renewals[i];
 	}
 	return NULL;
 }
 
+static bool
+has_open_renewal(const struct worker *worker)
+{
+	size_t i;
+
+	for (i = 0; i < WORKER_RENEWS_MAX; i++) {
+		if (worker->renewals[i].id != 0)
+			return true;
+	}
+	return false;
+}
+
 /* While answers get lost, a second renew order is used, because its answer
  * lists the completions if the answer to the first is lost. */
-uint64_t *
-mst_worker_get_renew_slot(struct mst_agent *agent)
+struct renewal *
+mst_worker_get_free_renewal(struct mst_agent *agent)
 {
 	struct worker *worker = &agent->worker;
 
 	if (worker->synced && mst_worker_is_unreliable(agent))
-		return mst_worker_find_renew_slot(worker, 0);
-	return worker->renew_ids[0] == 0 && worker->renew_ids[1] == 0
-	    ? &worker->renew_ids[0]
-	    : NULL;
+		return mst_worker_find_renewal(worker, 0);
+	return has_open_renewal(worker) ? NULL : &worker->renewals[0];
 }
 
 void
-mst_worker_send_renew(struct mst_agent *agent, uint64_t *renew_slot)
+mst_worker_send_renew(struct mst_agent *agent, struct renewal *renewal)
 {
 	struct worker *worker = &agent->worker;
 	int64_t wait_us = mst_worker_is_unreliable(agent)
@@ -190,8 +200,9 @@
 	/* The lease of all runs is renewed, so the runs of entries whose lease
 	 * has expired are stopped first. */
 	mst_agent_check_leases(agent);
-	*renew_slot = ++agent->next_handle;
-	order = mst_worker_emit_order(agent, MST_ORDER_RENEW, *renew_slot);
+	*renewal = (struct renewal){
+	    .id = ++agent->next_handle, .fence = worker->fence};
+	order = mst_worker_emit_order(agent, MST_ORDER_RENEW, renewal->id);
 	if (!worker->lease_expiring &&
 	    !mst_unknown_completions_are_pending(worker))
 		order->completions_acked = mst_completions_last_acked(worker);
@@ -223,9 +234,10 @@
 	agent->counters.orders_repeated++;
 }
 
+/* Handles the answer to a renew order with the given fence. */
 static void
-handle_renew_success(
-    struct mst_agent *agent, const struct mst_order_answer *answer)
+handle_renew_success(struct mst_agent *agent,
+    const struct mst_order_answer *answer, uint64_t fence)
 {
 	struct worker *worker = &agent->worker;
 	bool was_lost = worker->renew_failures >= WORKER_RENEW_FAILURES_MAX;
@@ -233,13 +245,17 @@
 
 	worker->next_renew_us = agent->now_us;
 	/* The answer to the other renew order lists the next completion. */
-	if (worker->renew_ids[0] != 0 || worker->renew_ids[1] != 0)
+	if (has_open_renewal(worker))
 		worker->next_renew_us += WORKER_UNRELIABLE_WAIT_US / 2;
 	/* The fence depends on the worker's clock, which is now known. */
 	if (worker->fence == 0) {
 		mst_worker_raise_fence(agent);
 		return;
 	}
+	/* The worker may still execute starts that were delayed since its
+	 * earlier incarnation. */
+	if (!worker->synced && fence != worker->fence)
+		return;
 	unknown_runs = process_lists(agent, answer);
 	worker->renew_failures = 0;
 	/* Runs of an earlier incarnation of this agent must end first, because
@@ -265,14 +281,14 @@
     struct mst_agent *agent, const struct mst_order_answer *answer)
 {
 	struct worker *worker = &agent->worker;
-	uint64_t *renew_slot = mst_worker_find_renew_slot(worker, answer->id);
+	struct renewal *renewal = mst_worker_find_renewal(worker, answer->id);
 
-	if (renew_slot == NULL)
+	if (renewal == NULL)
 		return;
-	*renew_slot = 0;
+	renewal->id = 0;
 	switch (answer->status) {
 	case MST_ORDER_DONE:
-		handle_renew_success(agent, answer);
+		handle_renew_success(agent, answer, renewal->fence);
 		break;
 	case MST_ORDER_FENCED:
 		mst_worker_raise_fence(agent);
--- a/src/core/worker/worker.c
+++ b/src/core/worker/worker.c
@@ -177,7 +177,7 @@
 mst_worker_handle_answer(
     struct mst_agent *agent, const struct mst_order_answer *answer)
 {
-	uint64_t *renew_slot;
+	struct renewal *renewal;
 	struct run *run;
 
 	agent->counters.orders[answer->status]++;
@@ -185,10 +185,9 @@
 		agent->worker.unreliable_until_us =
 		    agent->now_us + WORKER_UNRELIABLE_US;
 	if (!accept_incarnation(agent, answer->incarnation)) {
-		renew_slot =
-		    mst_worker_find_renew_slot(&agent->worker, answer->id);
-		if (answer->kind == MST_ORDER_RENEW && renew_slot != NULL)
-			*renew_slot = 0;
+		renewal = mst_worker_find_renewal(&agent->worker, answer->id);
+		if (answer->kind == MST_ORDER_RENEW && renewal != NULL)
+			renewal->id = 0;
 		return;
 	}
 	if (clock_was_reset(agent, answer))
@@ -219,7 +218,7 @@
 mst_worker_tick(struct mst_agent *agent)
 {
 	struct worker *worker = &agent->worker;
-	uint64_t *renew_slot;
+	struct renewal *renewal;
 
 	if (!worker->report_loaded) {
 		worker->report_loaded = true;
@@ -237,7 +236,7 @@
 	mst_worker_send_due_orders(agent);
 	if (agent->now_us < worker->next_renew_us)
 		return;
-	renew_slot = mst_worker_get_renew_slot(agent);
-	if (renew_slot != NULL)
-		mst_worker_send_renew(agent, renew_slot);
+	renewal = mst_worker_get_free_renewal(agent);
+	if (renewal != NULL)
+		mst_worker_send_renew(agent, renewal);
 }
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -24,6 +24,12 @@
  * lost. */
 #define WORKER_RENEWS_MAX 2
 
+/* A renew order without an answer. */
+struct renewal {
+	uint64_t id; /* 0: none */
+	uint64_t fence;
+};
+
 /* Worker of a leased agent. */
 struct worker {
 	bool has_reported;   /* its status is known */
@@ -49,8 +55,7 @@
 	int64_t clock_us;
 	int64_t lease_end_us;   /* its runs end by then unless renewed */
 	int64_t start_after_us; /* nothing is started before */
-	/* Ids of the renew orders without an answer; 0: none. */
-	uint64_t renew_ids[WORKER_RENEWS_MAX];
+	struct renewal renewals[WORKER_RENEWS_MAX];
 	int64_t next_renew_us;
 	int64_t unreliable_until_us; /* set when an order gets no answer */
 	/* Time until an answer, and its deviation; moving averages. */
--- a/src/core/worker/worker_internal.h
+++ b/src/core/worker/worker_internal.h
@@ -110,13 +110,13 @@
 bool mst_unknown_completions_are_pending(const struct worker *worker);
 
 /* renew.c */
-/* Returns the slot of the unanswered renew order with an id, or NULL; the id 0
- * finds a free slot. */
-uint64_t *mst_worker_find_renew_slot(struct worker *worker, uint64_t id);
-/* Returns a slot for one more renew order, or NULL. */
-uint64_t *mst_worker_get_renew_slot(struct mst_agent *agent);
-/* Sends a renew order and stores its id in a slot. */
-void mst_worker_send_renew(struct mst_agent *agent, uint64_t *renew_slot);
+/* Returns the unanswered renew order with an id, or NULL; the id 0 finds a free
+ * slot. */
+struct renewal *mst_worker_find_renewal(struct worker *worker, uint64_t id);
+/* Returns a free slot for one more renew order, or NULL. */
+struct renewal *mst_worker_get_free_renewal(struct mst_agent *agent);
+/* Sends a renew order and stores it in a slot. */
+void mst_worker_send_renew(struct mst_agent *agent, struct renewal *renewal);
 void mst_worker_handle_renew_answer(
     struct mst_agent *agent, const struct mst_order_answer *answer);
 
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -563,11 +563,12 @@
 main(int argc, char **argv)
 {
 	static const char *const scripts[] = {"run_completes",
-	    "earlier_incarnation", "unanswered_start", "restarted",
-	    "lease_lapses", "fenced", "start_after_stop", "worker_down",
-	    "kept_report", "kept_report_gone", "unknown_completions",
-	    "many_unknown_completions", "unrecordable_completions",
-	    "long_lease", "refused_stop", "unreachable", "crash", "isolated"};
+	    "earlier_incarnation", "fence_not_in_force", "unanswered_start",
+	    "restarted", "lease_lapses", "fenced", "start_after_stop",
+	    "worker_down", "kept_report", "kept_report_gone",
+	    "unknown_completions", "many_unknown_completions",
+	    "unrecordable_completions", "long_lease", "refused_stop",
+	    "unreachable", "crash", "isolated"};
 	size_t i;
 
 	g_test_init(&argc, &argv, NULL);
