agent: leases of entries are checked before every event

What callers could see: two runs of a best-effort task at once. An agent that was frozen while it waited for events handles those that came meanwhile before its timers. An answer of its worker that frees a slot then started a queued task whose entry had not been heard for 1.4 s and may have sent it elsewhere after 1.3 s; the lease was checked by ticks and before renewals only.

The check now comes before every event, in one place. golden/worker/paused plays it: START of the queued task before, 'not-run lease-lapsed' now. Whether this is what was reported is not shown.

Leases but the listed test, stored, deadlines, sessions, faults, takeover and drains pass.

--- a/src/core/agent/agent.c
+++ b/src/core/agent/agent.c
@@ -379,10 +379,8 @@
 	if (agent->tick_us > 0 && gap_us > AGENT_PAUSE_US)
 		exclude_pause(agent, gap_us);
 	agent->tick_us = agent->now_us;
-	if (agent->options.leased) {
-		mst_agent_check_leases(agent);
+	if (agent->options.leased)
 		mst_worker_tick(agent);
-	}
 	mst_agent_start_queued(agent);
 	if (agent->now_us >= agent->next_prune_us) {
 		agent->next_prune_us = agent->now_us + AGENT_SCAN_US;
@@ -405,6 +403,9 @@
 	g_array_set_size(agent->effects, 0);
 	mst_crash_list_release(&agent->crashes);
 	agent->now_us = MAX(agent->now_us, event->now_us);
+	/* After a pause of this process any event may be the first one. */
+	if (agent->options.leased)
+		mst_agent_check_leases(agent);
 	switch (event->type) {
 	case MST_AGENT_EV_TICK:
 		agent_tick(agent);
--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -197,9 +197,6 @@
 	    : agent->options.leases.renew_interval_us;
 	struct mst_order *order;
 
-	/* The lease of all runs is renewed, so the runs of entries whose lease
-	 * has expired are stopped first. */
-	mst_agent_check_leases(agent);
 	*renewal = (struct renewal){
 	    .id = ++agent->next_handle, .fence = worker->fence};
 	order = mst_worker_emit_order(agent, MST_ORDER_RENEW, renewal->id);
--- a/tests/sim/sim.c
+++ b/tests/sim/sim.c
@@ -682,9 +682,9 @@
 }
 
 /*
- * Delivers a tick before the events that arrived during the pause, since a
- * daemon runs its timers first after a pause; then delivers these events in
- * order.
+ * Delivers the events that arrived during the pause in order, and a tick before
+ * or after them in turn: a daemon that was paused while it waited for events
+ * handles these first, else its timers.
  */
 void
 sim_resume(struct sim *sim, int node_id)
@@ -692,12 +692,14 @@
 	struct node *node = &sim->nodes[node_id];
 	GQueue backlog = node->backlog;
 	struct sim_event *event;
+	bool tick_first = sim->resume_count++ % 2 == 0;
 	bool ticked = false;
 
 	sim_log(sim, "%s resumed", node->name);
 	node->paused = false;
 	g_queue_init(&node->backlog);
-	sim_schedule(sim, node_id, SIM_EVENT_TICK, sim->now_us);
+	if (tick_first)
+		sim_schedule(sim, node_id, SIM_EVENT_TICK, sim->now_us);
 	while ((event = g_queue_pop_head(&backlog)) != NULL) {
 		if (event->type == SIM_EVENT_TICK && !ticked) {
 			ticked = true;
@@ -707,6 +709,8 @@
 		event->at_us = sim->now_us;
 		event_queue_push(&sim->event_queue, event);
 	}
+	if (!tick_first)
+		sim_schedule(sim, node_id, SIM_EVENT_TICK, sim->now_us);
 }
 
 void
--- a/tests/sim/sim_internal.h
+++ b/tests/sim/sim_internal.h
@@ -46,7 +46,8 @@
 	GHashTable *start_counts;     /* "issuer-counter-index" -> count */
 	GHashTable *idempotent_tasks; /* set of keys as in starts */
 	GHashTable *running_counts;   /* task name -> runs in progress */
-	unsigned overlaps; /* times that two runs of a task overlapped */
+	unsigned overlaps;     /* times that two runs of a task overlapped */
+	unsigned resume_count; /* paused nodes that went on */
 	struct sim_store *store;
 	double store_loss_probability; /* probability that a write's answer is
 					  lost */
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -35,6 +35,8 @@
  *                                 (owned by entry 1 with the term 1), or lost
  *                                 if there is no answer
  *   run MS                        advances the clock
+ *   pause MS                      advances the clock without ticks, as when the
+ *                                 process is frozen
  */
 
 #include <inttypes.h>
@@ -501,6 +503,8 @@
 		command_record(harness, words);
 	else if (strcmp(name, "run") == 0)
 		command_run(harness, words);
+	else if (strcmp(name, "pause") == 0)
+		harness->now_us += strtol(words[1], NULL, 10) * 1000;
 	else
 		g_error("unknown command: %s", name);
 }
@@ -563,12 +567,12 @@
 main(int argc, char **argv)
 {
 	static const char *const scripts[] = {"run_completes",
-	    "earlier_incarnation", "fence_not_in_force", "unanswered_start",
-	    "restarted", "lease_lapses", "fenced", "start_after_stop",
-	    "worker_down", "kept_report", "kept_report_gone",
-	    "unknown_completions", "many_unknown_completions",
-	    "unrecordable_completions", "long_lease", "refused_stop",
-	    "unreachable", "crash", "isolated"};
+	    "earlier_incarnation", "fence_not_in_force", "paused",
+	    "unanswered_start", "restarted", "lease_lapses", "fenced",
+	    "start_after_stop", "worker_down", "kept_report",
+	    "kept_report_gone", "unknown_completions",
+	    "many_unknown_completions", "unrecordable_completions",
+	    "long_lease", "refused_stop", "unreachable", "crash", "isolated"};
 	size_t i;
 
 	g_test_init(&argc, &argv, NULL);
