agent: the worker's lease is not renewed past a run that must have ended

Six STOPs got no answer in 0.4 s, then none was sent while renewals failed. Renewals, also unanswered ones, went on with a lease, and the lease of the worker is that of all its runs. 1.3 s after the last word the entry sent the task elsewhere; the first run ended 0.07 s after the second began.

Ruled out: late starts and restarts of workers (none was restarted under its id), the fence (one incarnation of worker and agent).

Now a run whose entry may have given it up (its lease lapsed, or it withdrew the task) keeps its worker from any lease that ends later than one lease after that, until its end is known: 0.5 + 0.6 s after the last echo, as reckoned before. Other runs of that worker expire with it, which is rare: several stops in a row must get no answer. A worker with less than half a lease left is given nothing new.

golden/worker/stop_unanswered plays it: the lease was 'renewed' to the end before, 'for 350, 200, 50 ms' now.

--- a/src/core/agent/agent_internal.h
+++ b/src/core/agent/agent_internal.h
@@ -55,6 +55,9 @@
 	bool start_unanswered;
 	bool crashed; /* was in progress when the worker crashed */
 	enum mst_reason stop_reason;
+	/* Time from which its entry may have given it up, so that its task may
+	 * run elsewhere a while later; 0: the entry waits for its result. */
+	int64_t abandoned_us;
 	int64_t order_us; /* time of the last order */
 	/* ORDER_START_DUE, ORDER_STOP_DUE: not before; ORDER_STARTING: when the
 	 * order is sent again without waiting for its timeout. */
--- a/src/core/agent/lease.c
+++ b/src/core/agent/lease.c
@@ -17,7 +17,7 @@
 		struct run *run = value;
 
 		if (run->session == session)
-			mst_worker_stop_run(
+			mst_worker_abandon_run(
 			    agent, run, MST_REASON_LEASE_LAPSED);
 	}
 }
--- a/src/core/agent/run.c
+++ b/src/core/agent/run.c
@@ -277,7 +277,8 @@
 		return;
 	if (run->state == RUN_RUNNING) {
 		if (agent->options.leased)
-			mst_worker_stop_run(agent, run, MST_REASON_WITHDRAWN);
+			mst_worker_abandon_run(
+			    agent, run, MST_REASON_WITHDRAWN);
 		return;
 	}
 	if (run->state == RUN_FINISHED) {
--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -148,6 +148,15 @@
 	mst_worker_send_stop(agent, run);
 }
 
+void
+mst_worker_abandon_run(
+    struct mst_agent *agent, struct run *run, enum mst_reason reason)
+{
+	if (run->abandoned_us == 0)
+		run->abandoned_us = agent->now_us;
+	mst_worker_stop_run(agent, run, reason);
+}
+
 void
 mst_worker_complete_run(struct mst_agent *agent, struct run *run,
     const struct mst_result_item *result)
--- a/src/core/worker/state.c
+++ b/src/core/worker/state.c
@@ -37,6 +37,35 @@
 	return status_names[status];
 }
 
+/* Returns true if an abandoned run may still be in progress. */
+static bool
+is_abandoned(const struct run *run)
+{
+	return run->abandoned_us > 0 && run->order_state != ORDER_STOPPED;
+}
+
+/* Returns the duration of a lease that is granted now. The lease of the worker
+ * is that of all its runs, so it must end in time for the abandoned ones. It is
+ * at most 0 once they have had a whole lease. */
+static int64_t
+lease_left_us(const struct mst_agent *agent)
+{
+	int64_t lease_us = agent->options.leases.run_lease_us;
+	int64_t left_us = lease_us;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, agent->active);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct run *run = value;
+
+		if (is_abandoned(run))
+			left_us = MIN(left_us,
+			    run->abandoned_us + lease_us - agent->now_us);
+	}
+	return left_us;
+}
+
 bool
 mst_worker_is_ready(const struct mst_agent *agent)
 {
@@ -45,6 +74,7 @@
 	return worker->has_reported && worker->synced && !worker->draining &&
 	    !agent->drained && !worker->lease_expiring &&
 	    agent->now_us >= worker->start_after_us &&
+	    lease_left_us(agent) >= agent->options.leases.run_lease_us / 2 &&
 	    worker->renew_failures < WORKER_RENEW_FAILURES_MAX;
 }
 
@@ -180,9 +210,11 @@
 mst_worker_order_set_lease(struct mst_agent *agent, struct mst_order *order)
 {
 	struct worker *worker = &agent->worker;
-	int64_t lease_us = agent->options.leases.run_lease_us;
+	int64_t left_us = lease_left_us(agent);
 
-	order->lease_end_ms = mst_worker_clock_ms(agent) + lease_us / 1000;
+	if (left_us <= 0)
+		return;
+	order->lease_end_ms = mst_worker_clock_ms(agent) + left_us / 1000;
 	worker->lease_end_us =
-	    MAX(worker->lease_end_us, mst_worker_lease_end_us(agent));
+	    MAX(worker->lease_end_us, lease_end_us(agent, left_us));
 }
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -52,6 +52,7 @@
 #define DISPATCH_VALID_MS 400
 #define INCARNATION_BASE  1000
 #define MILLICORES        1600
+#define SHORT_LEASE_MS    400
 
 /* An order to the worker that has not been answered yet. */
 struct pending_order {
@@ -66,6 +67,7 @@
 	int64_t now_us;
 	GArray *orders;  /* struct pending_order, oldest first */
 	GArray *lookups; /* uint64_t ids of store operations, oldest first */
+	int64_t clock_offset_ms; /* of the worker, from the last list */
 	GString *log;
 	GHashTable *sent_through; /* entry -> highest sequence dispatched */
 };
@@ -87,9 +89,15 @@
 log_order(struct harness *harness, const struct mst_order *order)
 {
 	static const char *const kinds[] = {"", "START", "STOP", "RENEW"};
-	const char *lease_text =
-	    order->lease_end_ms > 0 ? "renewed" : "not renewed";
-
+	int64_t clock_ms = harness->now_us / 1000 + harness->clock_offset_ms;
+	int64_t lease_ms = order->lease_end_ms - clock_ms;
+	char lease_text[32] = "not renewed";
+
+	if (order->lease_end_ms > 0 && lease_ms >= SHORT_LEASE_MS)
+		g_strlcpy(lease_text, "renewed", sizeof(lease_text));
+	else if (order->lease_end_ms > 0)
+		g_snprintf(lease_text, sizeof(lease_text), "renewed for %d ms",
+		    (int)(lease_ms / 10 * 10));
 	if (order->kind == MST_ORDER_RENEW)
 		log_line(harness,
 		    "RENEW fence %" PRIu64
@@ -391,6 +399,7 @@
 	char **fields[WORDS_MAX];
 	int i;
 
+	harness->clock_offset_ms = answer.clock_ms - harness->now_us / 1000;
 	for (i = 3; i < word_count; i++) {
 		fields[i] = g_strsplit(words[i], "/", 4);
 		if (g_strv_length(fields[i]) == 2)
@@ -568,8 +577,8 @@
 {
 	static const char *const scripts[] = {"run_completes",
 	    "earlier_incarnation", "fence_not_in_force", "paused",
-	    "unanswered_start", "restarted", "lease_lapses", "fenced",
-	    "start_after_stop", "worker_down", "kept_report",
+	    "stop_unanswered", "unanswered_start", "restarted", "lease_lapses",
+	    "fenced", "start_after_stop", "worker_down", "kept_report",
 	    "kept_report_gone", "unknown_completions",
 	    "many_unknown_completions", "unrecordable_completions",
 	    "long_lease", "refused_stop", "unreachable", "crash", "isolated"};
