worker: after two orders in a row without an answer nothing is started

A worker that has gone silent was given tasks until four renewals had failed, some 0.25 s; each of their starts got no answer, and each task waited for the end of a lease before it ran elsewhere. Now two orders in a row without an answer stop that; the next answer of any kind ends it.

--- a/src/core/worker/state.c
+++ b/src/core/worker/state.c
@@ -9,6 +9,8 @@
 #include <math.h>
 
 #define WORKER_ORDER_TIMEOUT_MS 50
+/* Consecutive orders without an answer after which nothing is started. */
+#define WORKER_UNANSWERED_MAX 2
 /* Least time within which an answer is expected. */
 #define ANSWER_TIME_MIN_US (10 * 1000)
 /* Weights of a sample in the averages, and deviations that are expected. */
@@ -74,6 +76,7 @@
 	return worker->has_reported && worker->synced && !worker->draining &&
 	    !agent->drained && !worker->lease_expiring &&
 	    agent->now_us >= worker->start_after_us &&
+	    worker->unanswered < WORKER_UNANSWERED_MAX &&
 	    lease_left_us(agent) >= agent->options.leases.run_lease_us / 2 &&
 	    worker->renew_failures < WORKER_RENEW_FAILURES_MAX;
 }
--- a/src/core/worker/worker.c
+++ b/src/core/worker/worker.c
@@ -181,9 +181,13 @@
 	struct run *run;
 
 	agent->counters.orders[answer->status]++;
-	if (answer->status == MST_ORDER_NO_ANSWER)
+	if (answer->status == MST_ORDER_NO_ANSWER) {
 		agent->worker.unreliable_until_us =
 		    agent->now_us + WORKER_UNRELIABLE_US;
+		agent->worker.unanswered++;
+	} else {
+		agent->worker.unanswered = 0;
+	}
 	if (!accept_incarnation(agent, answer->incarnation)) {
 		renewal = mst_worker_find_renewal(&agent->worker, answer->id);
 		if (answer->kind == MST_ORDER_RENEW && renewal != NULL)
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -62,6 +62,7 @@
 	double answer_time_us;
 	double answer_deviation_us;
 	unsigned renew_failures; /* consecutive failures */
+	unsigned unanswered;     /* consecutive orders without an answer */
 	struct mst_resources used_resources;
 	struct mst_resources capacity_max; /* most that it has reported */
 	struct mst_slowness slowness_avg; /* slowness as an average over runs */
