worker: a long lease may be granted until the fence is raised

What callers could see: two runs of a best-effort task at once. A worker that is restarted under its id takes the end of a lease from orders of its earlier incarnation, which lies far ahead on its new clock, and grants the longest lease. The agent allowed for that when it learnt of the restart, which a report may tell while the worker does not answer yet. An order that had been held up gave the long lease 0.7 s later; the agent took it for a usual one, told the entry after 0.45 s that the run was lost, and the run went on beside its second one.

The agent now allows for it again once the new fence is in force, after which no such order is accepted.

--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -265,6 +265,10 @@
 	}
 	if (!worker->synced || was_lost)
 		mst_worker_emit_state(agent, "answers");
+	if (worker->is_restarted) {
+		worker->is_restarted = false;
+		mst_worker_expect_long_lease(agent);
+	}
 	/* Announces the worker without delay. */
 	if (!worker->synced)
 		agent->next_heartbeat_us = agent->now_us;
--- a/src/core/worker/worker.c
+++ b/src/core/worker/worker.c
@@ -21,8 +21,10 @@
 
 	mst_worker_record_crash(agent);
 	worker->incarnation = incarnation;
-	if (worker->clock_ms > 0)
+	if (worker->clock_ms > 0) {
+		worker->is_restarted = true;
 		mst_worker_expect_long_lease(agent);
+	}
 	if (worker->report_is_kept)
 		worker->has_reported = worker->report_is_kept = false;
 	g_clear_pointer(&worker->id, g_free);
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -37,6 +37,7 @@
 	bool report_loaded;  /* the kept report was asked for */
 	bool synced; /* has answered, and its lists were read since its start */
 	bool was_synced; /* has been so before, perhaps in an earlier life */
+	bool is_restarted; /* has been since the last synced list */
 	bool draining;
 	char *id;
 	char *service;
