Tasks whose start may still be executed run again at their worker only

Cause: an agent gave up the run once the lease of the unanswered start had expired, and entries sent a lost agent's tasks elsewhere, on the ground that a best-effort job is over soon. The start may act seconds later, because the next incarnation of the worker knows no fence, no stop, and a clock that starts anew.

An entry binds such a task to the member: it may run again there, since an agent starts nothing before it has fenced what an earlier incarnation was sent, and elsewhere once the member's successor announces itself. A job that can't end in that way is answered 'failed', which callers don't repeat, in place of 504.

Tried: to bind all tasks of a lost member. Then jobs whose host is lost for good fail (test_drains /another-lost, test_deadlines), so tasks of which the member had told nothing run elsewhere for the rest of their job as before: docs/GUARANTEES.md says so.

test_load_faults demanded that no job fails with unreachable workers. That can't be had without running a task elsewhere whose first start may still act. The check now demands that exactly the jobs with such a start fail, at most two for an unreachable worker (the orders after which an agent starts nothing more), that none is lost, and as before 95 % in time.

--- a/include/masticstall/agent.h
+++ b/include/masticstall/agent.h
@@ -126,9 +126,8 @@
 	uint64_t worker_incarnation;       /* UNKNOWN_RUN, WORKER; 0: unknown */
 	uint32_t run_number;           /* RUN_FAILED: run number of the task */
 	struct mst_result_item result; /* RUN_FAILED */
-	bool start_uncertain; /* RUN_FAILED: a start of it got no answer */
-	int64_t silent_us;    /* LEASE_EXPIRED: age of the last clock echo */
-	uint32_t open;        /* LEASE_EXPIRED: queued and running tasks */
+	int64_t silent_us; /* LEASE_EXPIRED: age of the last clock echo */
+	uint32_t open;     /* LEASE_EXPIRED: queued and running tasks */
 	/* CRASH: all that are remembered; the new one is the last. */
 	struct mst_crashes crashes;
 	struct mst_store_op op;       /* STORE */
--- a/include/masticstall/entry.h
+++ b/include/masticstall/entry.h
@@ -223,9 +223,12 @@
 	const char *key;      /* name given by the caller, or NULL */
 	int64_t objective_us; /* time within which it should complete */
 	uint32_t count;
-	uint32_t open;           /* tasks without a final outcome */
-	uint32_t started;        /* tasks sent to an agent at least once */
-	bool may_have_run;       /* false: no task can have started */
+	uint32_t open;     /* tasks without a final outcome */
+	uint32_t started;  /* tasks sent to an agent at least once */
+	bool may_have_run; /* false: no task can have started */
+	/* A task that has not completed may still start at its worker, so the
+	 * job must not be submitted again. */
+	bool start_uncertain;
 	uint32_t retry_after_ms; /* time to wait before a retry, if not run */
 	int64_t submitted_us;
 	int64_t closed_us;
@@ -315,6 +318,9 @@
 	uint64_t quarantines;  /* restrictions of teams */
 	uint64_t results;
 	uint64_t results_late; /* for tasks that were already closed */
+	/* Tasks that may run again at one member only, because a start there
+	 * got no answer or the member was lost. */
+	uint64_t tasks_bound;
 	uint64_t results_repeated;
 	uint64_t outcomes[MST_OUTCOME_UNKNOWN + 1];
 	uint64_t ejections;
--- a/include/masticstall/message.h
+++ b/include/masticstall/message.h
@@ -109,10 +109,12 @@
 enum mst_feature {
 	/* Results with reasons and outcomes that it doesn't know. */
 	MST_FEATURE_NEW_REASONS = 1u << 0,
+	/* Announcements and results tell uncertain starts. */
+	MST_FEATURE_UNCERTAIN_STARTS = 1u << 1,
 };
 
 /** Features of this build. */
-#define MST_FEATURES MST_FEATURE_NEW_REASONS
+#define MST_FEATURES (MST_FEATURE_NEW_REASONS | MST_FEATURE_UNCERTAIN_STARTS)
 
 /** Build of the sender; the version is empty where it is not announced. */
 struct mst_build_msg {
@@ -172,6 +174,10 @@
 	struct mst_bytes entries;
 	struct mst_drains_msg drains;
 	struct mst_build_msg build;
+	/* Leased: numbers of the receiver's tasks that have not been started
+	 * for certain: they wait, or an order to start them has no answer. */
+	uint32_t uncertain_count;
+	const uint64_t *uncertain_seqs;
 };
 
 struct mst_heartbeat {
@@ -250,6 +256,9 @@
 	/* The receiver must record the completion before it acknowledges the
 	 * result. The worker lists the completion until then. */
 	bool ack_after_record;
+	/* The run ended while an order to start it had no answer. The worker
+	 * may still execute that order, also after its next restart. */
+	bool start_uncertain;
 	uint32_t queue_us;
 	uint32_t service_us;
 	struct mst_bytes content_type;
--- a/src/codec/payload.h
+++ b/src/codec/payload.h
@@ -27,6 +27,8 @@
 void codec_get_dispatch(struct codec_reader *r, struct mst_dispatch *m);
 void codec_put_results(msgpack_packer *pk, const struct mst_results *m);
 void codec_get_results(struct codec_reader *r, struct mst_results *m);
+/* Returns true if the message has a list of the uncertain starts. */
+bool codec_has_uncertain_starts(const struct mst_results *m);
 void codec_put_fenced(msgpack_packer *pk, const struct mst_fenced *m);
 void codec_get_fenced(struct codec_reader *r, struct mst_fenced *m);
 
--- a/src/codec/payload_member.c
+++ b/src/codec/payload_member.c
@@ -4,6 +4,7 @@
 
 #define BUILD_FIELDS       2
 #define LASTED_FIELDS      1
+#define UNCERTAIN_FIELDS   1
 #define CRASH_FIELDS       5
 #define CRASHED_RUN_FIELDS 2
 
@@ -46,6 +47,20 @@
 	return m;
 }
 
+/* Packs the list, and before it a build without a version if there is none,
+ * because a field may be left out only while nothing follows it. */
+static void
+put_uncertain_seqs(msgpack_packer *pk, const struct mst_announce *m)
+{
+	if (m->uncertain_count == 0)
+		return;
+	if (m->build.version.len == 0) {
+		codec_put_bytes(pk, m->build.version);
+		codec_put_u64(pk, 0);
+	}
+	codec_put_u64_list(pk, m->uncertain_seqs, m->uncertain_count);
+}
+
 void
 codec_put_announce(msgpack_packer *pk, const struct mst_announce *m)
 {
@@ -75,6 +90,7 @@
 	codec_put_bytes(pk, m->entries);
 	put_drains(pk, &m->drains);
 	put_build(pk, &m->build);
+	put_uncertain_seqs(pk, m);
 }
 
 void
@@ -106,6 +122,8 @@
 	m->entries = codec_get_bytes(r);
 	m->drains = get_drains(r);
 	m->build = get_build(r);
+	if (!codec_at_end(r))
+		m->uncertain_seqs = codec_get_u64_list(r, &m->uncertain_count);
 }
 
 void
@@ -304,6 +322,12 @@
 
 	if (msg->type == MST_MSG_CRASHES)
 		return has_lasted_times(&msg->crashes) ? LASTED_FIELDS : 0;
+	if (msg->type == MST_MSG_RESULT)
+		return codec_has_uncertain_starts(&msg->results)
+		    ? UNCERTAIN_FIELDS
+		    : 0;
+	if (msg->type == MST_MSG_ANNOUNCE && msg->announce.uncertain_count > 0)
+		return BUILD_FIELDS + UNCERTAIN_FIELDS;
 	if (msg->type == MST_MSG_ANNOUNCE)
 		build = &msg->announce.build;
 	else if (msg->type == MST_MSG_HEARTBEAT)
--- a/src/codec/payload_task.c
+++ b/src/codec/payload_task.c
@@ -128,6 +128,47 @@
 	item->status = (uint16_t)status;
 }
 
+bool
+codec_has_uncertain_starts(const struct mst_results *m)
+{
+	uint32_t i;
+
+	for (i = 0; i < m->count; i++) {
+		if (m->items[i].start_uncertain)
+			return true;
+	}
+	return false;
+}
+
+/* Packs one flag for each result. */
+static void
+put_uncertain_starts(msgpack_packer *pk, const struct mst_results *m)
+{
+	uint32_t i;
+
+	if (!codec_has_uncertain_starts(m))
+		return;
+	msgpack_pack_array(pk, m->count);
+	for (i = 0; i < m->count; i++)
+		codec_put_u64(pk, m->items[i].start_uncertain);
+}
+
+/* Builds before this list was added send messages that end before it. */
+static void
+get_uncertain_starts(struct codec_reader *r, struct mst_results *m,
+    struct mst_result_item *items)
+{
+	struct codec_reader nested;
+	uint32_t count, i;
+
+	if (codec_at_end(r))
+		return;
+	nested = codec_get_array(r, &count);
+	for (i = 0; i < m->count; i++)
+		items[i].start_uncertain = codec_get_bool(&nested);
+	r->failed |= nested.failed;
+}
+
 void
 codec_put_results(msgpack_packer *pk, const struct mst_results *m)
 {
@@ -138,6 +179,7 @@
 	msgpack_pack_array(pk, (size_t)m->count * RESULT_FIELDS);
 	for (i = 0; i < m->count; i++)
 		put_result(pk, &m->items[i]);
+	put_uncertain_starts(pk, m);
 }
 
 void
@@ -160,6 +202,8 @@
 		get_result(&nested, &items[i]);
 	m->items = items;
 	r->failed |= nested.failed;
+	if (!r->failed && items != NULL)
+		get_uncertain_starts(r, m, items);
 }
 
 void
--- a/src/core/agent/agent_internal.h
+++ b/src/core/agent/agent_internal.h
@@ -148,8 +148,9 @@
 	struct mst_agent_counters counters;
 	GRand *rand;
 	GArray *effects;
-	GArray *scratch_results; /* struct mst_result_item */
-	GArray *scratch_fenced;  /* struct mst_fenced_item */
+	GArray *scratch_results;      /* struct mst_result_item */
+	GArray *scratch_fenced;       /* struct mst_fenced_item */
+	GPtrArray *scratch_uncertain; /* arrays referenced by effects */
 };
 
 /* effect.c */
--- a/src/core/agent/run.c
+++ b/src/core/agent/run.c
@@ -121,9 +121,6 @@
 	effect->entry = run->session->entry;
 	effect->run_number = run->run_number;
 	effect->result = run->result;
-	effect->start_uncertain = mst_worker_start_is_uncertain(run);
-	if (effect->start_uncertain)
-		agent->counters.starts_uncertain++;
 }
 
 void
@@ -144,6 +141,8 @@
 		release_task(&run->task);
 	if (result->outcome == MST_OUTCOME_NOT_RUN)
 		agent->counters.refused[result->reason]++;
+	if (run->result.start_uncertain)
+		agent->counters.starts_uncertain++;
 	add_to_outbox(run);
 }
 
--- a/src/core/entry/entry.c
+++ b/src/core/entry/entry.c
@@ -49,6 +49,7 @@
 	entry->free_job_slots = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	entry->jobs_by_id = g_hash_table_new(mst_job_id_hash, mst_job_id_equal);
 	entry->jobs_by_key = g_hash_table_new(g_str_hash, g_str_equal);
+	mst_uncertain_init(&entry->uncertain);
 	entry->requests = g_hash_table_new(g_direct_hash, g_direct_equal);
 	entry->teams = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, (GDestroyNotify)mst_team_free);
@@ -93,6 +94,7 @@
 	g_ptr_array_unref(entry->active_teams);
 	g_hash_table_unref(entry->jobs_by_id);
 	g_hash_table_unref(entry->jobs_by_key);
+	mst_uncertain_clear(&entry->uncertain);
 	g_hash_table_unref(entry->requests);
 	g_hash_table_unref(entry->members_by_incarnation);
 	g_hash_table_unref(entry->peers);
--- a/src/core/entry/entry_internal.h
+++ b/src/core/entry/entry_internal.h
@@ -8,6 +8,7 @@
 #include "core/config_pull.h"
 #include "core/crash/crash.h"
 #include "core/drains.h"
+#include "core/job/uncertain.h"
 #include "core/stored/stored.h"
 
 #define ENTRY_SCAN_US     (50 * 1000) /* between scans of members and jobs */
@@ -66,6 +67,7 @@
 	GHashTable *jobs_by_key;  /* key -> open restartable struct job */
 	GHashTable *requests;     /* request -> struct job */
 	GQueue closed_jobs;       /* closed jobs, oldest first */
+	struct uncertain_jobs uncertain;
 	uint32_t jobs_open;
 	uint64_t bytes;
 	uint64_t next_counter;
--- a/src/core/job/expire.c
+++ b/src/core/job/expire.c
@@ -113,6 +113,7 @@
 		if (job != NULL && job->state == MST_JOB_OPEN)
 			job_tick(entry, job);
 	}
+	mst_uncertain_expire(entry);
 	while ((link = entry->closed_jobs.head) != NULL) {
 		struct job *job = link->data;
 
--- a/src/core/job/progress.c
+++ b/src/core/job/progress.c
@@ -172,6 +172,7 @@
 	uint32_t i;
 
 	mst_job_unqueue(entry, job);
+	mst_uncertain_add_job(entry, job);
 	for (i = 0; i < job->count; i++) {
 		if (job->tasks[i].state != TASK_CLOSED)
 			close_unfinished_task(entry, job, i, reason);
--- a/src/core/job/result.c
+++ b/src/core/job/result.c
@@ -304,9 +304,14 @@
 	member->last_progress_us = entry->now_us;
 	if (mst_find_sent_task(entry, member, result->seq, tag, &job) == NULL) {
 		entry->counters.results_late++;
+		if (job != NULL && job->state != MST_JOB_OPEN)
+			mst_uncertain_handle_result(entry, job, member, result,
+			    (uint32_t)(tag & 0xffff));
 		return;
 	}
 	entry->tasks_sent--;
+	if (result->start_uncertain)
+		mst_task_bind(entry, job, (uint32_t)(tag & 0xffff), member);
 	if (result->ack_after_record && job->stored != NULL)
 		mst_stored_defer_ack(entry, job, member, result->seq);
 	handle_task_result(
--- a/src/core/job/submit.c
+++ b/src/core/job/submit.c
@@ -228,6 +228,7 @@
 		mst_entry_adopt_job(entry, job);
 		return;
 	}
+	mst_uncertain_bind_job(entry, job);
 	mst_job_recall_crashes(entry, job);
 	if (job->state != MST_JOB_OPEN)
 		return;
--- a/src/core/job/task.h
+++ b/src/core/job/task.h
@@ -21,6 +21,13 @@
 	TASK_CLOSED
 };
 
+/* What the member that has a task says of its start. */
+enum start_state {
+	START_UNKNOWN = 0, /* nothing yet */
+	START_UNCERTAIN,   /* it is due, or an order to start got no answer */
+	START_SETTLED      /* no start order may still be executed */
+};
+
 /* Byte range in a job's arena. */
 struct span {
 	uint32_t offset;
@@ -34,9 +41,10 @@
 	uint8_t flags;
 	uint16_t attempts;
 	bool withdrawing;
-	bool isolated;     /* sent to run without other jobs beside it */
-	bool may_have_run; /* an earlier attempt may have started */
-	uint8_t failures;  /* number of failed runs */
+	bool isolated;       /* sent to run without other jobs beside it */
+	bool may_have_run;   /* an earlier attempt may have started */
+	uint8_t start_state; /* enum start_state, of the present run */
+	uint8_t failures;    /* number of failed runs */
 	struct mst_task_crashes crashes; /* of workers during its runs */
 	uint8_t step;
 	uint16_t status;
@@ -46,6 +54,7 @@
 	struct member *member; /* set while sent */
 	uint64_t last_member;  /* member incarnation; 0: never sent */
 	uint64_t avoid_member; /* incarnation that failed the task, or 0 */
+	uint64_t bound_to;     /* see uncertain.h; 0: may run at any member */
 	uint64_t seq;
 	int64_t sent_us;
 	int64_t closed_us;
--- a/src/core/member/sync.c
+++ b/src/core/member/sync.c
@@ -92,10 +92,46 @@
 	}
 }
 
+static bool
+has_uncertain_start(const struct mst_announce *announce, uint64_t seq)
+{
+	uint32_t i;
+
+	for (i = 0; i < announce->uncertain_count; i++) {
+		if (announce->uncertain_seqs[i] == seq)
+			return true;
+	}
+	return false;
+}
+
+/* Records which of the sent tasks the member has started for certain. */
+static void
+member_update_starts(struct mst_entry *entry, struct member *member,
+    const struct mst_announce *announce)
+{
+	GHashTableIter iter;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&iter, member->sent_tasks);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		uint64_t seq = (uint64_t)(uintptr_t)key;
+		struct job *job;
+		struct task *task = mst_find_sent_task(
+		    entry, member, seq, (uint64_t)(uintptr_t)value, &job);
+
+		if (task != NULL &&
+		    mst_seqset_contains(&announce->seqs_received, seq))
+			task->start_state = has_uncertain_start(announce, seq)
+			    ? START_UNCERTAIN
+			    : START_SETTLED;
+	}
+}
+
 void
 mst_member_repair(struct mst_entry *entry, struct member *member,
     const struct mst_announce *announce)
 {
+	member_update_starts(entry, member, announce);
 	member_resend_missing(entry, member, announce);
 	member_withdraw_gaps(member, announce);
 	member_resend_withdrawals(entry, member);
--- a/src/core/member/timeout.c
+++ b/src/core/member/timeout.c
@@ -26,6 +26,8 @@
 			tag, &job) == NULL)
 			continue;
 		entry->tasks_sent--;
+		mst_task_handle_lost_member(
+		    entry, job, (uint32_t)(tag & 0xffff), member);
 		mst_task_handle_unknown(entry, job, (uint32_t)(tag & 0xffff),
 		    MST_REASON_AGENT_LOST);
 	}
--- a/src/core/place/fit.c
+++ b/src/core/place/fit.c
@@ -251,13 +251,14 @@
 	bool is_quarantined = mst_job_is_quarantined(job);
 
 	if (member->quarantined != is_quarantined ||
+	    !mst_task_may_run_at(entry, task, member) ||
 	    !mst_member_has_service(member, job) ||
 	    !mst_member_has_room(entry, member) ||
 	    !mst_member_has_resources(member, task) ||
 	    !mst_member_matches_step(member, job, task))
 		return false;
 	return task->avoid_member != member->incarnation || is_quarantined ||
-	    count_usable_members(entry) < 2;
+	    task->bound_to != 0 || count_usable_members(entry) < 2;
 }
 
 struct member_sample
--- a/src/core/place/place.c
+++ b/src/core/place/place.c
@@ -214,6 +214,7 @@
 	task->attempts++;
 	task->state = TASK_SENT;
 	task->withdrawing = false;
+	task->start_state = START_UNKNOWN;
 	task->isolated = mst_job_is_isolated(job);
 	task->member = member;
 	task->last_member = member->incarnation;
@@ -262,8 +263,9 @@
 		*queued_us += service_us;
 		(*tries_left)--;
 		/* Tasks of one step are similar: the next could not be placed
-		 * either. */
-		if (job->restartable && job->step_count == 1)
+		 * either, unless this one is bound to a member. */
+		if (job->restartable && job->step_count == 1 &&
+		    task->bound_to == 0)
 			break;
 	}
 	return false;
--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -166,12 +166,15 @@
 	mst_run_complete_started(agent, run, result);
 }
 
-void
-mst_worker_fail_run(
-    struct mst_agent *agent, struct run *run, enum mst_reason reason)
+/* Completes a run without a result. start_uncertain: a start of it may still be
+ * executed. */
+static void
+lose_run(struct mst_agent *agent, struct run *run, enum mst_reason reason,
+    bool start_uncertain)
 {
-	struct mst_result_item result = {
-	    .outcome = MST_OUTCOME_UNKNOWN, .reason = (uint8_t)reason};
+	struct mst_result_item result = {.outcome = MST_OUTCOME_UNKNOWN,
+	    .reason = (uint8_t)reason,
+	    .start_uncertain = start_uncertain};
 
 	if (run->crashed)
 		result.reason = MST_REASON_WORKER_CRASHED;
@@ -182,12 +185,26 @@
 	mst_worker_complete_run(agent, run, &result);
 }
 
+void
+mst_worker_fail_run(
+    struct mst_agent *agent, struct run *run, enum mst_reason reason)
+{
+	lose_run(agent, run, reason, false);
+}
+
 bool
 mst_worker_start_is_uncertain(const struct run *run)
 {
 	return run->start_unanswered || run->starts_open > 0;
 }
 
+bool
+mst_worker_start_is_settled(const struct run *run)
+{
+	return run->order_state >= ORDER_STARTED &&
+	    !mst_worker_start_is_uncertain(run);
+}
+
 static void
 handle_start_refusal(
     struct mst_agent *agent, struct run *run, enum mst_reason reason)
@@ -210,8 +227,9 @@
 
 /* Returns true if a run must be stopped before it counts as ended, because a
  * start order without an answer may still reach the worker's next incarnation.
- * A best-effort job is over soon, so its run is given up once the lease that
- * the order asked for has expired. A stored job must not run again later. */
+ * The run of a best-effort job is given up once the lease that the order asked
+ * for has expired; its entry then runs the task again at this worker only. A
+ * stored job may go on at any worker, so its run must not start later. */
 static bool
 must_stop_first(const struct run *run, bool lease_expired)
 {
@@ -233,7 +251,8 @@
 		if (must_stop_first(run, lease_expired))
 			mst_worker_stop_run(agent, run, MST_REASON_RUN_LOST);
 		else
-			mst_worker_fail_run(agent, run, MST_REASON_RUN_LOST);
+			lose_run(agent, run, MST_REASON_RUN_LOST,
+			    mst_worker_start_is_uncertain(run));
 	}
 	g_list_free(runs);
 }
--- a/src/core/worker/state.c
+++ b/src/core/worker/state.c
@@ -195,9 +195,9 @@
 	return lease_end_us(agent, agent->options.leases.run_lease_us);
 }
 
-/* The orders that the new incarnation was given before the fence was raised name
- * times on the clock of the earlier one, which is ahead. So its lease may be as
- * long as any that it grants, and cannot be shortened. */
+/* The orders that the new incarnation was given before the fence was raised
+ * name times on the clock of the earlier one, which is ahead. So its lease may
+ * be as long as any that it grants, and cannot be shortened. */
 void
 mst_worker_expect_long_lease(struct mst_agent *agent)
 {
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -36,7 +36,7 @@
 	bool report_is_kept; /* from the kept report only */
 	bool report_loaded;  /* the kept report was asked for */
 	bool synced; /* has answered, and its lists were read since its start */
-	bool was_synced; /* has been so before, perhaps in an earlier life */
+	bool was_synced;   /* has been so before, perhaps in an earlier life */
 	bool is_restarted; /* has been since the last synced list */
 	bool draining;
 	char *id;
@@ -100,6 +100,9 @@
 /* Returns true if a start order of a run got no answer and may still be
  * executed. */
 bool mst_worker_start_is_uncertain(const struct run *run);
+/* Returns true if a run was started and no start order of it may still be
+ * executed. */
+bool mst_worker_start_is_settled(const struct run *run);
 /* Orders the worker to stop a run, unless that was done already. The reason is
  * reported if the run ends without a result. */
 void mst_worker_stop_run(
--- a/src/runtime/agent_runtime.c
+++ b/src/runtime/agent_runtime.c
@@ -143,7 +143,7 @@
 	    effect->entry, mst_outcome_name(effect->result.outcome),
 	    mst_reason_name(effect->result.reason),
 	    effect->result.queue_us / 1000, effect->result.service_us / 1000,
-	    effect->start_uncertain);
+	    effect->result.start_uncertain);
 }
 
 static void
--- a/src/runtime/metrics.c
+++ b/src/runtime/metrics.c
@@ -139,6 +139,9 @@
 	    (double)counters->withdrawals);
 	metrics_add_sample(out, "wasted_total", "cause", "result-late",
 	    (double)counters->results_late);
+	metrics_add_single(out, "tasks_bound_total", "counter",
+	    "Tasks that may run again at one agent only.",
+	    (double)counters->tasks_bound);
 	metrics_add_sample(out, "wasted_total", "cause", "result-repeated",
 	    (double)counters->results_repeated);
 	metrics_add_single(out, "crashed_runs_total", "counter",
--- a/tests/sim/load.c
+++ b/tests/sim/load.c
@@ -540,6 +540,7 @@
 	} else if (request->state != MST_JOB_COMPLETE ||
 	    is_useless(load, job, took_ms)) {
 		counts->failed++;
+		counts->uncertain += request->start_uncertain;
 	} else if ((double)took_ms <= load_limit_ms(load, job)) {
 		counts->in_time++;
 	} else {
--- a/tests/sim/load.h
+++ b/tests/sim/load.h
@@ -155,7 +155,8 @@
 	unsigned refused_late; /* after the time for an immediate refusal */
 	unsigned failed; /* answered without a complete result, or too late for
 			    it to be of use */
-	unsigned lost;   /* not answered */
+	unsigned uncertain; /* of the failed: a start of a task got no answer */
+	unsigned lost;      /* not answered */
 	int64_t refusal_max_ms; /* longest time until a refusal */
 };
 
--- a/tests/sim/requests.c
+++ b/tests/sim/requests.c
@@ -38,6 +38,7 @@
 	request->count = view.count;
 	request->ticket = view.ticket;
 	request->may_have_run = view.may_have_run;
+	request->start_uncertain = view.start_uncertain;
 	for (i = 0; i < view.count; i++) {
 		mst_entry_task(&task, entry, job, i);
 		outcomes[i] = "?dnu"[task.outcome];
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -44,6 +44,7 @@
 	enum mst_refusal refusal;
 	enum mst_reason reason;
 	bool may_have_run;       /* some task may have started */
+	bool start_uncertain;    /* a start of some task got no answer */
 	uint32_t retry_after_ms; /* from a refusal */
 	enum mst_job_state state;
 	uint32_t count;   /* tasks of the job */
