http client: a request is sent once; an attempt without a response is reported

What callers could see: two runs of a best-effort task at once. If a reused connection closes without an answer, libcurl sends the request again by itself and returns the second answer. An order to start that had reached the worker, and may be executed later, was then taken for refused (503, 429, no room) or for never sent (connection refused), and the task went elsewhere at once as not run. A conditional write to the store that had succeeded came back as a conflict.

The call now ends without a response when libcurl is about to send a request other than GET a second time; those that asked have their own rules for that case. Found in review and shown there with a server that resets connections.

test_http_client failed before (3 requests for 2 calls; -1, connection refused, where the first copy had been received) and passes.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -2,6 +2,7 @@
 
 #include <curl/curl.h>
 #include <errno.h>
+#include <string.h>
 
 #define IDLE_HANDLES_MAX       16  /* idle CURL handles */
 #define CACHED_CONNECTIONS_MAX 64L /* open connections in libcurl's cache */
@@ -14,6 +15,7 @@
 	GByteArray *body;
 	mst_http_call_cb on_done;
 	void *ctx;
+	unsigned sends; /* times that the request was about to be sent */
 };
 
 /* The poll handle of one of libcurl's sockets. */
@@ -59,7 +61,8 @@
 		return (int)value;
 	}
 	curl_easy_getinfo(transfer->easy, CURLINFO_OS_ERRNO, &value);
-	if (result == CURLE_COULDNT_CONNECT && value == ECONNREFUSED)
+	if (result == CURLE_COULDNT_CONNECT && value == ECONNREFUSED &&
+	    transfer->sends == 0)
 		return MST_HTTP_CONN_REFUSED;
 	return MST_HTTP_NO_RESPONSE;
 }
@@ -239,6 +242,19 @@
 	return easy;
 }
 
+/* Called before a request is sent. libcurl sends it again by itself if a reused
+ * connection closes without an answer; the first one may have been executed, so
+ * the call ends without a response instead. */
+static int
+on_curl_request(
+    void *ctx, char *remote, char *local, int remote_port, int local_port)
+{
+	struct transfer *transfer = ctx;
+
+	return transfer->sends++ == 0 ? CURL_PREREQFUNC_OK
+				      : CURL_PREREQFUNC_ABORT;
+}
+
 void
 mst_http_client_send(
     struct mst_http_client *client, const struct mst_http_call *call)
@@ -263,6 +279,10 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_curl_data);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
+	if (strcmp(call->method, "GET") != 0) {
+		curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_curl_request);
+		curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
+	}
 	if (call->body != NULL)
 		curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, call->body);
 	if (call->sigv4 != NULL) {
--- /dev/null
+++ b/tests/test_http_client.c
@@ -0,0 +1,167 @@
+/* The HTTP client against a server that closes connections. */
+
+#include <glib.h>
+#include <stdbool.h>
+#include <uv.h>
+
+#include "net/http_client.h"
+
+#define CALLS      2
+#define TIMEOUT_MS 2000
+
+/* Answers the first request of the first connection and closes connections at
+ * every further one. */
+struct server {
+	uv_tcp_t listener;
+	uv_tcp_t connections[CALLS + 1];
+	unsigned connection_count;
+	unsigned requests;
+	char buffer[4096];
+};
+
+struct fixture {
+	uv_loop_t loop;
+	struct server server;
+	struct mst_http_client *client;
+	char url[64];
+	int statuses[CALLS];
+	unsigned done;
+	bool closes_listener; /* before the second call */
+};
+
+static void
+on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+	struct server *server = handle->data;
+
+	*buf = uv_buf_init(server->buffer, sizeof(server->buffer));
+}
+
+static void
+on_written(uv_write_t *request, int status)
+{
+	g_free(request);
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buf)
+{
+	static char answer[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+	struct server *server = stream->data;
+	uv_buf_t out = uv_buf_init(answer, sizeof(answer) - 1);
+
+	if (length <= 0)
+		return;
+	server->requests++;
+	if (server->requests == 1)
+		uv_write(g_new0(uv_write_t, 1), stream, &out, 1, on_written);
+	else if (!uv_is_closing((uv_handle_t *)stream))
+		uv_close((uv_handle_t *)stream, NULL);
+}
+
+static void
+on_connection(uv_stream_t *listener, int status)
+{
+	struct server *server = listener->data;
+	uv_tcp_t *connection;
+
+	g_assert_cmpuint(server->connection_count, <=, CALLS);
+	connection = &server->connections[server->connection_count++];
+	uv_tcp_init(listener->loop, connection);
+	connection->data = server;
+	uv_accept(listener, (uv_stream_t *)connection);
+	uv_read_start((uv_stream_t *)connection, on_alloc, on_read);
+}
+
+static void
+start_server(struct fixture *fixture)
+{
+	struct server *server = &fixture->server;
+	struct sockaddr_in address;
+	int length = sizeof(address);
+
+	uv_ip4_addr("127.0.0.1", 0, &address);
+	uv_tcp_init(&fixture->loop, &server->listener);
+	server->listener.data = server;
+	g_assert_cmpint(uv_tcp_bind(&server->listener,
+			    (const struct sockaddr *)&address, 0),
+	    ==, 0);
+	g_assert_cmpint(
+	    uv_listen((uv_stream_t *)&server->listener, CALLS, on_connection),
+	    ==, 0);
+	uv_tcp_getsockname(
+	    &server->listener, (struct sockaddr *)&address, &length);
+	g_snprintf(fixture->url, sizeof(fixture->url), "http://127.0.0.1:%d/",
+	    g_ntohs(address.sin_port));
+}
+
+static void send_call(struct fixture *fixture);
+
+static void
+on_done(int status, const char *body, size_t len, void *ctx)
+{
+	struct fixture *fixture = ctx;
+
+	fixture->statuses[fixture->done++] = status;
+	if (fixture->done == CALLS) {
+		uv_stop(&fixture->loop);
+		return;
+	}
+	if (fixture->closes_listener)
+		uv_close((uv_handle_t *)&fixture->server.listener, NULL);
+	send_call(fixture);
+}
+
+static void
+send_call(struct fixture *fixture)
+{
+	const struct mst_http_call call = {.url = fixture->url,
+	    .method = "POST",
+	    .body = "{}",
+	    .timeout_ms = TIMEOUT_MS,
+	    .on_done = on_done,
+	    .ctx = fixture};
+
+	mst_http_client_send(fixture->client, &call);
+}
+
+static void
+on_walk(uv_handle_t *handle, void *ctx)
+{
+	if (!uv_is_closing(handle))
+		uv_close(handle, NULL);
+}
+
+/* Guards against a request that is sent twice as if it were one: its first copy
+ * may have been executed, whatever becomes of the second. */
+static void
+http_client__request_is_sent_once(gconstpointer closes_listener)
+{
+	struct fixture fixture = {
+	    .closes_listener = GPOINTER_TO_INT(closes_listener)};
+
+	uv_loop_init(&fixture.loop);
+	start_server(&fixture);
+	fixture.client = mst_http_client_new(&fixture.loop, 1);
+	send_call(&fixture);
+	uv_run(&fixture.loop, UV_RUN_DEFAULT);
+	g_assert_cmpint(fixture.statuses[0], ==, 200);
+	g_assert_cmpint(fixture.statuses[1], ==, MST_HTTP_NO_RESPONSE);
+	g_assert_cmpuint(fixture.server.requests, ==, CALLS);
+	mst_http_client_close(fixture.client);
+	uv_run(&fixture.loop, UV_RUN_NOWAIT);
+	uv_walk(&fixture.loop, on_walk, NULL);
+	uv_run(&fixture.loop, UV_RUN_DEFAULT);
+	g_assert_cmpint(uv_loop_close(&fixture.loop), ==, 0);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_data_func("/http-client/reset", GINT_TO_POINTER(false),
+	    http_client__request_is_sent_once);
+	g_test_add_data_func("/http-client/reset-then-refused",
+	    GINT_TO_POINTER(true), http_client__request_is_sent_once);
+	return g_test_run();
+}
