agent: what is told of uncertain starts has a file of its own

Orders needed announcements for it, which made a group of four files that need each other; script/check-cycles allows three. No behaviour changes.

--- a/src/core/agent/agent_internal.h
+++ b/src/core/agent/agent_internal.h
@@ -171,10 +171,6 @@
 /* Announces this agent to all entries, and to each live one that has been sent
  * no announcement of its own since a given time. */
 void mst_agent_announce_all(struct mst_agent *agent, int64_t since_us);
-/* Tells all entries that a start of a run may still be executed. The caller of
- * its job may come back at any of them. */
-void mst_agent_tell_uncertain_start(
-    struct mst_agent *agent, const struct run *run);
 /* Refuses an unknown entry that has already sent tasks to this agent. */
 void mst_agent_refuse_dropped_session(struct mst_agent *agent, uint64_t entry);
 /* Sets the addresses of the known entries, comma-separated. */
@@ -226,6 +222,12 @@
 /* Returns a running isolated run, or NULL. */
 const struct run *mst_agent_find_isolated_run(const struct mst_agent *agent);
 
+/* uncertain.c */
+/* Tells all entries that a start of a run may still be executed. The caller of
+ * its job may come back at any of them. */
+void mst_agent_tell_uncertain_start(
+    struct mst_agent *agent, const struct run *run);
+
 /* offer.c */
 /* Offers the free slots to entries whose tasks wait. */
 void mst_agent_offer_slots(struct mst_agent *agent);
--- a/src/core/agent/announce.c
+++ b/src/core/agent/announce.c
@@ -163,32 +163,6 @@
 	}
 }
 
-void
-mst_agent_tell_uncertain_start(struct mst_agent *agent, const struct run *run)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	if (run->task.record.len > 0)
-		return;
-	g_hash_table_iter_init(&iter, agent->sessions);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct session *session = value;
-		struct mst_msg *msg;
-
-		if (!(session->build.features & MST_FEATURE_UNCERTAIN_STARTS) ||
-		    agent->now_us - session->last_heard_us >
-			AGENT_ENTRY_SILENT_US)
-			continue;
-		msg = mst_agent_emit_msg(
-		    agent, session->entry, MST_MSG_UNCERTAIN_START);
-		msg->uncertain_start = (struct mst_uncertain_start){
-		    .agent = agent->options.incarnation,
-		    .task = run->task.path,
-		    .index = run->task.index};
-	}
-}
-
 /* Refuses an unknown entry that has already sent tasks to this agent. The agent
  * no longer has its session, so it cannot distinguish new sequence numbers from
  * repeated ones. */
