entry: a task is bound to the member that had it last

A task that was bound to a member whose successor has announced itself may run anywhere. If its next start was uncertain as well, it stayed bound to the first member only, and ran at a third one beside that start. Now the last member counts, also in what is remembered of a closed job. Found in review, shown there by a script of dispatches (expected none, got one at the third member).

--- a/src/core/job/uncertain.c
+++ b/src/core/job/uncertain.c
@@ -72,7 +72,7 @@
 {
 	struct task *task = &job->tasks[index];
 
-	if (!is_best_effort(job) || task->bound_to != 0)
+	if (!is_best_effort(job))
 		return;
 	task->bound_to = member->incarnation;
 	entry->counters.tasks_bound++;
@@ -156,8 +156,11 @@
 {
 	struct uncertain_job *uncertain = get_job(entry, key);
 	struct uncertain_task task = {.index = index, .bound_to = bound_to};
+	struct uncertain_task *known = find_task(uncertain, index);
 
-	if (find_task(uncertain, index) == NULL)
+	if (known != NULL)
+		known->bound_to = bound_to;
+	else
 		g_array_append_val(uncertain->tasks, task);
 }
 
@@ -187,10 +190,10 @@
 
 		if (task->state == TASK_CLOSED)
 			continue;
-		if (task->bound_to != 0)
-			add_task(entry, job->key, i, task->bound_to);
-		else if (may_still_start(task))
+		if (may_still_start(task))
 			add_task(entry, job->key, i, task->member->incarnation);
+		else if (task->bound_to != 0)
+			add_task(entry, job->key, i, task->bound_to);
 	}
 }
 
@@ -230,7 +233,7 @@
 	if (job == NULL || !is_best_effort(job) || start->index >= job->count)
 		return;
 	task = &job->tasks[start->index];
-	if (task->state != TASK_WAITING || task->bound_to != 0)
+	if (task->state != TASK_WAITING)
 		return;
 	task->bound_to = start->agent;
 	entry->counters.tasks_bound++;
