entry: a lost withdrawal is repeated after 0.1 s

A withdrawal that was lost with its connection was repeated 0.8 s later at the earliest. If the worker left stops unanswered as well, the run went on to 1.55 s after the caller's connection had broken, and the caller was back at 1.3 s. Found in review by reading. Withdrawals are idempotent; one that crosses the announcement is sent twice.

--- a/src/core/member/sync.c
+++ b/src/core/member/sync.c
@@ -7,6 +7,8 @@
 
 #define MEMBER_GAP_SCAN_MAX 256          /* sequence numbers per announcement */
 #define MEMBER_RESEND_US    (800 * 1000) /* least time before a resend */
+/* The same for withdrawals. The caller of the job may soon submit it again. */
+#define MEMBER_WITHDRAW_US (100 * 1000)
 
 /* Resends the dispatches and withdrawals that were sent before the heartbeat
  * that the announcement answers, but have not arrived at the member. */
@@ -85,7 +87,7 @@
 		if (task == NULL && entry->options.leased)
 			g_array_append_val(member->withdrawals, seq);
 		if (task == NULL || !task->withdrawing || task->seq != seq ||
-		    entry->now_us - task->withdrawn_us < MEMBER_RESEND_US)
+		    entry->now_us - task->withdrawn_us < MEMBER_WITHDRAW_US)
 			continue;
 		task->withdrawn_us = entry->now_us;
 		g_array_append_val(member->withdrawals, seq);
