worker: leases of abandoned runs are bounded in the cases that were left

Found in review of the bound on a worker's lease, each shown by a script:

- The bound counted from the moment when the agent noticed that an entry's lease had lapsed.
After a pause of 0.55 s the worker's lease was renewed up to 1.63 s after the entry's last echo.
It counts from the end of the entry's lease now.
- Any answer to a stop but four counted as its confirmation and lifted the bound.
It holds until the lists show the run's end.
- A repeated start was not held back by the bound, and went out without a lease when none was left, nor by the wait for a long lease after a restart.
- A start that was refused as invalid completed the run although another copy of it had no answer.

golden/worker/stop_unanswered: lease ends 10 ms earlier. Leases but the listed case, stored, retries, upgrade, drains, deadlines and load faults pass.

--- a/src/core/agent/lease.c
+++ b/src/core/agent/lease.c
@@ -17,8 +17,10 @@
 		struct run *run = value;
 
 		if (run->session == session)
-			mst_worker_abandon_run(
-			    agent, run, MST_REASON_LEASE_LAPSED);
+			mst_worker_abandon_run(agent, run,
+			    session->echo_us +
+				agent->options.leases.entry_lease_us,
+			    MST_REASON_LEASE_LAPSED);
 	}
 }
 
--- a/src/core/agent/run.c
+++ b/src/core/agent/run.c
@@ -277,7 +277,7 @@
 	if (run->state == RUN_RUNNING) {
 		if (agent->options.leased)
 			mst_worker_abandon_run(
-			    agent, run, MST_REASON_WITHDRAWN);
+			    agent, run, agent->now_us, MST_REASON_WITHDRAWN);
 		return;
 	}
 	if (run->state == RUN_FINISHED) {
--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -84,7 +84,7 @@
 	 * back. A start would prolong the lease. */
 	if (!agent->worker.synced || agent->worker.renew_failures > 0)
 		return false;
-	if (agent->drained)
+	if (agent->drained || !mst_worker_has_lease_for_start(agent))
 		return run->order_state == ORDER_STOP_DUE;
 	return run->order_state == ORDER_START_DUE ||
 	    run->order_state == ORDER_STOP_DUE ||
@@ -149,11 +149,11 @@
 }
 
 void
-mst_worker_abandon_run(
-    struct mst_agent *agent, struct run *run, enum mst_reason reason)
+mst_worker_abandon_run(struct mst_agent *agent, struct run *run,
+    int64_t since_us, enum mst_reason reason)
 {
-	if (run->abandoned_us == 0)
-		run->abandoned_us = agent->now_us;
+	if (run->abandoned_us == 0 || since_us < run->abandoned_us)
+		run->abandoned_us = since_us;
 	mst_worker_stop_run(agent, run, reason);
 }
 
@@ -343,7 +343,12 @@
 		handle_start_refusal(agent, run, MST_REASON_UPSTREAM_DOWN);
 		break;
 	case MST_ORDER_INVALID:
-		mst_worker_fail_run(agent, run, MST_REASON_UPSTREAM_RESET);
+		if (mst_worker_start_is_uncertain(run))
+			mst_worker_stop_run(
+			    agent, run, MST_REASON_UPSTREAM_RESET);
+		else
+			mst_worker_fail_run(
+			    agent, run, MST_REASON_UPSTREAM_RESET);
 		break;
 	}
 }
--- a/src/core/worker/state.c
+++ b/src/core/worker/state.c
@@ -39,13 +39,6 @@
 	return status_names[status];
 }
 
-/* Returns true if an abandoned run may still be in progress. */
-static bool
-is_abandoned(const struct run *run)
-{
-	return run->abandoned_us > 0 && run->order_state != ORDER_STOPPED;
-}
-
 /* Returns the duration of a lease that is granted now. The lease of the worker
  * is that of all its runs, so it must end in time for the abandoned ones. It is
  * at most 0 once they have had a whole lease. */
@@ -61,13 +54,20 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct run *run = value;
 
-		if (is_abandoned(run))
+		if (run->abandoned_us > 0)
 			left_us = MIN(left_us,
 			    run->abandoned_us + lease_us - agent->now_us);
 	}
 	return left_us;
 }
 
+bool
+mst_worker_has_lease_for_start(const struct mst_agent *agent)
+{
+	return agent->now_us >= agent->worker.start_after_us &&
+	    lease_left_us(agent) >= agent->options.leases.run_lease_us / 2;
+}
+
 bool
 mst_worker_is_ready(const struct mst_agent *agent)
 {
@@ -75,9 +75,8 @@
 
 	return worker->has_reported && worker->synced && !worker->draining &&
 	    !agent->drained && !worker->lease_expiring &&
-	    agent->now_us >= worker->start_after_us &&
 	    worker->unanswered < WORKER_UNANSWERED_MAX &&
-	    lease_left_us(agent) >= agent->options.leases.run_lease_us / 2 &&
+	    mst_worker_has_lease_for_start(agent) &&
 	    worker->renew_failures < WORKER_RENEW_FAILURES_MAX;
 }
 
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -107,10 +107,11 @@
  * reported if the run ends without a result. */
 void mst_worker_stop_run(
     struct mst_agent *agent, struct run *run, enum mst_reason reason);
-/* Stops a run whose entry does not wait for its result any more. Until its end
- * is known, the worker's lease is not renewed beyond one lease from now. */
-void mst_worker_abandon_run(
-    struct mst_agent *agent, struct run *run, enum mst_reason reason);
+/* Stops a run whose entry has not waited for its result since a given time.
+ * Until its end is known, the worker's lease is not renewed beyond one lease
+ * from then. */
+void mst_worker_abandon_run(struct mst_agent *agent, struct run *run,
+    int64_t since_us, enum mst_reason reason);
 
 /* capacity.c */
 /* Returns true if the free resources suffice for a task. */
--- a/src/core/worker/worker_internal.h
+++ b/src/core/worker/worker_internal.h
@@ -29,6 +29,9 @@
 /* Returns the time by which a lease that is renewed now has certainly
  * expired. */
 int64_t mst_worker_lease_end_us(const struct mst_agent *agent);
+/* Returns true if a run that is started now gets a lease of at least half the
+ * usual duration, and not a longer one. */
+bool mst_worker_has_lease_for_start(const struct mst_agent *agent);
 /* Allows for a lease of the worker's new incarnation that is longer than asked
  * for: nothing is started until it ends no later than a usual one. */
 void mst_worker_expect_long_lease(struct mst_agent *agent);
