frontend: a job with an uncertain start is answered 504 again

The platform's rules allow that answer only if a task has failed as often as it may: a job that could still be done must not be shown as failed.

--- a/include/masticstall/entry.h
+++ b/include/masticstall/entry.h
@@ -226,8 +226,7 @@
 	uint32_t open;     /* tasks without a final outcome */
 	uint32_t started;  /* tasks sent to an agent at least once */
 	bool may_have_run; /* false: no task can have started */
-	/* A task that has not completed may still start at its worker, so the
-	 * job must not be submitted again. */
+	/* A task that has not completed may still start at its worker. */
 	bool start_uncertain;
 	uint32_t retry_after_ms; /* time to wait before a retry, if not run */
 	int64_t submitted_us;
--- a/src/runtime/entry_frontend.c
+++ b/src/runtime/entry_frontend.c
@@ -47,9 +47,7 @@
 {
 	if (view->state == MST_JOB_COMPLETE)
 		return FRONTEND_COMPLETED;
-	/* Callers submit a job again that may have run, but not one that has
-	 * failed. */
-	if (view->reason == MST_REASON_TASK_FAILED || view->start_uncertain)
+	if (view->reason == MST_REASON_TASK_FAILED)
 		return FRONTEND_FAILED;
 	return view->may_have_run ? FRONTEND_MAY_HAVE_RUN : FRONTEND_NOT_RUN;
 }
