--- a/include/masticstall/message.h
+++ b/include/masticstall/message.h
@@ -99,7 +99,7 @@
 	MST_MSG_FORWARDED,    /* entry to entry: HTTP answer of the owner */
 	MST_MSG_CONFIG_REQUEST, /* to any: asks for a newer configuration */
 	MST_MSG_CRASHES,        /* agent to entry: crashes of its worker */
-	/* Agent or entry to entry: a start that may still be executed. */
+	/* Agent to entry: a start that may still be executed. */
 	MST_MSG_UNCERTAIN_START,
 	MST_MSG_MAX
 };
--- a/src/core/job/uncertain.h
+++ b/src/core/job/uncertain.h
@@ -49,8 +49,8 @@
 void mst_uncertain_handle_result(struct mst_entry *entry, const struct job *job,
     const struct member *member, const struct mst_result_item *result,
     uint32_t index);
-/* Remembers a start that an agent or another entry tells of, and binds its task
- * if the job is waiting here. */
+/* Remembers a start that an agent tells of, and binds its task if the job is
+ * waiting here. */
 void mst_entry_handle_uncertain_start(
     struct mst_entry *entry, const struct mst_msg *msg);
 /* Binds the tasks of a job that was submitted again. */
