--- a/tests/sim/load_faults.c
+++ b/tests/sim/load_faults.c
@@ -7,6 +7,11 @@
 #define FAULTY_SHARE_PERCENT 12 /* of the workers */
 #define SLOW_SHARE_PERCENT   18
 #define SLOW_FACTOR          6.0
+#define UNEVEN_LOAD          1.9  /* of the peak */
+#define UNEVEN_SLOW_SHARE    0.33 /* of the workers, at the top of the peak */
+#define UNEVEN_FAILING_SHARE 0.2
+#define UNEVEN_SLOW_FACTOR   5.0
+#define UNEVEN_DELAY_MS      1000 /* from the start of the peak */
 #define LATE_PROBABILITY     0.05 /* of each order */
 #define FLAP_PERIOD_MS       700
 #define KILL_DOWN_MS         1000 /* from a kill until the restart */
@@ -66,6 +71,35 @@
 	memset(load->fails, 0, sizeof(load->fails));
 }
 
+/* In the middle of a burst, some workers turn slow and others fail. */
+static void
+uneven_step(struct load *load, int64_t now_ms)
+{
+	int count = load->cluster.agent_count;
+	int slow = (int)(count * UNEVEN_SLOW_SHARE);
+	int failing = (int)(count * UNEVEN_FAILING_SHARE);
+	int i;
+
+	if (now_ms != LOAD_PEAK_START_MS + UNEVEN_DELAY_MS)
+		return;
+	for (i = 0; i < slow + failing; i++) {
+		if (i < slow)
+			load->slowdowns[i] = UNEVEN_SLOW_FACTOR;
+		else
+			load->fails[i] = true;
+	}
+}
+
+static void
+uneven_end(struct load *load)
+{
+	int i;
+
+	for (i = 0; i < load->cluster.agent_count; i++)
+		load->slowdowns[i] = 1;
+	failing_end(load);
+}
+
 static void
 hanging_begin(struct load *load)
 {
@@ -248,7 +282,15 @@
     {.name = "burst-of-one",
 	.begin = burst_of_one_begin,
 	.end = burst_of_one_end},
+    {.name = "burst-and-one",
+	.load_factor = 1.4,
+	.begin = burst_of_one_begin,
+	.end = burst_of_one_end},
     {.name = "slow", .begin = slow_begin, .end = slow_end},
+    {.name = "uneven",
+	.load_factor = UNEVEN_LOAD,
+	.step = uneven_step,
+	.end = uneven_end},
     {.name = "failing", .begin = failing_begin, .end = failing_end},
     {.name = "hanging", .begin = hanging_begin, .end = hanging_end},
     {.name = "resetting", .begin = resetting_begin, .end = order_faults_end},
