place: a long task avoids cold members whose speed is unknown

Now: while at least half of the slots are warm, a task that might outlast its deadline so goes to another member with room, if there is one. Nothing waits for it. Without reports of a warm-up no decision changes (/slow-start/no-reports).

--- a/src/core/entry/entry_internal.h
+++ b/src/core/entry/entry_internal.h
@@ -89,8 +89,11 @@
 	uint32_t place_round;
 	double min_slowness; /* slowness of the fastest member */
 	bool mostly_warm;    /* warm members can serve for cold ones */
-	double capacity;     /* sum over usable members of slots / slowness */
-	double utilization;  /* share of the capacity in use */
+	/* Warm members can serve the few tasks that cold ones might end too
+	 * late. */
+	bool half_warm;
+	double capacity;    /* sum over usable members of slots / slowness */
+	double utilization; /* share of the capacity in use */
 	struct mst_crash_history *crash_history;
 	bool has_suspects; /* some open job may be a suspect */
 	uint32_t quarantined_members;
--- a/src/core/place/place_leased.c
+++ b/src/core/place/place_leased.c
@@ -9,6 +9,7 @@
 #include "core/member/member.h"
 #include "core/place/fit.h"
 #include "core/place/place.h"
+#include "core/place/slow_start.h"
 
 #define DISPATCH_OVERHEAD_US (INT64_C(6) * 1000) /* worker orders, messages */
 /* Shares of the expected time until the finish of a task. */
@@ -166,6 +167,31 @@
 	return true;
 }
 
+/* Returns true if a task might end after its job's deadline at a member because
+ * that is cold and its speed is not known yet. */
+static bool
+may_outlast_deadline(
+    const struct placement *placement, const struct member *member)
+{
+	const struct mst_entry *entry = placement->entry;
+	const struct mst_tuning *tuning = &entry->options.tuning;
+	const struct job *job = placement->job;
+	double service_us, left_us;
+
+	if (!member->is_cold || member->reported_slowness > 0 ||
+	    !entry->half_warm || !tuning->slow_start)
+		return false;
+	service_us =
+	    mst_task_expected_at_us(entry, member, job, placement->task) *
+	    mst_estimate_overrun(
+		&job->team->estimate, tuning->overrun_deviations) *
+	    mst_slow_start_slowness(0, true);
+	left_us = (double)(job->deadline_us - job->submitted_us) *
+		tuning->planned_share -
+	    (double)(entry->now_us - job->submitted_us);
+	return DISPATCH_OVERHEAD_US + service_us > left_us;
+}
+
 /* Returns the latest finish that is accepted: the earliest one at low
  * utilization, up to 1 + finish_stretch_max times that at high utilization. */
 static double
@@ -183,6 +209,7 @@
 struct candidate {
 	struct member *member;
 	double finish_us;
+	bool may_expire; /* might finish after the job's deadline */
 };
 
 GArray *
@@ -213,11 +240,23 @@
 		candidate.finish_us =
 		    expected_finish_us(placement, candidate.member, 1) *
 		    spread_factor(entry, candidate.member);
+		candidate.may_expire =
+		    may_outlast_deadline(placement, candidate.member);
 		g_array_append_val(candidates, candidate);
 	}
 	return candidates;
 }
 
+static bool
+finishes_first(const struct candidate *candidate, const struct candidate *other)
+{
+	if (candidate->may_expire != other->may_expire)
+		return !candidate->may_expire;
+	return candidate->finish_us < other->finish_us;
+}
+
+/* Returns the candidate that finishes the task first, among those that finish
+ * it before the deadline if there is any, or NULL without candidates. */
 static const struct candidate *
 find_first_to_finish(const GArray *candidates)
 {
@@ -228,7 +267,7 @@
 		const struct candidate *candidate =
 		    &g_array_index(candidates, struct candidate, i);
 
-		if (first == NULL || candidate->finish_us < first->finish_us)
+		if (first == NULL || finishes_first(candidate, first))
 			first = candidate;
 	}
 	return first;
@@ -247,7 +286,7 @@
 		const struct candidate *candidate =
 		    &g_array_index(candidates, struct candidate, i);
 
-		if (candidate->finish_us > limit_us ||
+		if (candidate->finish_us > limit_us || candidate->may_expire ||
 		    (last != NULL && candidate->finish_us <= last->finish_us) ||
 		    !can_end_in_time(placement, candidate->member))
 			continue;
--- a/src/core/place/rank.c
+++ b/src/core/place/rank.c
@@ -12,6 +12,9 @@
 #define PLACE_SAMPLES_MIN     3 /* results before a slowness is used */
 /* Least share of the slots that are warm for cold members to be held back. */
 #define WARM_SHARE_MIN 0.75
+/* Least share of the slots that are warm for the deadline of a task to decide
+ * whether it may go to a cold member. */
+#define WARM_SHARE_FOR_DEADLINES 0.5
 
 /* Returns the estimated slowness of a member. A member with too few results
  * counts as the fastest, so that it gets tasks. The slowness of a leased member
@@ -55,10 +58,10 @@
 	return min_slowness == 0 ? 1 : min_slowness;
 }
 
-/* Returns true if enough members are warm to serve in place of cold ones that
- * are held back. */
-static bool
-most_slots_are_warm(const struct mst_entry *entry)
+/* Returns the share of the usable members' slots that are at warm ones, or 0 if
+ * there is none. */
+static double
+warm_share(const struct mst_entry *entry)
 {
 	double slots = 0, warm_slots = 0;
 	guint i;
@@ -72,7 +75,7 @@
 		if (!member->is_cold)
 			warm_slots += member->slots;
 	}
-	return slots > 0 && warm_slots >= slots * WARM_SHARE_MIN;
+	return slots > 0 ? warm_slots / slots : 0;
 }
 
 static gint
@@ -120,9 +123,11 @@
 void
 mst_entry_rank_members(struct mst_entry *entry)
 {
+	double warm = warm_share(entry);
 	guint i;
 
-	entry->mostly_warm = most_slots_are_warm(entry);
+	entry->mostly_warm = warm >= WARM_SHARE_MIN;
+	entry->half_warm = warm >= WARM_SHARE_FOR_DEADLINES;
 	entry->min_slowness = find_min_slowness(entry);
 	/* A typical worker has a slowness of 1. If all workers seem slower, the
 	 * cause is more likely the tasks than the workers. */
--- a/tests/test_slow_start.c
+++ b/tests/test_slow_start.c
@@ -366,7 +366,7 @@
 	    slow_start__cold_fleet_serves_as_much);
 	g_test_add_data_func("/slow-start/third-cold", &third_cold,
 	    slow_start__cold_fleet_serves_as_much);
-	g_test_add_data_func("/slow-start-open/half-cold", &half_cold,
+	g_test_add_data_func("/slow-start/half-cold", &half_cold,
 	    slow_start__cold_fleet_serves_as_much);
 	g_test_add_func("/slow-start/no-reports",
 	    slow_start__nothing_changes_without_reports);
