stored jobs: a new incarnation drops them instead of recording a failure

Found by reading: an entry whose process was paused for longer than pause_us (a suspended host), that was fenced, or that no agent could record, starts a new incarnation and closes its open jobs as failed. For a stored job that is a final state in its record: an accepted job failed for good though no entry had taken it over and none of its runs had failed.

Now the entry gives its ownership up (state=new-incarnation) and drops open stored jobs, as if it had been lost. Whoever takes over the records, this entry included, goes on with the next term, after the delay that ends all earlier runs.

Ruled out: going on with the jobs at once under the new incarnation, because the numbers of the tasks that were sent are gone and a run may still be under way where the pause is not the reason.

--- a/src/core/member/roster.c
+++ b/src/core/member/roster.c
@@ -7,6 +7,7 @@
 #include "core/job/job.h"
 #include "core/member/member_internal.h"
 #include "core/place/place.h"
+#include "core/stored/stored.h"
 
 static void
 roster_rebuild(struct mst_entry *entry)
@@ -193,12 +194,14 @@
 
 /* Starts a new incarnation. Other entries may have adopted the jobs of the
  * previous one, so its open jobs are closed as failed. Tasks without a result
- * get the outcome "unknown", because they may have run. */
+ * get the outcome "unknown", because they may have run. Stored jobs have not
+ * failed: they are dropped, for whoever takes over their records. */
 void
 mst_entry_start_incarnation(struct mst_entry *entry)
 {
 	guint i;
 
+	mst_owner_abandon(entry);
 	for (i = 0; i < entry->jobs->len; i++) {
 		struct job *job = entry->jobs->pdata[i];
 
--- a/src/core/stored/owner.c
+++ b/src/core/stored/owner.c
@@ -109,6 +109,13 @@
 		mst_owner_ensure(entry);
 }
 
+void
+mst_owner_abandon(struct mst_entry *entry)
+{
+	mst_owner_relinquish(entry, "new-incarnation");
+	mst_stored_drop_all(entry);
+}
+
 void
 mst_owner_hand_over(struct mst_entry *entry)
 {
--- a/src/core/stored/stored.h
+++ b/src/core/stored/stored.h
@@ -97,6 +97,9 @@
 /* Suspends all stored jobs and ends the ownership. The reason is the state that
  * is reported. */
 void mst_owner_relinquish(struct mst_entry *entry, const char *reason);
+/* Drops all open stored jobs and ends the ownership, as if this entry had been
+ * lost. The jobs go on at the entry that takes their records over. */
+void mst_owner_abandon(struct mst_entry *entry);
 /* Suspends all stored jobs and hands them over to the other entries. */
 void mst_owner_hand_over(struct mst_entry *entry);
 void mst_entry_handle_store_answer(
--- a/tests/test_stored.c
+++ b/tests/test_stored.c
@@ -40,6 +40,8 @@
 #define HANDOVER_MAX_MS 3500
 /* Maximum time from the end of a store outage until a task starts. */
 #define RECOVERY_MAX_MS 2000
+/* Pause after which an entry starts a new incarnation. */
+#define LONG_PAUSE_MS 61000
 
 /* A caller with one job, from the first submission until the job's final state
  * has been reported. */
@@ -78,6 +80,7 @@
 	int64_t restore_links_ms;
 	int64_t store_faults_end_ms; /* 0: the store has no faults */
 	int64_t now_ms;
+	bool runs_succeed;          /* no run of a task fails */
 	GPtrArray *callers;         /* struct caller */
 	GHashTable *callers_by_key; /* key -> struct caller */
 	uint32_t seed;
@@ -108,7 +111,8 @@
 	if (caller->final_state == MST_STORED_COMPLETE ||
 	    (caller->refused && caller->only_refused && caller->request == 0))
 		scenario->forbidden_start = caller->key;
-	if (g_rand_int_range(scenario->rand, 0, 8) == 0)
+	if (!scenario->runs_succeed &&
+	    g_rand_int_range(scenario->rand, 0, 8) == 0)
 		service.status = 500;
 	return service;
 }
@@ -615,6 +619,87 @@
 	scenario_free(scenario);
 }
 
+/* Cuts off an entry from all other nodes and the store, in both directions. */
+static void
+isolate_entry(struct scenario *scenario, int index, int64_t until_ms)
+{
+	int entry = scenario->cluster.entries[index];
+	int n;
+
+	for (n = 0; n < ENTRIES + WORKERS; n++) {
+		int other = cluster_node(&scenario->cluster, n);
+
+		if (other == entry)
+			continue;
+		sim_get_link(scenario->sim, entry, other)->cut = true;
+		sim_get_link(scenario->sim, other, entry)->cut = true;
+	}
+	sim_set_store_cut(scenario->sim, entry, true);
+	scenario->restore_links_ms = until_ms;
+	scenario->reconnect_store_ms[index] = until_ms;
+}
+
+static uint64_t
+count_incarnations(const struct scenario *scenario, int index)
+{
+	int entry = scenario->cluster.entries[index];
+
+	return mst_entry_counters(sim_get_entry(scenario->sim, entry))
+	    ->incarnations;
+}
+
+/* Pauses the first entries for so long that they start new incarnations, and
+ * asserts that every accepted job goes on afterwards. Nothing reaches an entry
+ * during its pause, so that it notices the pause by its first tick. */
+static void
+play_long_pause(int paused_entries)
+{
+	struct scenario *scenario = scenario_new(5);
+	int64_t resume_ms = 4000 + LONG_PAUSE_MS;
+	int i;
+	guint k;
+
+	scenario->runs_succeed = true;
+	scenario_run_until(scenario, 4000);
+	for (i = 0; i < paused_entries; i++)
+		isolate_entry(scenario, i, resume_ms + 100);
+	scenario_run_until(scenario, 4000 + CLOCK_STEP_MS);
+	for (i = 0; i < paused_entries; i++) {
+		sim_pause(scenario->sim, scenario->cluster.entries[i]);
+		scenario->resume_ms[i] = INT64_MAX;
+	}
+	scenario_run_until(scenario, resume_ms);
+	for (i = 0; i < paused_entries; i++)
+		sim_resume(scenario->sim, scenario->cluster.entries[i]);
+	/* Callers ask them only after their first tick. */
+	scenario_step(scenario, false);
+	for (i = 0; i < paused_entries; i++) {
+		scenario->resume_ms[i] = 0;
+		g_assert_cmpuint(count_incarnations(scenario, i), ==, 2);
+	}
+	scenario_run_until(scenario, resume_ms + 30000);
+	check_invariants(scenario);
+	for (k = 0; k < scenario->callers->len; k++) {
+		const struct caller *caller = scenario->callers->pdata[k];
+
+		g_assert_cmpint(caller->final_state, !=, MST_STORED_FAILED);
+	}
+	scenario_free(scenario);
+}
+
+/* If no entry could take the jobs over meanwhile, they must go on. */
+static void
+stored__jobs_go_on_after_a_pause_of_all_entries(void)
+{
+	play_long_pause(ENTRIES);
+}
+
+static void
+stored__jobs_go_on_after_a_pause_of_one_entry(void)
+{
+	play_long_pause(1);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -623,6 +708,10 @@
 	g_test_add_func(
 	    "/stored/leaving", stored__draining_entry_hands_over_jobs);
 	g_test_add_func("/stored/away", stored__jobs_resume_after_store_outage);
+	g_test_add_func("/stored/all-paused",
+	    stored__jobs_go_on_after_a_pause_of_all_entries);
+	g_test_add_func("/stored/one-paused",
+	    stored__jobs_go_on_after_a_pause_of_one_entry);
 	g_test_add_func(
 	    "/stored/faults", stored__faults_lose_and_repeat_no_jobs);
 	g_test_add_func("/stored/regressions", stored__regressions);
