stored jobs: an answer to a lookup is found by its request

The answer to a lookup's operation was passed on to the record whose address the operation carried. No fault could be shown: a lookup is released only by the answer to its operation, so its address can't be used again before that. The id of the caller's request, which is unique, replaces the address; an answer for a request that is gone is ignored.

--- a/src/core/stored/lookup.c
+++ b/src/core/stored/lookup.c
@@ -58,7 +58,7 @@
 {
 	struct mst_store_op *op = mst_entry_store_op(entry,
 	    lookup->version != 0 ? MST_STORE_CANCEL : MST_STORE_GET_RECORD,
-	    (uint64_t)(uintptr_t)lookup);
+	    lookup->request);
 
 	lookup->in_flight = true;
 	op->key = lookup->key;
@@ -131,10 +131,28 @@
 		    entry, lookup, stored_state_of_record(&current->record));
 }
 
+static struct stored_lookup *
+find_lookup(const struct mst_entry *entry, uint64_t request)
+{
+	guint i;
+
+	for (i = 0; i < entry->stored_lookups->len; i++) {
+		struct stored_lookup *lookup = entry->stored_lookups->pdata[i];
+
+		if (lookup->request == request)
+			return lookup;
+	}
+	return NULL;
+}
+
 void
-mst_stored_handle_lookup(struct mst_entry *entry, struct stored_lookup *lookup,
+mst_stored_handle_lookup(struct mst_entry *entry, uint64_t request,
     const struct mst_store_answer *answer)
 {
+	struct stored_lookup *lookup = find_lookup(entry, request);
+
+	if (lookup == NULL)
+		return;
 	lookup->in_flight = false;
 	if (answer->status == MST_STORE_CONFLICT ||
 	    (answer->status == MST_STORE_OK && lookup->version == 0)) {
--- a/src/core/stored/owner.c
+++ b/src/core/stored/owner.c
@@ -384,8 +384,7 @@
 		break;
 	case MST_STORE_GET_RECORD:
 	case MST_STORE_CANCEL:
-		mst_stored_handle_lookup(entry,
-		    (struct stored_lookup *)(uintptr_t)context.cookie, answer);
+		mst_stored_handle_lookup(entry, context.cookie, answer);
 		break;
 	case MST_STORE_GET_JOB:
 		mst_unowned_handle_loaded(entry, answer);
--- a/src/core/stored/owner_internal.h
+++ b/src/core/stored/owner_internal.h
@@ -32,7 +32,7 @@
 /* Context of a store operation, kept until it is answered. */
 struct op_context {
 	enum mst_store_op_kind kind;
-	uint64_t cookie; /* depends on kind: job, owner, partition or lookup */
+	uint64_t cookie; /* depends on kind: job, owner, partition or request */
 	int64_t sent_us;
 	bool released; /* RENEW: the row was written as released */
 };
--- a/src/core/stored/stored_internal.h
+++ b/src/core/stored/stored_internal.h
@@ -95,10 +95,10 @@
 
 /* lookup.c */
 void mst_stored_lookup_free(struct stored_lookup *lookup);
-/* Handles the answer to a lookup's operation. The answer to a write that
- * conflicts contains the current record. */
-void mst_stored_handle_lookup(struct mst_entry *entry,
-    struct stored_lookup *lookup, const struct mst_store_answer *answer);
+/* Handles the answer to an operation of the lookup for a caller's request. The
+ * answer to a write that conflicts contains the current record. */
+void mst_stored_handle_lookup(struct mst_entry *entry, uint64_t request,
+    const struct mst_store_answer *answer);
 /* Repeats the operations of lookups whose next attempt is due. */
 void mst_stored_lookups_retry(struct mst_entry *entry);
 
