tests/sim: sim.c split into loop, nodes, effects and delivery

Functions were moved as they were; three got the prefix sim_, as they are called from other files now.

--- a/tests/sim/sim_internal.h
+++ b/tests/sim/sim_internal.h
@@ -65,14 +65,22 @@
 struct sim_event *sim_schedule(
     struct sim *sim, int node_id, enum sim_event_type type, int64_t at_us);
 
+/* node.c */
+/* Releases the reducer of a node and the events that wait for it. */
+void sim_node_clear(struct node *node);
+/* Returns the id of the running node with an incarnation, or -1. */
+int sim_node_by_incarnation(const struct sim *sim, uint64_t incarnation);
+
+/* effects.c */
 /* Passes an event and a flush to a node and executes the effects. */
 void sim_step_agent(
     struct sim *sim, int node_id, struct mst_agent_event *event);
 void sim_step_entry(
     struct sim *sim, int node_id, struct mst_entry_event *event);
 
-/* Returns the id of the running node with an incarnation, or -1. */
-int sim_node_by_incarnation(const struct sim *sim, uint64_t incarnation);
+/* delivery.c */
+/* Sends a message to its receiver, or to all other entries if it names none. */
+void sim_send_message(struct sim *sim, int from, const struct mst_msg *msg);
 
 /* inspect.c */
 /* Returns the key of a task in start_counts and idempotent_tasks, to be freed
