Files that need each other: groups of 3, 2, 2 and 2 files opened

- member/heartbeat, member/peer, entry/drains: entry.c merges the set of drained domains of a greeting and tells peer.c whether the sender's is outdated, as member.c does for announcements. peer.c no longer changes the set.
- crash/history, crash/attribution: the judgement of a task by its crashes stands with the attribution, which uses it; history.c calls that one way.
- place/quarantine, place/quarantine_members: the number of quarantined teams is counted where the members are chosen by it.

--- a/src/core/crash/attribution.c
+++ b/src/core/crash/attribution.c
@@ -14,6 +14,9 @@
 #include "core/crash/crash.h"
 #include "core/crash/crash_internal.h"
 
+/* Crashes after which a task is a suspect, or is given up. */
+#define SUSPECT_CRASHES 2
+#define GIVE_UP_CRASHES 3
 /* Time for which a crash is evidence. */
 #define EVIDENCE_KEEP_US (INT64_C(60) * G_USEC_PER_SEC)
 #define ROUNDS           6
@@ -48,6 +51,16 @@
 	int64_t crashed_us; /* last crash of one of its tasks */
 };
 
+enum mst_crash_verdict
+mst_crash_judge(const struct mst_task_crashes *crashes)
+{
+	if (crashes->total >= GIVE_UP_CRASHES ||
+	    (crashes->total >= SUSPECT_CRASHES && crashes->alone > 0))
+		return MST_CRASH_GIVE_UP;
+	return crashes->total >= SUSPECT_CRASHES ? MST_CRASH_SUSPECT
+						 : MST_CRASH_NO_SUSPECT;
+}
+
 static bool
 is_evidence(const struct crash_record *record, int64_t now_us)
 {
--- a/src/core/crash/history.c
+++ b/src/core/crash/history.c
@@ -4,20 +4,7 @@
 #include "core/crash/crash_internal.h"
 #include "core/id.h"
 
-/* Crashes after which a task is a suspect, or is given up. */
-#define SUSPECT_CRASHES 2
-#define GIVE_UP_CRASHES 3
-#define CRASHES_MAX     1024 /* remembered by one entry */
-
-enum mst_crash_verdict
-mst_crash_judge(const struct mst_task_crashes *crashes)
-{
-	if (crashes->total >= GIVE_UP_CRASHES ||
-	    (crashes->total >= SUSPECT_CRASHES && crashes->alone > 0))
-		return MST_CRASH_GIVE_UP;
-	return crashes->total >= SUSPECT_CRASHES ? MST_CRASH_SUSPECT
-						 : MST_CRASH_NO_SUSPECT;
-}
+#define CRASHES_MAX 1024 /* remembered by one entry */
 
 static void
 presence_clear(gpointer data)
--- a/src/core/entry/entry.c
+++ b/src/core/entry/entry.c
@@ -131,6 +131,17 @@
 	mst_entry_handle_results(entry, member, &msg->results);
 }
 
+static void
+entry_handle_peer_msg(struct mst_entry *entry, const struct mst_msg *msg)
+{
+	bool outdated;
+
+	if (msg->from == entry->incarnation)
+		return;
+	outdated = mst_entry_merge_drains(entry, &msg->peer.drains, "entry");
+	mst_entry_handle_peer(entry, msg, outdated);
+}
+
 static void
 entry_handle_config_msg(struct mst_entry *entry, const struct mst_msg *msg)
 {
@@ -171,7 +182,7 @@
 		mst_entry_handle_crashes(entry, msg);
 		break;
 	case MST_MSG_PEER:
-		mst_entry_handle_peer(entry, msg);
+		entry_handle_peer_msg(entry, msg);
 		break;
 	case MST_MSG_CONFIG:
 		entry_handle_config_msg(entry, msg);
--- a/src/core/member/member.h
+++ b/src/core/member/member.h
@@ -131,7 +131,10 @@
 uint32_t mst_entry_count_live_entries(const struct mst_entry *entry);
 
 /* peer.c */
-void mst_entry_handle_peer(struct mst_entry *entry, const struct mst_msg *msg);
+/* Handles the greeting of another entry. It is answered at once if the sender's
+ * set of drained domains is outdated. */
+void mst_entry_handle_peer(
+    struct mst_entry *entry, const struct mst_msg *msg, bool outdated);
 void mst_peer_free(struct peer *peer);
 /* Tells all entries that this one connects to its address and state. */
 void mst_entry_greet_peers(struct mst_entry *entry);
--- a/src/core/member/peer.c
+++ b/src/core/member/peer.c
@@ -33,15 +33,14 @@
 }
 
 void
-mst_entry_handle_peer(struct mst_entry *entry, const struct mst_msg *msg)
+mst_entry_handle_peer(
+    struct mst_entry *entry, const struct mst_msg *msg, bool outdated)
 {
 	struct peer *peer =
 	    g_hash_table_lookup(entry->peers, mst_u64_to_pointer(msg->from));
 	struct mst_entry_effect *effect;
 
-	if (msg->from == entry->incarnation)
-		return;
-	if (mst_entry_merge_drains(entry, &msg->peer.drains, "entry"))
+	if (outdated)
 		emit_greeting(entry, msg->from);
 	if (peer == NULL) {
 		if (g_hash_table_size(entry->peers) >= ENTRY_PEERS_MAX)
--- a/src/core/place/quarantine.c
+++ b/src/core/place/quarantine.c
@@ -140,17 +140,3 @@
 	    ++team->completed_in_quarantine >= needed)
 		set_level(entry, team, team->quarantine - 1);
 }
-
-uint32_t
-mst_quarantine_count_teams(const struct mst_entry *entry)
-{
-	GHashTableIter iter;
-	gpointer value;
-	uint32_t count = 0;
-
-	g_hash_table_iter_init(&iter, entry->teams);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		count +=
-		    ((const struct team *)value)->quarantine != QUARANTINE_NONE;
-	return count;
-}
--- a/src/core/place/quarantine_members.c
+++ b/src/core/place/quarantine_members.c
@@ -23,6 +23,20 @@
 #define RESERVED_MEMBERS   1   /* never quarantined, for jobs of other teams */
 #define GROWTH_INTERVAL_US (200 * 1000)
 
+uint32_t
+mst_quarantine_count_teams(const struct mst_entry *entry)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, entry->teams);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		count +=
+		    ((const struct team *)value)->quarantine != QUARANTINE_NONE;
+	return count;
+}
+
 /* Returns true if some open job must run at quarantined members. */
 static bool
 has_quarantined_jobs(const struct mst_entry *entry)
--- a/src/core/stored/record.c
+++ b/src/core/stored/record.c
@@ -10,8 +10,6 @@
 #include "core/member/member.h"
 #include "core/stored/stored_internal.h"
 
-#include <string.h>
-
 /* Time from a failed write of a record to the next one, in microseconds. */
 static const struct mst_retry_bounds write_bounds = {
     .min = 60 * 1000, .max = 500 * 1000};
@@ -139,30 +137,6 @@
 		g_rand_double(entry->rand));
 }
 
-/* Applies the task codes of a stored record: completions that an agent or an
- * earlier owner has recorded, and counts of failed runs. */
-void
-mst_stored_merge_tasks(
-    struct mst_entry *entry, struct job *job, const char *tasks)
-{
-	uint32_t i;
-
-	if (strlen(tasks) != job->count)
-		return;
-	for (i = 0; i < job->count && job->state == MST_JOB_OPEN; i++) {
-		struct task *task = &job->tasks[i];
-
-		if (task->state == TASK_CLOSED)
-			continue;
-		if (tasks[i] != MST_RECORD_DONE) {
-			task->failures = MAX(task->failures,
-			    (uint8_t)(tasks[i] - MST_RECORD_NO_FAILURES));
-			continue;
-		}
-		mst_task_force_done(entry, job, i);
-	}
-}
-
 /* Merges the current record after a conflict. A final state, such as that of a
  * cancellation, closes the job. */
 static void
--- a/src/core/stored/stored_internal.h
+++ b/src/core/stored/stored_internal.h
@@ -68,10 +68,12 @@
 void mst_stored_answer_requests(struct mst_entry *entry, struct job *job,
     GArray *requests, enum mst_stored_state state);
 
-/* record.c */
+/* merge.c */
 /* Applies the task codes of a stored record to a job. */
 void mst_stored_merge_tasks(
     struct mst_entry *entry, struct job *job, const char *tasks);
+
+/* record.c */
 /* Closes a job whose final state is recorded. */
 void mst_stored_close_recorded(struct mst_entry *entry, struct job *job);
 void mst_stored_handle_write(struct mst_entry *entry, struct job *job,
