--- a/tests/search/model.h
+++ b/tests/search/model.h
@@ -16,10 +16,10 @@
 #define MODEL_ENTRIES     2
 #define MODEL_AGENTS      2
 #define MODEL_NODES       (MODEL_ENTRIES + MODEL_AGENTS)
-#define MODEL_TICK_US     (10 * 1000)
+#define MODEL_TICK_US     (20 * 1000)
 #define MODEL_RESEND_US   (1300 * 1000) /* caller: until it sends again */
 #define MODEL_CALLER_US   (4000 * 1000) /* caller: longest wait for an answer */
-#define MODEL_TRAFFIC_MAX 100000        /* events at one time; more is a loop */
+#define MODEL_TRAFFIC_MAX 20000         /* events at one time; more is a loop */
 
 enum model_event_type {
 	MODEL_TICK,
@@ -106,6 +106,7 @@
 	/* Incarnation in the report that the agent has kept; 0: none. */
 	uint64_t kept_incarnation[MODEL_AGENTS];
 	GQueue traffic;       /* struct model_event; delivered at once */
+	GQueue next_traffic;  /* the same, at the next tick */
 	GPtrArray *pending;   /* struct model_event; delivered by moves */
 	bool has_new_pending; /* since the last move */
 	GArray *waits;        /* struct model_wait */
