--- a/tests/search/moves.h
+++ b/tests/search/moves.h
@@ -56,7 +56,8 @@
 	unsigned faults; /* moves with a budget, of all types together */
 };
 
-#define MOVE_UNLIMITED 255
+#define MOVE_UNLIMITED  255
+#define MOVE_PASS_TIMES 3 /* times that may pass */
 
 /* Moves that led to a state. */
 struct move_counts {
@@ -65,6 +66,10 @@
 	unsigned faults;
 };
 
+/* Returns true if one more move of a type is within the limits. */
+bool moves_are_allowed(const struct move_limits *limits,
+    const struct move_counts *counts, enum move_type type);
+
 /* Adds the moves that are possible to an array of struct move. */
 void moves_list(GArray *moves, const struct model *m,
     const struct move_limits *limits, const struct move_counts *counts);
