--- a/tests/search/model.h
+++ b/tests/search/model.h
@@ -152,6 +152,9 @@
  * if only_polls is false, without an answer. */
 void model_break_worker(struct model *m, int agent, bool only_polls);
 
+/* Ends the waits for orders that have timed out. */
+void model_end_waits(struct model *m);
+
 /* Takes an answer that is too late for a request as none. */
 void model_drop_late_answers(GPtrArray *events, int64_t now_us);
 
--- a/tests/search/model_internal.h
+++ b/tests/search/model_internal.h
@@ -16,8 +16,6 @@
 void model_execute_order(struct model *m, struct model_event *event);
 /* Answers the renewals whose wait at a worker is over. */
 void model_end_polls(struct model *m);
-/* Ends the waits for orders that have timed out. */
-void model_end_waits(struct model *m);
 
 /* caller.c */
 /* Checks an answer of an entry to the caller. */
