--- a/tests/test_lease_search.c
+++ b/tests/test_lease_search.c
@@ -220,7 +220,7 @@
 	.depth = 9,
 	.states = 800},
     /* Messages that are lost, late or repeated, and entries that are lost. */
-    {.name = "lease-search/messages",
+    {.name = "lease-search-links/messages",
 	.options = {.clock_rate = 1.0, .explore_messages = true},
 	.limits =
 	    {.budgets = {ENDS_OF_FAULTS, [MOVE_HOLD] = 1, [MOVE_REPEAT] = 1,
@@ -229,7 +229,7 @@
 	.depth = 9,
 	.states = 800},
     /* Links that are cut, or on which messages wait. */
-    {.name = "lease-search/links",
+    {.name = "lease-search-links/links",
 	.options = {.clock_rate = 0.98, .explore_orders = false},
 	.limits =
 	    {.budgets = {ENDS_OF_FAULTS, [MOVE_CUT] = 1, [MOVE_STALL] = 1,
@@ -239,7 +239,7 @@
 	.depth = 9,
 	.states = 800},
     /* Agents that are frozen, and go on with any event. */
-    {.name = "lease-search/frozen-agents",
+    {.name = "lease-search-links/frozen-agents",
 	.options = {.clock_rate = 0.98, .explore_orders = true},
 	.limits =
 	    {.budgets =
@@ -249,7 +249,7 @@
 	.depth = 9,
 	.states = 800},
     /* The same for entries. */
-    {.name = "lease-search/frozen-entries",
+    {.name = "lease-search-links/frozen-entries",
 	.options = {.clock_rate = 0.98, .explore_messages = true},
 	.limits =
 	    {.budgets = {ENDS_OF_FAULTS, [MOVE_HOLD] = 1,
