--- a/tests/search/state_hash.c
+++ b/tests/search/state_hash.c
@@ -165,6 +165,7 @@
 	put_time(h, worker->next_renew_us);
 	put_time(h, worker->unreliable_until_us);
 	put(h, worker->renew_failures);
+	put(h, worker->is_restarted);
 	for (i = 0; i < WORKER_RENEWS_MAX; i++) {
 		put(h, worker->renewals[i].id != 0);
 		put(h, worker->renewals[i].fence == worker->fence);
