tests: the lease search mutes workers, whose answers are lost while orders arrive

Leases that end while renewals are executed without an answer were not reached: a link that is cut loses the last renewals, which leaves the agent a margin.

--- a/tests/search/apply.c
+++ b/tests/search/apply.c
@@ -179,8 +179,11 @@
 	case MOVE_CUT_WORKER:
 		m->worker_cut[move->a] = true;
 		break;
+	case MOVE_MUTE_WORKER:
+		m->worker_muted[move->a] = true;
+		break;
 	case MOVE_HEAL_WORKER:
-		m->worker_cut[move->a] = false;
+		m->worker_cut[move->a] = m->worker_muted[move->a] = false;
 		break;
 	case MOVE_RESTART_WORKER:
 	case MOVE_START_WORKER:
@@ -307,9 +310,9 @@
 	    "execute without an answer", "repeat", "release",
 	    "hold up the next renewal", "kill entry", "kill agent", "restart",
 	    "freeze entry", "freeze agent", "thaw", "cut", "stall", "heal",
-	    "cut from its agent", "reconnect to its agent", "restart worker",
-	    "crash worker", "start worker", "finish a run at worker",
-	    "break the caller"};
+	    "cut from its agent", "mute", "reconnect to its agent",
+	    "restart worker", "crash worker", "start worker",
+	    "finish a run at worker", "break the caller"};
 
 	g_string_append(out, names[move->type]);
 	if (move->type == MOVE_PASS)
--- a/tests/search/model.h
+++ b/tests/search/model.h
@@ -99,8 +99,9 @@
 	enum model_link links[MODEL_NODES][MODEL_NODES];
 	GPtrArray *stalled[MODEL_NODES][MODEL_NODES]; /* struct model_event */
 	struct search_worker workers[MODEL_AGENTS];
-	bool worker_cut[MODEL_AGENTS];
-	bool hold_renew[MODEL_AGENTS]; /* the next one is held up */
+	bool worker_cut[MODEL_AGENTS];   /* orders are lost */
+	bool worker_muted[MODEL_AGENTS]; /* answers are lost */
+	bool hold_renew[MODEL_AGENTS];   /* the next one is held up */
 	int64_t next_report_us[MODEL_AGENTS];
 	uint64_t report_seq;
 	/* Incarnation in the report that the agent has kept; 0: none. */
--- a/tests/search/moves.c
+++ b/tests/search/moves.c
@@ -100,8 +100,9 @@
 list_worker_moves(const struct listing *l, int agent)
 {
 	const struct search_worker *worker = &l->m->workers[agent];
+	bool is_cut = l->m->worker_cut[agent] || l->m->worker_muted[agent];
 
-	if (l->m->worker_cut[agent])
+	if (is_cut)
 		add(l, MOVE_HEAL_WORKER, agent, 0);
 	if (worker->is_down)
 		add(l, MOVE_START_WORKER, agent, 0);
@@ -109,8 +110,10 @@
 		return;
 	if (!l->m->hold_renew[agent])
 		add(l, MOVE_HOLD_RENEW, agent, 0);
-	if (!l->m->worker_cut[agent])
+	if (!is_cut) {
 		add(l, MOVE_CUT_WORKER, agent, 0);
+		add(l, MOVE_MUTE_WORKER, agent, 0);
+	}
 	if (worker->is_down)
 		return;
 	add(l, MOVE_RESTART_WORKER, agent, 0);
--- a/tests/search/moves.h
+++ b/tests/search/moves.h
@@ -25,6 +25,7 @@
 	MOVE_STALL, /* one way; what is sent waits */
 	MOVE_HEAL,
 	MOVE_CUT_WORKER,
+	MOVE_MUTE_WORKER, /* its answers are lost */
 	MOVE_HEAL_WORKER,
 	/* Of a worker: */
 	MOVE_RESTART_WORKER, /* as a new incarnation under its id, at once */
--- a/tests/search/node.c
+++ b/tests/search/node.c
@@ -290,7 +290,8 @@
 	int node = MODEL_ENTRIES + agent;
 
 	if (m->now_us < m->next_report_us[agent] || m->worker_cut[agent] ||
-	    m->workers[agent].is_down || !model_is_running(m, node))
+	    m->worker_muted[agent] || m->workers[agent].is_down ||
+	    !model_is_running(m, node))
 		return;
 	m->next_report_us[agent] = m->now_us + REPORT_INTERVAL_US;
 	m->kept_incarnation[agent] = m->workers[agent].incarnation;
--- a/tests/search/order.c
+++ b/tests/search/order.c
@@ -99,7 +99,7 @@
 		    order->run, mst_order_status_name(status));
 	if (worker->runs_started > runs_started)
 		check_start(m, agent);
-	if (event->answer_lost)
+	if (event->answer_lost || m->worker_muted[agent])
 		return;
 	if (order->kind == MST_ORDER_RENEW && status == MST_ORDER_DONE &&
 	    order->wait_ms > 0 && worker->completion_count == 0) {
@@ -151,7 +151,7 @@
 			continue;
 		}
 		g_array_remove_index(m->polls, i);
-		if (!m->worker_cut[poll.agent])
+		if (!m->worker_cut[poll.agent] && !m->worker_muted[poll.agent])
 			answer_order(
 			    m, poll.agent, &poll.order, MST_ORDER_DONE);
 	}
--- a/tests/search/state_hash.c
+++ b/tests/search/state_hash.c
@@ -317,7 +317,8 @@
 		put_node(&h, i);
 	for (i = 0; i < MODEL_AGENTS; i++) {
 		put_worker(&h, &m->workers[i]);
-		put(&h, m->worker_cut[i] << 1 | m->hold_renew[i]);
+		put_bool4(&h, m->worker_cut[i], m->worker_muted[i],
+		    m->hold_renew[i], false);
 		put_time(&h, m->next_report_us[i]);
 	}
 	put_links(&h);
--- a/tests/test_lease_search.c
+++ b/tests/test_lease_search.c
@@ -193,10 +193,10 @@
     /* Orders that are lost or late, while the workers stay. */
     {.name = "lease-search/late-orders",
 	.options = {.clock_rate = 0.98, .explore_orders = true},
-	.limits =
-	    {.budgets = {ENDS_OF_FAULTS, [MOVE_HOLD] = 1, [MOVE_NO_ANSWER] = 1,
-		 [MOVE_KILL_AGENT] = 1, [MOVE_CUT_WORKER] = 1},
-		.faults = 3},
+	.limits = {.budgets = {ENDS_OF_FAULTS, [MOVE_HOLD] = 1,
+		       [MOVE_NO_ANSWER] = 1, [MOVE_KILL_AGENT] = 1,
+		       [MOVE_CUT_WORKER] = 1, [MOVE_MUTE_WORKER] = 1},
+	    .faults = 3},
 	.depth = 9,
 	.states = 1200},
     /* Entries that are lost, and callers that come back at the other one, while
