--- a/tests/search/event.c
+++ b/tests/search/event.c
@@ -134,6 +134,8 @@
 	mst_msg_encode(event->bytes, msg);
 	if (msg->type == MST_MSG_DISPATCH)
 		m->nodes[to].was_used = true;
+	if (msg->type == MST_MSG_ANNOUNCE && msg->announce.uncertain_count > 0)
+		m->nodes[from].has_told = true;
 	if (msg->type == MST_MSG_DISPATCH || msg->type == MST_MSG_WITHDRAW ||
 	    msg->type == MST_MSG_RESULT)
 		model_log(m, "node %d -> %d: %s", from, to,
--- a/tests/search/model.h
+++ b/tests/search/model.h
@@ -56,6 +56,7 @@
 	unsigned starts;
 	bool is_alive;
 	bool is_frozen;
+	bool has_told;      /* an entry of an uncertain start */
 	bool was_used;      /* the job or its task was sent to it */
 	GPtrArray *backlog; /* struct model_event; arrived while frozen */
 };
@@ -90,6 +91,9 @@
 	double clock_rate;     /* of the workers */
 	bool explore_messages; /* dispatches, withdrawals and results */
 	bool explore_orders;   /* starts and stops */
+	/* Agents are killed only when they have told their entry that the
+	 * start of a task is uncertain. */
+	bool agents_tell_first;
 };
 
 struct model {
