--- a/tests/search/caller.c
+++ b/tests/search/caller.c
@@ -29,6 +29,11 @@
 	model_log(m, "node %d answers: %s, %s", node,
 	    view.state == MST_JOB_COMPLETE ? "complete" : "failed",
 	    mst_reason_name(view.reason));
+	/* It is told 504, and sends again. */
+	if (view.state == MST_JOB_FAILED && view.start_uncertain) {
+		model_break_caller(m);
+		return;
+	}
 	finish_caller(m, view.state == MST_JOB_FAILED && !view.may_have_run);
 	if (view.state == MST_JOB_COMPLETE &&
 	    m->workers[0].runs_done + m->workers[1].runs_done == 0)
