--- a/script/upgrade_system.sh
+++ b/script/upgrade_system.sh
@@ -1,17 +1,11 @@
 # Functions that run two entries, four agents with their runners and a store as
 # processes of two builds on loopback. Sourced by script/upgrade after
-# script/lib.sh, with the directories of the programs in NEW and OLD.
+# script/lib.sh and
+# script/leases.sh, with the directories of the programs in NEW and OLD.
 
 ENTRY_COUNT=2
 AGENT_COUNT=4
 RUNNER_SLOTS=8
-# The configuration that the store has, as its operator writes it.
-CONFIG='{"version":9,"routes":[{"name":"q","host":"a.example","prefix":"/p/",
-"service":"s","priority":0,"attempts":3,"timeoutMs":3000,"stretch":1.6,
-"targetLatencyMs":60},{"name":"crash","host":"a.example","prefix":"/crash/",
-"service":"s","priority":1,"attempts":3,"timeoutMs":3000,"stretch":1.6,
-"targetLatencyMs":60}],"services":[]}'
-
 # Two blocks of ports, as one has too few.
 FREE_PORTS=()
 for _ in 1 2; do
@@ -67,18 +61,11 @@
 	start "$1" "${BUILD_OF[$1]}/$program" --settings "$RUN/$1.json"
 }
 
-# commit_rows JSON: applies a transaction in the store.
-commit_rows() {
-	curl -fsS -o /dev/null -d "$1" "http://$STORE/v1/rows-tx"
-}
-
 start_platform_processes() {
-	local n value
+	local n
 	start store "$NEW/standin-store" "$STORE"
 	wait_http "http://$STORE/counts" 10
-	value=$(printf '%s' "$CONFIG" | base64 -w 0)
-	commit_rows '{"setKeys":[{"table":"op","part":"","key":"config",
-	    "value":"'"$value"'"}]}'
+	write_config
 	for n in $(seq "$AGENT_COUNT"); do
 		start "runner$n" "$NEW/standin-runner" \
 		    "$(agent_port "$n" runner)" "$(agent_port "$n" report)" \
@@ -112,19 +99,3 @@
 		curl -fsS -m 1 "http://$address/metrics" 2>/dev/null || true
 	done | awk '/^masticstall_messages_dropped_total/ {n += $2} END {print n + 0}'
 }
-
-# overlapping_runs: prints each start of a task while another run of it was in
-# progress at some runner.
-overlapping_runs() {
-	cat "$RUN"/runner*.out | sort -n -k2,2 -s | awk '
-		$1 == "start" { if (++open[$3] > 1) print }
-		$1 == "end" { open[$3]-- }'
-}
-
-# started_refused: prints the jobs of which a task has started although every
-# submission was refused. Those sent again had no answer before.
-started_refused() {
-	awk 'FNR == NR { if ($2 == "refused" && $5 == 1) refused[$1] = 1; next }
-	    $1 == "start" { split($3, part, "."); if (part[1] in refused) print part[1] }' \
-	    "$RUN/caller.out" <(cat "$RUN"/runner*.out) | sort -u
-}
--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -5,9 +5,19 @@
  * that it knows and be silent for a while, as a new incarnation. What runs is
  * ended when the lease runs out. Each start and end of a run is a line on
  * standard output: "start TIME TASK RUN", "end TIME TASK RUN HOW", with the
- * time of the monotonic clock in microseconds, which runners share.
+ * time of the monotonic clock in microseconds, which runners share. A run that
+ * lapses ends at that time, also if this process notices it later.
  *
- * Usage: standin-runner LISTEN REPORT ID SLOTS
+ * PUT /faults injects faults, which last until they are set again:
+ * {"late_share": x} leaves this share of the orders without an answer and
+ * carries them out LATE_MIN_MS to LATE_MAX_MS later, also in the runner's next
+ * incarnation; {"lost_share": x} carries orders out and does not answer;
+ * {"fail_share": x} lets runs fail; {"unhealthy": true} refuses all orders;
+ * {"crash_ms": n} crashes the runner for that long, {"hangs": true} leaves
+ * orders unanswered meanwhile in place of refusing them. {"seed": n} seeds what
+ * is drawn.
+ *
+ * Usage: standin-runner LISTEN REPORT ID SLOTS [CLOCK_RATE]
  */
 
 #include <cjson/cJSON.h>
@@ -25,6 +35,10 @@
 #define TASK_MC       1000 /* capacity of a slot, in thousandths of a core */
 #define TASK_MB       1024
 #define CALL_MS       500
+#define LATE_MIN_MS   1000
+#define LATE_MAX_MS   6000
+#define LATE_AFTER_MS 1000 /* most, from the end of a crash to a late order */
+#define NO_REQUEST    UINT64_MAX /* of an order that gets no answer */
 
 struct run {
 	uv_timer_t timer; /* first member; cast to and from the structure */
@@ -38,11 +52,29 @@
 	uint64_t request;
 };
 
+/* An order that is carried out late. */
+struct late_order {
+	uv_timer_t timer; /* first member; cast to and from the structure */
+	char *path;
+	cJSON *json;
+};
+
+struct faults {
+	double late_share;
+	double lost_share;
+	double fail_share;
+	bool unhealthy;
+	bool hangs;
+};
+
 static struct mst_httpd *httpd;
 static struct mst_http_client *client;
+static struct faults faults;
+static GRand *faults_rand;
 static const char *report_url;
 static const char *id;
 static unsigned slots;
+static double clock_rate = 1;
 static uint64_t seq;    /* of the reports of this incarnation */
 static int64_t born_ms; /* wall-clock time of this incarnation's start */
 static int64_t born_us; /* the same, of the monotonic clock */
@@ -64,7 +96,20 @@
 static int64_t
 clock_ms(void)
 {
-	return (now_us() - born_us) / 1000;
+	return (int64_t)((double)(now_us() - born_us) * clock_rate) / 1000;
+}
+
+/* Returns the time of the monotonic clock at which the lease ends. */
+static int64_t
+lease_end_us(void)
+{
+	return born_us + (int64_t)((double)until_ms * 1000 / clock_rate);
+}
+
+static bool
+draw(double share)
+{
+	return share > 0 && g_rand_double(faults_rand) < share;
 }
 
 static bool
@@ -156,7 +201,11 @@
 static void
 log_end(const struct run *run, const char *how)
 {
-	printf("end %" G_GINT64_FORMAT " %s %u %s\n", now_us(), run->task,
+	int64_t time_us = now_us();
+
+	if (strcmp(how, "lapsed") == 0)
+		time_us = MIN(time_us, lease_end_us());
+	printf("end %" G_GINT64_FORMAT " %s %u %s\n", time_us, run->task,
 	    run->number, how);
 }
 
@@ -211,23 +260,46 @@
 	ended = cJSON_CreateArray();
 }
 
+/* Leaves the orders that wait without an answer. */
 static void
-crash(void)
+drop_holds(void)
+{
+	while (holds->len > 0) {
+		struct hold *hold = g_ptr_array_steal_index(holds, 0);
+
+		uv_close((uv_handle_t *)&hold->timer, free_handle);
+	}
+}
+
+static void
+crash(unsigned down_ms)
 {
 	end_all("crashed", true);
-	down_until_us = now_us() + CRASH_DOWN_MS * 1000;
+	drop_holds();
+	down_until_us = now_us() + (int64_t)down_ms * 1000;
 	start_incarnation();
 }
 
+/* Ends what runs if the lease is over. */
+static void
+check_lease(void)
+{
+	if (until_ms <= clock_ms())
+		end_all("lapsed", false);
+}
+
 static void
 on_run_due(uv_timer_t *timer)
 {
 	struct run *run = (struct run *)timer;
 
+	check_lease();
+	if (uv_is_closing((uv_handle_t *)timer))
+		return;
 	if (run->timer.data != NULL)
-		crash();
+		crash(CRASH_DOWN_MS);
 	else
-		end_run(run, "done");
+		end_run(run, draw(faults.fail_share) ? "failed" : "done");
 }
 
 /* Extends the lease, by at most its greatest length. */
@@ -375,29 +447,129 @@
 	g_ptr_array_add(holds, waiting);
 }
 
+static bool
+carry_out(const char *path, uint64_t request, const cJSON *order)
+{
+	check_lease();
+	if (strcmp(path, "/v1/run-start") == 0)
+		start_run(request, order);
+	else if (strcmp(path, "/v1/run-stop") == 0)
+		stop_run(request, order);
+	else if (strcmp(path, "/v1/hold") == 0)
+		hold(request, order);
+	else
+		return false;
+	return true;
+}
+
+static void
+free_late_order(uv_handle_t *handle)
+{
+	struct late_order *late = (struct late_order *)handle;
+
+	cJSON_Delete(late->json);
+	g_free(late->path);
+	g_free(late);
+}
+
+/* An order that is due while the runner is down meets its next incarnation. */
+static void
+on_late_order_due(uv_timer_t *timer)
+{
+	struct late_order *late = (struct late_order *)timer;
+
+	if (is_down()) {
+		uv_timer_start(timer, on_late_order_due,
+		    (uint64_t)((down_until_us - now_us()) / 1000 +
+			g_rand_int_range(faults_rand, 1, LATE_AFTER_MS)),
+		    0);
+		return;
+	}
+	carry_out(late->path, NO_REQUEST, late->json);
+	uv_close((uv_handle_t *)timer, free_late_order);
+}
+
+static void
+carry_out_later(const char *path, const cJSON *order)
+{
+	struct late_order *late = g_new0(struct late_order, 1);
+
+	late->path = g_strdup(path);
+	late->json = cJSON_Duplicate(order, 1);
+	uv_timer_init(uv_default_loop(), &late->timer);
+	uv_timer_start(&late->timer, on_late_order_due,
+	    (uint64_t)g_rand_int_range(faults_rand, LATE_MIN_MS, LATE_MAX_MS),
+	    0);
+}
+
+/* Sets a share or rate if the JSON has it. */
+static void
+read_number(double *value, const cJSON *json, const char *name)
+{
+	const cJSON *item = cJSON_GetObjectItemCaseSensitive(json, name);
+
+	if (cJSON_IsNumber(item))
+		*value = item->valuedouble;
+}
+
+static void
+read_flag(bool *flag, const cJSON *json, const char *name)
+{
+	const cJSON *item = cJSON_GetObjectItemCaseSensitive(json, name);
+
+	if (cJSON_IsBool(item))
+		*flag = cJSON_IsTrue(item);
+}
+
+static void
+set_faults(uint64_t request, const cJSON *json)
+{
+	read_number(&faults.late_share, json, "late_share");
+	read_number(&faults.lost_share, json, "lost_share");
+	read_number(&faults.fail_share, json, "fail_share");
+	read_flag(&faults.unhealthy, json, "unhealthy");
+	read_flag(&faults.hangs, json, "hangs");
+	if (cJSON_HasObjectItem(json, "seed"))
+		g_rand_set_seed(faults_rand, get_number(json, "seed"));
+	if (cJSON_HasObjectItem(json, "crash_ms"))
+		crash(get_number(json, "crash_ms"));
+	mst_http_respond(httpd, request, 204, NULL, 0, "", 0);
+}
+
+/* Carries out an order, with the faults that are set. */
+static void
+handle_order(uint64_t request, const char *path, const cJSON *order)
+{
+	if (is_down() && faults.hangs)
+		return;
+	if (is_down() || faults.unhealthy)
+		mst_http_respond(httpd, request, 503, NULL, 0, "", 0);
+	else if (draw(faults.late_share))
+		carry_out_later(path, order);
+	else if (draw(faults.lost_share))
+		carry_out(path, NO_REQUEST, order);
+	else if (!carry_out(path, request, order))
+		mst_http_respond(httpd, request, 404, NULL, 0, "", 0);
+}
+
 static void
 on_request(struct mst_http_request *request, void *ctx)
 {
 	struct mst_bytes expected =
 	    mst_http_header(request, "x-expect-instance");
-	cJSON *order =
+	cJSON *json =
 	    cJSON_ParseWithLength(request->body.data, request->body.len);
 	char *path = mst_bytes_to_str(request->path);
 
-	if (is_down())
-		mst_http_respond(httpd, request->id, 503, NULL, 0, "", 0);
-	else if (expected.len > 0 && !mst_bytes_equal_str(expected, id))
+	if (strcmp(path, "/faults") == 0)
+		set_faults(request->id, json);
+	else if (!is_down() && expected.len > 0 &&
+	    !mst_bytes_equal_str(expected, id))
 		respond(request->id, 421, cJSON_CreateObject());
-	else if (strcmp(path, "/v1/run-start") == 0)
-		start_run(request->id, order);
-	else if (strcmp(path, "/v1/run-stop") == 0)
-		stop_run(request->id, order);
-	else if (strcmp(path, "/v1/hold") == 0)
-		hold(request->id, order);
 	else
-		mst_http_respond(httpd, request->id, 404, NULL, 0, "", 0);
+		handle_order(request->id, path, json);
 	g_free(path);
-	cJSON_Delete(order);
+	cJSON_Delete(json);
 	fflush(stdout);
 }
 
@@ -450,14 +622,15 @@
 static void
 on_lease_check(uv_timer_t *timer)
 {
-	if (until_ms <= clock_ms())
-		end_all("lapsed", false);
+	check_lease();
 	fflush(stdout);
 }
 
 static void
 on_signal(uv_signal_t *signal, int number)
 {
+	check_lease();
+	end_all("crashed", true);
 	exit(0);
 }
 
@@ -472,9 +645,10 @@
 	uv_signal_t sigterm;
 	GError *error = NULL;
 
-	if (argc != 5) {
-		fprintf(
-		    stderr, "Usage: standin-runner LISTEN REPORT ID SLOTS\n");
+	if (argc != 5 && argc != 6) {
+		fprintf(stderr,
+		    "Usage: standin-runner LISTEN REPORT ID SLOTS "
+		    "[CLOCK_RATE]\n");
 		return 2;
 	}
 	signal(SIGPIPE, SIG_IGN);
@@ -482,9 +656,12 @@
 	id = argv[3];
 	report_url = g_strdup_printf("http://%s/v1/instances/%s", argv[2], id);
 	slots = (unsigned)strtoul(argv[4], NULL, 10);
+	if (argc == 6)
+		clock_rate = g_ascii_strtod(argv[5], NULL);
 	runs = g_hash_table_new(g_str_hash, g_str_equal);
 	highest = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	holds = g_ptr_array_new();
+	faults_rand = g_rand_new_with_seed(0);
 	start_incarnation();
 	client = mst_http_client_new(uv_default_loop(), 0);
 	if (mst_httpd_new(&httpd, &options, &error) < 0) {
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -2,10 +2,12 @@
  * Stand-in for the platform's store. POST /v1/rows-tx sets and removes rows
  * without conditions, GET /v1/rows-get returns the rows of a table and
  * GET /v1/rows-feed the changes of a table after a revision, for which it waits
- * up to waitMs. PUT /faults sets {"away": bool, "compact": bool}: whether all
- * reads get no response, and whether the history up to now is dropped, so that
- * a feed from there gets status 410. GET /counts returns the number of calls by
- * kind and table.
+ * up to waitMs. PUT /faults sets {"away": bool, "compact": bool, "busy": bool,
+ * "delay_ms": n, "lose_answers": bool}: whether all reads get no response,
+ * whether the history up to now is dropped, so that a feed from there gets
+ * status 410, whether all calls are refused with status 503, how much later all
+ * responses are sent, and whether transactions get no response. GET /counts
+ * returns the number of calls by kind and table.
  */
 
 #include <cjson/cJSON.h>
@@ -24,6 +26,14 @@
 	uint64_t after;
 };
 
+/* A response that is sent later. */
+struct late_response {
+	uv_timer_t timer; /* first member; cast to and from the structure */
+	uint64_t id;      /* of the request */
+	int status;
+	char *text;
+};
+
 static struct mst_httpd *httpd;
 static GPtrArray *changes; /* cJSON rows in the order of their revisions */
 static GPtrArray *feeds;   /* struct feed */
@@ -31,6 +41,9 @@
 static uint64_t revision;
 static uint64_t compacted; /* revision up to which no history is kept */
 static bool away;          /* no read gets a response */
+static bool busy;          /* all calls are refused */
+static bool lose_answers;  /* of transactions */
+static unsigned delay_ms;  /* of all responses */
 
 static const char *
 get_string(const cJSON *object, const char *name)
@@ -83,14 +96,39 @@
 	g_free(name);
 }
 
+static void
+free_late_response(uv_handle_t *handle)
+{
+	struct late_response *late = (struct late_response *)handle;
+
+	cJSON_free(late->text);
+	g_free(late);
+}
+
+static void
+on_late_response_due(uv_timer_t *timer)
+{
+	struct late_response *late = (struct late_response *)timer;
+
+	mst_http_respond(httpd, late->id, late->status, NULL, 0, late->text,
+	    strlen(late->text));
+	uv_close((uv_handle_t *)timer, free_late_response);
+}
+
 static void
 respond_json(uint64_t id, int status, cJSON *json)
 {
-	char *text = cJSON_PrintUnformatted(json);
+	struct late_response *late = g_new0(struct late_response, 1);
 
-	mst_http_respond(httpd, id, status, NULL, 0, text, strlen(text));
-	cJSON_free(text);
+	late->id = id;
+	late->status = status;
+	late->text = cJSON_PrintUnformatted(json);
 	cJSON_Delete(json);
+	uv_timer_init(uv_default_loop(), &late->timer);
+	if (delay_ms > 0)
+		uv_timer_start(&late->timer, on_late_response_due, delay_ms, 0);
+	else
+		on_late_response_due(&late->timer);
 }
 
 static bool
@@ -212,6 +250,14 @@
 	}
 }
 
+/* Faults don't concern the transactions of the operator, which say so in the
+ * query. */
+static bool
+is_from_operator(const struct mst_http_request *request)
+{
+	return mst_bytes_equal_str(request->query, "operator");
+}
+
 static void
 commit(struct mst_http_request *request)
 {
@@ -224,7 +270,10 @@
 	add_changes(cJSON_GetObjectItemCaseSensitive(json, "setKeys"), false);
 	add_changes(cJSON_GetObjectItemCaseSensitive(json, "remove"), true);
 	cJSON_AddNumberToObject(answer, "ver", (double)revision);
-	respond_json(request->id, 200, answer);
+	if (lose_answers && !is_from_operator(request))
+		cJSON_Delete(answer);
+	else
+		respond_json(request->id, 200, answer);
 	for (i = feeds->len; i > 0; i--)
 		feed_update(feeds->pdata[i - 1], false);
 	cJSON_Delete(json);
@@ -235,10 +284,16 @@
 {
 	cJSON *json =
 	    cJSON_ParseWithLength(request->body.data, request->body.len);
+	const cJSON *delay;
 
 	away = cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(json, "away"));
 	if (cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(json, "compact")))
 		compacted = revision;
+	busy = cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(json, "busy"));
+	lose_answers = cJSON_IsTrue(
+	    cJSON_GetObjectItemCaseSensitive(json, "lose_answers"));
+	delay = cJSON_GetObjectItemCaseSensitive(json, "delay_ms");
+	delay_ms = cJSON_IsNumber(delay) ? (unsigned)delay->valuedouble : 0;
 	cJSON_Delete(json);
 	respond_json(request->id, 200, cJSON_CreateObject());
 }
@@ -253,6 +308,8 @@
 		set_faults(request);
 	} else if (mst_bytes_equal_str(request->path, "/counts")) {
 		respond_json(request->id, 200, cJSON_Duplicate(counts, 1));
+	} else if (busy && !is_from_operator(request)) {
+		respond_json(request->id, 503, cJSON_CreateObject());
 	} else if (mst_bytes_equal_str(request->path, "/v1/rows-tx")) {
 		commit(request);
 	} else if (mst_bytes_equal_str(request->path, "/v1/rows-get")) {
