soak: the system with runners, faults from outside

script/soak runs entries, agents with their runners and a store as processes and injects faults drawn by a seed, those of a round overlapping; it checks what callers and runners see.

--- /dev/null
+++ b/script/soak_faults.sh
@@ -0,0 +1,188 @@
+# Faults of script/soak. A round draws its faults first, as a plan of actions with
+# times, and then carries it out, so that the faults depend on the seed alone.
+
+FAULT_KINDS=(freeze kill term reload link-delay link-cut link-reset link-reset-one
+    link-silence runner-crash runner-crash runner-exit runner-freeze
+    runner-unhealthy runner-late runner-late runner-lost runner-late-crash
+    runner-late-crash runner-fails store-away store-slow store-busy
+    store-loses store-compacts drain)
+
+# plan MS ACTION...: adds an action of this round, MS after its start.
+plan() {
+	echo "$*" >>"$RUN/plan"
+}
+
+now_ms() {
+	echo $((${EPOCHREALTIME/./} / 1000))
+}
+
+# Carries out the actions of the plan at their times and logs them.
+carry_out_plan() {
+	local began due now action
+	began=$(now_ms)
+	while read -r due action; do
+		now=$(($(now_ms) - began))
+		[ "$now" -ge "$due" ] || sleep "$(awk "BEGIN { print ($due - $now) / 1000 }")"
+		echo "$(cut -d' ' -f1 /proc/uptime) $action" >>"$RUN/actions.log"
+		eval "$action"
+	done < <(sort -n -s -k1,1 "$RUN/plan")
+}
+
+# end_process NAME SIGNAL: sends a signal to a process if it has not ended.
+end_process() {
+	kill "-$2" "$(pid_of "$1")" 2>/dev/null || true
+}
+
+# restart_process NAME: starts a process that was ended; one that has not ended
+# yet is killed. A runner that is frozen must write first what it ends.
+restart_process() {
+	case $1 in
+	runner*)
+		end_process "$1" CONT
+		end_process "$1" TERM
+		;;
+	*) end_process "$1" KILL ;;
+	esac
+	wait "$(pid_of "$1")" 2>/dev/null || true
+	start_process "$1"
+}
+
+plan_freeze() { # NAME AT
+	local for_ms
+	draw for_ms 200 3000
+	plan "$2" end_process "$1" STOP
+	plan $(($2 + for_ms)) end_process "$1" CONT
+}
+
+plan_restart() { # NAME AT SIGNAL DELAY_MAX_MS
+	local delay_ms
+	draw delay_ms 50 "$4"
+	plan "$2" end_process "$1" "$3"
+	plan $(($2 + delay_ms)) restart_process "$1"
+}
+
+# plan_runner NAME AT FROM TO LOW HIGH: sets faults of a runner and resets them.
+plan_runner() {
+	local for_ms
+	draw for_ms "$5" "$6"
+	plan "$2" set_runner "$1" "'$3'"
+	plan $(($2 + for_ms)) set_runner "$1" "'$4'"
+}
+
+plan_crash() { # NAME AT
+	local down_ms hangs
+	draw down_ms 100 3000
+	choose hangs true false
+	plan "$2" set_runner "$1" "'{\"crash_ms\":$down_ms,\"hangs\":$hangs}'"
+}
+
+plan_late() { # NAME AT
+	local share seed
+	draw share 1 6
+	draw seed 1 32767
+	plan_runner "$1" "$2" "{\"late_share\":0.$share,\"seed\":$seed}" \
+	    '{"late_share":0}' 1000 6000
+}
+
+# Orders are late, the runner crashes, and its agent does not reach it at times.
+plan_late_crash() { # RUNNER AT
+	local after_ms agent=agent${1#runner} trouble
+	draw after_ms 200 2000
+	plan_late "$1" "$2"
+	plan_crash "$1" $(($2 + after_ms))
+	choose trouble kill cut freeze none
+	case $trouble in
+	kill) plan_restart "$agent" $(($2 + after_ms)) KILL 5000 ;;
+	cut) plan_link_cut "orders${1#runner}" $(($2 + after_ms)) ;;
+	freeze) plan_freeze "$agent" $(($2 + after_ms)) ;;
+	esac
+}
+
+plan_link_cut() { # LINK AT
+	local for_ms side
+	draw for_ms 200 4000
+	choose side in out both
+	plan "$2" set_link "$1" "'{\"cut\":\"$side\"}'"
+	plan $(($2 + for_ms)) set_link "$1" "'{\"cut\":\"\"}'"
+}
+
+plan_link_delay() { # LINK AT
+	local for_ms delay_ms
+	draw for_ms 500 4000
+	draw delay_ms 5 400
+	plan "$2" set_link "$1" "'{\"delay_ms\":$delay_ms}'"
+	plan $(($2 + for_ms)) set_link "$1" "'{\"delay_ms\":0}'"
+}
+
+# Callers can't see that a connection of theirs went silent, so links to fronts
+# are left out.
+plan_silence() { # AT
+	local link
+	choose link "${LINKS[@]}"
+	case $link in
+	front*) link=bus${link#front} ;;
+	esac
+	plan "$1" set_link "$link" "'{\"silence\":true}'"
+}
+
+plan_store() { # AT JSON
+	local for_ms
+	draw for_ms 500 4000
+	plan "$1" set_store "'$2'"
+	plan $(($1 + for_ms)) set_store "'{}'"
+}
+
+plan_drain() { # AT
+	local for_ms domain row
+	draw for_ms 500 3000
+	draw domain 1 "$ENTRY_COUNT"
+	row='"table":"op","part":"","key":"evacuate/fd'$domain'"'
+	plan "$1" commit_rows "'{\"setKeys\":[{$row,\"value\":\"e30=\"}]}'"
+	plan $(($1 + for_ms)) commit_rows "'{\"remove\":[{$row}]}'"
+}
+
+# Draws a fault and adds its actions to the plan.
+plan_fault() {
+	local kind at daemon runner link which
+	choose kind "${FAULT_KINDS[@]}"
+	draw at 0 "$OFFSET_MAX_MS"
+	# Agents are many; an entry is as likely as all of them.
+	choose daemon "${AGENTS[@]}"
+	choose which entry agent
+	[ "$which" = agent ] || choose daemon "${ENTRIES[@]}"
+	choose runner "${RUNNERS[@]}"
+	choose link "${LINKS[@]}"
+	echo "fault $kind at $at: $daemon $runner $link" >>"$RUN/faults.log"
+	case $kind in
+	freeze) plan_freeze "$daemon" "$at" ;;
+	kill) plan_restart "$daemon" "$at" KILL 1500 ;;
+	term) plan_restart "$daemon" "$at" TERM 5000 ;;
+	reload) plan "$at" end_process "$daemon" HUP ;;
+	link-delay) plan_link_delay "$link" "$at" ;;
+	link-cut) plan_link_cut "$link" "$at" ;;
+	link-reset) plan "$at" set_link "$link" "'{\"reset\":true}'" ;;
+	link-reset-one) plan "$at" set_link "$link" "'{\"reset_one\":$RANDOM}'" ;;
+	link-silence) plan_silence "$at" ;;
+	runner-crash) plan_crash "$runner" "$at" ;;
+	runner-exit) plan_restart "$runner" "$at" TERM 3000 ;;
+	runner-freeze) plan_freeze "$runner" "$at" ;;
+	runner-unhealthy)
+		plan_runner "$runner" "$at" '{"unhealthy":true}' \
+		    '{"unhealthy":false}' 200 3000
+		;;
+	runner-late) plan_late "$runner" "$at" ;;
+	runner-lost)
+		plan_runner "$runner" "$at" '{"lost_share":0.4}' '{"lost_share":0}' 500 4000
+		;;
+	runner-late-crash) plan_late_crash "$runner" "$at" ;;
+	runner-fails)
+		plan_runner "$runner" "$at" '{"fail_share":0.5}' '{"fail_share":0}' 500 4000
+		;;
+	store-away) plan_store "$at" '{"away":true}' ;;
+	store-slow) plan_store "$at" '{"delay_ms":700}' ;;
+	store-busy) plan_store "$at" '{"busy":true}' ;;
+	store-loses) plan_store "$at" '{"lose_answers":true}' ;;
+	store-compacts) plan "$at" set_store "'{\"compact\":true}'" ;;
+	drain) plan_drain "$at" ;;
+	esac
+}
