soak: many runners late at once, and longer tasks

A start that is carried out late beside a second run of its task is rare there: few runners are late at a time, and few tasks are long. Now a fault can make a third of the runners late, and crash them; the seed draws how many of the tasks are long.

--- a/script/soak_faults.sh
+++ b/script/soak_faults.sh
@@ -4,7 +4,7 @@
 FAULT_KINDS=(freeze kill term reload link-delay link-cut link-reset link-reset-one
     link-silence runner-crash runner-crash runner-exit runner-freeze
     runner-unhealthy runner-late runner-late runner-lost runner-late-crash
-    runner-late-crash runner-fails store-away store-slow store-busy
+    runner-late-crash runners-late runners-late-crash runner-fails store-away store-slow store-busy
     store-loses store-compacts drain)
 
 # plan MS ACTION...: adds an action of this round, MS after its start.
@@ -98,6 +98,14 @@
 	esac
 }
 
+# plan_many ACTION AT: plans the action for a third of the runners.
+plan_many() {
+	local runner
+	for runner in "${RUNNERS[@]}"; do
+		[ $((RANDOM % 3)) -ne 0 ] || "$1" "$runner" "$2"
+	done
+}
+
 plan_link_cut() { # LINK AT
 	local for_ms side
 	draw for_ms 200 4000
@@ -175,6 +183,8 @@
 		plan_runner "$runner" "$at" '{"lost_share":0.4}' '{"lost_share":0}' 500 4000
 		;;
 	runner-late-crash) plan_late_crash "$runner" "$at" ;;
+	runners-late) plan_many plan_late "$at" ;;
+	runners-late-crash) plan_many plan_late_crash "$at" ;;
 	runner-fails)
 		plan_runner "$runner" "$at" '{"fail_share":0.5}' '{"fail_share":0}' 500 4000
 		;;
--- a/tests/standins/caller.c
+++ b/tests/standins/caller.c
@@ -44,6 +44,7 @@
 #define TASKS_MAX   8   /* of a drawn job */
 #define MS_MIN      20  /* of a drawn job's tasks */
 #define MS_MAX      900 /* the same */
+#define SKEWS       4   /* the higher, the more tasks are short */
 #define KEEP_SHARE  0.5 /* of the callers keep to their entry */
 
 struct entry {
@@ -83,6 +84,7 @@
 static unsigned first_number;
 static unsigned answer_ms = ANSWER_MS;
 static GRand *rand_jobs; /* NULL: all jobs are alike */
+static double skew;      /* of the times of drawn tasks */
 static unsigned unanswered;
 static unsigned open_jobs;
 static unsigned counts[STATE_MAX];
@@ -216,7 +218,7 @@
 	if (rand_jobs != NULL && !job->crashes) {
 		job->tasks = g_rand_int_range(rand_jobs, 1, TASKS_MAX + 1);
 		ms = (unsigned)(MS_MIN +
-		    (MS_MAX - MS_MIN) * pow(g_rand_double(rand_jobs), 4));
+		    (MS_MAX - MS_MIN) * pow(g_rand_double(rand_jobs), skew));
 	}
 	job->number = first_number + ++submitted;
 	job->submitted_us = g_get_monotonic_time();
@@ -274,9 +276,10 @@
 			answer_ms = value;
 		else if (option == 'f')
 			first_number = value;
-		else if (option == 's')
+		else if (option == 's') {
 			rand_jobs = g_rand_new_with_seed(value);
-		else
+			skew = 1 + value % SKEWS;
+		} else
 			exit(2);
 	}
 }
