--- a/script/soak_faults.sh
+++ b/script/soak_faults.sh
@@ -69,11 +69,16 @@
 	plan $(($2 + for_ms)) set_runner "$1" "'$4'"
 }
 
+# The connections break with the runner's crash. While it is down it refuses
+# connections or orders, or leaves orders unanswered.
 plan_crash() { # NAME AT
-	local down_ms hangs
+	local down_ms hangs refuse link=orders${1#runner}
 	draw down_ms 100 3000
 	choose hangs true false
+	choose refuse true false
+	plan "$2" set_link "$link" "'{\"refuse\":$refuse,\"reset\":true}'"
 	plan "$2" set_runner "$1" "'{\"crash_ms\":$down_ms,\"hangs\":$hangs}'"
+	plan $(($2 + down_ms)) set_link "$link" "'{\"refuse\":false}'"
 }
 
 plan_late() { # NAME AT
