--- a/script/soak_faults.sh
+++ b/script/soak_faults.sh
@@ -72,13 +72,13 @@
 # The connections break with the runner's crash. While it is down it refuses
 # connections or orders, or leaves orders unanswered.
 plan_crash() { # NAME AT
-	local down_ms hangs refuse link=orders${1#runner}
+	local down_ms hangs refuses
 	draw down_ms 100 3000
 	choose hangs true false
-	choose refuse true false
-	plan "$2" set_link "$link" "'{\"refuse\":$refuse,\"reset\":true}'"
-	plan "$2" set_runner "$1" "'{\"crash_ms\":$down_ms,\"hangs\":$hangs}'"
-	plan $(($2 + down_ms)) set_link "$link" "'{\"refuse\":false}'"
+	choose refuses true false
+	plan "$2" set_runner "$1" \
+	    "'{\"crash_ms\":$down_ms,\"hangs\":$hangs,\"refuses\":$refuses}'"
+	plan "$2" set_link "orders${1#runner}" "'{\"reset\":true}'"
 }
 
 plan_late() { # NAME AT
--- a/script/soak_system.sh
+++ b/script/soak_system.sh
@@ -55,8 +55,8 @@
 	add_link "store-$name" "${ADDRESSES["$name store-link"]}" "$STORE"
 }
 
-# Names all addresses and links. Every third agent has its runner without a link,
-# so that it is refused a connection while the runner is down.
+# Names all addresses and links. Every second agent has its runner without a
+# link, so that it is refused a connection while the runner is down.
 lay_out() {
 	local n first=2
 	for n in $(seq "$ENTRY_COUNT"); do
@@ -69,7 +69,7 @@
 		name_ports "agent$n" "$first" http report runner \
 		    report-link runner-link store-link
 		add_links_of_agent "$n"
-		[ $((n % 3)) -ne 0 ] ||
+		[ $((n % 2)) -ne 0 ] ||
 		    ADDRESSES["agent$n runner-link"]=${ADDRESSES["agent$n runner"]}
 		first=$((first + PORTS_OF_AGENT))
 	done
--- a/tests/standins/proxy.c
+++ b/tests/standins/proxy.c
@@ -5,7 +5,7 @@
  * {"cut": "in"}, "out", "both" or "" holds the bytes towards the target, those
  * from it, both or none; {"silence": true} holds the bytes of the connections
  * that are open now for good; {"reset": true} resets them; {"reset_one": n}
- * resets one of them; {"refuse": true} refuses new ones until it is false.
+ * resets one of them.
  *
  * Usage: standin-proxy CONTROL [NAME LISTEN TARGET]...
  */
@@ -28,8 +28,7 @@
 enum direction { IN, OUT, DIRECTION_MAX };
 
 struct link {
-	uv_tcp_t *listener; /* NULL: connections are refused */
-	struct sockaddr_in address;
+	uv_tcp_t listener;
 	struct sockaddr_in target;
 	unsigned delay_ms;
 	bool cut[DIRECTION_MAX];
@@ -258,39 +257,6 @@
 	    (uv_stream_t *)&connection->ends[IN].tcp, on_alloc, on_read);
 }
 
-static void
-free_handle(uv_handle_t *handle)
-{
-	g_free(handle);
-}
-
-static void
-link_listen(struct link *link)
-{
-	const struct sockaddr *address = (struct sockaddr *)&link->address;
-
-	if (link->listener != NULL)
-		return;
-	link->listener = g_new0(uv_tcp_t, 1);
-	link->listener->data = link;
-	uv_tcp_init(loop, link->listener);
-	if (uv_tcp_bind(link->listener, address, 0) < 0 ||
-	    uv_listen((uv_stream_t *)link->listener, BACKLOG, on_connection) <
-		0) {
-		fprintf(stderr, "cannot listen at port %u\n",
-		    (unsigned)ntohs(link->address.sin_port));
-		exit(1);
-	}
-}
-
-static void
-link_refuse(struct link *link)
-{
-	if (link->listener != NULL)
-		uv_close((uv_handle_t *)link->listener, free_handle);
-	link->listener = NULL;
-}
-
 /* Forwards what was held, in all connections of a link. */
 static void
 forward_all(struct link *link)
@@ -329,11 +295,6 @@
 	item = cJSON_GetObjectItemCaseSensitive(json, "cut");
 	if (cJSON_IsString(item))
 		set_cut(link, item->valuestring);
-	item = cJSON_GetObjectItemCaseSensitive(json, "refuse");
-	if (cJSON_IsTrue(item))
-		link_refuse(link);
-	else if (cJSON_IsFalse(item))
-		link_listen(link);
 	item = cJSON_GetObjectItemCaseSensitive(json, "reset_one");
 	if (cJSON_IsNumber(item) && open->len > 0)
 		connection_close(
@@ -388,11 +349,19 @@
 add_link(const char *name, const char *listen, const char *target)
 {
 	struct link *link = g_new0(struct link, 1);
+	struct sockaddr_in address;
 
-	read_address(&link->address, listen);
+	read_address(&address, listen);
 	read_address(&link->target, target);
 	link->connections = g_ptr_array_new();
-	link_listen(link);
+	link->listener.data = link;
+	uv_tcp_init(loop, &link->listener);
+	if (uv_tcp_bind(&link->listener, (struct sockaddr *)&address, 0) < 0 ||
+	    uv_listen((uv_stream_t *)&link->listener, BACKLOG, on_connection) <
+		0) {
+		fprintf(stderr, "cannot listen at %s\n", listen);
+		exit(1);
+	}
 	g_hash_table_insert(links, g_strdup(name), link);
 }
 
--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -13,9 +13,10 @@
  * carries them out LATE_MIN_MS to LATE_MAX_MS later, also in the runner's next
  * incarnation; {"lost_share": x} carries orders out and does not answer;
  * {"fail_share": x} lets runs fail; {"unhealthy": true} refuses all orders;
- * {"crash_ms": n} crashes the runner for that long, {"hangs": true} leaves
- * orders unanswered meanwhile in place of refusing them. {"seed": n} seeds what
- * is drawn.
+ * {"crash_ms": n} crashes the runner for that long; meanwhile it refuses
+ * orders, or leaves them unanswered with {"hangs": true}, or refuses
+ * connections with
+ * {"refuses": true}. {"seed": n} seeds what is drawn.
  *
  * Usage: standin-runner LISTEN REPORT ID SLOTS [CLOCK_RATE]
  */
@@ -65,9 +66,11 @@
 	double fail_share;
 	bool unhealthy;
 	bool hangs;
+	bool refuses;
 };
 
-static struct mst_httpd *httpd;
+static struct mst_httpd_options httpd_options;
+static struct mst_httpd *httpd; /* a new one after connections were refused */
 static struct mst_http_client *client;
 static struct faults faults;
 static GRand *faults_rand;
@@ -271,9 +274,44 @@
 	}
 }
 
+static void
+listen_again(void)
+{
+	GError *error = NULL;
+
+	httpd_options.ctx = (char *)httpd_options.ctx + 1;
+	if (mst_httpd_new(&httpd, &httpd_options, &error) < 0) {
+		fprintf(stderr, "%s\n", error->message);
+		exit(1);
+	}
+}
+
+static void
+on_up(uv_timer_t *timer)
+{
+	listen_again();
+	uv_close((uv_handle_t *)timer, free_handle);
+}
+
+/* Refuses connections until the runner is up again. */
+static void
+refuse_connections(unsigned down_ms)
+{
+	uv_timer_t *timer;
+
+	if (is_down())
+		return;
+	timer = g_new0(uv_timer_t, 1);
+	mst_httpd_shutdown(httpd);
+	uv_timer_init(uv_default_loop(), timer);
+	uv_timer_start(timer, on_up, down_ms, 0);
+}
+
 static void
 crash(unsigned down_ms)
 {
+	if (faults.refuses)
+		refuse_connections(down_ms);
 	end_all("crashed", true);
 	drop_holds();
 	down_until_us = now_us() + (int64_t)down_ms * 1000;
@@ -529,11 +567,12 @@
 	read_number(&faults.fail_share, json, "fail_share");
 	read_flag(&faults.unhealthy, json, "unhealthy");
 	read_flag(&faults.hangs, json, "hangs");
+	read_flag(&faults.refuses, json, "refuses");
 	if (cJSON_HasObjectItem(json, "seed"))
 		g_rand_set_seed(faults_rand, get_number(json, "seed"));
+	mst_http_respond(httpd, request, 204, NULL, 0, "", 0);
 	if (cJSON_HasObjectItem(json, "crash_ms"))
 		crash(get_number(json, "crash_ms"));
-	mst_http_respond(httpd, request, 204, NULL, 0, "", 0);
 }
 
 /* Carries out an order, with the faults that are set. */
@@ -553,7 +592,7 @@
 }
 
 static void
-on_request(struct mst_http_request *request, void *ctx)
+handle_request(struct mst_http_request *request)
 {
 	struct mst_bytes expected =
 	    mst_http_header(request, "x-expect-instance");
@@ -573,11 +612,21 @@
 	fflush(stdout);
 }
 
+static void
+on_request(struct mst_http_request *request, void *ctx)
+{
+	/* Connections from before a crash may still be open. */
+	if (ctx == httpd_options.ctx)
+		handle_request(request);
+}
+
 static void
 on_disconnect(uint64_t request, void *ctx)
 {
 	guint i;
 
+	if (ctx != httpd_options.ctx)
+		return;
 	for (i = 0; i < holds->len; i++) {
 		struct hold *waiting = holds->pdata[i];
 
@@ -637,10 +686,6 @@
 int
 main(int argc, char **argv)
 {
-	struct mst_httpd_options options = {.loop = uv_default_loop(),
-	    .body_max_bytes = 1 << 20,
-	    .on_request = on_request,
-	    .on_disconnect = on_disconnect};
 	uv_timer_t report_timer, lease_timer;
 	uv_signal_t sigterm;
 	GError *error = NULL;
@@ -652,7 +697,11 @@
 		return 2;
 	}
 	signal(SIGPIPE, SIG_IGN);
-	options.listen = argv[1];
+	httpd_options = (struct mst_httpd_options){.loop = uv_default_loop(),
+	    .listen = argv[1],
+	    .body_max_bytes = 1 << 20,
+	    .on_request = on_request,
+	    .on_disconnect = on_disconnect};
 	id = argv[3];
 	report_url = g_strdup_printf("http://%s/v1/instances/%s", argv[2], id);
 	slots = (unsigned)strtoul(argv[4], NULL, 10);
@@ -664,7 +713,7 @@
 	faults_rand = g_rand_new_with_seed(0);
 	start_incarnation();
 	client = mst_http_client_new(uv_default_loop(), 0);
-	if (mst_httpd_new(&httpd, &options, &error) < 0) {
+	if (mst_httpd_new(&httpd, &httpd_options, &error) < 0) {
 		fprintf(stderr, "%s\n", error->message);
 		return 1;
 	}
