--- a/tests/standins/caller.c
+++ b/tests/standins/caller.c
@@ -243,10 +243,10 @@
 		while (submitted < due)
 			submit();
 	} else if (open_jobs == 0) {
-		printf("total completed=%u failed=%u refused=%u "
-		       "unanswered=%u lost=%u\n",
-		    counts[COMPLETED], counts[FAILED], counts[REFUSED],
-		    unanswered, counts[LOST]);
+		printf("total unanswered=%u completed=%u failed=%u "
+		       "refused=%u lost=%u\n",
+		    unanswered, counts[COMPLETED], counts[FAILED],
+		    counts[REFUSED], counts[LOST]);
 		fflush(stdout);
 		exit(0);
 	}
