--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -610,9 +610,8 @@
 	run_seeds(run_isolation_seed, ISOLATION_SEEDS, ISOLATION_COMPLETED_MIN);
 }
 
-/* Listed in KNOWN-RED.txt. A second copy of a start is held up, its run ends,
- * the worker gets out of reach and is restarted, and the copy runs beside the
- * job's resubmission. */
+/* Guards against a second copy of a start that is held up while its run ends,
+ * its worker gets out of reach and is restarted. */
 static void
 leases__late_copy_of_ended_run(void)
 {
