entry: echoes no clock that is newer than the input it has handled

An entry that was frozen, or whose loop is slow, may hear a member's present clock before it handles that a caller's connection broke. It then sent tasks with that clock as its echo, so the member took the entry's lease for good and started them, while the caller had come back at another entry after 1.3 s: two runs of a task until the withdrawal arrived.

A clock is now echoed from the second tick after it was heard: between two ticks the loop handles all input that waits. A new member's first clock may be echoed at once unless the entry is behind. What costs: an echo is up to two ticks (20 ms) older, of a lease of 500 ms.

test_entry_echo /echo/after-a-pause failed before: after a pause of 1.4 s a dispatch carried an echo of 2,700,000 where nothing newer than 1,300,000 had been handled.

--- a/src/core/entry/entry.c
+++ b/src/core/entry/entry.c
@@ -253,6 +253,7 @@
 		mst_entry_start_incarnation(entry);
 		return;
 	}
+	mst_entry_settle_echoes(entry);
 	mst_owner_tick(entry);
 	if (entry->now_us >= entry->next_scan_us) {
 		entry->next_scan_us = entry->now_us + ENTRY_SCAN_US;
@@ -288,6 +289,8 @@
 	 * peers, so it is excluded before any event is handled. */
 	if (last_us > 0 && entry->now_us - last_us > ENTRY_PAUSE_MIN_US)
 		mst_entry_exclude_pause(entry, entry->now_us - last_us);
+	if (last_us > 0)
+		mst_entry_note_gap(entry, entry->now_us - last_us);
 	if (entry->started_us == 0)
 		entry->started_us = entry->now_us;
 	if (event->wall_ms != 0)
--- a/src/core/member/heartbeat.c
+++ b/src/core/member/heartbeat.c
@@ -42,7 +42,7 @@
 	    mst_entry_emit_msg(entry, member->incarnation, MST_MSG_HEARTBEAT);
 	struct mst_heartbeat *heartbeat = &msg->heartbeat;
 
-	heartbeat->echo_us = (uint64_t)member->clock_us;
+	heartbeat->echo_us = (uint64_t)member->echo.settled_us;
 	heartbeat->description_version = member->description_version;
 	heartbeat->roster_version = entry->roster_version;
 	member->roster_version_sent = entry->roster_version;
--- a/src/core/member/member.c
+++ b/src/core/member/member.c
@@ -95,8 +95,7 @@
 {
 	if ((int64_t)announce->clock_us <= member->clock_us)
 		return;
-	member->clock_us = (int64_t)announce->clock_us;
-	member->clock_received_us = entry->now_us;
+	mst_member_add_clock(entry, member, (int64_t)announce->clock_us);
 }
 
 /* Handles a new incarnation of a known member, which has the same name: it
--- a/src/core/member/member.h
+++ b/src/core/member/member.h
@@ -16,6 +16,14 @@
 	MEMBER_GONE
 };
 
+/* Clocks of a member by the ticks since they were heard. Between two ticks the
+ * entry handles all input that waits, so by the second tick it has handled what
+ * arrived before the clock was read. */
+struct echo {
+	int64_t settled_us; /* may be echoed; 0: none yet */
+	int64_t waiting_us; /* heard before the last tick */
+};
+
 struct member {
 	uint64_t incarnation;
 	char *name;
@@ -31,6 +39,7 @@
 	uint32_t description_version; /* version of name, rack and labels */
 	int64_t clock_us;             /* the member's clock, last announced */
 	int64_t clock_received_us;    /* when clock_us was received */
+	struct echo echo;             /* which clock may be echoed */
 	uint32_t queued_tasks; /* queued tasks of all entries, last reported */
 	bool overdue;          /* many of its tasks are overdue */
 	uint32_t free_slots; /* leased: last reported, less tasks sent since */
@@ -89,6 +98,16 @@
 void mst_entry_handle_announce(
     struct mst_entry *entry, const struct mst_msg *msg);
 
+/* echo.c */
+/* Records a member's clock. The first one may be echoed at once, unless the
+ * entry is behind with its input. */
+void mst_member_add_clock(
+    struct mst_entry *entry, struct member *member, int64_t clock_us);
+/* Records a gap between two events, which may leave input waiting. */
+void mst_entry_note_gap(struct mst_entry *entry, int64_t gap_us);
+/* Lets the clocks be echoed that were heard before the last tick. */
+void mst_entry_settle_echoes(struct mst_entry *entry);
+
 /* state.c */
 /* Returns the member with an incarnation, or NULL if there is none. */
 struct member *mst_member_find(
--- a/src/core/place/dispatch.c
+++ b/src/core/place/dispatch.c
@@ -87,14 +87,20 @@
 set_dispatch_expiry(const struct mst_entry *entry, const struct member *member,
     struct mst_dispatch *dispatch)
 {
-	int64_t clock_us = member->clock_us;
-
 	if (!entry->options.leased)
 		return;
-	dispatch->echo_us = (uint64_t)clock_us;
-	dispatch->expires_us =
-	    (uint64_t)(clock_us + (entry->now_us - member->clock_received_us) +
-		entry->options.dispatch_valid_us);
+	dispatch->echo_us = (uint64_t)member->echo.settled_us;
+	dispatch->expires_us = (uint64_t)(member->clock_us +
+	    (entry->now_us - member->clock_received_us) +
+	    entry->options.dispatch_valid_us);
+}
+
+/* Returns true if a dispatch would be accepted. A leased member refuses one
+ * without an echo of its clock, so tasks wait for the first one. */
+static bool
+may_dispatch(const struct mst_entry *entry, const struct member *member)
+{
+	return !entry->options.leased || member->echo.settled_us > 0;
 }
 
 void
@@ -111,7 +117,7 @@
 		struct mst_msg *msg;
 
 		emit_withdrawals(entry, member);
-		if (member->outbox->len == 0)
+		if (member->outbox->len == 0 || !may_dispatch(entry, member))
 			continue;
 		append_dispatch_items(entry, member);
 		g_array_set_size(member->outbox, 0);
