agent: tell what showed a restart and what proved that a run had ended

No logic changes.

event=worker state=restarted has cause=report|list|clock; event=run-ended has proof=, and masticstall_runs_ended_total{proof} counts all ends, successful ones too; masticstall_starts_unnamed_total counts starts without a worker's id.

The scripts of test_worker print the same.

--- a/include/masticstall/agent.h
+++ b/include/masticstall/agent.h
@@ -120,12 +120,14 @@
 	struct mst_bytes peers;               /* PEERS */
 	struct mst_order order;               /* ORDER */
 	const char *state;                    /* WORKER */
+	enum mst_restart_cause restart_cause; /* WORKER: of a restart */
 	/* RUN_FAILED, LEASE_EXPIRED, ENTRY_UNUSED, BUILD: its incarnation */
 	uint64_t entry;
 	struct mst_worker_run unknown_run; /* UNKNOWN_RUN */
 	uint64_t worker_incarnation;       /* UNKNOWN_RUN, WORKER; 0: unknown */
 	uint32_t run_number;           /* RUN_FAILED: run number of the task */
 	struct mst_result_item result; /* RUN_FAILED */
+	enum mst_run_proof proof;      /* RUN_FAILED: of its end */
 	int64_t silent_us; /* LEASE_EXPIRED: age of the last clock echo */
 	uint32_t open;     /* LEASE_EXPIRED: queued and running tasks */
 	/* CRASH: all that are remembered; the new one is the last. */
@@ -155,6 +157,10 @@
 	uint64_t runs_unknown; /* runs stopped that this agent did not start */
 	/* Runs that ended while a start of them had no answer. */
 	uint64_t starts_uncertain;
+	/* Leased: ended runs, by enum mst_run_proof. */
+	uint64_t runs_ended[MST_PROOF_MAX];
+	/* Start orders that did not name the worker they were meant for. */
+	uint64_t starts_unnamed;
 	uint64_t leases_expired;
 	/* Worker leases left to expire to invalidate unrecorded completions. */
 	uint64_t forced_expiries;
--- a/include/masticstall/worker.h
+++ b/include/masticstall/worker.h
@@ -51,6 +51,26 @@
 	MST_RUN_GANG_FAILED /* another run of its gang ended or never started */
 };
 
+/** What showed that a worker was restarted. */
+enum mst_restart_cause {
+	MST_RESTART_UNKNOWN = 0,
+	MST_RESTART_REPORT, /* a report */
+	MST_RESTART_LIST,   /* the incarnation in an answer */
+	MST_RESTART_CLOCK   /* the worker's clock went back */
+};
+
+/** What proved that a run had ended or would not start. */
+enum mst_run_proof {
+	MST_PROOF_NONE = 0,
+	MST_PROOF_UNSENT,   /* no start order was sent */
+	MST_PROOF_LISTED,   /* the worker listed it as completed */
+	MST_PROOF_UNLISTED, /* it had been confirmed and is not listed */
+	MST_PROOF_REFUSED,  /* all its start orders were refused */
+	MST_PROOF_DOWN,     /* the worker refused a connection */
+	MST_PROOF_LAPSED,   /* the worker's lease has expired */
+	MST_PROOF_MAX
+};
+
 /** Run in a worker's list of running ones. */
 struct mst_worker_run {
 	struct mst_bytes task;
@@ -101,4 +121,20 @@
  */
 const char *mst_order_status_name(int status);
 
+/**
+ * Returns the name of what showed a restart, as used in logs.
+ *
+ * @param cause an enum mst_restart_cause
+ * @return a static string
+ */
+const char *mst_restart_cause_name(int cause);
+
+/**
+ * Returns the name of a proof, as used in logs and metrics.
+ *
+ * @param proof an enum mst_run_proof
+ * @return a static string
+ */
+const char *mst_run_proof_name(int proof);
+
 #endif
--- a/src/core/agent/agent_internal.h
+++ b/src/core/agent/agent_internal.h
@@ -53,7 +53,8 @@
 	uint8_t starts_open; /* start orders that are not answered yet */
 	/* A start order that got no answer may still be executed. */
 	bool start_unanswered;
-	bool crashed; /* was in progress when the worker crashed */
+	bool crashed;  /* was in progress when the worker crashed */
+	uint8_t proof; /* leased, finished: enum mst_run_proof */
 	enum mst_reason stop_reason;
 	/* Time from which its entry may have given it up, so that its task may
 	 * run elsewhere a while later; 0: the entry waits for its result. */
--- a/src/core/agent/run.c
+++ b/src/core/agent/run.c
@@ -121,6 +121,7 @@
 	effect->entry = run->session->entry;
 	effect->run_number = run->run_number;
 	effect->result = run->result;
+	effect->proof = run->proof;
 }
 
 void
@@ -143,6 +144,8 @@
 		agent->counters.refused[result->reason]++;
 	if (run->result.start_uncertain)
 		agent->counters.starts_uncertain++;
+	if (agent->options.leased)
+		agent->counters.runs_ended[run->proof]++;
 	add_to_outbox(run);
 }
 
@@ -153,6 +156,7 @@
 	    .reason = (uint8_t)reason,
 	    .queue_us = (uint32_t)(agent->now_us - run->arrived_us)};
 
+	run->proof = MST_PROOF_UNSENT;
 	mst_run_record_result(agent, run, &result);
 }
 
--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -38,6 +38,8 @@
 	set_order_run(order, run);
 	order->spec = run->task.body;
 	order->worker_id = mst_bytes_from_str(agent->worker.id);
+	if (order->worker_id.len == 0)
+		agent->counters.starts_unnamed++;
 	mst_worker_order_set_lease(agent, order);
 }
 
@@ -159,8 +161,9 @@
 
 void
 mst_worker_complete_run(struct mst_agent *agent, struct run *run,
-    const struct mst_result_item *result)
+    const struct mst_result_item *result, enum mst_run_proof proof)
 {
+	run->proof = (uint8_t)proof;
 	mst_worker_adjust_used(
 	    &agent->worker.used_resources, &run->task.needs, -1);
 	mst_run_complete_started(agent, run, result);
@@ -170,7 +173,7 @@
  * executed. */
 static void
 lose_run(struct mst_agent *agent, struct run *run, enum mst_reason reason,
-    bool start_uncertain)
+    enum mst_run_proof proof, bool start_uncertain)
 {
 	struct mst_result_item result = {.outcome = MST_OUTCOME_UNKNOWN,
 	    .reason = (uint8_t)reason,
@@ -184,14 +187,14 @@
 		agent->counters.runs_lost++;
 	if (start_uncertain)
 		mst_agent_tell_uncertain_start(agent, run);
-	mst_worker_complete_run(agent, run, &result);
+	mst_worker_complete_run(agent, run, &result, proof);
 }
 
 void
-mst_worker_fail_run(
-    struct mst_agent *agent, struct run *run, enum mst_reason reason)
+mst_worker_fail_run(struct mst_agent *agent, struct run *run,
+    enum mst_reason reason, enum mst_run_proof proof)
 {
-	lose_run(agent, run, reason, false);
+	lose_run(agent, run, reason, proof, false);
 }
 
 bool
@@ -218,7 +221,7 @@
 	if (mst_worker_start_is_uncertain(run))
 		mst_worker_stop_run(agent, run, reason);
 	else
-		mst_worker_complete_run(agent, run, &result);
+		mst_worker_complete_run(agent, run, &result, MST_PROOF_REFUSED);
 }
 
 GList *
@@ -254,6 +257,7 @@
 			mst_worker_stop_run(agent, run, MST_REASON_RUN_LOST);
 		else
 			lose_run(agent, run, MST_REASON_RUN_LOST,
+			    lease_expired ? MST_PROOF_LAPSED : MST_PROOF_DOWN,
 			    mst_worker_start_is_uncertain(run));
 	}
 	g_list_free(runs);
@@ -347,8 +351,8 @@
 			mst_worker_stop_run(
 			    agent, run, MST_REASON_UPSTREAM_RESET);
 		else
-			mst_worker_fail_run(
-			    agent, run, MST_REASON_UPSTREAM_RESET);
+			mst_worker_fail_run(agent, run,
+			    MST_REASON_UPSTREAM_RESET, MST_PROOF_REFUSED);
 		break;
 	}
 }
--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -64,17 +64,18 @@
 		if (run->task.flags & MST_TASK_SUSPECT)
 			mst_agent_clear_suspect(agent, run);
 		mst_worker_update_slowness(agent, run);
-		mst_worker_complete_run(agent, run, &result);
+		mst_worker_complete_run(agent, run, &result, MST_PROOF_LISTED);
 		break;
 	case MST_RUN_FAILED:
 		result.status = 500;
 		result.reason = MST_REASON_RUN_FAILED;
-		mst_worker_complete_run(agent, run, &result);
+		mst_worker_complete_run(agent, run, &result, MST_PROOF_LISTED);
 		break;
 	case MST_RUN_STOPPED:
 	case MST_RUN_LAPSED:
 	case MST_RUN_GANG_FAILED:
-		mst_worker_fail_run(agent, run, MST_REASON_RUN_LOST);
+		mst_worker_fail_run(
+		    agent, run, MST_REASON_RUN_LOST, MST_PROOF_LISTED);
 		break;
 	}
 }
@@ -108,7 +109,8 @@
 		if ((run->order_state == ORDER_STARTED ||
 			run->order_state == ORDER_STOPPED) &&
 		    run->confirmed_us < answer->sent_us)
-			mst_worker_fail_run(agent, run, MST_REASON_RUN_LOST);
+			mst_worker_fail_run(agent, run, MST_REASON_RUN_LOST,
+			    MST_PROOF_UNLISTED);
 	}
 }
 
--- a/src/core/worker/state.c
+++ b/src/core/worker/state.c
@@ -39,6 +39,35 @@
 	return status_names[status];
 }
 
+const char *
+mst_restart_cause_name(int cause)
+{
+	static const char *const names[] = {[MST_RESTART_UNKNOWN] = "unknown",
+	    [MST_RESTART_REPORT] = "report",
+	    [MST_RESTART_LIST] = "list",
+	    [MST_RESTART_CLOCK] = "clock"};
+
+	if (cause < 0 || cause >= (int)G_N_ELEMENTS(names))
+		return "unknown";
+	return names[cause];
+}
+
+const char *
+mst_run_proof_name(int proof)
+{
+	static const char *const names[] = {[MST_PROOF_NONE] = "none",
+	    [MST_PROOF_UNSENT] = "unsent",
+	    [MST_PROOF_LISTED] = "listed",
+	    [MST_PROOF_UNLISTED] = "unlisted",
+	    [MST_PROOF_REFUSED] = "refused",
+	    [MST_PROOF_DOWN] = "down",
+	    [MST_PROOF_LAPSED] = "lapsed"};
+
+	if (proof < 0 || proof >= MST_PROOF_MAX)
+		return "none";
+	return names[proof];
+}
+
 /* Returns the duration of a lease that is granted now. The lease of the worker
  * is that of all its runs, so it must end in time for the abandoned ones. It is
  * at most 0 once they have had a whole lease. */
@@ -96,6 +125,17 @@
 	effect->worker_incarnation = agent->worker.incarnation;
 }
 
+void
+mst_worker_emit_restart(struct mst_agent *agent, enum mst_restart_cause cause)
+{
+	struct mst_agent_effect *effect =
+	    mst_agent_emit(agent, MST_AGENT_FX_WORKER);
+
+	effect->state = "restarted";
+	effect->restart_cause = cause;
+	effect->worker_incarnation = agent->worker.incarnation;
+}
+
 int64_t
 mst_worker_clock_ms(const struct mst_agent *agent)
 {
--- a/src/core/worker/worker.c
+++ b/src/core/worker/worker.c
@@ -15,7 +15,8 @@
  * one no longer exist. Runs that the new one has been given since are in its
  * first lists. */
 static void
-reset_worker(struct mst_agent *agent, uint64_t incarnation)
+reset_worker(
+    struct mst_agent *agent, uint64_t incarnation, enum mst_restart_cause cause)
 {
 	struct worker *worker = &agent->worker;
 
@@ -38,7 +39,7 @@
 	worker->clock_ms = 0;
 	worker->next_renew_us = agent->now_us;
 	mst_worker_reset_warm_up(agent);
-	mst_worker_emit_state(agent, "restarted");
+	mst_worker_emit_restart(agent, cause);
 }
 
 /* Returns true if the worker's clock has gone back by more than a delayed
@@ -56,7 +57,8 @@
 /* Records the incarnation of the worker that has sent an answer or a report.
  * Returns false if it is an earlier one, whose messages must be ignored. */
 static bool
-accept_incarnation(struct mst_agent *agent, uint64_t incarnation)
+accept_incarnation(
+    struct mst_agent *agent, uint64_t incarnation, enum mst_restart_cause cause)
 {
 	struct worker *worker = &agent->worker;
 
@@ -67,7 +69,7 @@
 	if (worker->incarnation == 0)
 		worker->incarnation = incarnation;
 	else
-		reset_worker(agent, incarnation);
+		reset_worker(agent, incarnation, cause);
 	return true;
 }
 
@@ -106,12 +108,12 @@
 	struct worker *worker = &agent->worker;
 	bool has_same_id;
 
-	if (!accept_incarnation(agent, report->incarnation))
+	if (!accept_incarnation(agent, report->incarnation, MST_RESTART_REPORT))
 		return;
 	has_same_id =
 	    worker->id != NULL && mst_bytes_equal_str(report->id, worker->id);
 	if (worker->id != NULL && !has_same_id && report->incarnation == 0)
-		reset_worker(agent, 0);
+		reset_worker(agent, 0, MST_RESTART_REPORT);
 	if (has_same_id && report->incarnation == worker->incarnation &&
 	    report->seq < worker->report_seq)
 		return;
@@ -190,14 +192,15 @@
 	} else {
 		agent->worker.unanswered = 0;
 	}
-	if (!accept_incarnation(agent, answer->incarnation)) {
+	if (!accept_incarnation(agent, answer->incarnation, MST_RESTART_LIST)) {
 		renewal = mst_worker_find_renewal(&agent->worker, answer->id);
 		if (answer->kind == MST_ORDER_RENEW && renewal != NULL)
 			renewal->id = 0;
 		return;
 	}
 	if (clock_was_reset(agent, answer))
-		reset_worker(agent, agent->worker.incarnation);
+		reset_worker(
+		    agent, agent->worker.incarnation, MST_RESTART_CLOCK);
 	mst_worker_update_clock(agent, answer->clock_ms);
 	if (answer->kind != MST_ORDER_RENEW && answer->status == MST_ORDER_DONE)
 		mst_worker_add_answer_time(
--- a/src/core/worker/worker_internal.h
+++ b/src/core/worker/worker_internal.h
@@ -11,6 +11,9 @@
 /* state.c */
 /* Emits an effect that reports the state of the worker. */
 void mst_worker_emit_state(struct mst_agent *agent, const char *state);
+/* Emits an effect that reports a restart of the worker. */
+void mst_worker_emit_restart(
+    struct mst_agent *agent, enum mst_restart_cause cause);
 /* Returns the estimated present time of the worker's clock. */
 int64_t mst_worker_clock_ms(const struct mst_agent *agent);
 /* Updates the estimate of the worker's clock from an answer. */
@@ -65,10 +68,10 @@
 void mst_worker_send_due_orders(struct mst_agent *agent);
 /* Completes a run with a result and frees its resources. */
 void mst_worker_complete_run(struct mst_agent *agent, struct run *run,
-    const struct mst_result_item *result);
+    const struct mst_result_item *result, enum mst_run_proof proof);
 /* Completes a run that ended without a result. */
-void mst_worker_fail_run(
-    struct mst_agent *agent, struct run *run, enum mst_reason reason);
+void mst_worker_fail_run(struct mst_agent *agent, struct run *run,
+    enum mst_reason reason, enum mst_run_proof proof);
 /* Returns the active runs; the caller frees the list. */
 GList *mst_worker_list_runs(const struct mst_agent *agent);
 /* Fails the active runs of a worker that has gone down or whose lease has
--- a/src/runtime/agent_runtime.c
+++ b/src/runtime/agent_runtime.c
@@ -138,12 +138,25 @@
 	mst_log(MST_LOG_INFO, "run-ended",
 	    "job=%.*s task=%.*s run=%" PRIu32 " entry=%016" PRIx64
 	    " outcome=%s reason=%s queue_ms=%" PRIu32 " run_ms=%" PRIu32
-	    " start_uncertain=%d",
+	    " start_uncertain=%d proof=%s",
 	    job_len, name->data, (int)name->len, name->data, effect->run_number,
 	    effect->entry, mst_outcome_name(effect->result.outcome),
 	    mst_reason_name(effect->result.reason),
 	    effect->result.queue_us / 1000, effect->result.service_us / 1000,
-	    effect->result.start_uncertain);
+	    effect->result.start_uncertain, mst_run_proof_name(effect->proof));
+}
+
+static void
+log_worker_state(const struct mst_agent_effect *effect)
+{
+	if (effect->restart_cause == MST_RESTART_UNKNOWN)
+		mst_log(MST_LOG_INFO, "worker", "state=%s worker=%" PRIu64,
+		    effect->state, effect->worker_incarnation);
+	else
+		mst_log(MST_LOG_INFO, "worker",
+		    "state=%s worker=%" PRIu64 " cause=%s", effect->state,
+		    effect->worker_incarnation,
+		    mst_restart_cause_name(effect->restart_cause));
 }
 
 static void
@@ -231,8 +244,7 @@
 			crash_store_save(rt->crash_store, &effect->crashes);
 		break;
 	case MST_AGENT_FX_WORKER:
-		mst_log(MST_LOG_INFO, "worker", "state=%s worker=%" PRIu64,
-		    effect->state, effect->worker_incarnation);
+		log_worker_state(effect);
 		break;
 	}
 }
--- a/src/runtime/metrics.c
+++ b/src/runtime/metrics.c
@@ -349,6 +349,14 @@
 	metrics_add_single(out, "starts_uncertain_total", "counter",
 	    "Runs that ended while a start of them had no answer.",
 	    (double)counters->starts_uncertain);
+	metrics_add_family(out, "runs_ended_total", "counter",
+	    "Runs that have ended, by what proves it.");
+	for (i = MST_PROOF_UNSENT; i < MST_PROOF_MAX; i++)
+		metrics_add_sample(out, "runs_ended_total", "proof",
+		    mst_run_proof_name(i), (double)counters->runs_ended[i]);
+	metrics_add_single(out, "starts_unnamed_total", "counter",
+	    "Orders to start that did not name the worker.",
+	    (double)counters->starts_unnamed);
 	metrics_add_single(out, "entry_leases_lapsed_total", "counter",
 	    "Times that an entry's work was ended for its silence.",
 	    (double)counters->leases_expired);
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -104,9 +104,12 @@
 		    ", completions acknowledged through %" PRIu64 ", lease %s",
 		    order->fence, order->completions_acked, lease_text);
 	else
-		log_line(harness, "%s %.*s run %u, fence %" PRIu64,
+		log_line(harness, "%s %.*s run %u, fence %" PRIu64 "%s",
 		    kinds[order->kind], (int)order->task.len, order->task.data,
-		    order->run, order->fence);
+		    order->run, order->fence,
+		    order->kind == MST_ORDER_START && order->worker_id.len == 0
+			? ", for any worker"
+			: "");
 }
 
 static void
@@ -152,6 +155,24 @@
 		    mst_reason_name(msg->results.items[i].reason));
 }
 
+static void
+log_worker_state(struct harness *harness, const struct mst_agent_effect *effect)
+{
+	if (effect->restart_cause == MST_RESTART_UNKNOWN)
+		log_line(harness, "worker %s", effect->state);
+	else
+		log_line(harness, "worker %s, shown by %s", effect->state,
+		    mst_restart_cause_name(effect->restart_cause));
+}
+
+static void
+log_ended_run(struct harness *harness, const struct mst_agent_effect *effect)
+{
+	log_line(harness, "%.*s ended, proof %s%s", (int)effect->task->path.len,
+	    effect->task->path.data, mst_run_proof_name(effect->proof),
+	    effect->result.start_uncertain ? ", start uncertain" : "");
+}
+
 static void
 apply_effects(struct harness *harness, const GArray *effects)
 {
@@ -169,7 +190,7 @@
 			log_message(harness, &effect->msg);
 			break;
 		case MST_AGENT_FX_WORKER:
-			log_line(harness, "worker %s", effect->state);
+			log_worker_state(harness, effect);
 			break;
 		case MST_AGENT_FX_STORE:
 			log_line(harness, "record of %s %s", effect->op.key,
@@ -190,10 +211,7 @@
 			    effect->worker_incarnation);
 			break;
 		case MST_AGENT_FX_RUN_FAILED:
-			if (effect->result.start_uncertain)
-				log_line(harness, "%.*s ended, start uncertain",
-				    (int)effect->task->path.len,
-				    effect->task->path.data);
+			log_ended_run(harness, effect);
 			break;
 		case MST_AGENT_FX_LEASE_EXPIRED:
 			log_line(harness, "lease of entry %" PRIu64 " lapsed",
