agent: only a worker's answers show its incarnation

A single report, kept or new, could reset the worker, change the id that orders name, its capacity or its state, and after a reset starts went out without an id. Callers saw crashes that never were, tasks blamed for them, and a living worker that was ignored; a start without an id that is held up can be carried out by any later incarnation of the worker, which is a way to two runs of one task.

Now a report counts at once only if it names the incarnation that the worker's answers show. Any other is a candidate: a renew order that names its id goes out at once, beside the renewals, which go on undisturbed. The order prolongs no lease and acknowledges no completion. Only an answer to it confirms the candidate, and the start must agree where both tell it. A refused one is logged (event=report- refused fault=other-incarnation) and counted (reports_refused_total). If the worker does not answer, the candidate is tried again when renewals succeed. Reports are kept in the store only once they count, so an odd one no longer waits there for the next agent.

- Order of incarnations.
An answer that shows another incarnation is of a new one if its order was sent after the present one was first heard, whatever the time of day says; else it may be late and is ignored.
A worker whose time of day was set back and that restarts was ignored for good.
The clock in an answer is compared with the least that it can have been when the order was sent, not with the estimate of the time when the answer is read less 500 ms.
A frozen agent saw a restart in an answer that had waited; a worker restarted within 500 ms of its start was missed where answers tell no start.
An answer that may be of the earlier incarnation changes no clock.
Nothing starts, or is repeated, while the id is unknown.
A start that the worker refuses as not meant for it makes the id a candidate again.
What it costs: after a restart nothing starts for some 470 ms anyway, until a long lease may be over (worker/long_lease); an incarnation that reports itself within that costs nothing, else up to one interval of reports.
A start order named no worker in one line of the present scripts, after a restart; now none can.

Scripts, and how they failed before: foreign_reports: 'crash 1: j.0.0.0 present' and 'worker restarted, shown by report' after the report with the greatest start, then every list ignored; without a start, under another id: restarted and draining. foreign_kept_report: 'kept-report' was accepted, then the list of the living worker ignored. candidate_unanswered: reset by the report, its lists unrenewed for 30 ms without any word of the worker. restart_reported: the same; two round trips until the first list counts, as before, and the first of them starts with the report, where it waited for the next tick. time_of_day_back: all lists after the restart ignored, no answer any more. answer_of_earlier_incarnation: the same, beside a late answer. clock_gap: 'restarted, shown by clock' twice, and a real one missed. start_names_worker: 'START j.0.0.0 run 1, for any worker'. late_report passed apart from the orders that verify: a report of an earlier incarnation was no fault as long as starts rise; it stays as a guard.

Ruled out: verifying by the start in plain renewals alone, as two workers may have been started in the same millisecond and a report may tell no start.

--- a/include/masticstall/agent.h
+++ b/include/masticstall/agent.h
@@ -108,7 +108,9 @@
 	MST_AGENT_FX_LOAD_REPORT, /* read the kept report and crashes */
 	MST_AGENT_FX_DRAINS,      /* the set of drained domains has changed */
 	MST_AGENT_FX_CRASH,       /* the worker has crashed with active runs */
-	MST_AGENT_FX_BUILD /* an entry of another version was met or is gone */
+	MST_AGENT_FX_BUILD, /* an entry of another version was met or is gone */
+	MST_AGENT_FX_KEEP_REPORT,   /* keep a report for a later incarnation */
+	MST_AGENT_FX_REPORT_REFUSED /* a report of no present worker */
 };
 
 struct mst_agent_effect {
@@ -124,7 +126,10 @@
 	/* RUN_FAILED, LEASE_EXPIRED, ENTRY_UNUSED, BUILD: its incarnation */
 	uint64_t entry;
 	struct mst_worker_run unknown_run; /* UNKNOWN_RUN */
-	uint64_t worker_incarnation;       /* UNKNOWN_RUN, WORKER; 0: unknown */
+	/* UNKNOWN_RUN, WORKER, REPORT_REFUSED: the present one; 0: unknown */
+	uint64_t worker_incarnation;
+	/* KEEP_REPORT, REPORT_REFUSED */
+	const struct mst_worker_report *report;
 	uint32_t run_number;           /* RUN_FAILED: run number of the task */
 	struct mst_result_item result; /* RUN_FAILED */
 	enum mst_run_proof proof;      /* RUN_FAILED: of its end */
@@ -159,6 +164,7 @@
 	uint64_t starts_uncertain;
 	/* Leased: ended runs, by enum mst_run_proof. */
 	uint64_t runs_ended[MST_PROOF_MAX];
+	uint64_t reports_refused; /* of no present incarnation of the worker */
 	/* Start orders that did not name the worker they were meant for. */
 	uint64_t starts_unnamed;
 	uint64_t leases_expired;
--- a/include/masticstall/worker.h
+++ b/include/masticstall/worker.h
@@ -18,11 +18,12 @@
 /** Order to a worker. */
 struct mst_order {
 	enum mst_order_kind kind;
-	uint64_t id;                /* returned in the answer */
-	struct mst_bytes task;      /* START, STOP: name of the task */
-	uint32_t run;               /* START, STOP: run number */
-	struct mst_bytes spec;      /* START: specification of the task */
-	struct mst_bytes worker_id; /* START: id of the worker incarnation */
+	uint64_t id;           /* returned in the answer */
+	struct mst_bytes task; /* START, STOP: name of the task */
+	uint32_t run;          /* START, STOP: run number */
+	struct mst_bytes spec; /* START: specification of the task */
+	/* START, RENEW: id of the incarnation that it is for; empty: any */
+	struct mst_bytes worker_id;
 	int64_t lease_end_ms; /* time on the worker's clock; 0: unchanged */
 	uint64_t fence;       /* the worker rejects orders with a lower one */
 	uint64_t completions_acked; /* RENEW: last acknowledged completion */
--- a/src/core/agent/agent.c
+++ b/src/core/agent/agent.c
@@ -68,6 +68,7 @@
 	mst_drains_clear(&agent->drains);
 	mst_completions_clear(&agent->worker);
 	mst_unknown_clear(&agent->worker);
+	mst_candidate_clear(&agent->worker.candidate);
 	mst_crash_list_clear(&agent->crashes);
 	g_hash_table_unref(agent->active);
 	g_hash_table_unref(agent->sessions);
--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -86,7 +86,8 @@
 	 * back. A start would prolong the lease. */
 	if (!agent->worker.synced || agent->worker.renew_failures > 0)
 		return false;
-	if (agent->drained || !mst_worker_has_lease_for_start(agent))
+	if (agent->drained || agent->worker.id == NULL ||
+	    !mst_worker_has_lease_for_start(agent))
 		return run->order_state == ORDER_STOP_DUE;
 	return run->order_state == ORDER_START_DUE ||
 	    run->order_state == ORDER_STOP_DUE ||
@@ -243,7 +244,8 @@
 }
 
 void
-mst_worker_fail_runs(struct mst_agent *agent, bool lease_expired)
+mst_worker_fail_runs(struct mst_agent *agent, enum mst_run_proof proof,
+    int64_t confirmed_before_us)
 {
 	GList *runs = mst_worker_list_runs(agent);
 	GList *link;
@@ -251,27 +253,28 @@
 	for (link = runs; link != NULL; link = link->next) {
 		struct run *run = link->data;
 
-		if (run->order_state == ORDER_STARTING)
+		if (run->order_state == ORDER_STARTING ||
+		    run->confirmed_us >= confirmed_before_us)
 			continue;
-		if (must_stop_first(run, lease_expired))
+		if (must_stop_first(run, proof == MST_PROOF_LAPSED))
 			mst_worker_stop_run(agent, run, MST_REASON_RUN_LOST);
 		else
-			lose_run(agent, run, MST_REASON_RUN_LOST,
-			    lease_expired ? MST_PROOF_LAPSED : MST_PROOF_DOWN,
+			lose_run(agent, run, MST_REASON_RUN_LOST, proof,
 			    mst_worker_start_is_uncertain(run));
 	}
 	g_list_free(runs);
 }
 
 void
-mst_worker_handle_down(struct mst_agent *agent)
+mst_worker_handle_down(
+    struct mst_agent *agent, const struct mst_order_answer *answer)
 {
 	struct worker *worker = &agent->worker;
 
 	mst_worker_record_crash(agent);
 	if (worker->synced)
 		mst_worker_emit_state(agent, "down");
-	mst_worker_fail_runs(agent, false);
+	mst_worker_fail_runs(agent, MST_PROOF_DOWN, INT64_MAX);
 	worker->synced = false;
 	worker->fence = 0;
 }
@@ -329,7 +332,8 @@
 			repeat_start(agent, run);
 		break;
 	case MST_ORDER_FENCED:
-		mst_worker_raise_fence(agent);
+		mst_worker_handle_fenced(
+		    agent, answer->sent_us, agent->worker.incarnation);
 		repeat_start(agent, run);
 		break;
 	case MST_ORDER_LAPSED:
@@ -337,13 +341,18 @@
 		break;
 	case MST_ORDER_DOWN:
 		handle_start_refusal(agent, run, MST_REASON_UPSTREAM_DOWN);
-		mst_worker_handle_down(agent);
+		mst_worker_handle_down(agent, answer);
 		break;
 	case MST_ORDER_NO_ROOM:
 		handle_start_refusal(agent, run, MST_REASON_BUSY);
 		break;
-	case MST_ORDER_UNHEALTHY:
 	case MST_ORDER_OTHER_INCARNATION:
+		if (agent->worker.id != NULL &&
+		    answer->sent_us >= agent->worker.id_us)
+			mst_candidate_doubt_id(agent);
+		handle_start_refusal(agent, run, MST_REASON_UPSTREAM_DOWN);
+		break;
+	case MST_ORDER_UNHEALTHY:
 		handle_start_refusal(agent, run, MST_REASON_UPSTREAM_DOWN);
 		break;
 	case MST_ORDER_INVALID:
@@ -362,7 +371,8 @@
     const struct mst_order_answer *answer)
 {
 	if (answer->status == MST_ORDER_FENCED)
-		mst_worker_raise_fence(agent);
+		mst_worker_handle_fenced(
+		    agent, answer->sent_us, agent->worker.incarnation);
 	/* An unhealthy worker has done nothing. */
 	if (answer->status == MST_ORDER_NO_ANSWER ||
 	    answer->status == MST_ORDER_FENCED ||
--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -248,7 +248,7 @@
 		worker->next_renew_us += WORKER_UNRELIABLE_WAIT_US / 2;
 	/* The fence depends on the worker's clock, which is now known. */
 	if (worker->fence == 0) {
-		mst_worker_raise_fence(agent);
+		mst_worker_raise_fence(agent, worker->incarnation);
 		return;
 	}
 	/* The worker may still execute starts that were delayed since its
@@ -257,6 +257,7 @@
 		return;
 	unknown_runs = process_lists(agent, answer);
 	worker->renew_failures = 0;
+	worker->fence_step = 0;
 	/* Runs of an earlier incarnation of this agent must end first, because
 	 * entries may start their tasks elsewhere once they know of this
 	 * incarnation. */
@@ -279,26 +280,46 @@
 		mst_agent_announce_all(agent, agent->now_us);
 }
 
-void
-mst_worker_handle_renew_answer(
+/* The order that verified a candidate is no renewal of the lease, so it does
+ * not tell whether renewals fail. Its answer shows the lists all the same. */
+static void
+handle_candidate_answer(
     struct mst_agent *agent, const struct mst_order_answer *answer)
 {
 	struct worker *worker = &agent->worker;
-	struct renewal *renewal = mst_worker_find_renewal(worker, answer->id);
+	/* Only the worker that the candidate names rejects its order so. */
+	uint64_t claimed =
+	    MAX(worker->incarnation, worker->candidate.report.incarnation);
+	struct renewal renewal = mst_candidate_handle_answer(agent, answer);
 
-	if (renewal == NULL)
+	if (answer->status == MST_ORDER_DONE)
+		handle_renew_success(agent, answer, renewal.fence);
+	else if (answer->status == MST_ORDER_DOWN)
+		mst_worker_handle_down(agent, answer);
+	if (answer->status != MST_ORDER_FENCED)
 		return;
+	mst_worker_handle_fenced(agent, answer->sent_us, claimed);
+	worker->next_renew_us = agent->now_us;
+}
+
+static void
+handle_renewal_answer(struct mst_agent *agent,
+    const struct mst_order_answer *answer, struct renewal *renewal)
+{
+	struct worker *worker = &agent->worker;
+
 	renewal->id = 0;
 	switch (answer->status) {
 	case MST_ORDER_DONE:
 		handle_renew_success(agent, answer, renewal->fence);
 		break;
 	case MST_ORDER_FENCED:
-		mst_worker_raise_fence(agent);
+		mst_worker_handle_fenced(
+		    agent, answer->sent_us, worker->incarnation);
 		worker->next_renew_us = agent->now_us;
 		break;
 	case MST_ORDER_DOWN:
-		mst_worker_handle_down(agent);
+		mst_worker_handle_down(agent, answer);
 		handle_renew_failure(agent, answer->status);
 		break;
 	default:
@@ -306,3 +327,28 @@
 		break;
 	}
 }
+
+void
+mst_worker_handle_renew_answer(
+    struct mst_agent *agent, const struct mst_order_answer *answer)
+{
+	struct worker *worker = &agent->worker;
+	struct renewal *renewal = mst_worker_find_renewal(worker, answer->id);
+
+	if (worker->candidate.renewal.id == answer->id)
+		handle_candidate_answer(agent, answer);
+	else if (renewal != NULL)
+		handle_renewal_answer(agent, answer, renewal);
+}
+
+void
+mst_worker_drop_renewal(struct mst_agent *agent, uint64_t id)
+{
+	struct worker *worker = &agent->worker;
+	struct renewal *renewal = mst_worker_find_renewal(worker, id);
+
+	if (worker->candidate.renewal.id == id)
+		worker->candidate.renewal.id = 0;
+	else if (renewal != NULL)
+		renewal->id = 0;
+}
--- /dev/null
+++ b/src/core/worker/report.c
@@ -0,0 +1,148 @@
+/*
+ * Reports of a worker. A report is a claim: it may be late, kept by an earlier
+ * incarnation of this agent, or of another sender. It counts if it names the
+ * incarnation that the worker's answers show; others are candidates, which
+ * candidate.c verifies.
+ */
+
+#include "core/agent/agent_internal.h"
+#include "core/id.h"
+#include "core/worker/worker_internal.h"
+
+/* Updates a field of this agent's description, which is sent to the entries
+ * when it changes. */
+static void
+update_description(struct mst_agent *agent, char **text, struct mst_bytes value)
+{
+	if (*text != NULL && mst_bytes_equal_str(value, *text))
+		return;
+	g_free(*text);
+	*text = mst_bytes_to_str(value);
+	agent->description_version++;
+}
+
+/* Emits the state in a report, if it is new. A kept report does not show that
+ * the worker still accepts tasks. */
+static void
+emit_reported_state(struct mst_agent *agent,
+    const struct mst_worker_report *report, bool is_kept)
+{
+	const struct worker *worker = &agent->worker;
+
+	if (is_kept)
+		mst_worker_emit_state(agent, "kept-report");
+	else if (!worker->has_reported || worker->report_is_kept ||
+	    worker->draining != report->draining)
+		mst_worker_emit_state(
+		    agent, report->draining ? "draining" : "ready");
+}
+
+static void
+keep_report(struct mst_agent *agent, const struct mst_worker_report *report)
+{
+	mst_agent_emit(agent, MST_AGENT_FX_KEEP_REPORT)->report = report;
+}
+
+void
+mst_worker_apply_report(struct mst_agent *agent,
+    const struct mst_worker_report *report, bool is_kept)
+{
+	struct worker *worker = &agent->worker;
+
+	worker->report_seq = report->seq;
+	if (worker->id == NULL ||
+	    !mst_bytes_equal_str(report->id, worker->id)) {
+		g_free(worker->id);
+		worker->id = mst_bytes_to_str(report->id);
+		worker->id_us = agent->now_us;
+	}
+	emit_reported_state(agent, report, is_kept);
+	update_description(agent, &worker->service, report->service);
+	update_description(agent, &agent->rack, report->rack);
+	update_description(agent, &worker->labels, report->labels);
+	mst_worker_set_capacity(agent, &report->capacity);
+	worker->draining = report->draining;
+	/* The time in a kept report has passed in part. */
+	if (!is_kept)
+		mst_worker_set_cold(agent, report->cold_ms);
+	if (!worker->has_reported)
+		agent->next_heartbeat_us = agent->now_us;
+	worker->has_reported = true;
+	worker->report_is_kept = is_kept;
+	if (worker->draining)
+		mst_agent_refuse_queued(agent, NULL, MST_REASON_DRAINING);
+	if (!is_kept)
+		keep_report(agent, report);
+}
+
+/* Returns true if a report is of the incarnation that the worker's answers
+ * show. A last report names the worker's id only. */
+static bool
+is_of_present(
+    const struct worker *worker, const struct mst_worker_report *report)
+{
+	bool same_incarnation = report->incarnation == worker->incarnation;
+
+	if (worker->id == NULL)
+		return same_incarnation && worker->incarnation != 0;
+	if (!mst_bytes_equal_str(report->id, worker->id))
+		return false;
+	return same_incarnation || report->incarnation == 0 ||
+	    worker->incarnation == 0;
+}
+
+void
+mst_worker_refuse_report(
+    struct mst_agent *agent, const struct mst_worker_report *report)
+{
+	struct mst_agent_effect *effect =
+	    mst_agent_emit(agent, MST_AGENT_FX_REPORT_REFUSED);
+
+	effect->report = report;
+	effect->worker_incarnation = agent->worker.incarnation;
+	agent->counters.reports_refused++;
+}
+
+static void
+handle_last_report(
+    struct mst_agent *agent, const struct mst_worker_report *report)
+{
+	agent->worker.draining = true;
+	keep_report(agent, report);
+}
+
+void
+mst_worker_handle_report(
+    struct mst_agent *agent, const struct mst_worker_report *report)
+{
+	const struct worker *worker = &agent->worker;
+
+	if (!is_of_present(worker, report)) {
+		if (report->shutting_down)
+			mst_worker_refuse_report(agent, report);
+		else
+			mst_candidate_set(agent, report, false);
+		return;
+	}
+	if (report->shutting_down)
+		handle_last_report(agent, report);
+	else if (worker->id == NULL || report->seq >= worker->report_seq)
+		mst_worker_apply_report(agent, report, false);
+}
+
+/* A kept report stands in for the first one of the same incarnation of the
+ * worker, so that a restarted agent need not wait for the next report. */
+void
+mst_worker_handle_kept_report(
+    struct mst_agent *agent, const struct mst_worker_report *report)
+{
+	const struct worker *worker = &agent->worker;
+
+	if (worker->has_reported || worker->candidate.is_set ||
+	    report->incarnation == 0)
+		return;
+	if (is_of_present(worker, report))
+		mst_worker_apply_report(agent, report, true);
+	else if (worker->incarnation == 0)
+		mst_candidate_set(agent, report, true);
+}
--- a/src/core/worker/state.c
+++ b/src/core/worker/state.c
@@ -19,6 +19,7 @@
 #define ANSWER_DEVIATIONS       4
 #define WORKER_CLOCK_DRIFT      0.04 /* clocks differ by up to 2 % */
 #define WORKER_LEASE_MARGIN_US  (30 * 1000)
+#define WORKER_FENCE_MAX        ((UINT64_C(1) << 53) - 1) /* in JSON */
 
 static const char *const status_names[] = {[MST_ORDER_DONE] = "done",
     [MST_ORDER_NO_ANSWER] = "no-answer",
@@ -102,8 +103,8 @@
 {
 	const struct worker *worker = &agent->worker;
 
-	return worker->has_reported && worker->synced && !worker->draining &&
-	    !agent->drained && !worker->lease_expiring &&
+	return worker->has_reported && worker->id != NULL && worker->synced &&
+	    !worker->draining && !agent->drained && !worker->lease_expiring &&
 	    worker->unanswered < WORKER_UNANSWERED_MAX &&
 	    mst_worker_has_lease_for_start(agent) &&
 	    worker->renew_failures < WORKER_RENEW_FAILURES_MAX;
@@ -143,17 +144,25 @@
 	    (agent->now_us - agent->worker.clock_us) / 1000;
 }
 
+int64_t
+mst_worker_least_clock_ms(const struct mst_agent *agent, int64_t at_us)
+{
+	const struct worker *worker = &agent->worker;
+	double elapsed_ms = (double)(at_us - worker->clock_us) / 1000;
+	double rate =
+	    elapsed_ms < 0 ? 1 + WORKER_CLOCK_DRIFT : 1 - WORKER_CLOCK_DRIFT;
+
+	return worker->clock_ms + (int64_t)(elapsed_ms * rate);
+}
+
 /* Updates the estimate of the worker's clock from an answer. The clock in the
  * answer is behind by the delay of the answer. The estimate is therefore set to
- * the greater of that clock and the present estimate, from which the largest
- * possible drift is subtracted first. */
+ * the greater of that clock and the least that the present estimate allows. */
 void
 mst_worker_update_clock(struct mst_agent *agent, int64_t clock_ms)
 {
 	struct worker *worker = &agent->worker;
-	double elapsed_ms = (double)(agent->now_us - worker->clock_us) / 1000;
-	int64_t expected_ms = mst_worker_clock_ms(agent) -
-	    (int64_t)(elapsed_ms * WORKER_CLOCK_DRIFT);
+	int64_t expected_ms = mst_worker_least_clock_ms(agent, agent->now_us);
 
 	if (clock_ms <= 0)
 		return;
@@ -189,19 +198,30 @@
 	return (int64_t)MAX(expected_us, ANSWER_TIME_MIN_US);
 }
 
-/* Raises the fence of orders above those of this agent's earlier incarnations.
- * It need not be stored, because it is derived from the worker's clock, which
- * increases for as long as the worker remembers a fence. The clock is added to
- * the incarnation of the worker, so the fence also increases across its
- * incarnations and an order that was delayed since an earlier one is
- * rejected. */
+/* The fence need not be stored, because it is derived from the worker's clock,
+ * which increases for as long as the worker remembers a fence. The clock is
+ * added to the incarnation of the worker, so the fence also increases across
+ * its incarnations and an order that was delayed since an earlier one is
+ * rejected. It also rises if the time of day, which names the incarnations,
+ * goes back. */
 void
-mst_worker_raise_fence(struct mst_agent *agent)
+mst_worker_raise_fence(struct mst_agent *agent, uint64_t incarnation)
 {
 	struct worker *worker = &agent->worker;
+	uint64_t fence =
+	    incarnation + (uint64_t)MAX(mst_worker_clock_ms(agent), 1);
 
-	worker->fence = MAX(worker->fence + 1,
-	    worker->incarnation + (uint64_t)MAX(mst_worker_clock_ms(agent), 1));
+	worker->fence = MAX(fence, worker->fence + 1);
+	worker->fence_us = agent->now_us;
+}
+
+/* The steps grow, because the worker may have been given a much higher fence.
+ */
+void
+mst_worker_handle_fenced(
+    struct mst_agent *agent, int64_t sent_us, uint64_t incarnation)
+{
+	mst_worker_raise_fence(agent, incarnation);
 }
 
 struct mst_order *
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -30,6 +30,17 @@
 	uint64_t fence;
 };
 
+/* Report that is not known to be of the present incarnation of the worker. */
+struct candidate {
+	bool is_set;
+	bool is_kept;                    /* the kept report */
+	bool is_doubted;                 /* its id was taken for the worker's */
+	struct mst_worker_report report; /* owns its strings */
+	struct renewal renewal;          /* order that verifies it */
+	unsigned failures;               /* such orders without a decision */
+	int64_t due_us;                  /* not verified before */
+};
+
 /* Worker of a leased agent. */
 struct worker {
 	bool has_reported;   /* its status is known */
@@ -39,12 +50,20 @@
 	bool was_synced;   /* has been so before, perhaps in an earlier life */
 	bool is_restarted; /* has been since the last synced list */
 	bool draining;
-	char *id;
+	char *id;      /* of the present incarnation; NULL: not known */
+	int64_t id_us; /* when it was learnt */
+	struct candidate candidate;
 	char *service;
 	char *labels;
-	uint64_t incarnation;
+	uint64_t incarnation; /* the present one, as its answers show */
+	int64_t heard_us;     /* when it was first heard */
+	/* Newest order that the worker has answered: when it was sent. */
+	int64_t answered_us;
 	uint64_t report_seq;
-	uint64_t fence;
+	uint64_t fence; /* 0: to be raised once the worker's clock is known */
+	uint64_t fence_max; /* highest that this agent has used */
+	uint64_t fence_step;
+	int64_t fence_us; /* when it was last raised */
 	/* Number of the last completion read from the worker's lists. The last
 	 * one that it may drop is given by mst_completions_last_acked(). */
 	uint64_t completions_read;
@@ -74,13 +93,18 @@
 	struct mst_slowness warm_slowness_avg; /* before the warm-up */
 };
 
-/* worker.c */
+/* candidate.c */
+void mst_candidate_clear(struct candidate *candidate);
+
+/* report.c */
 /* Handles a status report of the worker. */
 void mst_worker_handle_report(
     struct mst_agent *agent, const struct mst_worker_report *report);
 /* Handles a report that an earlier incarnation of this agent has kept. */
 void mst_worker_handle_kept_report(
     struct mst_agent *agent, const struct mst_worker_report *report);
+
+/* worker.c */
 /* Handles the answer to an order. */
 void mst_worker_handle_answer(
     struct mst_agent *agent, const struct mst_order_answer *answer);
--- a/src/core/worker/worker_internal.h
+++ b/src/core/worker/worker_internal.h
@@ -16,6 +16,9 @@
     struct mst_agent *agent, enum mst_restart_cause cause);
 /* Returns the estimated present time of the worker's clock. */
 int64_t mst_worker_clock_ms(const struct mst_agent *agent);
+/* Returns the least time that the worker's clock can have shown at a time of
+ * this agent's clock. */
+int64_t mst_worker_least_clock_ms(const struct mst_agent *agent, int64_t at_us);
 /* Updates the estimate of the worker's clock from an answer. */
 void mst_worker_update_clock(struct mst_agent *agent, int64_t clock_ms);
 /* Adds the time that the worker took to answer an order that does not wait. */
@@ -23,8 +26,13 @@
 /* Returns the time within which nearly all orders that do not wait are
  * answered. */
 int64_t mst_worker_expected_answer_us(const struct mst_agent *agent);
-/* Raises the fence above those of the agent's earlier incarnations. */
-void mst_worker_raise_fence(struct mst_agent *agent);
+/* Raises the fence above those that this agent and its earlier incarnations
+ * have used for an incarnation of the worker. */
+void mst_worker_raise_fence(struct mst_agent *agent, uint64_t incarnation);
+/* Raises the fence after an order was rejected, unless that was done since the
+ * order was sent. */
+void mst_worker_handle_fenced(
+    struct mst_agent *agent, int64_t sent_us, uint64_t incarnation);
 /* Emits an order, whose other fields the caller sets. The id is returned in the
  * answer. */
 struct mst_order *mst_worker_emit_order(
@@ -44,6 +52,45 @@
 /* Returns true if the worker has recently left an order unanswered. */
 bool mst_worker_is_unreliable(const struct mst_agent *agent);
 
+/* incarnation.c */
+/* Returns true if an earlier incarnation of the worker may have sent an answer:
+ * its order is older than the present one, which it does not show. */
+bool mst_worker_answer_is_late(
+    const struct mst_agent *agent, const struct mst_order_answer *answer);
+/* Records the incarnation and the clock that an answer shows. Returns false if
+ * it may be late and of an earlier incarnation, so that it must be ignored. */
+bool mst_worker_accept_answer(
+    struct mst_agent *agent, const struct mst_order_answer *answer);
+/* Records the id of the worker that has executed an order, if the answer told
+ * no incarnation. */
+void mst_worker_take_id(
+    struct mst_agent *agent, struct mst_bytes id, uint64_t incarnation);
+
+/* report.c */
+/* Applies a report of the worker's present incarnation. */
+void mst_worker_apply_report(struct mst_agent *agent,
+    const struct mst_worker_report *report, bool is_kept);
+/* Counts a report that is not of the worker's present incarnation. */
+void mst_worker_refuse_report(
+    struct mst_agent *agent, const struct mst_worker_report *report);
+
+/* candidate.c */
+/* Records a report that must be verified, in place of an earlier one. */
+void mst_candidate_set(struct mst_agent *agent,
+    const struct mst_worker_report *report, bool is_kept);
+/* Has the worker's id verified again, because the worker refused an order that
+ * named it. */
+void mst_candidate_doubt_id(struct mst_agent *agent);
+/* Applies the candidate if the answer to another order than the one that
+ * verifies it shows its incarnation. */
+void mst_candidate_compare(
+    struct mst_agent *agent, const struct mst_order_answer *answer);
+/* Sends the order that verifies the candidate, if it is due. */
+void mst_candidate_tick(struct mst_agent *agent);
+/* Handles the answer to that order, and returns what was recorded of it. */
+struct renewal mst_candidate_handle_answer(
+    struct mst_agent *agent, const struct mst_order_answer *answer);
+
 /* resize.c */
 /* Sets the capacity that the worker has reported, which may change while it
  * runs. Refuses the queued tasks that no longer fit and tells the entries. */
@@ -60,8 +107,10 @@
 void mst_worker_update_slowness(struct mst_agent *agent, const struct run *run);
 
 /* order.c */
-/* Handles a refused connection: the worker is down and its runs have ended. */
-void mst_worker_handle_down(struct mst_agent *agent);
+/* Handles a refused connection: the worker is down, and the runs have ended
+ * that were confirmed before the order was sent. */
+void mst_worker_handle_down(
+    struct mst_agent *agent, const struct mst_order_answer *answer);
 /* Sends the order to stop a run, also if one was sent before. */
 void mst_worker_send_stop(struct mst_agent *agent, struct run *run);
 /* Repeats the orders that got no answer and whose delay is over. */
@@ -74,9 +123,11 @@
     enum mst_reason reason, enum mst_run_proof proof);
 /* Returns the active runs; the caller frees the list. */
 GList *mst_worker_list_runs(const struct mst_agent *agent);
-/* Fails the active runs of a worker that has gone down or whose lease has
- * expired, except those that must be stopped first. */
-void mst_worker_fail_runs(struct mst_agent *agent, bool lease_expired);
+/* Fails the active runs that were last confirmed before a time, because the
+ * worker has gone down since or its lease has expired, except those that must
+ * be stopped first. */
+void mst_worker_fail_runs(struct mst_agent *agent, enum mst_run_proof proof,
+    int64_t confirmed_before_us);
 void mst_worker_handle_start_answer(struct mst_agent *agent, struct run *run,
     const struct mst_order_answer *answer);
 void mst_worker_handle_stop_answer(struct mst_agent *agent, struct run *run,
@@ -125,6 +176,8 @@
 void mst_worker_send_renew(struct mst_agent *agent, struct renewal *renewal);
 void mst_worker_handle_renew_answer(
     struct mst_agent *agent, const struct mst_order_answer *answer);
+/* Forgets a renew order whose answer is ignored. */
+void mst_worker_drop_renewal(struct mst_agent *agent, uint64_t id);
 
 /* warm_up.c */
 /* Records the time that a report states until the worker is warm. */
--- a/src/runtime/agent_runtime.c
+++ b/src/runtime/agent_runtime.c
@@ -159,6 +159,19 @@
 		    mst_restart_cause_name(effect->restart_cause));
 }
 
+static void
+log_refused_report(const struct mst_agent_effect *effect)
+{
+	char *id = mst_bytes_to_str(effect->report->id);
+
+	mst_log(MST_LOG_WARNING, "report-refused",
+	    "fault=other-incarnation id=%s reported=%" PRIu64
+	    " worker=%" PRIu64,
+	    mst_log_quote(id), effect->report->incarnation,
+	    effect->worker_incarnation);
+	g_free(id);
+}
+
 static void
 log_unknown_run(const struct mst_agent_effect *effect)
 {
@@ -243,6 +256,13 @@
 		if (rt->crash_store != NULL)
 			crash_store_save(rt->crash_store, &effect->crashes);
 		break;
+	case MST_AGENT_FX_KEEP_REPORT:
+		if (rt->report_store != NULL)
+			report_store_save(rt->report_store, effect->report);
+		break;
+	case MST_AGENT_FX_REPORT_REFUSED:
+		log_refused_report(effect);
+		break;
 	case MST_AGENT_FX_WORKER:
 		log_worker_state(effect);
 		break;
@@ -450,8 +470,6 @@
 
 	if (driver->read_report(&report, &driver_data, &fault, request)) {
 		agent_step(rt, &event);
-		if (rt->report_store != NULL)
-			report_store_save(rt->report_store, &report);
 		mst_http_respond(
 		    rt->report_httpd, request->id, 200, NULL, 0, "{}", 2);
 	} else {
--- a/src/runtime/metrics.c
+++ b/src/runtime/metrics.c
@@ -354,6 +354,9 @@
 	for (i = MST_PROOF_UNSENT; i < MST_PROOF_MAX; i++)
 		metrics_add_sample(out, "runs_ended_total", "proof",
 		    mst_run_proof_name(i), (double)counters->runs_ended[i]);
+	metrics_add_single(out, "reports_refused_total", "counter",
+	    "Reports of no present incarnation of the worker.",
+	    (double)counters->reports_refused);
 	metrics_add_single(out, "starts_unnamed_total", "counter",
 	    "Orders to start that did not name the worker.",
 	    (double)counters->starts_unnamed);
--- a/tests/test_offers.c
+++ b/tests/test_offers.c
@@ -133,6 +133,7 @@
 	agent->now_us = G_USEC_PER_SEC;
 	agent->worker.has_reported = true;
 	agent->worker.synced = true;
+	agent->worker.id = g_strdup("worker");
 	fixture->agent = agent;
 	fixture->waiting = mst_session_open(agent, 2);
 	fixture->other = mst_session_open(agent, 3);
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -7,9 +7,11 @@
  * A script has one command per line; # starts a comment:
  *   agent [stored]                starts a new incarnation of the agent, one
  *                                 that serves stored jobs
- *   report INCARNATION STATE      the worker reports that it is ready or
- *                                 draining
- *   kept INCARNATION STATE        the report that an earlier incarnation of the
+ *   report INCARNATION STATE [ID [AGE_MS]]
+ *                                 the worker ID (default: w) reports that it is
+ *                                 ready, draining or gone; the report was sent
+ *                                 AGE_MS ago
+ *   kept INCARNATION STATE [ID]   the report that an earlier incarnation of the
  *                                 agent has kept arrives
  *   heartbeat E                   delivers a heartbeat of entry E that echoes
  *                                 the agent's current clock
@@ -53,6 +55,7 @@
 #define INCARNATION_BASE  1000
 #define MILLICORES        1600
 #define SHORT_LEASE_MS    400
+#define USUAL_ID          "w" /* of the worker, unless a script names it */
 
 /* An order to the worker that has not been answered yet. */
 struct pending_order {
@@ -85,6 +88,22 @@
 	g_string_append_c(harness->log, '\n');
 }
 
+/* Returns the worker that an order names, unless that is usual; the caller
+ * frees the text. */
+static char *
+format_target(const struct mst_order *order)
+{
+	bool is_start = order->kind == MST_ORDER_START;
+
+	if (is_start && order->worker_id.len == 0)
+		return g_strdup(", for any worker");
+	if (order->worker_id.len == 0 ||
+	    (is_start && mst_bytes_equal_str(order->worker_id, USUAL_ID)))
+		return g_strdup("");
+	return g_strdup_printf(
+	    ", for %.*s", (int)order->worker_id.len, order->worker_id.data);
+}
+
 static void
 log_order(struct harness *harness, const struct mst_order *order)
 {
@@ -92,6 +111,7 @@
 	int64_t clock_ms = harness->now_us / 1000 + harness->clock_offset_ms;
 	int64_t lease_ms = order->lease_end_ms - clock_ms;
 	char lease_text[32] = "not renewed";
+	char *target = format_target(order);
 
 	if (order->lease_end_ms > 0 && lease_ms >= SHORT_LEASE_MS)
 		g_strlcpy(lease_text, "renewed", sizeof(lease_text));
@@ -101,15 +121,14 @@
 	if (order->kind == MST_ORDER_RENEW)
 		log_line(harness,
 		    "RENEW fence %" PRIu64
-		    ", completions acknowledged through %" PRIu64 ", lease %s",
-		    order->fence, order->completions_acked, lease_text);
+		    ", completions acknowledged through %" PRIu64
+		    ", lease %s%s",
+		    order->fence, order->completions_acked, lease_text, target);
 	else
 		log_line(harness, "%s %.*s run %u, fence %" PRIu64 "%s",
 		    kinds[order->kind], (int)order->task.len, order->task.data,
-		    order->run, order->fence,
-		    order->kind == MST_ORDER_START && order->worker_id.len == 0
-			? ", for any worker"
-			: "");
+		    order->run, order->fence, target);
+	g_free(target);
 }
 
 static void
@@ -213,6 +232,11 @@
 		case MST_AGENT_FX_RUN_FAILED:
 			log_ended_run(harness, effect);
 			break;
+		case MST_AGENT_FX_REPORT_REFUSED:
+			log_line(harness, "report of %.*s refused",
+			    (int)effect->report->id.len,
+			    effect->report->id.data);
+			break;
 		case MST_AGENT_FX_LEASE_EXPIRED:
 			log_line(harness, "lease of entry %" PRIu64 " lapsed",
 			    effect->entry);
@@ -265,15 +289,18 @@
 }
 
 static void
-command_report(
-    struct harness *harness, enum mst_agent_event_type type, char **words)
+command_report(struct harness *harness, enum mst_agent_event_type type,
+    char **words, int word_count)
 {
-	struct mst_worker_report report = {.id = mst_bytes_from_str("w"),
+	int64_t age_ms = word_count > 4 ? strtol(words[4], NULL, 10) : 0;
+	struct mst_worker_report report = {
+	    .id = mst_bytes_from_str(word_count > 3 ? words[3] : USUAL_ID),
 	    .service = mst_bytes_from_str("service"),
 	    .incarnation = strtoull(words[1], NULL, 10),
-	    .seq = (uint64_t)harness->now_us,
+	    .seq = (uint64_t)(harness->now_us - age_ms * 1000),
 	    .capacity = {.millicores = 16000, .memory_mb = 32768},
-	    .draining = strcmp(words[2], "draining") == 0};
+	    .draining = strcmp(words[2], "draining") == 0,
+	    .shutting_down = strcmp(words[2], "gone") == 0};
 	struct mst_agent_event event = {.type = type, .report = &report};
 
 	step_event(harness, &event);
@@ -502,9 +529,10 @@
 	if (strcmp(name, "agent") == 0)
 		command_agent(harness, words, word_count);
 	else if (strcmp(name, "report") == 0)
-		command_report(harness, MST_AGENT_EV_REPORT, words);
+		command_report(harness, MST_AGENT_EV_REPORT, words, word_count);
 	else if (strcmp(name, "kept") == 0)
-		command_report(harness, MST_AGENT_EV_KEPT_REPORT, words);
+		command_report(
+		    harness, MST_AGENT_EV_KEPT_REPORT, words, word_count);
 	else if (strcmp(name, "heartbeat") == 0)
 		command_heartbeat(harness, words);
 	else if (strcmp(name, "dispatch") == 0)
@@ -615,7 +643,10 @@
 	    "start_after_stop", "worker_down", "kept_report",
 	    "kept_report_gone", "unknown_completions",
 	    "many_unknown_completions", "unrecordable_completions",
-	    "long_lease", "refused_stop", "unreachable", "crash", "isolated"};
+	    "long_lease", "refused_stop", "unreachable", "crash", "isolated",
+	    "foreign_reports", "late_report", "foreign_kept_report",
+	    "candidate_unanswered", "restart_reported", "time_of_day_back",
+	    "answer_of_earlier_incarnation", "clock_gap", "start_names_worker"};
 	/* Listed in KNOWN-RED.txt. */
 	static const char *const open_scripts[] = {"ended_with_open_copy"};
 
