agent: a refused connection ends only runs that were confirmed before

A refused connection ended all runs of the worker, also those that it confirmed after the refused order was sent, and so after it had come up. An order may wait for a connection, and answers are handled in the order in which they are read; the run went on, and its task was sent elsewhere.

Now only runs are ended that were confirmed before the order was sent, as with lists that lack a run, and the worker counts as down only if it has answered no newer order. A refused START is still given back as not run if no other copy of it is open.

Script: down_answer_late, two orders of events. Before: 'worker down', 'j.0.0.0 ended, proof down', result may-have-run for a run that the next list shows; in the second one the run became an unknown run and was stopped.

--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -271,10 +271,13 @@
 {
 	struct worker *worker = &agent->worker;
 
+	/* It has answered a newer order. */
+	if (answer->sent_us < worker->answered_us)
+		return;
 	mst_worker_record_crash(agent);
 	if (worker->synced)
 		mst_worker_emit_state(agent, "down");
-	mst_worker_fail_runs(agent, MST_PROOF_DOWN, INT64_MAX);
+	mst_worker_fail_runs(agent, MST_PROOF_DOWN, answer->sent_us);
 	worker->synced = false;
 	worker->fence = 0;
 }
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -646,7 +646,8 @@
 	    "long_lease", "refused_stop", "unreachable", "crash", "isolated",
 	    "foreign_reports", "late_report", "foreign_kept_report",
 	    "candidate_unanswered", "restart_reported", "time_of_day_back",
-	    "answer_of_earlier_incarnation", "clock_gap", "start_names_worker"};
+	    "answer_of_earlier_incarnation", "clock_gap", "start_names_worker",
+	    "down_answer_late"};
 	/* Listed in KNOWN-RED.txt. */
 	static const char *const open_scripts[] = {"ended_with_open_copy"};
 
