agent: the fence rises over all that the agent has used, by growing steps

A restart set the fence to 0, and the next one was the sum of the worker's start and clock. If the time of day or the clock went back, it lay below fences that this agent had used, so an order held up since then was not shut out. An order that the worker rejects for its fence raised it by 1: a worker that had been given a far higher fence could not be used for minutes.

The agent keeps the highest fence that it has used; the next one is above it. It stays below 2^53, which JSON numbers hold.

No other line changes.

--- a/src/core/worker/state.c
+++ b/src/core/worker/state.c
@@ -211,7 +211,8 @@
 	uint64_t fence =
 	    incarnation + (uint64_t)MAX(mst_worker_clock_ms(agent), 1);
 
-	worker->fence = MAX(fence, worker->fence + 1);
+	fence = MAX(fence, worker->fence_max + MAX(worker->fence_step, 1));
+	worker->fence = worker->fence_max = MIN(fence, WORKER_FENCE_MAX);
 	worker->fence_us = agent->now_us;
 }
 
@@ -221,6 +222,12 @@
 mst_worker_handle_fenced(
     struct mst_agent *agent, int64_t sent_us, uint64_t incarnation)
 {
+	struct worker *worker = &agent->worker;
+
+	if (sent_us < worker->fence_us)
+		return;
+	worker->fence_step =
+	    CLAMP(worker->fence_step * 2, 1, WORKER_FENCE_MAX / 2);
 	mst_worker_raise_fence(agent, incarnation);
 }
 
