agent: the lease is bounded while its worker has runs that are not its own

A list of a worker in use can show a run that its agent has not started or has given up: a held-up start, or what an earlier incarnation of the agent left. It is stopped, but a stop may be refused, and the lease, which is that of all runs, went on being renewed: the run lived on beside one of its task elsewhere for as long as that lasted.

The lease now ends one lease after the first list that showed such a run, as for runs that their entry may have given up; nothing starts in its last half. A list without any, asked for after that, lifts it.

--- a/src/core/worker/incarnation.c
+++ b/src/core/worker/incarnation.c
@@ -37,6 +37,7 @@
 	mst_completions_drop(worker);
 	mst_unknown_drop(worker);
 	worker->lease_expiring = false;
+	worker->unknown_since_us = 0;
 	worker->capacity_max = (struct mst_resources){0};
 	worker->clock_ms = 0;
 	worker->next_renew_us = agent->now_us;
--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -233,6 +233,21 @@
 	agent->counters.orders_repeated++;
 }
 
+/* Bounds the lease while the worker has runs that this agent does not know, whose
+ * stops may be refused. */
+static void
+bound_lease(struct mst_agent *agent, const struct mst_order_answer *answer,
+    uint32_t unknown_runs)
+{
+	struct worker *worker = &agent->worker;
+
+	if (unknown_runs > 0 && worker->unknown_since_us == 0)
+		worker->unknown_since_us = agent->now_us;
+	else if (unknown_runs == 0 &&
+	    answer->sent_us >= worker->unknown_since_us)
+		worker->unknown_since_us = 0;
+}
+
 /* Handles the answer to a renew order with the given fence. */
 static void
 handle_renew_success(struct mst_agent *agent,
@@ -256,6 +271,7 @@
 	if (!worker->synced && fence != worker->fence)
 		return;
 	unknown_runs = process_lists(agent, answer);
+	bound_lease(agent, answer, unknown_runs);
 	worker->renew_failures = 0;
 	worker->fence_step = 0;
 	/* Runs of an earlier incarnation of this agent must end first, because
--- a/src/core/worker/state.c
+++ b/src/core/worker/state.c
@@ -70,16 +70,20 @@
 }
 
 /* Returns the duration of a lease that is granted now. The lease of the worker
- * is that of all its runs, so it must end in time for the abandoned ones. It is
- * at most 0 once they have had a whole lease. */
+ * is that of all its runs, so it must end in time for the abandoned ones and for
+ * those that this agent does not know. It is at most 0 once they have had a whole
+ * lease. */
 static int64_t
 lease_left_us(const struct mst_agent *agent)
 {
 	int64_t lease_us = agent->options.leases.run_lease_us;
+	int64_t unknown_since_us = agent->worker.unknown_since_us;
 	int64_t left_us = lease_us;
 	GHashTableIter iter;
 	gpointer value;
 
+	if (unknown_since_us > 0)
+		left_us = unknown_since_us + lease_us - agent->now_us;
 	g_hash_table_iter_init(&iter, agent->active);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct run *run = value;
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -73,6 +73,8 @@
 	bool lease_expiring;        /* the lease is no longer renewed */
 	int64_t clock_ms;           /* clock of the worker at clock_us */
 	int64_t clock_us;
+	/* When a list first showed runs that are not this agent's; 0: none. */
+	int64_t unknown_since_us;
 	int64_t lease_end_us;   /* its runs end by then unless renewed */
 	int64_t start_after_us; /* nothing is started before */
 	struct renewal renewals[WORKER_RENEWS_MAX];
