agent: a task whose earlier run is active waits until that one has ended

An entry may send a task whose earlier run is still active at this agent: it is being stopped without an answer, or goes on for another entry that the caller has left. The agent ordered a second start of it at once; both carry run numbers of their own session, and two runs of one task went on. Refusing the task instead is no way out: its entry would take it for not run and send it elsewhere, while the first run is alive.

A leased agent now keeps the active runs by task. A queued run of such a task is passed over; it neither starts nor is refused before the earlier one has ended, whatever else is refused meanwhile (the worker drains, is not ready, the dispatch was late), and gets that refusal then. When its own start limit is over it is refused. Withdrawing it ends it at once, as before.

test_drains_agent gave all tasks one name and expected the second one to be queued for the slot and refused at once; each has a name of its own now, as real ones do. What it checks is the same.

--- a/src/core/agent/agent.c
+++ b/src/core/agent/agent.c
@@ -45,6 +45,7 @@
 	agent->sessions = g_hash_table_new_full(g_direct_hash, g_direct_equal,
 	    NULL, (GDestroyNotify)mst_session_free);
 	agent->active = g_hash_table_new(g_direct_hash, g_direct_equal);
+	agent->task_runs = mst_task_runs_new();
 	agent->claims = g_hash_table_new_full(mst_job_id_hash, mst_job_id_equal,
 	    NULL, (GDestroyNotify)mst_claim_free);
 	agent->rand = g_rand_new_with_seed((guint32)options->incarnation);
@@ -71,6 +72,7 @@
 	mst_candidate_clear(&agent->worker.candidate);
 	mst_crash_list_clear(&agent->crashes);
 	g_hash_table_unref(agent->active);
+	g_hash_table_unref(agent->task_runs);
 	g_hash_table_unref(agent->sessions);
 	g_hash_table_unref(agent->claims);
 	g_rand_free(agent->rand);
--- a/src/core/agent/agent_internal.h
+++ b/src/core/agent/agent_internal.h
@@ -53,7 +53,10 @@
 	uint8_t starts_open; /* start orders that are not answered yet */
 	/* A start order that got no answer may still be executed. */
 	bool start_unanswered;
-	bool crashed;  /* was in progress when the worker crashed */
+	bool crashed; /* was in progress when the worker crashed */
+	/* Queued: enum mst_reason to refuse it for, once no earlier run of its
+	 * task is active. */
+	uint8_t refusal;
 	uint8_t proof; /* leased, finished: enum mst_run_proof */
 	enum mst_reason stop_reason;
 	/* Time from which its entry may have given it up, so that its task may
@@ -136,11 +139,12 @@
 	struct worker worker;          /* leased */
 	struct mst_crash_list crashes; /* of the worker */
 	uint64_t next_handle;
-	GHashTable *sessions; /* entry incarnation -> struct session */
-	GHashTable *active;   /* handle -> running struct run */
-	GHashTable *claims;   /* struct mst_job_id -> struct claim */
-	GQueue queue;         /* runs that wait for a slot */
-	GQueue retained;      /* acknowledged runs, oldest first */
+	GHashTable *sessions;  /* entry incarnation -> struct session */
+	GHashTable *active;    /* handle -> running struct run */
+	GHashTable *task_runs; /* leased: set of them, by task */
+	GHashTable *claims;    /* struct mst_job_id -> struct claim */
+	GQueue queue;          /* runs that wait for a slot */
+	GQueue retained;       /* acknowledged runs, oldest first */
 	uint64_t retained_bytes;
 	uint32_t runs_kept;
 	uint64_t config_version;
@@ -216,6 +220,14 @@
 void mst_run_complete_started(struct mst_agent *agent, struct run *run,
     const struct mst_result_item *result);
 
+/* task_runs.c */
+/* Creates the set of active runs by task. */
+GHashTable *mst_task_runs_new(void);
+void mst_task_runs_add(struct mst_agent *agent, struct run *run);
+void mst_task_runs_remove(struct mst_agent *agent, const struct run *run);
+/* Returns true if an earlier run of the task of a queued run is active. */
+bool mst_run_must_wait(const struct mst_agent *agent, const struct run *run);
+
 /* isolation.c */
 /* Returns true if isolated runs are queued or running, so that those of other
  * jobs wait. */
--- a/src/core/agent/run.c
+++ b/src/core/agent/run.c
@@ -212,6 +212,22 @@
 		g_queue_insert_after_link(&agent->queue, after, &run->link);
 }
 
+/* Returns why a task is not accepted, or MST_REASON_NONE. */
+static enum mst_reason
+get_refusal(const struct mst_agent *agent, const struct session *session,
+    const struct mst_dispatch_item *item, bool stale)
+{
+	if (session->fenced)
+		return MST_REASON_FENCED;
+	if (stale)
+		return MST_REASON_STALE;
+	if (agent->draining || agent->drained || agent->worker.draining)
+		return MST_REASON_DRAINING;
+	if (agent->queue.length >= queue_limit(agent, item))
+		return MST_REASON_BUSY;
+	return MST_REASON_NONE;
+}
+
 void
 mst_agent_receive_task(struct mst_agent *agent, struct session *session,
     const struct mst_dispatch_item *item, bool stale)
@@ -237,20 +253,14 @@
 	}
 	run = create_run(agent, session, item);
 	index_run_by_job(run);
-	if (session->fenced) {
-		refuse_run(agent, run, MST_REASON_FENCED);
-	} else if (stale) {
-		refuse_run(agent, run, MST_REASON_STALE);
-	} else if (agent->draining || agent->drained ||
-	    agent->worker.draining) {
-		refuse_run(agent, run, MST_REASON_DRAINING);
-	} else if (agent->queue.length >= queue_limit(agent, item)) {
-		refuse_run(agent, run, MST_REASON_BUSY);
-	} else {
-		run->state = RUN_QUEUED;
-		session->open++;
-		enqueue_run(agent, run);
+	run->refusal = (uint8_t)get_refusal(agent, session, item, stale);
+	if (run->refusal != MST_REASON_NONE && !mst_run_must_wait(agent, run)) {
+		refuse_run(agent, run, run->refusal);
+		return;
 	}
+	run->state = RUN_QUEUED;
+	session->open++;
+	enqueue_run(agent, run);
 }
 
 void
@@ -306,6 +316,7 @@
 	agent->counters.starts++;
 	g_hash_table_insert(
 	    agent->active, mst_u64_to_pointer(run->handle), run);
+	mst_task_runs_add(agent, run);
 	if (agent->options.leased) {
 		mst_worker_start_run(agent, run);
 		return;
@@ -326,55 +337,43 @@
 	return agent->running < agent->options.slots;
 }
 
-/* Returns the first queued run of the same job as another one, or NULL. */
+/* Returns the queued run that is to start next, or NULL. While an isolated run
+ * is running, only runs of its job start. */
 static struct run *
-find_queued_of_job(const struct mst_agent *agent, const struct run *other)
+next_queued(const struct mst_agent *agent)
 {
+	const struct run *isolated = mst_agent_find_isolated_run(agent);
 	GList *link;
 
 	for (link = agent->queue.head; link != NULL; link = link->next) {
 		struct run *run = link->data;
 
-		if (mst_job_id_equal(&run->task.job, &other->task.job))
+		if (!mst_run_must_wait(agent, run) &&
+		    (isolated == NULL ||
+			mst_job_id_equal(&run->task.job, &isolated->task.job)))
 			return run;
 	}
 	return NULL;
 }
 
-/* Returns the queued run that is to start next, or NULL. While an isolated run
- * is running, only runs of its job start. */
-static struct run *
-next_queued(const struct mst_agent *agent)
+static bool
+is_past_start_limit(const struct mst_agent *agent, const struct run *run)
 {
-	const struct run *isolated = mst_agent_find_isolated_run(agent);
-	struct run *first = g_queue_peek_head((GQueue *)&agent->queue);
+	int64_t limit_us = (int64_t)run->task.timeout_ms * 1000;
 
-	if (isolated != NULL)
-		return find_queued_of_job(agent, isolated);
-	return first;
+	return agent->now_us - run->arrived_us >= limit_us;
 }
 
-void
-mst_agent_start_queued(struct mst_agent *agent)
+static void
+refuse_queued_run(
+    struct mst_agent *agent, struct run *run, enum mst_reason reason)
 {
-	struct run *run;
-	int64_t limit_us;
-
-	/* Other agents can run them sooner. */
-	if (agent->options.leased && !mst_worker_is_ready(agent))
-		mst_agent_refuse_queued(agent, NULL, MST_REASON_BUSY);
-	while ((run = next_queued(agent)) != NULL &&
-	    has_capacity_for(agent, run)) {
-		dequeue_run(agent, run);
-		limit_us = (int64_t)run->task.timeout_ms * 1000;
-		if (agent->now_us - run->arrived_us >= limit_us)
-			refuse_run(agent, run, MST_REASON_DEADLINE);
-		else
-			start_run(agent, run);
-	}
+	dequeue_run(agent, run);
+	refuse_run(agent, run, reason);
 }
 
-/* Refuses the queued runs for which a condition holds. */
+/* Refuses the queued runs for which a condition holds; one that must wait is
+ * refused later. */
 static void
 refuse_queued_if(struct mst_agent *agent, enum mst_reason reason,
     bool (*condition)(
@@ -390,8 +389,56 @@
 		next = link->next;
 		if (!condition(agent, run, ctx))
 			continue;
+		if (mst_run_must_wait(agent, run))
+			run->refusal = (uint8_t)reason;
+		else
+			refuse_queued_run(agent, run, reason);
+	}
+}
+
+/* Refuses runs that had to wait: those whose start limit is over, and those
+ * that were to be refused and need not wait any more. */
+static void
+refuse_waiting(struct mst_agent *agent)
+{
+	GList *link = agent->queue.head;
+	GList *next;
+
+	for (; link != NULL; link = next) {
+		struct run *run = link->data;
+		bool must_wait = mst_run_must_wait(agent, run);
+
+		next = link->next;
+		if (must_wait && is_past_start_limit(agent, run))
+			refuse_queued_run(agent, run, MST_REASON_DEADLINE);
+		else if (!must_wait && run->refusal != MST_REASON_NONE)
+			refuse_queued_run(agent, run, run->refusal);
+	}
+}
+
+static bool
+may_start(const struct mst_agent *agent, const struct run *run, const void *ctx)
+{
+	return !mst_run_must_wait(agent, run);
+}
+
+void
+mst_agent_start_queued(struct mst_agent *agent)
+{
+	struct run *run;
+
+	refuse_waiting(agent);
+	/* Other agents can run them sooner. */
+	if (agent->options.leased && !mst_worker_is_ready(agent))
+		refuse_queued_if(agent, MST_REASON_BUSY, may_start, NULL);
+	while ((run = next_queued(agent)) != NULL &&
+	    has_capacity_for(agent, run)) {
+		if (is_past_start_limit(agent, run)) {
+			refuse_queued_run(agent, run, MST_REASON_DEADLINE);
+			continue;
+		}
 		dequeue_run(agent, run);
-		refuse_run(agent, run, reason);
+		start_run(agent, run);
 	}
 }
 
@@ -445,6 +492,7 @@
 	int64_t service_us;
 
 	g_hash_table_remove(agent->active, mst_u64_to_pointer(run->handle));
+	mst_task_runs_remove(agent, run);
 	agent->running--;
 	run->session->open--;
 	agent->counters.finished++;
--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -233,8 +233,8 @@
 	agent->counters.orders_repeated++;
 }
 
-/* Bounds the lease while the worker has runs that this agent does not know, whose
- * stops may be refused. */
+/* Bounds the lease while the worker has runs that this agent does not know,
+ * whose stops may be refused. */
 static void
 bound_lease(struct mst_agent *agent, const struct mst_order_answer *answer,
     uint32_t unknown_runs)
--- a/src/core/worker/state.c
+++ b/src/core/worker/state.c
@@ -70,9 +70,9 @@
 }
 
 /* Returns the duration of a lease that is granted now. The lease of the worker
- * is that of all its runs, so it must end in time for the abandoned ones and for
- * those that this agent does not know. It is at most 0 once they have had a whole
- * lease. */
+ * is that of all its runs, so it must end in time for the abandoned ones and
+ * for those that this agent does not know. It is at most 0 once they have had a
+ * whole lease. */
 static int64_t
 lease_left_us(const struct mst_agent *agent)
 {
--- a/tests/test_drains_agent.c
+++ b/tests/test_drains_agent.c
@@ -4,6 +4,7 @@
  * announcement repairs later.
  */
 
+#include <inttypes.h>
 #include <masticstall.h>
 
 #define MS              INT64_C(1000)
@@ -155,10 +156,11 @@
 static void
 send_task(struct fixture *fixture, uint64_t seq)
 {
+	char *name = g_strdup_printf("job.%" PRIu64, seq);
 	const struct mst_dispatch_item item = {.seq = seq,
 	    .job = {.issuer = ENTRY, .counter = seq},
 	    .timeout_ms = 10000,
-	    .path = mst_bytes_from_str("job.0"),
+	    .path = mst_bytes_from_str(name),
 	    .needs = {.millicores = TASK_MILLICORES}};
 	struct mst_msg msg = {.type = MST_MSG_DISPATCH,
 	    .from = ENTRY,
@@ -168,6 +170,7 @@
 		.items = &item}};
 
 	deliver_to_agent(fixture, &msg);
+	g_free(name);
 }
 
 /* A leased agent of domain "a" with one slot, whose worker is ready and which
