--- a/src/api/crash_json.c
+++ b/src/api/crash_json.c
@@ -1,14 +1,15 @@
 #include "api/crash_json.h"
 
 #include "api/json_extra.h"
-#include "api/json_field.h"
 
 #include <glib.h>
 #include <inttypes.h>
+#include <string.h>
 
 /* Runs in one text: with names of up to 100 bytes it fits into a row. */
-#define RUNS_MAX 256
-#define ID_TEXT  17 /* 16 hexadecimal digits and NUL */
+#define RUNS_MAX       256
+#define ID_TEXT        17 /* 16 hexadecimal digits and NUL */
+#define TASK_MAX_BYTES 200
 
 static const char *const text_names[] = {"crashes", NULL};
 static const char *const crash_names[] = {
@@ -96,74 +97,101 @@
 	return text;
 }
 
-static bool
-read_run(struct mst_crashed_run *out, const cJSON *json)
+static void
+read_run(struct mst_crashed_run *out, struct json_reader *reader)
 {
-	const cJSON *task = cJSON_GetObjectItemCaseSensitive(json, "task");
-	double team, lasted_ms;
+	out->task = mst_bytes_from_str(
+	    json_read_text(reader, "task", 1, TASK_MAX_BYTES));
+	out->team = (uint32_t)json_read_integer(reader, "team", 0, UINT32_MAX);
+	out->lasted_ms = (uint32_t)json_read_optional_integer(
+	    reader, "lasted_ms", 0, UINT32_MAX, MST_LASTED_UNKNOWN);
+}
 
-	if (!cJSON_IsString(task) ||
-	    !json_get_number(&team, json, "team", UINT32_MAX))
-		return false;
-	out->task = mst_bytes_from_str(task->valuestring);
-	out->team = (uint32_t)team;
-	out->lasted_ms = MST_LASTED_UNKNOWN;
-	if (json_get_number(&lasted_ms, json, "lasted_ms", UINT32_MAX))
-		out->lasted_ms = (uint32_t)lasted_ms;
-	return true;
+/* Reads the runs of a crash to the end of those that were read before. */
+static void
+read_runs(
+    struct mst_crash *out, struct crash_json *crashes, struct json_reader *json)
+{
+	const cJSON *list = json_read_field(json, "runs");
+	uint32_t count = (uint32_t)cJSON_GetArraySize(list);
+	const cJSON *item;
+
+	json_read_list(json, "runs");
+	if (count > MST_CRASH_RUNS_MAX ||
+	    crashes->run_count + count > RUNS_MAX) {
+		json_reader_set_fault(json, INPUT_FAULT_LENGTH, "runs");
+		return;
+	}
+	out->runs = crashes->runs + crashes->run_count;
+	cJSON_ArrayForEach (item, list) {
+		struct json_reader run = {.json = item};
+
+		read_run(&crashes->runs[crashes->run_count + out->run_count++],
+		    &run);
+		if (run.fault.kind != 0)
+			json_reader_set_fault(
+			    json, run.fault.kind, run.fault.field);
+	}
 }
 
-/* Reads a crash whose runs are added to those of the earlier ones. */
-static bool
-read_crash(struct mst_crash *out, struct crash_json *crashes,
-    uint32_t *run_count, const cJSON *json, int64_t wall_ms)
+static void
+read_id(struct mst_crash *out, struct json_reader *json)
 {
-	const cJSON *id = cJSON_GetObjectItemCaseSensitive(json, "id");
-	const cJSON *runs = cJSON_GetObjectItemCaseSensitive(json, "runs");
-	const cJSON *run;
-	double crashed_ms;
-
-	if (!cJSON_IsString(id) || !cJSON_IsArray(runs) ||
-	    !json_get_number(&crashed_ms, json, "wall_ms", JSON_INTEGER_MAX) ||
-	    *run_count + (uint32_t)cJSON_GetArraySize(runs) > RUNS_MAX)
-		return false;
-	out->id = g_ascii_strtoull(id->valuestring, NULL, 16);
+	const char *id = json_read_text(json, "id", 1, ID_TEXT - 1);
+
+	if (id != NULL &&
+	    !g_ascii_string_to_unsigned(id, 16, 0, UINT64_MAX, &out->id, NULL))
+		json_reader_set_fault(json, INPUT_FAULT_NAME, "id");
+}
+
+/* Reads a crash and adds it, unless it has a fault. */
+static void
+add_crash(struct crash_json *crashes, const cJSON *item, int64_t wall_ms)
+{
+	struct json_reader reader = {.json = item};
+	struct mst_crash crash = {0};
+	int64_t crashed_ms;
+
+	read_id(&crash, &reader);
+	crashed_ms =
+	    (int64_t)json_read_integer(&reader, "wall_ms", 0, JSON_INTEGER_MAX);
 	/* The time of day may have been set back since. */
-	out->age_ms = (uint32_t)CLAMP(
-	    wall_ms - (int64_t)crashed_ms, 0, (int64_t)UINT32_MAX);
-	out->cleared =
-	    cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(json, "cleared"));
-	out->runs = crashes->runs + *run_count;
-	cJSON_ArrayForEach (run, runs) {
-		if (!read_run(crashes->runs + *run_count, run))
-			return false;
-		(*run_count)++;
-		out->run_count++;
+	crash.age_ms =
+	    (uint32_t)CLAMP(wall_ms - crashed_ms, 0, (int64_t)UINT32_MAX);
+	crash.cleared = json_read_flag(&reader, "cleared");
+	read_runs(&crash, crashes, &reader);
+	if (reader.fault.kind != 0) {
+		input_fault_report(INPUT_KEPT_CRASH, "crash", &reader.fault);
+		return;
 	}
-	return out->run_count <= MST_CRASH_RUNS_MAX;
+	crashes->run_count += crash.run_count;
+	crashes->items[crashes->crashes.count++] = crash;
 }
 
 bool
-crash_json_read(struct crash_json *out, const char *text, int64_t wall_ms)
+crash_json_read(struct crash_json *out, struct input_fault *fault,
+    const char *text, int64_t wall_ms)
 {
-	uint32_t run_count = 0;
+	struct json_reader reader = {0};
 	const cJSON *list, *item;
-	int count;
 
-	*out = (struct crash_json){.json = cJSON_Parse(text)};
-	list = cJSON_GetObjectItemCaseSensitive(out->json, "crashes");
-	count = cJSON_GetArraySize(list);
-	if (!cJSON_IsArray(list) || count > MST_CRASHES_MAX)
+	*out = (struct crash_json){0};
+	out->json = json_parse(fault, text, strlen(text));
+	if (out->json == NULL)
+		return false;
+	reader.json = out->json;
+	list = json_read_field(&reader, "crashes");
+	json_read_list(&reader, "crashes");
+	if (cJSON_GetArraySize(list) > MST_CRASHES_MAX)
+		json_reader_set_fault(&reader, INPUT_FAULT_LENGTH, "crashes");
+	*fault = reader.fault;
+	if (fault->kind != 0)
 		return false;
-	out->items = g_new0(struct mst_crash, (gsize)count);
+	out->items = g_new0(struct mst_crash, MST_CRASHES_MAX);
 	out->runs = g_new0(struct mst_crashed_run, RUNS_MAX);
 	out->crashes.items = out->items;
-	cJSON_ArrayForEach (item, list) {
-		if (!read_crash(&out->items[out->crashes.count], out,
-			&run_count, item, wall_ms))
-			return false;
-		out->crashes.count++;
-	}
+	cJSON_ArrayForEach (item, list)
+		add_crash(out, item, wall_ms);
 	return true;
 }
 
--- a/src/api/crash_json.h
+++ b/src/api/crash_json.h
@@ -3,15 +3,17 @@
 
 /* The crashes that an agent remembers as JSON, in which it keeps them. */
 
-#include <cjson/cJSON.h>
 #include <masticstall/message.h>
 
+#include "api/json_field.h"
+
 /* Crashes read from JSON. */
 struct crash_json {
 	struct mst_crashes crashes; /* valid until crash_json_clear() */
 	cJSON *json;
 	struct mst_crash *items;
 	struct mst_crashed_run *runs;
+	uint32_t run_count; /* of all crashes */
 };
 
 /* Returns the text for the latest crashes, as many as fit into a row of the
@@ -19,9 +21,11 @@
  * text read is kept; last may be NULL. Free with cJSON_free(). */
 char *crash_json_write(
     const struct mst_crashes *crashes, int64_t wall_ms, const cJSON *last);
-/* Reads the text. Returns false if it is malformed; out is to be cleared in
- * either case. */
-bool crash_json_read(struct crash_json *out, const char *text, int64_t wall_ms);
+/* Reads the text; crashes with a fault are left out. Returns false and the
+ * fault if the text has none that can be read; out is to be cleared in either
+ * case. */
+bool crash_json_read(struct crash_json *out, struct input_fault *fault,
+    const char *text, int64_t wall_ms);
 void crash_json_clear(struct crash_json *crashes);
 
 #endif
--- a/src/api/worker_json.c
+++ b/src/api/worker_json.c
@@ -3,6 +3,10 @@
 #include "api/json_field.h"
 
 #include <glib.h>
+#include <string.h>
+
+#define LABELS_MAX_BYTES                                                       \
+	(WORKER_LABELS_MAX * (WORKER_TEXT_MAX_BYTES + 1)) /* with commas */
 
 static void
 add_bytes(cJSON *json, const char *name, struct mst_bytes bytes)
@@ -37,51 +41,46 @@
 	return text;
 }
 
-static bool
-get_bytes(struct mst_bytes *out, const cJSON *json, const char *name)
+static struct mst_bytes
+read_bytes(struct json_reader *reader, const char *name, size_t min)
 {
-	const cJSON *item = cJSON_GetObjectItemCaseSensitive(json, name);
-
-	if (!cJSON_IsString(item))
-		return false;
-	*out = mst_bytes_from_str(item->valuestring);
-	return true;
+	return mst_bytes_from_str(
+	    json_read_text(reader, name, min, WORKER_TEXT_MAX_BYTES));
 }
 
-static bool
-get_capacity(struct mst_resources *out, const cJSON *json)
+static struct mst_resources
+read_capacity(struct json_reader *reader)
 {
-	double millicores, memory_mb, accelerators;
-
-	if (!json_get_number(&millicores, json, "millicores", UINT32_MAX) ||
-	    !json_get_number(&memory_mb, json, "memory_mb", UINT32_MAX) ||
-	    !json_get_number(&accelerators, json, "accelerators", UINT32_MAX))
-		return false;
-	*out = (struct mst_resources){.millicores = (uint32_t)millicores,
-	    .memory_mb = (uint32_t)memory_mb,
-	    .accelerators = (uint32_t)accelerators};
-	return true;
+	return (struct mst_resources){.millicores = (uint32_t)json_read_integer(
+					  reader, "millicores", 1, UINT32_MAX),
+	    .memory_mb =
+		(uint32_t)json_read_integer(reader, "memory_mb", 0, UINT32_MAX),
+	    .accelerators = (uint32_t)json_read_integer(
+		reader, "accelerators", 0, UINT32_MAX)};
 }
 
 cJSON *
-worker_json_read(struct mst_worker_report *out, const char *text)
+worker_json_read(
+    struct mst_worker_report *out, struct input_fault *fault, const char *text)
 {
-	cJSON *json = cJSON_Parse(text);
-	double incarnation;
+	cJSON *json = json_parse(fault, text, strlen(text));
+	struct json_reader reader = {.json = json};
 
 	*out = (struct mst_worker_report){0};
-	if (!get_bytes(&out->id, json, "id") ||
-	    !get_bytes(&out->service, json, "service") ||
-	    !get_bytes(&out->rack, json, "rack") ||
-	    !get_bytes(&out->labels, json, "labels") ||
-	    !json_get_number(
-		&incarnation, json, "incarnation", JSON_INTEGER_MAX) ||
-	    !get_capacity(&out->capacity, json)) {
-		cJSON_Delete(json);
+	if (json == NULL)
 		return NULL;
-	}
-	out->incarnation = (uint64_t)incarnation;
-	out->draining =
-	    cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(json, "draining"));
-	return json;
+	out->id = read_bytes(&reader, "id", 1);
+	out->service = read_bytes(&reader, "service", 1);
+	out->rack = read_bytes(&reader, "rack", 0);
+	out->labels = mst_bytes_from_str(
+	    json_read_text(&reader, "labels", 0, LABELS_MAX_BYTES));
+	out->incarnation =
+	    json_read_integer(&reader, "incarnation", 0, JSON_INTEGER_MAX);
+	out->capacity = read_capacity(&reader);
+	out->draining = json_read_flag(&reader, "draining");
+	if (reader.fault.kind == 0)
+		return json;
+	*fault = reader.fault;
+	cJSON_Delete(json);
+	return NULL;
 }
--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -5,6 +5,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "base/address.h"
+
 G_DEFINE_QUARK(mst_httpd_error, mst_httpd_error)
 
 #define HTTPD_BACKLOG        1024
@@ -159,11 +161,10 @@
 httpd_listen(struct mst_httpd *httpd, GError **error)
 {
 	const char *text = httpd->options.listen;
-	char *host = g_strndup(text, (gsize)(strrchr(text, ':') - text));
 	struct sockaddr_in address;
 	int rc;
 
-	uv_ip4_addr(host, atoi(strrchr(text, ':') + 1), &address);
+	address_parse(&address, text);
 	uv_tcp_init(httpd->options.loop, &httpd->listener);
 	uv_timer_init(httpd->options.loop, &httpd->disconnect_timer);
 	httpd->disconnect_timer.data = httpd;
@@ -178,7 +179,6 @@
 	if (rc != 0)
 		g_set_error(error, MST_HTTPD_ERROR, MST_HTTPD_ERROR_LISTEN,
 		    "%s: %s", text, uv_strerror(rc));
-	g_free(host);
 	return rc == 0 ? 0 : -1;
 }
 
--- a/src/runtime/agent_runtime.c
+++ b/src/runtime/agent_runtime.c
@@ -465,16 +465,18 @@
 	struct mst_worker_report report;
 	struct mst_agent_event event = {
 	    .type = MST_AGENT_EV_REPORT, .report = &report};
-	const char *fault = NULL;
+	struct input_fault fault;
 	void *driver_data;
+	char *id;
 
 	if (driver->read_report(&report, &driver_data, &fault, request)) {
 		agent_step(rt, &event);
 		mst_http_respond(
 		    rt->report_httpd, request->id, 200, NULL, 0, "{}", 2);
 	} else {
-		mst_log(MST_LOG_WARNING, "report-refused", "fault=%s",
-		    mst_log_quote(fault));
+		id = mst_bytes_to_str(report.id);
+		input_fault_report(INPUT_REPORT, id, &fault);
+		g_free(id);
 		mst_http_respond(
 		    rt->report_httpd, request->id, 400, NULL, 0, "{}", 2);
 	}
--- a/src/runtime/crash_store.c
+++ b/src/runtime/crash_store.c
@@ -1,5 +1,7 @@
 #include "runtime/crash_store.h"
 
+#include <string.h>
+
 #include "api/crash_json.h"
 #include "base/log.h"
 
@@ -81,11 +83,33 @@
 	crash_store_load(timer->data);
 }
 
+/* A JSON document of another format is left as it is: a newer build may have
+ * written it. */
+static void
+read_row(struct crash_store *store, const char *value)
+{
+	struct crash_json kept;
+	struct input_fault fault;
+
+	if (!crash_json_read(&kept, &fault, value, store->options.wall_ms())) {
+		store->is_foreign = fault.kind != INPUT_FAULT_SYNTAX &&
+		    fault.kind != INPUT_FAULT_ENCODING;
+		input_fault_report(
+		    INPUT_KEPT_CRASH, store->options.name, &fault);
+	} else {
+		cJSON_Delete(store->last);
+		store->last = g_steal_pointer(&kept.json);
+		if (kept.crashes.count > 0)
+			store->options.on_crashes(
+			    &kept.crashes, store->options.ctx);
+	}
+	crash_json_clear(&kept);
+}
+
 static void
 on_rows(const struct store_result *result, void *ctx)
 {
 	struct crash_store *store = ctx;
-	struct crash_json kept;
 
 	if (result->status != STORE_OK) {
 		mst_log(MST_LOG_INFO, "crashes-not-read", "status=%d",
@@ -93,20 +117,9 @@
 		uv_timer_start(&store->retry, on_retry, LOAD_RETRY_MS, 0);
 		return;
 	}
-	if (result->count == 0 || result->rows[0].value == NULL)
-		return;
-	if (crash_json_read(
-		&kept, result->rows[0].value, store->options.wall_ms())) {
-		cJSON_Delete(store->last);
-		store->last = g_steal_pointer(&kept.json);
-		store->options.on_crashes(&kept.crashes, store->options.ctx);
-	} else {
-		store->is_foreign = true;
-		mst_log(MST_LOG_WARNING, "crashes-invalid",
-		    "value=%s kept=false",
-		    mst_log_quote(result->rows[0].value));
-	}
-	crash_json_clear(&kept);
+	if (result->count > 0 && result->rows[0].value != NULL &&
+	    strcmp(result->rows[0].key, CRASHES_KEY) == 0)
+		read_row(store, result->rows[0].value);
 }
 
 void
@@ -114,6 +127,7 @@
 {
 	const struct store_range range = {.table = STORE_TABLE_CRASHES,
 	    .partition = store->options.name,
+	    .from = CRASHES_KEY,
 	    .limit = 1};
 
 	store->options.drivers->store->list_range(
--- a/src/runtime/drivers.h
+++ b/src/runtime/drivers.h
@@ -12,6 +12,7 @@
 #include <masticstall/record.h>
 #include <masticstall/worker.h>
 
+#include "base/input_fault.h"
 #include "net/http_client.h"
 #include "net/httpd.h"
 
@@ -129,7 +130,7 @@
 	 * which the caller frees with release_report() in either case.
 	 */
 	bool (*read_report)(struct mst_worker_report *out, void **driver_data,
-	    const char **fault, const struct mst_http_request *request);
+	    struct input_fault *fault, const struct mst_http_request *request);
 	void (*release_report)(void *driver_data);
 };
 
@@ -155,7 +156,7 @@
 	 */
 	GPtrArray *drained;
 	GPtrArray *restored;
-	const char *fault; /* INVALID: description; may be NULL */
+	struct input_fault fault; /* of the answer or of the configuration */
 };
 
 enum store_subject { STORE_CONFIG = 1, STORE_ENTRIES, STORE_CANCELS };
@@ -165,8 +166,9 @@
 	const char *table;
 	const char *partition;
 	const char *key;
-	const char *value; /* text; NULL: row is absent or to be deleted */
-	uint64_t version;  /* version read or expected; 0: no such row */
+	/* Text; NULL: row is absent or to be deleted; "": can't be read. */
+	const char *value;
+	uint64_t version; /* version read or expected; 0: no such row */
 };
 
 /*
--- a/src/runtime/entry_frontend.c
+++ b/src/runtime/entry_frontend.c
@@ -338,9 +338,8 @@
 on_config_update(const struct store_update *update, void *ctx)
 {
 	runtime_drains_on_store_update(ctx, update);
-	if (update->fault != NULL)
-		mst_log(MST_LOG_ERROR, "config-rejected", "reason=%s",
-		    mst_log_quote(update->fault));
+	if (update->fault.kind != 0)
+		input_fault_report(INPUT_CONFIG, "", &update->fault);
 	if (update->document != NULL)
 		runtime_config_apply(ctx, update->version, update->document);
 }
--- a/src/runtime/entry_links.c
+++ b/src/runtime/entry_links.c
@@ -2,7 +2,9 @@
 
 #include <string.h>
 
+#include "base/address.h"
 #include "base/clock.h"
+#include "base/input_fault.h"
 #include "base/log.h"
 #include "core/entry_choice.h"
 
@@ -64,6 +66,19 @@
 	    mst_log_quote(address));
 }
 
+/* Adds an address that another process names. */
+static void
+add_named(struct entry_links *links, const char *address)
+{
+	const struct input_fault fault = {
+	    .kind = INPUT_FAULT_ADDRESS, .field = "entries"};
+
+	if (address_parse(NULL, address))
+		add_address(links, address, false);
+	else
+		input_fault_report(INPUT_ENTRY_ADDRESS, address, &fault);
+}
+
 /* Adds the entries that a settings file lists. */
 static void
 add_configured(struct entry_links *links, const struct mst_settings *settings)
@@ -120,7 +135,7 @@
 
 	for (i = 0; list[i] != NULL; i++) {
 		if (*list[i] != '\0')
-			add_address(links, list[i], false);
+			add_named(links, list[i]);
 	}
 	g_strfreev(list);
 	g_free(text);
--- a/src/runtime/metrics.c
+++ b/src/runtime/metrics.c
@@ -2,6 +2,7 @@
 
 #include <inttypes.h>
 
+#include "base/input_fault.h"
 #include "base/log.h"
 #include "runtime/drivers.h"
 
@@ -56,6 +57,27 @@
 	    label_value, histogram->count);
 }
 
+static void
+add_input_faults(GString *out)
+{
+	int kind, fault;
+
+	metrics_add_family(out, "inputs_refused_total", "counter",
+	    "Input of other processes that was ignored for a fault.");
+	for (kind = 1; kind < INPUT_KIND_MAX; kind++) {
+		for (fault = 1; fault < INPUT_FAULT_KIND_MAX; fault++) {
+			uint64_t count = input_fault_count(kind, fault);
+
+			if (count > 0)
+				g_string_append_printf(out,
+				    "masticstall_inputs_refused_total"
+				    "{input=\"%s\",fault=\"%s\"} %" PRIu64 "\n",
+				    input_kind_name(kind),
+				    input_fault_kind_name(fault), count);
+		}
+	}
+}
+
 void
 metrics_add_process(GString *out, const struct mst_histogram *lag)
 {
@@ -71,6 +93,7 @@
 	    (double)log->suppressed);
 	metrics_add_single(out, "log_dropped_total", "counter",
 	    "Lines left out as nobody read them.", (double)log->dropped);
+	add_input_faults(out);
 }
 
 static void
--- a/src/runtime/record_store.c
+++ b/src/runtime/record_store.c
@@ -13,15 +13,23 @@
 #define PARTITION_TEXT_SIZE   4
 #define OWNER_TEXT_SIZE       20
 
+/* The row of an owner, and what owns its strings. */
+struct owner_row {
+	struct mst_stored_owner owner;
+	GArray *lengths; /* struct mst_queue_length */
+	cJSON *document; /* NULL: the value can't be read */
+};
+
 /* An operation that has not been answered yet; owns copies of its strings. */
 struct pending_op {
 	struct record_store *store;
 	struct mst_store_op op;
 	char partition[PARTITION_TEXT_SIZE];
 	char owner[OWNER_TEXT_SIZE]; /* incarnation in hexadecimal */
-	char *key;   /* of the job, or the last one scanned; may be NULL */
+	char *key;   /* of the job, or the last one read; may be NULL */
 	char *value; /* text of the record or the owner row */
 	char *serialized_job; /* MST_STORE_CREATE: text of the job */
+	GArray *owners; /* struct owner_row, that were read; may be NULL */
 };
 
 /* A transaction in flight. */
@@ -63,6 +71,8 @@
 	g_free(pending->key);
 	cJSON_free(pending->value);
 	g_free(pending->serialized_job);
+	if (pending->owners != NULL)
+		g_array_unref(pending->owners);
 	g_free(pending);
 }
 
@@ -105,6 +115,13 @@
 	g_ptr_array_unref(list->documents);
 }
 
+/* Returns the value of a row, which may be empty. */
+static const char *
+row_text(const struct store_row *row)
+{
+	return row->value != NULL ? row->value : "";
+}
+
 /* Returns false for a record whose format is not known. It is left alone: a
  * newer build may have written it. */
 static bool
@@ -112,10 +129,12 @@
 {
 	struct mst_stored_record record = {
 	    .key = row->key, .version = row->version};
-	cJSON *document = record_json_read(&record.record, row->value);
+	struct input_fault fault;
+	cJSON *document =
+	    record_json_read(&record.record, &fault, row_text(row));
 
 	if (document == NULL) {
-		mst_log(MST_LOG_ERROR, "record-unreadable", "job=%s", row->key);
+		input_fault_report(INPUT_RECORD, row->key, &fault);
 		return false;
 	}
 	g_ptr_array_add(list->documents, document);
@@ -299,17 +318,31 @@
 /* Reads of records and jobs */
 
 static void
-on_records_read(const struct store_result *result, void *ctx)
+list_rows(struct pending_op *pending, const char *table, const char *partition,
+    const char *from, uint32_t limit, store_result_cb on_result)
 {
-	struct pending_op *pending = ctx;
-	struct mst_store_answer answer = {
-	    .status = to_mst_store_status(result->status),
-	    .more_records = result->more_rows};
-	struct record_list list;
+	const struct record_store_options *options = &pending->store->options;
+	const struct store_range range = {.table = table,
+	    .partition = partition,
+	    .from = from,
+	    .limit = limit};
+
+	options->drivers->store->list_range(
+	    options->store, &range, CALL_TIMEOUT_MS, on_result, pending);
+}
+
+static void scan_records(struct pending_op *pending);
+
+/* Adds the records of a page to a list. Returns false if the requested one is
+ * there, but can't be read. */
+static bool
+read_records(struct record_list *list, const struct pending_op *pending,
+    const struct store_result *result)
+{
+	bool is_readable = true;
 	size_t i;
 
-	record_list_init(&list);
-	for (i = 0; result->status == STORE_OK && i < result->count; i++) {
+	for (i = 0; i < result->count; i++) {
 		bool is_requested_key = pending->key != NULL &&
 		    strcmp(result->rows[i].key, pending->key) == 0;
 
@@ -317,16 +350,67 @@
 		if (is_requested_key !=
 		    (pending->op.kind == MST_STORE_GET_RECORD))
 			continue;
-		/* The job exists, but its state is not known. */
-		if (!record_list_add(&list, &result->rows[i]) &&
+		if (!record_list_add(list, &result->rows[i]) &&
 		    is_requested_key)
+			is_readable = false;
+	}
+	return is_readable;
+}
+
+/*
+ * Reads the next page of a scan in place of one that has no record that can be
+ * read: an answer without a record would end the scan of the partition. Returns
+ * false if the page has records, or is the last one.
+ */
+static bool
+scan_next_page(struct pending_op *pending, const struct store_result *result,
+    const struct record_list *list)
+{
+	const char *last;
+
+	if (pending->op.kind != MST_STORE_SCAN || !result->more_rows ||
+	    result->count == 0 || list->records->len > 0)
+		return false;
+	last = result->rows[result->count - 1].key;
+	if (g_strcmp0(last, pending->key) <= 0)
+		return false;
+	g_free(pending->key);
+	pending->key = g_strdup(last);
+	scan_records(pending);
+	return true;
+}
+
+static void
+on_records_read(const struct store_result *result, void *ctx)
+{
+	struct pending_op *pending = ctx;
+	struct mst_store_answer answer = {
+	    .status = to_mst_store_status(result->status),
+	    .more_records = result->more_rows};
+	struct record_list list;
+	bool is_continued = false;
+
+	record_list_init(&list);
+	if (result->status == STORE_OK) {
+		/* The job exists, but its state is not known. */
+		if (!read_records(&list, pending, result))
 			answer.status = MST_STORE_UNAVAILABLE;
+		is_continued = scan_next_page(pending, result, &list);
 	}
 	answer.records = (const struct mst_stored_record *)list.records->data;
 	answer.record_count = list.records->len;
-	report_answer(pending, &answer);
+	if (!is_continued) {
+		report_answer(pending, &answer);
+		pending_op_free(pending);
+	}
 	record_list_clear(&list);
-	pending_op_free(pending);
+}
+
+static void
+scan_records(struct pending_op *pending)
+{
+	list_rows(pending, STORE_TABLE_RECORDS, pending->partition,
+	    pending->key, SCAN_ROWS_MAX, on_records_read);
 }
 
 static void
@@ -339,13 +423,16 @@
 	    .status = to_mst_store_status(result->status)};
 	struct frontend_request job = {0};
 	struct mst_queue_config queue;
+	struct input_fault fault = {0};
 	const char *body;
 	cJSON *document = NULL;
 
 	if (result->status == STORE_OK && result->count > 0 &&
 	    strcmp(result->rows[0].key, pending->key) == 0)
-		document =
-		    stored_job_json_read(&queue, &body, result->rows[0].value);
+		document = stored_job_json_read(
+		    &queue, &body, &fault, row_text(&result->rows[0]));
+	if (fault.kind != 0)
+		input_fault_report(INPUT_JOB, pending->key, &fault);
 	if (document != NULL) {
 		driver->read_stored(&job, pending->key, body, &queue);
 		if (job.kind == FRONTEND_REQ_SUBMIT)
@@ -364,48 +451,94 @@
 
 /* Rows of owners */
 
-/* Answers a read of the owners' rows or a change of one. */
 static void
-on_owners_done(const struct store_result *result, void *ctx)
+owner_row_clear(gpointer data)
 {
-	struct pending_op *pending = ctx;
+	struct owner_row *row = data;
+
+	g_array_unref(row->lengths);
+	cJSON_Delete(row->document);
+}
+
+/* Adds the row of an owner. One whose value can't be read is the row of a live
+ * owner all the same, as its versions show. */
+static void
+add_owner(struct pending_op *pending, const struct store_row *row)
+{
+	const struct input_fault key_fault = {
+	    .kind = INPUT_FAULT_NAME, .field = "key"};
+	struct owner_row out = {.owner = {.version = row->version}};
+	struct input_fault fault;
+
+	if (row->value == NULL)
+		return;
+	if (!owner_key_parse(&out.owner.owner, row->key)) {
+		input_fault_report(INPUT_OWNER, row->key, &key_fault);
+		return;
+	}
+	out.lengths =
+	    g_array_new(FALSE, FALSE, sizeof(struct mst_queue_length));
+	out.document = owner_json_read(
+	    out.lengths, &out.owner.released, &fault, row->value);
+	if (out.document == NULL)
+		input_fault_report(INPUT_OWNER, row->key, &fault);
+	out.owner.lengths = (const struct mst_queue_length *)out.lengths->data;
+	out.owner.length_count = out.lengths->len;
+	g_array_append_val(pending->owners, out);
+}
+
+/* Answers a read of the owners' rows or a change of one with the rows that were
+ * read. */
+static void
+report_owners(struct pending_op *pending, const struct store_result *result)
+{
+	GArray *owners =
+	    g_array_new(FALSE, FALSE, sizeof(struct mst_stored_owner));
 	struct mst_store_answer answer = {
 	    .status = to_mst_store_status(result->status),
 	    .version = result->revision};
-	GArray *owners =
-	    g_array_new(FALSE, FALSE, sizeof(struct mst_stored_owner));
-	GPtrArray *length_lists =
-	    g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
-	GPtrArray *documents =
-	    g_ptr_array_new_with_free_func((GDestroyNotify)cJSON_Delete);
-	size_t i;
+	guint i;
 
-	for (i = 0; i < result->count; i++) {
-		const struct store_row *row = &result->rows[i];
-		GArray *lengths =
-		    g_array_new(FALSE, FALSE, sizeof(struct mst_queue_length));
-		struct mst_stored_owner owner = {
-		    .owner = g_ascii_strtoull(row->key, NULL, 16),
-		    .version = row->version};
-
-		g_ptr_array_add(length_lists, lengths);
-		if (row->value == NULL)
-			continue;
-		g_ptr_array_add(documents,
-		    owner_json_read(lengths, &owner.released, row->value));
-		owner.lengths = (const struct mst_queue_length *)lengths->data;
-		owner.length_count = lengths->len;
-		g_array_append_val(owners, owner);
-	}
+	for (i = 0; i < pending->owners->len; i++)
+		g_array_append_val(owners,
+		    g_array_index(pending->owners, struct owner_row, i).owner);
 	answer.owners = (const struct mst_stored_owner *)owners->data;
 	answer.owner_count = owners->len;
 	report_answer(pending, &answer);
 	g_array_unref(owners);
-	g_ptr_array_unref(length_lists);
-	g_ptr_array_unref(documents);
 	pending_op_free(pending);
 }
 
+static void
+on_owners_done(const struct store_result *result, void *ctx)
+{
+	struct pending_op *pending = ctx;
+	const char *last =
+	    result->count > 0 ? result->rows[result->count - 1].key : NULL;
+	size_t i;
+
+	if (pending->owners == NULL) {
+		pending->owners =
+		    g_array_new(FALSE, FALSE, sizeof(struct owner_row));
+		g_array_set_clear_func(pending->owners, owner_row_clear);
+	}
+	for (i = 0; i < result->count; i++) {
+		/* Ranges include their first key. */
+		if (g_strcmp0(result->rows[i].key, pending->key) != 0)
+			add_owner(pending, &result->rows[i]);
+	}
+	if (pending->op.kind != MST_STORE_OWNERS ||
+	    result->status != STORE_OK || !result->more_rows ||
+	    g_strcmp0(last, pending->key) <= 0) {
+		report_owners(pending, result);
+		return;
+	}
+	g_free(pending->key);
+	pending->key = g_strdup(last);
+	list_rows(
+	    pending, STORE_TABLE_OWNERS, "", pending->key, 0, on_owners_done);
+}
+
 static void
 commit_owner_row(struct pending_op *pending)
 {
@@ -422,20 +555,6 @@
 	    options->store, &txn, CALL_TIMEOUT_MS, on_owners_done, pending);
 }
 
-static void
-list_rows(struct pending_op *pending, const char *table, const char *partition,
-    const char *from, uint32_t limit, store_result_cb on_result)
-{
-	const struct record_store_options *options = &pending->store->options;
-	const struct store_range range = {.table = table,
-	    .partition = partition,
-	    .from = from,
-	    .limit = limit};
-
-	options->drivers->store->list_range(
-	    options->store, &range, CALL_TIMEOUT_MS, on_result, pending);
-}
-
 static void
 queue_change(struct pending_op *pending)
 {
@@ -506,8 +625,7 @@
 		    pending->key, 1, on_job_read);
 		break;
 	case MST_STORE_SCAN:
-		list_rows(pending, STORE_TABLE_RECORDS, pending->partition,
-		    pending->key, SCAN_ROWS_MAX, on_records_read);
+		scan_records(pending);
 		break;
 	case MST_STORE_OWNERS:
 		list_rows(
--- a/src/runtime/report_store.c
+++ b/src/runtime/report_store.c
@@ -65,6 +65,7 @@
 {
 	struct report_store *store = ctx;
 	struct mst_worker_report report;
+	struct input_fault fault;
 	cJSON *json;
 
 	if (result->status != STORE_OK) {
@@ -72,12 +73,13 @@
 		    result->status);
 		return;
 	}
-	if (result->count == 0 || result->rows[0].value == NULL)
+	if (result->count == 0 || result->rows[0].value == NULL ||
+	    strcmp(result->rows[0].key, REPORT_KEY) != 0)
 		return;
-	json = worker_json_read(&report, result->rows[0].value);
+	json = worker_json_read(&report, &fault, result->rows[0].value);
 	if (json == NULL) {
-		mst_log(MST_LOG_WARNING, "report-invalid", "value=%s",
-		    mst_log_quote(result->rows[0].value));
+		input_fault_report(
+		    INPUT_KEPT_REPORT, store->options.name, &fault);
 		return;
 	}
 	store->options.on_report(&report, store->options.ctx);
@@ -89,6 +91,7 @@
 {
 	const struct store_range range = {.table = STORE_TABLE_REPORTS,
 	    .partition = store->options.name,
+	    .from = REPORT_KEY,
 	    .limit = 1};
 
 	store->options.drivers->store->list_range(
--- a/src/runtime/store_watch.c
+++ b/src/runtime/store_watch.c
@@ -31,7 +31,8 @@
 		mst_log(MST_LOG_WARNING, "store-lost",
 		    "subject=%s status=%s revision=%" PRIu64 " fault=%s",
 		    subject_names[watch->subject], status_names[update->status],
-		    watch->revision, mst_log_quote(update->fault));
+		    watch->revision,
+		    input_fault_kind_name(update->fault.kind));
 	watch_schedule_call(watch,
 	    (uint64_t)mst_retry_delay(
 		&watch_bounds_ms, watch->failures, mst_random_share()));
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -2,11 +2,11 @@
 
 #include <masticstall/settings.h>
 
-#include <arpa/inet.h>
 #include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/address.h"
 #include "settings/resources.h"
 #include "settings/schema.h"
 
@@ -34,33 +34,11 @@
 		.custom = read_address                                         \
 	}
 
-/* Parses ip:port and checks the port. Only sin_addr of the output is set. */
-static bool
-parse_address(const char *text, struct sockaddr_in *out)
-{
-	const char *colon = strrchr(text, ':');
-	char host[INET_ADDRSTRLEN];
-	char *end;
-	long port;
-
-	if (colon == NULL || (size_t)(colon - text) >= sizeof(host))
-		return false;
-	memcpy(host, text, (size_t)(colon - text));
-	host[colon - text] = '\0';
-	port = strtol(colon + 1, &end, 10);
-	if (colon[1] == '\0' || *end != '\0' || port < 1 || port > PORT_MAX)
-		return false;
-	return inet_pton(AF_INET, host, &out->sin_addr) == 1;
-}
-
 static void
 read_address(void *out, const cJSON *value, const char *pointer,
     struct schema_errors *errors)
 {
-	struct sockaddr_in address;
-
-	if (!cJSON_IsString(value) ||
-	    !parse_address(value->valuestring, &address))
+	if (!cJSON_IsString(value) || !address_parse(NULL, value->valuestring))
 		schema_add_error(errors, pointer,
 		    "is not an IPv4 address with a port (ip:port)");
 	else
--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -649,13 +649,13 @@
 	static const char *const headers[] = {
 	    "Content-Type: application/json", NULL};
 	char *body = g_strdup_printf(
-	    "{\"service\":\"s\",\"address\":\"\",\"zone\":\"z\","
+	    "{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"z\","
 	    "\"version\":\"v1\",\"slots\":%u,\"state\":\"ready\","
 	    "\"coldRemainingMs\":0,\"capacity\":{\"cpu\":%u,\"memMb\":%u},"
 	    "\"labels\":[\"a\",\"r1\"],\"clockMs\":%" G_GINT64_FORMAT
 	    ",\"born\":%" G_GINT64_FORMAT ",\"seq\":%" G_GUINT64_FORMAT "}",
-	    slots, slots * TASK_MC, slots * TASK_MB, clock_ms(), born_ms,
-	    ++seq);
+	    httpd_options.listen, slots, slots * TASK_MC, slots * TASK_MB,
+	    clock_ms(), born_ms, ++seq);
 	const struct mst_http_call call = {.url = report_url,
 	    .method = "PUT",
 	    .headers = headers,
--- a/tests/test_crash_store.c
+++ b/tests/test_crash_store.c
@@ -14,6 +14,8 @@
 
 /* A store with one row. */
 struct fake_store {
+	const char *key;
+	const char *from; /* first key of the last read */
 	char *value;
 	enum store_status status; /* of the answers */
 	unsigned reads;
@@ -64,12 +66,13 @@
     store_result_cb on_result, void *result_ctx)
 {
 	struct fake_store *store = ctx;
-	const struct store_row row = {.value = store->value};
+	const struct store_row row = {.key = store->key, .value = store->value};
 	const struct store_result result = {.status = store->status,
 	    .rows = &row,
 	    .count = store->value != NULL ? 1 : 0};
 
 	store->reads++;
+	store->from = range->from;
 	store->status = STORE_OK;
 	on_result(&result, result_ctx);
 }
@@ -103,7 +106,7 @@
 	    .on_crashes = on_crashes,
 	    .ctx = loaded};
 
-	*fake = (struct fake_store){.status = STORE_OK};
+	*fake = (struct fake_store){.key = "crashes", .status = STORE_OK};
 	*loaded = (struct loaded){0};
 	now_ms = CRASHED_MS;
 	uv_loop_init(loop);
@@ -223,6 +226,77 @@
 	g_assert_cmpuint(loaded.calls, ==, 0);
 }
 
+/* Guards against one odd crash that hides the others of the row. */
+static void
+crash_store__odd_crashes_are_left_out(void)
+{
+	static const char *const odd[] = {"7", "[]", "{}",
+	    "{\"id\":\"zz\",\"wall_ms\":1,\"runs\":[]}",
+	    "{\"id\":\"1\",\"wall_ms\":1e300,\"runs\":[]}",
+	    "{\"id\":\"1\",\"wall_ms\":1.5,\"runs\":[]}",
+	    "{\"id\":\"1\",\"wall_ms\":1,\"runs\":{\"a\":1}}",
+	    "{\"id\":\"1\",\"wall_ms\":1,\"cleared\":1,\"runs\":[]}",
+	    "{\"id\":\"1\",\"wall_ms\":1,\"runs\":[7]}",
+	    "{\"id\":\"1\",\"wall_ms\":1,\"runs\":[{\"task\":\"\",\"team\":1}]"
+	    "}",
+	    "{\"id\":\"1\",\"wall_ms\":1,\"runs\":[{\"task\":\"a\","
+	    "\"team\":4294967296}]}",
+	    "{\"id\":\"1\",\"wall_ms\":1,\"runs\":[{\"task\":\"a\",\"team\":1,"
+	    "\"lasted_ms\":-1}]}"};
+	struct fake_store fake;
+	struct loaded loaded;
+	uv_loop_t loop;
+	struct crash_store *store = open_store(&fake, &loop, &loaded);
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(odd); i++) {
+		g_free(fake.value);
+		fake.value = g_strdup_printf(
+		    "{\"crashes\":[%s,{\"id\":\"2\",\"wall_ms\":1,"
+		    "\"runs\":[{\"task\":\"a.0.0.1\",\"team\":5}]},%s]}",
+		    odd[i], odd[i]);
+		crash_store_load(store);
+		g_assert_cmpuint(loaded.calls, ==, i + 1);
+		g_assert_cmpuint(loaded.count, ==, 1);
+		g_assert_cmpuint(loaded.id, ==, 2);
+		g_assert_cmpstr(loaded.task, ==, "a.0.0.1");
+	}
+}
+
+/* Guards against a row that is no JSON at all, so that no crash is ever kept
+ * again. */
+static void
+crash_store__unreadable_row_is_replaced(void)
+{
+	struct fake_store fake;
+	struct loaded loaded;
+	uv_loop_t loop;
+	struct crash_store *store = open_store(&fake, &loop, &loaded);
+
+	fake.value = g_strdup("\xff");
+	crash_store_load(store);
+	save(store, 3);
+	g_assert_cmpuint(fake.writes, ==, 1);
+	crash_store_load(store);
+	g_assert_cmpuint(loaded.id, ==, 3);
+}
+
+/* Guards against the row of another writer in the same partition. */
+static void
+crash_store__other_row_is_ignored(void)
+{
+	struct fake_store fake;
+	struct loaded loaded;
+	uv_loop_t loop;
+	struct crash_store *store = open_store(&fake, &loop, &loaded);
+
+	save(store, 1);
+	fake.key = "crashes of another";
+	crash_store_load(store);
+	g_assert_cmpuint(loaded.calls, ==, 0);
+	g_assert_cmpstr(fake.from, ==, "crashes");
+}
+
 /* Guards against an older build that drops what a newer one has added. */
 static void
 crash_store__added_members_are_kept(void)
@@ -275,6 +349,12 @@
 	    crash_store__last_save_waits_for_write);
 	g_test_add_func("/crash-store/malformed-row-is-ignored",
 	    crash_store__malformed_row_is_ignored);
+	g_test_add_func("/crash-store/odd-crashes-are-left-out",
+	    crash_store__odd_crashes_are_left_out);
+	g_test_add_func("/crash-store/unreadable-row-is-replaced",
+	    crash_store__unreadable_row_is_replaced);
+	g_test_add_func("/crash-store/other-row-is-ignored",
+	    crash_store__other_row_is_ignored);
 	g_test_add_func("/crash-store/added-members-are-kept",
 	    crash_store__added_members_are_kept);
 	g_test_add_func("/crash-store/unknown-format-is-left-alone",
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -133,6 +133,7 @@
 	struct mst_config *config = config_new();
 	struct mst_queue_config queue;
 	struct frontend_request job, reloaded;
+	struct input_fault fault;
 	const char *stored;
 	cJSON *json;
 	char *stored_json;
@@ -143,7 +144,7 @@
 	g_assert_true(mst_bytes_equal_str(job.body, body));
 	stored_json = stored_job_json_write(
 	    mst_config_queue_by_name(config, job.spec.team), job.body);
-	json = stored_job_json_read(&queue, &stored, stored_json);
+	json = stored_job_json_read(&queue, &stored, &fault, stored_json);
 	platform_frontend.read_stored(&reloaded, job.key, stored, &queue);
 	g_assert_cmpint(reloaded.kind, ==, FRONTEND_REQ_SUBMIT);
 	g_assert_true(reloaded.spec.stored);
@@ -292,10 +293,14 @@
 	    "\"stretch\":1.6}],\"services\":[]}";
 	static const char *const malformed[] = {"{}", "[]", "{\"version\":9}",
 	    "{\"version\":\"x\",\"routes\":[]}",
-	    "{\"version\":9,\"routes\":{}}"};
+	    "{\"version\":9,\"routes\":{}}",
+	    "{\"version\":1e400,\"routes\":[]}",
+	    "{\"version\":18446744073709551616,\"routes\":[]}",
+	    "{\"version\":-9,\"routes\":[]}",
+	    "{\"version\":9.5,\"routes\":[]}"};
 	const struct mst_queue_config *queue;
 	struct mst_config *config;
-	const char *fault = NULL;
+	struct input_fault fault;
 	uint64_t version;
 	cJSON *json = cJSON_Parse(routes_json);
 	char *translated = platform_config_translate(&version, &fault, json);
@@ -314,10 +319,10 @@
 	cJSON_Delete(json);
 	for (i = 0; i < G_N_ELEMENTS(malformed); i++) {
 		json = cJSON_Parse(malformed[i]);
-		fault = NULL;
+		fault.kind = 0;
 		g_assert_null(
 		    platform_config_translate(&version, &fault, json));
-		g_assert_nonnull(fault);
+		g_assert_cmpint(fault.kind, !=, 0);
 		cJSON_Delete(json);
 	}
 }
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -68,12 +68,25 @@
 	g_queue_push_tail(&fixture->calls, call);
 }
 
+static void
+log_owner(struct fixture *fixture, const struct mst_stored_owner *owner)
+{
+	uint32_t i;
+
+	g_string_append_printf(
+	    fixture->log, " owner %" G_GUINT64_FORMAT, owner->owner);
+	for (i = 0; i < owner->length_count; i++)
+		g_string_append_printf(fixture->log, " %s %u",
+		    owner->lengths[i].queue, owner->lengths[i].jobs);
+}
+
 static void
 on_answer(const struct mst_store_answer *answer, void *ctx)
 {
 	static const char *const status_names[] = {
 	    "", "ok", "conflict", "busy", "unavailable"};
 	struct fixture *fixture = ctx;
+	uint32_t i;
 
 	g_string_append_printf(fixture->log, "%" G_GUINT64_FORMAT " %s",
 	    answer->id, status_names[answer->status]);
@@ -81,11 +94,8 @@
 		g_string_append_printf(fixture->log, " %s v%" G_GUINT64_FORMAT,
 		    answer->records[0].record.tasks,
 		    answer->records[0].version);
-	if (answer->owner_count > 0)
-		g_string_append_printf(fixture->log,
-		    " owner %" G_GUINT64_FORMAT " %s %u",
-		    answer->owners[0].owner, answer->owners[0].lengths[0].queue,
-		    answer->owners[0].lengths[0].jobs);
+	for (i = 0; i < answer->owner_count; i++)
+		log_owner(fixture, &answer->owners[i]);
 	g_string_append(fixture->log, "; ");
 }
 
@@ -145,6 +155,19 @@
 	call->on_result(&result, call->ctx);
 }
 
+/* Answers a read with rows that others follow. */
+static void
+reply_page(
+    struct pending_call *call, const struct store_row *rows, size_t count)
+{
+	const struct store_result result = {.status = STORE_OK,
+	    .rows = rows,
+	    .count = count,
+	    .more_rows = true};
+
+	call->on_result(&result, call->ctx);
+}
+
 static void
 submit_update(struct fixture *fixture, uint64_t id, const char *key,
     uint64_t expected_version)
@@ -284,7 +307,8 @@
 	    "\"state\":\"open\",\"tasks\":\"d0\",\"extra\":[1],"
 	    "\"trail\":{\"a\":\"b\"}}";
 	struct mst_record record;
-	cJSON *document = record_json_read(&record, text);
+	struct input_fault fault;
+	cJSON *document = record_json_read(&record, &fault, text);
 	char *again;
 
 	g_assert_nonnull(document);
@@ -322,6 +346,148 @@
 	    fixture->log->str, ==, "8 ok; 9 ok owner 171 push 12; ");
 }
 
+/* Guards against the row of another writer that is taken for that of an owner,
+ * against odd queue lengths, and against a live owner that counts as lost as
+ * its row can't be read. */
+static void
+records__odd_owner_rows(void)
+{
+	static const struct store_row rows[] = {
+	    {.key = "0", .value = "{\"queues\":{\"a\":1}}"},
+	    {.key = "zz00000000000000", .value = "{\"queues\":{}}"},
+	    {.key = "0000000000000000", .value = "{\"queues\":{}}"},
+	    {.key = "00000000000000aa",
+		.value = "{\"queues\":{\"a\":-1,\"b\":1e300,\"c\":\"4\","
+			 "\"d\":1.5,\"push\":12}}"},
+	    {.key = "00000000000000ab", .value = "[[[["},
+	    {.key = "00000000000000ac", .value = ""},
+	    {.key = "00000000000000ad"}};
+	const struct mst_store_op owners = {.kind = MST_STORE_OWNERS, .id = 9};
+	struct fixture *fixture = fixture_new();
+
+	record_store_submit(fixture->records, &owners);
+	reply(wait_for_call(fixture), STORE_OK, 0, rows, G_N_ELEMENTS(rows));
+	g_assert_cmpstr(fixture->log->str, ==,
+	    "9 ok owner 170 push 12 owner 171 owner 172; ");
+}
+
+/* Guards against many rows that hide the owners behind them, whose jobs would
+ * be taken over. */
+static void
+records__all_pages_of_owners_are_read(void)
+{
+	static const struct store_row first[] = {
+	    {.key = "0000000000000001", .value = "{\"queues\":{}}"},
+	    {.key = "odd", .value = ""}};
+	static const struct store_row second[] = {{.key = "odd", .value = ""},
+	    {.key = "odder", .value = ""},
+	    {.key = "00000000000000ab", .value = "{\"queues\":{}}"}};
+	const struct mst_store_op owners = {.kind = MST_STORE_OWNERS, .id = 9};
+	struct fixture *fixture = fixture_new();
+	struct pending_call *call;
+
+	record_store_submit(fixture->records, &owners);
+	call = wait_for_call(fixture);
+	g_assert_null(call->from);
+	reply_page(call, first, G_N_ELEMENTS(first));
+	call = wait_for_call(fixture);
+	g_assert_cmpstr(call->from, ==, "odd");
+	reply(call, STORE_OK, 0, second, G_N_ELEMENTS(second));
+	g_assert_cmpstr(fixture->log->str, ==, "9 ok owner 1 owner 171; ");
+}
+
+/* Guards against a page of records none of which can be read that ends the scan
+ * of the partition. */
+static void
+records__scan_goes_on_behind_unreadable_records(void)
+{
+	static const struct store_row unreadable[] = {
+	    {.key = "1", .value = "[]"}, {.key = "2", .value = "{}"}};
+	static const struct store_row readable[] = {{.key = "2", .value = "{}"},
+	    {.key = "3",
+		.value = "{\"owner\":\"7\",\"state\":\"open\","
+			 "\"tasks\":\"0\"}",
+		.version = 4}};
+	const struct mst_store_op scan = {.kind = MST_STORE_SCAN, .id = 5};
+	struct fixture *fixture = fixture_new();
+	struct pending_call *call;
+
+	record_store_submit(fixture->records, &scan);
+	reply_page(wait_for_call(fixture), unreadable, 2);
+	g_assert_cmpstr(fixture->log->str, ==, "");
+	call = wait_for_call(fixture);
+	g_assert_cmpstr(call->from, ==, "2");
+	reply_page(call, readable, 2);
+	g_assert_cmpstr(fixture->log->str, ==, "5 ok 0 v4; ");
+}
+
+/* A record with a fault is one whose state is not known. */
+static void
+records__odd_records(void)
+{
+	static const char *const odd[] = {"", "7", "[]", "{}", "\xff",
+	    "{\"owner\":\"7\",\"state\":\"asleep\"}",
+	    "{\"owner\":\"0\",\"state\":\"open\"}",
+	    "{\"owner\":\"7x\",\"state\":\"open\"}",
+	    "{\"owner\":7,\"state\":\"open\"}",
+	    "{\"owner\":\"7\",\"state\":\"open\",\"term\":-1}",
+	    "{\"owner\":\"7\",\"state\":\"open\",\"term\":1.5}",
+	    "{\"owner\":\"7\",\"state\":\"open\",\"term\":4294967295}",
+	    "{\"owner\":\"7\",\"state\":\"open\",\"change\":1e300}",
+	    "{\"owner\":\"7\",\"state\":\"open\",\"closed_ms\":1e300}",
+	    "{\"owner\":\"7\",\"state\":\"open\",\"tasks\":\"0x\"}",
+	    "{\"owner\":\"7\",\"state\":\"open\",\"tasks\":[]}"};
+	struct fixture *fixture = fixture_new();
+	struct mst_record record;
+	struct input_fault fault;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(odd); i++) {
+		const struct mst_store_op lookup = {
+		    .kind = MST_STORE_GET_RECORD, .id = 6, .key = "k"};
+		const struct store_row row = {.key = "k", .value = odd[i]};
+
+		g_assert_null(record_json_read(&record, &fault, odd[i]));
+		g_assert_cmpint(fault.kind, !=, 0);
+		g_string_truncate(fixture->log, 0);
+		record_store_submit(fixture->records, &lookup);
+		reply(wait_for_call(fixture), STORE_OK, 0, &row, 1);
+		g_assert_cmpstr(fixture->log->str, ==, "6 unavailable; ");
+	}
+}
+
+/* Guards against numbers of a stored job that differ between machines. */
+static void
+records__odd_stored_jobs(void)
+{
+	static const char *const odd[] = {"", "[]", "{}",
+	    "{\"queue\":\"q\",\"service\":\"s\",\"priority\":0,"
+	    "\"attempts\":0,\"timeout_ms\":1,\"stretch\":1,\"target_ms\":0,"
+	    "\"body\":\"\"}",
+	    "{\"queue\":\"q\",\"service\":\"s\",\"priority\":-1,"
+	    "\"attempts\":1,\"timeout_ms\":1,\"stretch\":1,\"target_ms\":0,"
+	    "\"body\":\"\"}",
+	    "{\"queue\":\"q\",\"service\":\"s\",\"priority\":0,"
+	    "\"attempts\":1,\"timeout_ms\":1e300,\"stretch\":1,"
+	    "\"target_ms\":0,\"body\":\"\"}",
+	    "{\"queue\":\"q\",\"service\":\"s\",\"priority\":0,"
+	    "\"attempts\":1,\"timeout_ms\":1,\"stretch\":1e400,"
+	    "\"target_ms\":0,\"body\":\"\"}",
+	    "{\"queue\":\"q\",\"service\":\"s\",\"priority\":0,"
+	    "\"attempts\":1,\"timeout_ms\":1,\"stretch\":1,\"target_ms\":0,"
+	    "\"body\":7}"};
+	struct mst_queue_config queue;
+	struct input_fault fault;
+	const char *body;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(odd); i++) {
+		g_assert_null(
+		    stored_job_json_read(&queue, &body, &fault, odd[i]));
+		g_assert_cmpint(fault.kind, !=, 0);
+	}
+}
+
 /* The report of a worker is read as it was written, and nothing else is. */
 static void
 test_worker_report(void)
@@ -343,7 +509,8 @@
 	    .draining = true};
 	char *text = worker_json_write(&report);
 	struct mst_worker_report read;
-	cJSON *json = worker_json_read(&read, text);
+	struct input_fault fault;
+	cJSON *json = worker_json_read(&read, &fault, text);
 	size_t i;
 
 	g_assert_nonnull(json);
@@ -359,7 +526,7 @@
 	cJSON_Delete(json);
 	cJSON_free(text);
 	for (i = 0; i < G_N_ELEMENTS(invalid); i++)
-		g_assert_null(worker_json_read(&read, invalid[i]));
+		g_assert_null(worker_json_read(&read, &fault, invalid[i]));
 }
 
 int
@@ -377,6 +544,13 @@
 	    "/records/added-members", records__added_members_are_kept);
 	g_test_add_func(
 	    "/records/owners", records__owners_report_queue_lengths);
+	g_test_add_func("/records/odd-owner-rows", records__odd_owner_rows);
+	g_test_add_func(
+	    "/records/owner-pages", records__all_pages_of_owners_are_read);
+	g_test_add_func("/records/unreadable-page",
+	    records__scan_goes_on_behind_unreadable_records);
+	g_test_add_func("/records/odd-records", records__odd_records);
+	g_test_add_func("/records/odd-stored-jobs", records__odd_stored_jobs);
 	g_test_add_func("/records/worker-report", test_worker_report);
 	return g_test_run();
 }
