store_watch: read a subject anew when the store's revision goes back

A watch kept the highest revision that it had seen. After one answer with a huge `ver` it asked for the changes after that, which never came, until its process was restarted. test_store_watch /lower-revision failed before: after revision 2^53 and then 6 the watch went on "after". Drained domains are still ordered by revision, so a lower one is not taken there; that is for the reducers.

--- a/src/runtime/store_watch.c
+++ b/src/runtime/store_watch.c
@@ -31,13 +31,27 @@
 		mst_log(MST_LOG_WARNING, "store-lost",
 		    "subject=%s status=%s revision=%" PRIu64 " fault=%s",
 		    subject_names[watch->subject], status_names[update->status],
-		    watch->revision,
-		    input_fault_kind_name(update->fault.kind));
+		    watch->revision, input_fault_kind_name(update->fault.kind));
 	watch_schedule_call(watch,
 	    (uint64_t)mst_retry_delay(
 		&watch_bounds_ms, watch->failures, mst_random_share()));
 }
 
+/*
+ * Handles that the store's revision has gone back: what was read as of the
+ * higher one is doubtful, and no change would be reported until it is reached
+ * again. Reads the state anew.
+ */
+static void
+watch_restart(struct store_watch *watch, const struct store_update *update)
+{
+	mst_log(MST_LOG_WARNING, "store-reverted",
+	    "subject=%s revision=%" PRIu64 " expected=%" PRIu64,
+	    subject_names[watch->subject], update->revision, watch->revision);
+	watch->has_state = false;
+	watch_schedule_call(watch, (uint64_t)watch_bounds_ms.min);
+}
+
 static void
 on_store_update(const struct store_update *update, void *ctx)
 {
@@ -59,8 +73,12 @@
 		mst_log(MST_LOG_INFO, "store-back", "subject=%s failures=%u",
 		    subject_names[watch->subject], watch->failures);
 	watch->failures = 0;
+	if (!update->is_snapshot && update->revision < watch->revision) {
+		watch_restart(watch, update);
+		return;
+	}
 	watch->has_state = true;
-	watch->revision = MAX(watch->revision, update->revision);
+	watch->revision = update->revision;
 	watch->on_update(update, watch->ctx);
 	watch_schedule_call(watch, 0);
 }
