http_client: bound the length of a response

A peer that sends without end filled the memory of the process until the call's timeout. A response of more than 16 MB now counts as none, which all callers handle; the store's longest answer is 1 MB of rows, the longest list of runs far below. test_store_rows /huge-answer failed before: 17 MB were read and the answer was invalid (6) instead of unavailable (2).

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -6,6 +6,8 @@
 
 #define IDLE_HANDLES_MAX       16  /* idle CURL handles */
 #define CACHED_CONNECTIONS_MAX 64L /* open connections in libcurl's cache */
+/* A longer response counts as none. */
+#define RESPONSE_MAX_BYTES (16 << 20)
 
 /* A call in flight. */
 struct transfer {
@@ -221,6 +223,8 @@
 {
 	struct transfer *transfer = ctx;
 
+	if (size * count > RESPONSE_MAX_BYTES - transfer->body->len)
+		return 0; /* ends the transfer */
 	g_byte_array_append(
 	    transfer->body, (const guint8 *)data, (guint)(size * count));
 	return size * count;
--- a/tests/test_store_rows.c
+++ b/tests/test_store_rows.c
@@ -139,6 +139,19 @@
 	peer_stop(peer);
 }
 
+/* Guards against an answer that fills the memory. */
+static void
+store__huge_answer_is_none(void)
+{
+	struct peer *peer = peer_new();
+	char *body = g_strnfill(17 << 20, ' ');
+
+	read_update(peer, STORE_ENTRIES, body);
+	g_assert_cmpint(peer->update.status, ==, STORE_UNAVAILABLE);
+	g_free(body);
+	peer_stop(peer);
+}
+
 /* Guards against a row with a value that can't be read that counts as no row:
  * the job would be taken for one that does not exist. */
 static void
@@ -210,6 +223,7 @@
 	g_test_add_func("/store-rows/cancels", cancels__odd_keys_are_left_out);
 	g_test_add_func("/store-rows/config", config__odd_rows_are_left_out);
 	g_test_add_func("/store-rows/answers", store__odd_answers_are_invalid);
+	g_test_add_func("/store-rows/huge-answer", store__huge_answer_is_none);
 	g_test_add_func("/store-rows/values", store__unreadable_value_is_a_row);
 	return g_test_run();
 }
