entry_choice: odd addresses of the store don't push out live entries

Cause: every address counted alike for the ranking, whoever named it. With a thousand rows of another writer, agents lost every live entry: the first 32 in rank were connected to and kept, whether somebody was there or not. Entries opened a connection (two to three descriptors) for each row, up to 1,024, and agents passed all the addresses on to the entries with their announcements.

One that was reached, that a member names or that is configured counts as before. An address is reached once the connection is up: other entries may answer on one of their own.

--- a/src/core/entry_choice.c
+++ b/src/core/entry_choice.c
@@ -10,6 +10,9 @@
 #define CANDIDATE_FORGET_US (60 * G_USEC_PER_SEC)
 /* Addresses that are known at a time; more are ignored. */
 #define CANDIDATES_MAX 1024
+/* Of these, stored ones that were never reached; and those tried at a time. */
+#define UNPROVEN_MAX 512
+#define TRIALS_MAX   16
 /* Connections, lost ones included, for each live entry that is wanted. */
 #define CONNECTIONS_PER_ENTRY 2
 
@@ -17,10 +20,12 @@
 	char *address;
 	uint64_t rank; /* the lowest is used first */
 	bool configured;
+	bool proven; /* reached, or not named by the store alone */
 	bool connected;
 	bool wanted;
-	int64_t connected_us;
-	int64_t heard_us; /* 0: never */
+	bool on_trial;        /* not proven: may be connected to now */
+	int64_t connected_us; /* 0: never */
+	int64_t heard_us;     /* 0: never */
 	int64_t named_us;
 };
 
@@ -29,7 +34,8 @@
 	uint64_t seed;
 	GPtrArray *ranked;  /* struct candidate, by rank */
 	GPtrArray *learnt;  /* struct candidate, in the order of their names */
-	GString *addresses; /* of learnt */
+	GPtrArray *trials;  /* struct candidate, those that are not proven */
+	GString *addresses; /* of those learnt that are proven */
 };
 
 struct mst_entry_choice *
@@ -41,6 +47,7 @@
 	choice->seed = XXH64(options->name, strlen(options->name), 0);
 	choice->ranked = g_ptr_array_new();
 	choice->learnt = g_ptr_array_new();
+	choice->trials = g_ptr_array_new();
 	choice->addresses = g_string_new(NULL);
 	return choice;
 }
@@ -63,6 +70,7 @@
 		candidate_free(choice->learnt->pdata[i]);
 	g_ptr_array_unref(choice->ranked);
 	g_ptr_array_unref(choice->learnt);
+	g_ptr_array_unref(choice->trials);
 	g_string_free(choice->addresses, TRUE);
 	g_free(choice);
 }
@@ -98,36 +106,70 @@
 	g_string_append(addresses, address);
 }
 
+static struct candidate *
+add_candidate(struct mst_entry_choice *choice, const char *address)
+{
+	struct candidate *candidate = g_new0(struct candidate, 1);
+
+	candidate->address = g_strdup(address);
+	candidate->rank = XXH64(address, strlen(address), choice->seed);
+	g_ptr_array_add(choice->learnt, candidate);
+	g_ptr_array_add(choice->ranked, candidate);
+	g_ptr_array_sort(choice->ranked, compare_ranks);
+	g_ptr_array_add(choice->trials, candidate);
+	return candidate;
+}
+
+static void
+set_proven(struct mst_entry_choice *choice, struct candidate *candidate)
+{
+	if (candidate->proven)
+		return;
+	candidate->proven = true;
+	g_ptr_array_remove(choice->trials, candidate);
+	append_address(choice->addresses, candidate->address);
+}
+
 bool
 mst_entry_choice_add(struct mst_entry_choice *choice, const char *address,
-    bool configured, int64_t now_us)
+    enum mst_entry_source source, int64_t now_us)
 {
 	struct candidate *candidate = find_candidate(choice, address);
 
-	if (candidate == NULL && choice->learnt->len >= CANDIDATES_MAX)
+	if (candidate == NULL &&
+	    (choice->learnt->len >= CANDIDATES_MAX ||
+		(source == MST_ENTRY_STORED &&
+		    choice->trials->len >= UNPROVEN_MAX)))
 		return false;
-	if (candidate == NULL) {
-		candidate = g_new0(struct candidate, 1);
-		candidate->address = g_strdup(address);
-		candidate->rank = XXH64(address, strlen(address), choice->seed);
-		g_ptr_array_add(choice->learnt, candidate);
-		g_ptr_array_add(choice->ranked, candidate);
-		g_ptr_array_sort(choice->ranked, compare_ranks);
-		append_address(choice->addresses, address);
-	}
-	candidate->configured |= configured;
+	if (candidate == NULL)
+		candidate = add_candidate(choice, address);
+	if (source != MST_ENTRY_STORED)
+		set_proven(choice, candidate);
+	candidate->configured |= source == MST_ENTRY_CONFIGURED;
 	candidate->named_us = now_us;
 	return true;
 }
 
+void
+mst_entry_choice_reach(struct mst_entry_choice *choice, const char *address)
+{
+	struct candidate *candidate = find_candidate(choice, address);
+
+	if (candidate != NULL)
+		set_proven(choice, candidate);
+}
+
 void
 mst_entry_choice_hear(
     struct mst_entry_choice *choice, const char *address, int64_t heard_us)
 {
 	struct candidate *candidate = find_candidate(choice, address);
 
-	if (candidate != NULL)
-		candidate->heard_us = MAX(candidate->heard_us, heard_us);
+	if (candidate == NULL)
+		return;
+	candidate->heard_us = MAX(candidate->heard_us, heard_us);
+	if (heard_us > 0)
+		set_proven(choice, candidate);
 }
 
 void
@@ -173,13 +215,53 @@
 			choice->options.disconnect(
 			    candidate->address, choice->options.ctx);
 		g_ptr_array_remove(choice->ranked, candidate);
+		g_ptr_array_remove(choice->trials, candidate);
 		g_ptr_array_remove_index(learnt, i);
 		candidate_free(candidate);
 	}
 	g_string_truncate(choice->addresses, 0);
-	for (i = 0; i < learnt->len; i++)
-		append_address(choice->addresses,
-		    ((const struct candidate *)learnt->pdata[i])->address);
+	for (i = 0; i < learnt->len; i++) {
+		const struct candidate *candidate = learnt->pdata[i];
+
+		if (candidate->proven)
+			append_address(choice->addresses, candidate->address);
+	}
+}
+
+/* Orders candidates that are not proven: those whose trial goes on, those that
+ * were never tried, those whose last trial is the longest ago. */
+static gint
+compare_trials(gconstpointer a, gconstpointer b, gpointer now_us)
+{
+	const struct candidate *left = *(const struct candidate *const *)a;
+	const struct candidate *right = *(const struct candidate *const *)b;
+	bool left_goes_on =
+	    left->connected && is_live(left, *(int64_t *)now_us);
+	bool right_goes_on =
+	    right->connected && is_live(right, *(int64_t *)now_us);
+
+	if (left_goes_on != right_goes_on)
+		return left_goes_on ? -1 : 1;
+	if (left->connected_us != right->connected_us)
+		return left->connected_us < right->connected_us ? -1 : 1;
+	return compare_ranks(a, b);
+}
+
+/* Chooses which candidates that are not proven may be connected to. Each of
+ * them has its turn if there are too many. */
+static void
+choose_trials(struct mst_entry_choice *choice, int64_t now_us)
+{
+	guint i;
+
+	if (choice->trials->len > TRIALS_MAX)
+		g_ptr_array_sort_with_data(
+		    choice->trials, compare_trials, &now_us);
+	for (i = 0; i < choice->trials->len; i++) {
+		struct candidate *candidate = choice->trials->pdata[i];
+
+		candidate->on_trial = i < TRIALS_MAX;
+	}
 }
 
 static void
@@ -215,18 +297,24 @@
 mst_entry_choice_update(struct mst_entry_choice *choice, int64_t now_us)
 {
 	uint32_t max = choice->options.max;
-	uint32_t live = 0, used = 0;
+	uint32_t live = 0, used = 0, tried = 0;
 	guint i;
 
 	forget_candidates(choice, now_us);
+	choose_trials(choice, now_us);
 	for (i = 0; i < choice->ranked->len; i++) {
 		struct candidate *candidate = choice->ranked->pdata[i];
-		bool wanted = max == 0 ||
-		    (live < max && used < max * CONNECTIONS_PER_ENTRY);
-
-		if (wanted) {
-			live += is_live(candidate, now_us);
-			used++;
+		bool wanted;
+
+		if (candidate->proven) {
+			wanted = max == 0 ||
+			    (live < max && used < max * CONNECTIONS_PER_ENTRY);
+			live += wanted && is_live(candidate, now_us);
+			used += wanted;
+		} else {
+			wanted = candidate->on_trial &&
+			    (max == 0 || live + tried < max);
+			tried += wanted && is_live(candidate, now_us);
 		}
 		apply_choice(choice, candidate, wanted, now_us);
 	}
--- a/src/core/entry_choice.h
+++ b/src/core/entry_choice.h
@@ -14,6 +14,14 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* Who has named an address. */
+enum mst_entry_source {
+	/* A row of the store, where others write too: nothing may be there. */
+	MST_ENTRY_STORED = 1,
+	MST_ENTRY_NAMED, /* a member, which has reached it */
+	MST_ENTRY_CONFIGURED
+};
+
 struct mst_entry_choice;
 
 struct mst_entry_choice_options {
@@ -36,11 +44,16 @@
 void mst_entry_choice_free(struct mst_entry_choice *choice);
 
 /* Adds an address, or notes that it was named again. A configured one is never
- * forgotten. Returns false if too many are known. */
+ * forgotten. Stored ones are tried a few at a time until they are reached, and
+ * never in place of others. Returns false if too many are known. */
 bool mst_entry_choice_add(struct mst_entry_choice *choice, const char *address,
-    bool configured, int64_t now_us);
+    enum mst_entry_source source, int64_t now_us);
+
+/* Notes that something answers at an address. */
+void mst_entry_choice_reach(
+    struct mst_entry_choice *choice, const char *address);
 
-/* Notes that an entry was heard from. */
+/* Notes when an entry was last heard from; 0: not on this connection. */
 void mst_entry_choice_hear(
     struct mst_entry_choice *choice, const char *address, int64_t heard_us);
 
@@ -55,8 +68,9 @@
 /* Returns the number of known addresses. */
 guint mst_entry_choice_count(const struct mst_entry_choice *choice);
 
-/* Returns the known addresses, comma-separated and in the order in which they
- * were learnt; owned by the choice. */
+/* Returns the known addresses but for stored ones that were never reached,
+ * comma-separated and in the order in which they were learnt; owned by the
+ * choice. */
 const char *mst_entry_choice_addresses(const struct mst_entry_choice *choice);
 
 #endif
--- a/src/net/bus.c
+++ b/src/net/bus.c
@@ -575,9 +575,12 @@
 
 	for (i = 0; i < bus->links->len; i++) {
 		const struct link *link = bus->links->pdata[i];
+		const struct mst_bus_entry entry = {.address = link->address,
+		    .incarnation = link->entry,
+		    .connected = link->connected,
+		    .received_us = link->last_received_us};
 
-		callback(
-		    link->address, link->entry, link->last_received_us, ctx);
+		callback(&entry, ctx);
 	}
 }
 
--- a/src/net/bus.h
+++ b/src/net/bus.h
@@ -82,10 +82,15 @@
  * get lost. */
 void mst_bus_disconnect(struct mst_bus *bus, const char *address);
 
-/* entry: incarnation, 0 if it is not known yet; received_us: time of its last
- * message on the present connection, or 0. */
-typedef void (*mst_bus_entry_cb)(
-    const char *address, uint64_t entry, int64_t received_us, void *ctx);
+/* What the bus knows of an entry that it connects to. */
+struct mst_bus_entry {
+	const char *address;
+	uint64_t incarnation; /* 0: not known yet */
+	bool connected;       /* messages can be sent */
+	int64_t received_us;  /* time of the last message; 0: none */
+};
+
+typedef void (*mst_bus_entry_cb)(const struct mst_bus_entry *entry, void *ctx);
 
 /* Calls back for each entry that the bus connects to. */
 void mst_bus_foreach_entry(
--- a/src/runtime/agent_runtime.c
+++ b/src/runtime/agent_runtime.c
@@ -557,10 +557,10 @@
 static void
 on_entries_update(const struct store_update *update, void *ctx)
 {
-	guint i;
+	struct agent_runtime *rt = ctx;
 
-	for (i = 0; i < update->added->len; i++)
-		add_entries(ctx, mst_bytes_from_str(update->added->pdata[i]));
+	entry_links_add_stored(rt->entry_links, update->added);
+	update_entries(rt);
 }
 
 static int
--- a/src/runtime/entry_frontend.c
+++ b/src/runtime/entry_frontend.c
@@ -348,11 +348,8 @@
 on_entries_update(const struct store_update *update, void *ctx)
 {
 	struct entry_runtime *rt = ctx;
-	guint i;
 
-	for (i = 0; i < update->added->len; i++)
-		entry_links_add(rt->entry_links,
-		    mst_bytes_from_str(update->added->pdata[i]));
+	entry_links_add_stored(rt->entry_links, update->added);
 }
 
 /*
--- a/src/runtime/entry_links.c
+++ b/src/runtime/entry_links.c
@@ -56,25 +56,27 @@
 }
 
 static void
-add_address(struct entry_links *links, const char *address, bool configured)
+add_address(struct entry_links *links, const char *address,
+    enum mst_entry_source source)
 {
 	if (mst_entry_choice_add(
-		links->choice, address, configured, mst_clock_us()))
+		links->choice, address, source, mst_clock_us()))
 		return;
 	mst_log(MST_LOG_WARNING, "entry-refused",
 	    "reason=\"too many entries are known\" address=%s",
 	    mst_log_quote(address));
 }
 
-/* Adds an address that another process names. */
+/* Adds an address that another process has written. */
 static void
-add_named(struct entry_links *links, const char *address)
+add_checked(struct entry_links *links, const char *address,
+    enum mst_entry_source source)
 {
 	const struct input_fault fault = {
 	    .kind = INPUT_FAULT_ADDRESS, .field = "entries"};
 
 	if (address_parse(NULL, address))
-		add_address(links, address, false);
+		add_address(links, address, source);
 	else
 		input_fault_report(INPUT_ENTRY_ADDRESS, address, &fault);
 }
@@ -86,13 +88,14 @@
 	guint i;
 
 	for (i = 0; i < settings->entries->len; i++)
-		add_address(links, settings->entries->pdata[i], true);
+		add_address(
+		    links, settings->entries->pdata[i], MST_ENTRY_CONFIGURED);
 	for (i = 0; i < settings->entry_hosts->len; i++) {
 		const char *host = settings->entry_hosts->pdata[i];
 		char *address = g_strdup_printf("%.*s:%u",
 		    (int)strcspn(host, ":"), host, settings->members_port);
 
-		add_address(links, address, true);
+		add_address(links, address, MST_ENTRY_CONFIGURED);
 		g_free(address);
 	}
 }
@@ -135,7 +138,7 @@
 
 	for (i = 0; list[i] != NULL; i++) {
 		if (*list[i] != '\0')
-			add_named(links, list[i]);
+			add_checked(links, list[i], MST_ENTRY_NAMED);
 	}
 	g_strfreev(list);
 	g_free(text);
@@ -144,6 +147,16 @@
 		entry_links_update(links);
 }
 
+void
+entry_links_add_stored(struct entry_links *links, const GPtrArray *addresses)
+{
+	guint i;
+
+	for (i = 0; i < addresses->len; i++)
+		add_checked(links, addresses->pdata[i], MST_ENTRY_STORED);
+	entry_links_update(links);
+}
+
 void
 entry_links_reload(struct entry_links *links)
 {
@@ -170,11 +183,15 @@
 }
 
 static void
-hear_entry(const char *address, uint64_t entry, int64_t received_us, void *ctx)
+hear_entry(const struct mst_bus_entry *entry, void *ctx)
 {
 	struct entry_links *links = ctx;
 
-	mst_entry_choice_hear(links->choice, address, received_us);
+	mst_entry_choice_hear(
+	    links->choice, entry->address, entry->received_us);
+	/* Other entries may answer on a connection of their own. */
+	if (entry->connected)
+		mst_entry_choice_reach(links->choice, entry->address);
 }
 
 void
@@ -191,12 +208,12 @@
 };
 
 static void
-match_entry(const char *address, uint64_t entry, int64_t received_us, void *ctx)
+match_entry(const struct mst_bus_entry *entry, void *ctx)
 {
 	struct search *search = ctx;
 
-	if (entry == search->entry && search->address == NULL)
-		search->address = g_strdup(address);
+	if (entry->incarnation == search->entry && search->address == NULL)
+		search->address = g_strdup(entry->address);
 }
 
 void
--- a/src/runtime/entry_links.h
+++ b/src/runtime/entry_links.h
@@ -26,9 +26,13 @@
 struct entry_links *entry_links_new(const struct entry_links_options *options);
 void entry_links_free(struct entry_links *links);
 
-/* Adds the addresses of a comma-separated list. */
+/* Adds the addresses of a comma-separated list that a member has sent. */
 void entry_links_add(struct entry_links *links, struct mst_bytes addresses);
 
+/* Adds addresses, as texts, from rows of the store. */
+void entry_links_add_stored(
+    struct entry_links *links, const GPtrArray *addresses);
+
 /* Reads the settings file again and adds the entries that it lists now. */
 void entry_links_reload(struct entry_links *links);
 
--- a/src/runtime/entry_runtime.c
+++ b/src/runtime/entry_runtime.c
@@ -280,11 +280,8 @@
     enum mst_table_result result, const GPtrArray *addresses, void *ctx)
 {
 	struct entry_runtime *rt = ctx;
-	guint i;
 
-	for (i = 0; i < addresses->len; i++)
-		entry_links_add(
-		    rt->entry_links, mst_bytes_from_str(addresses->pdata[i]));
+	entry_links_add_stored(rt->entry_links, addresses);
 }
 
 static void
