tests: restarts, reports and slow processes in the simulation of leases

It reports on its own schedule, late copies and other writers' reports included, and the last report is kept for its agent's next start. Links may hold what was sent while they are cut, a killed agent gets no answers, and slow processes go through one iteration of their loop at a time.

--- a/tests/sim/effects.c
+++ b/tests/sim/effects.c
@@ -73,6 +73,8 @@
 		else if (effect->type == MST_AGENT_FX_WORKER &&
 		    sim->options.verbose)
 			sim_log(sim, "%s worker %s", node->name, effect->state);
+		else if (effect->type == MST_AGENT_FX_LOAD_REPORT)
+			sim_load_kept_report(sim, node_id);
 		else if (effect->type == MST_AGENT_FX_STOPPED)
 			node->stopped = true;
 		else if (effect->type == MST_AGENT_FX_BUILD)
--- a/tests/sim/event_queue.c
+++ b/tests/sim/event_queue.c
@@ -59,6 +59,7 @@
 	sim_store_request_free(event->store_request);
 	if (event->bytes != NULL)
 		g_byte_array_unref(event->bytes);
+	sim_report_free(event->report);
 	g_free(event->body);
 	g_free(event);
 }
--- a/tests/sim/node.c
+++ b/tests/sim/node.c
@@ -26,6 +26,7 @@
 	node->paused = false;
 	node->stopped = false;
 	node->start_number++;
+	node->started_us = sim->now_us;
 	node->incarnation =
 	    ((uint64_t)(node_id + 1) << 32) | (node->start_number << 8) | 1;
 	if (node->kind == SIM_ENTRY) {
@@ -107,6 +108,9 @@
 {
 	sim_log(sim, "%s killed", sim->nodes[node_id].name);
 	sim->nodes[node_id].alive = false;
+	if (sim->options.separate_connections &&
+	    sim->nodes[node_id].worker != NULL)
+		sim_worker_forget_agent(sim->nodes[node_id].worker);
 	sim_node_clear(&sim->nodes[node_id]);
 }
 
@@ -138,6 +142,32 @@
 {
 	sim_log(sim, "%s paused", sim->nodes[node_id].name);
 	sim->nodes[node_id].paused = true;
+	sim->nodes[node_id].iteration_us = sim->now_us;
+}
+
+/* Puts the answers of the worker in a random order. */
+static void
+shuffle_answers(struct sim *sim, GQueue *backlog)
+{
+	GPtrArray *links = g_ptr_array_new();
+	GList *link;
+	guint i;
+
+	for (link = backlog->head; link != NULL; link = link->next) {
+		if (((struct sim_event *)link->data)->type ==
+		    SIM_EVENT_WORKER_ANSWER)
+			g_ptr_array_add(links, link);
+	}
+	for (i = links->len; i > 1; i--) {
+		GList *last = links->pdata[i - 1];
+		GList *other =
+		    links->pdata[g_rand_int_range(sim->rand, 0, (gint32)i)];
+		gpointer event = last->data;
+
+		last->data = other->data;
+		other->data = event;
+	}
+	g_ptr_array_unref(links);
 }
 
 /*
@@ -157,6 +187,8 @@
 	sim_log(sim, "%s resumed", node->name);
 	node->paused = false;
 	g_queue_init(&node->backlog);
+	if (sim->options.separate_connections)
+		shuffle_answers(sim, &backlog);
 	if (tick_first)
 		sim_schedule(sim, node_id, SIM_EVENT_TICK, sim->now_us);
 	while ((event = g_queue_pop_head(&backlog)) != NULL) {
@@ -172,6 +204,48 @@
 		sim_schedule(sim, node_id, SIM_EVENT_TICK, sim->now_us);
 }
 
+/* Removes the ticks that wait for a paused node. */
+static void
+drop_ticks(struct node *node)
+{
+	GList *link = node->backlog.head;
+
+	while (link != NULL) {
+		GList *next = link->next;
+		struct sim_event *event = link->data;
+
+		if (event->type == SIM_EVENT_TICK) {
+			sim_event_free(event);
+			g_queue_delete_link(&node->backlog, link);
+		}
+		link = next;
+	}
+}
+
+void
+sim_iterate(struct sim *sim, int node_id)
+{
+	struct node *node = &sim->nodes[node_id];
+	struct sim_event *event;
+	GQueue backlog;
+
+	drop_ticks(node);
+	backlog = node->backlog;
+	g_queue_init(&node->backlog);
+	node->paused = false;
+	while ((event = g_queue_peek_head(&backlog)) != NULL &&
+	    event->at_us <= node->iteration_us)
+		sim_handle_event(sim, g_queue_pop_head(&backlog));
+	event = g_new0(struct sim_event, 1);
+	event->type = SIM_EVENT_TICK;
+	event->target_node_id = node_id;
+	event->node_start_number = node->start_number;
+	sim_handle_event(sim, event);
+	node->paused = true;
+	node->backlog = backlog;
+	node->iteration_us = sim->now_us;
+}
+
 void
 sim_drain(struct sim *sim, int node_id)
 {
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -28,7 +28,11 @@
 
 /* Faults of the link from one node to another; it has one direction. */
 struct sim_link {
-	bool cut;             /* drops all messages */
+	bool cut; /* drops all messages */
+	/* While cut: the messages of connections that exist are kept until
+	 * sim_deliver_held_messages(). */
+	bool holds;
+	int64_t cut_us;       /* holds: when it was cut */
 	unsigned drop_next;   /* messages still to drop */
 	unsigned repeat_next; /* messages still to deliver twice */
 	int64_t delay_us;     /* added to the latency */
@@ -71,7 +75,15 @@
 	bool keep_bodies;          /* a result returns its task's body */
 	uint32_t resend_ms; /* time after which callers resubmit; 0: 1,300 ms */
 	bool leased;        /* entries use leases */
-	bool stored_jobs;   /* entries and agents use a record store */
+	/* Workers send reports on their own schedule, the last of which is kept
+	 * for the agent's next start. Else each running agent gets them. */
+	bool worker_reports;
+	/* Probability that a worker's report also arrives up to 5 s late. */
+	double late_report_probability;
+	/* A resumed node handles the answers of its worker in any order, as
+	 * they are on different connections, and a killed agent gets none. */
+	bool separate_connections;
+	bool stored_jobs;      /* entries and agents use a record store */
 	unsigned max_attempts; /* failed runs allowed per task; 0: unlimited */
 	/* Returns a stored job by its key. */
 	const struct mst_job_spec *(*load_job_spec)(void *ctx, const char *key);
@@ -132,6 +144,25 @@
 /* Returns the number of times that two runs of the same task overlapped. */
 unsigned sim_overlap_count(const struct sim *sim);
 
+/* Report of another writer: what is odd about it. */
+enum sim_odd_report {
+	SIM_ODD_ID = 0,       /* another id */
+	SIM_ODD_ID_UNDATED,   /* another id, and no incarnation */
+	SIM_ODD_UNDATED,      /* no incarnation */
+	SIM_ODD_FUTURE,       /* an incarnation that begins in an hour */
+	SIM_ODD_ENDLESS,      /* the greatest incarnation */
+	SIM_ODD_PAST,         /* an incarnation of an hour ago */
+	SIM_ODD_SEQ,          /* the greatest sequence number */
+	SIM_ODD_SERVICE,      /* another service and capacity */
+	SIM_ODD_DELETE,       /* the worker's end */
+	SIM_ODD_DELETE_OTHER, /* the end of another worker */
+	SIM_ODD_REPORTS
+};
+
+/* Sends a report of another writer to the agent of a worker. */
+void sim_send_odd_report(
+    struct sim *sim, int node_id, enum sim_odd_report kind);
+
 /* Disconnects the caller of a request if it still waits for its answer. */
 void sim_disconnect(struct sim *sim, uint64_t id);
 
@@ -169,6 +200,13 @@
 void sim_pause(struct sim *sim, int node_id);
 void sim_resume(struct sim *sim, int node_id);
 
+/*
+ * Lets a paused node go through one iteration of its loop: it handles the
+ * events that had arrived when the last iteration began, then its timers. It
+ * stays paused.
+ */
+void sim_iterate(struct sim *sim, int node_id);
+
 /* Asks a node to drain. */
 void sim_drain(struct sim *sim, int node_id);
 
@@ -204,6 +242,12 @@
  */
 const char *sim_violation(const struct sim *sim);
 
+/*
+ * Delivers the messages that links held while they were cut. Those of one
+ * connection stay in order, those of different ones arrive in any order.
+ */
+void sim_deliver_held_messages(struct sim *sim);
+
 /* Returns the link from one node to another, to change its faults. */
 struct sim_link *sim_get_link(struct sim *sim, int from, int to);
 
--- a/tests/sim/sim_internal.h
+++ b/tests/sim/sim_internal.h
@@ -14,6 +14,7 @@
 	struct mst_agent *agent;
 	struct mst_agent_options agent_options;
 	uint64_t incarnation;
+	int64_t started_us;
 	uint32_t start_number; /* number of starts, including the first */
 	bool alive;
 	bool paused;
@@ -29,6 +30,10 @@
 				  node was paused or cut off from the store */
 	int64_t next_report_us;    /* time of the worker's next report */
 	uint64_t report_seq;       /* of the worker's last report */
+	uint64_t report_chain;     /* number of the worker's schedule */
+	struct sim_report *kept_report; /* in the store; NULL: none */
+	int64_t iteration_us;           /* start of a slow node's present
+					   iteration of its loop */
 };
 
 struct sim {
@@ -48,6 +53,7 @@
 	GHashTable *running_counts;   /* task name -> runs in progress */
 	unsigned overlaps;     /* times that two runs of a task overlapped */
 	unsigned resume_count; /* paused nodes that went on */
+	GPtrArray *held;       /* struct sim_held_message */
 	struct sim_store *store;
 	double store_loss_probability; /* probability that a write's answer is
 					  lost */
@@ -65,6 +71,9 @@
 struct sim_event *sim_schedule(
     struct sim *sim, int node_id, enum sim_event_type type, int64_t at_us);
 
+/* Handles and frees an event, or keeps it if its node is paused. */
+void sim_handle_event(struct sim *sim, struct sim_event *event);
+
 /* node.c */
 /* Releases the reducer of a node and the events that wait for it. */
 void sim_node_clear(struct node *node);
@@ -79,6 +88,13 @@
     struct sim *sim, int node_id, struct mst_entry_event *event);
 
 /* delivery.c */
+/* A message in a connection whose link is cut. */
+struct sim_held_message {
+	int from;
+	uint64_t connection; /* incarnation of the sender */
+	struct sim_event *event;
+};
+void sim_held_message_free(gpointer data);
 /* Sends a message to its receiver, or to all other entries if it names none. */
 void sim_send_message(struct sim *sim, int from, const struct mst_msg *msg);
 
@@ -91,6 +107,16 @@
 /* Delivers the periodic report of a node's worker to the agent if it is due. */
 void sim_send_worker_report(struct sim *sim, int node_id);
 
+/* reports.c */
+/* Returns the report that a worker would send now. */
+struct mst_worker_report sim_present_report(const struct node *node);
+/* Starts the reports of a new incarnation of a worker. */
+void sim_start_reports(struct sim *sim, int node_id);
+void sim_handle_report_due(struct sim *sim, const struct sim_event *event);
+void sim_handle_report(struct sim *sim, const struct sim_event *event);
+/* Reads the last report that the agent was sent, as from the store. */
+void sim_load_kept_report(struct sim *sim, int node_id);
+
 /* stored_jobs.c */
 /* Sends an operation to the store, with the injected faults. */
 void sim_send_store_op(
--- a/tests/sim/worker.h
+++ b/tests/sim/worker.h
@@ -3,10 +3,10 @@
 
 /*
  * Simulated worker of a leased agent. It runs tasks under one lease, rejects
- * orders with an outdated fence, and lists its runs and unacknowledged
- * completions. Tests can make it carry out orders late, make it unavailable, or
- * restart it. When its agent is killed, the worker keeps running, and orders in
- * transit still reach it.
+ * orders with an outdated fence or for another instance, and lists its runs and
+ * unacknowledged completions. Tests can make it carry out orders late, make it
+ * unavailable, or restart it. When its agent is killed, the worker keeps
+ * running, and orders in transit still reach it.
  */
 
 #include "sim/sim.h"
@@ -34,10 +34,13 @@
 	 */
 	void (*completion_acked)(void *sim, struct mst_bytes task,
 	    enum mst_run_status status, int64_t ended_us);
+	/* Reports that the worker is up as a new incarnation. */
+	void (*restarted)(void *sim, int node_id);
 	/* Returns a random number in [0, 1). */
 	double (*random_double)(void *sim);
 	void *ctx;         /* passed to the callbacks as sim */
 	int agent_node_id; /* node id of the agent */
+	const char *id;    /* of the first incarnation; borrowed */
 };
 
 struct sim_worker *sim_worker_new(const struct sim_worker_callbacks *callbacks,
@@ -60,6 +63,29 @@
  */
 void sim_worker_restart(struct sim_worker *worker);
 
+/*
+ * Sets the probability that the worker gets a new id when it restarts; else it
+ * keeps the one that it has.
+ */
+void sim_worker_set_new_id_probability(
+    struct sim_worker *worker, double probability);
+
+/* Changes the time of day of the worker's host, which dates its incarnations.
+ */
+void sim_worker_step_wall_clock(struct sim_worker *worker, int64_t step_ms);
+
+/*
+ * Sets the probability that an answer takes up to 60 ms, so that the next ones
+ * overtake it or the agent gives it up.
+ */
+void sim_worker_set_slow_answers(struct sim_worker *worker, double probability);
+
+/* Sets the longest time that a stopped run takes to end; 0: it ends at once. */
+void sim_worker_set_stop_time(struct sim_worker *worker, int64_t stop_max_us);
+
+/* Drops the waits for answers of an agent that was killed. */
+void sim_worker_forget_agent(struct sim_worker *worker);
+
 /* Drops the orders in transit to the worker and those waiting at it. */
 void sim_worker_drop_orders(struct sim_worker *worker);
 
@@ -96,6 +122,15 @@
 
 uint64_t sim_worker_incarnation(const struct sim_worker *worker);
 
+/* Returns the present id. */
+const char *sim_worker_id(const struct sim_worker *worker);
+
+/*
+ * Takes the worker down: its runs are lost and its connections break. It starts
+ * as a new incarnation at until_us. Orders that are held up reach that one.
+ */
+void sim_worker_go_down(struct sim_worker *worker, int64_t until_us);
+
 /* Makes the worker crash: its runs are lost, its connections break, and it is
  * down until it starts as a new incarnation after three seconds. */
 void sim_worker_crash(struct sim_worker *worker);
