--- a/tests/sim/scenario.c
+++ b/tests/sim/scenario.c
@@ -14,7 +14,13 @@
 #define FAULTS_END_MS   SCENARIO_FAULTS_END_MS
 #define RECORDED_END_MS 12000
 /* An order may be held up for 12 s after the last fault. */
-#define LATE_END_MS      (FAULTS_END_MS + 14000)
+#define LATE_END_MS (FAULTS_END_MS + 14000)
+/* Half of the seeds have longer tasks, which still run when an order is carried
+ * out late, and callers that wait for them. */
+#define LONG_END_MS      (FAULTS_END_MS + 30000)
+#define LONG_DEADLINE_MS 8000
+#define LONG_TASK_FACTOR 8
+#define LONG_TASK_SHARE  4 /* one task in so many */
 #define CLOCK_STEP_MS    10
 #define LATE_REPORTS     0.1  /* probability that a report also comes late */
 #define ISOLATION_MAX_MS 1500 /* until a worker's restart, and from then on */
@@ -32,6 +38,9 @@
 	    .duration_us =
 		(20 + g_rand_int_range(scenario->rand, 0, 600)) * MS};
 
+	if (scenario->has_long_tasks &&
+	    g_rand_int_range(scenario->rand, 0, LONG_TASK_SHARE) == 0)
+		service.duration_us *= LONG_TASK_FACTOR;
 	if (g_rand_int_range(scenario->rand, 0, 50) == 0)
 		service.status = 500;
 	if (scenario->tasks_hang ||
@@ -48,7 +57,7 @@
 	struct mst_task_spec tasks[SCENARIO_TASKS_MAX] = {0};
 	char names[SCENARIO_TASKS_MAX][40];
 	struct mst_job_spec spec = {.team = "queue",
-	    .timeout_ms = SCENARIO_DEADLINE_MS,
+	    .timeout_ms = scenario->deadline_ms,
 	    .count = caller->count,
 	    .tasks = tasks,
 	    .restartable = true,
@@ -70,7 +79,7 @@
 	}
 	caller->attempts++;
 	caller->due_ms = 0;
-	caller->give_up_ms = scenario->now_ms + SCENARIO_DEADLINE_MS;
+	caller->give_up_ms = scenario->now_ms + scenario->deadline_ms;
 	caller->request = sim_submit(
 	    scenario->sim, scenario->cluster.entries[caller->entry], &spec);
 }
@@ -373,6 +382,9 @@
 			options.late_report_probability = LATE_REPORTS;
 	}
 	scenario->faults = faults;
+	scenario->has_long_tasks = faults != 0 && seed % 2 == 1;
+	scenario->deadline_ms =
+	    scenario->has_long_tasks ? LONG_DEADLINE_MS : SCENARIO_DEADLINE_MS;
 	scenario->seed = seed;
 	scenario->resend_ms = options.resend_ms;
 	scenario->rand = g_rand_new_with_seed(seed);
@@ -457,11 +469,19 @@
 	}
 }
 
+static int64_t
+get_end_ms(const struct scenario *scenario)
+{
+	if (scenario->faults == 0)
+		return RECORDED_END_MS;
+	return scenario->has_long_tasks ? LONG_END_MS : LATE_END_MS;
+}
+
 void
 scenario_run(struct scenario *scenario, bool faults, unsigned *completed)
 {
 	uint32_t seed = scenario->seed;
-	int64_t end_ms = scenario->faults != 0 ? LATE_END_MS : RECORDED_END_MS;
+	int64_t end_ms = get_end_ms(scenario);
 	int i;
 
 	while (scenario->now_ms < FAULTS_END_MS)
--- a/tests/sim/scenario.h
+++ b/tests/sim/scenario.h
@@ -79,7 +79,9 @@
 	unsigned completed;
 	uint32_t seed;
 	uint32_t resend_ms;
-	bool tasks_hang; /* no task finishes */
+	uint32_t deadline_ms; /* of the callers */
+	bool tasks_hang;      /* no task finishes */
+	bool has_long_tasks;
 	/* Faults as in random_faults.c, as bits; 0: as they were recorded. */
 	unsigned faults;
 	/* Only workers fail: they lose contact to their agents and are
