tests: reproduce runs after a late start, an older announcement, odd reports

older-announcement-last: an agent is restarted, cut off from an entry, and restarted once more; what its first incarnation had sent arrives after the cut. The entry marks the living member as lost and starts its task elsewhere.

test_lease_reports: one report of another writer beside a living worker. Four of ten kinds end the run that is in progress; two leave the worker ignored, also by the agent's next incarnation, which reads the kept report.

--- /dev/null
+++ b/tests/test_lease_reports.c
@@ -0,0 +1,137 @@
+/*
+ * Reports of other writers, sent to the agent of a worker that lives on and
+ * runs a task. The run must go on, no crash may be recorded, and the worker
+ * must still be used, also by an agent that is restarted afterwards and reads
+ * the last report from the store.
+ */
+
+#include "sim/scenario.h"
+#include "sim/worker.h"
+
+#define MS          INT64_C(1000)
+#define START_MS    2000
+#define SETTLE_MS   2500 /* some reports of the worker */
+#define DEADLINE_MS 20000
+#define REPORT_ONLY (1U << FAULT_REPORTS) /* nothing is injected at random */
+
+static void
+run_until_ms(struct scenario *scenario, int64_t now_ms)
+{
+	scenario->now_ms = now_ms;
+	sim_run_until(scenario->sim, G_USEC_PER_SEC + now_ms * MS);
+}
+
+/* Starts a task that does not finish and returns the index of its worker. */
+static int
+start_hanging_task(struct scenario *scenario)
+{
+	struct caller *caller;
+	int i;
+
+	scenario->tasks_hang = true;
+	scenario->deadline_ms = DEADLINE_MS;
+	run_until_ms(scenario, START_MS);
+	scenario_add_caller(scenario);
+	caller = scenario->callers->pdata[0];
+	caller->count = 1;
+	scenario_submit(scenario, caller);
+	run_until_ms(scenario, START_MS + 100);
+	for (i = 0; i < SCENARIO_WORKERS; i++) {
+		if (sim_worker_run_count(sim_get_worker(
+			scenario->sim, scenario->cluster.agents[i])) > 0)
+			return i;
+	}
+	g_error("the task was not started");
+}
+
+static void
+check_workers_are_used(const struct scenario *scenario)
+{
+	int i;
+
+	for (i = 0; i < SCENARIO_ENTRIES; i++)
+		g_assert_cmpuint(
+		    mst_entry_gauges(sim_get_entry(scenario->sim,
+					 scenario->cluster.entries[i]))
+			.members_active,
+		    ==, SCENARIO_WORKERS);
+}
+
+static void
+lease_reports__odd_report_changes_nothing(gconstpointer data)
+{
+	enum sim_odd_report kind = (enum sim_odd_report)GPOINTER_TO_INT(data);
+	struct scenario *scenario = scenario_new_with_faults(1, REPORT_ONLY);
+	int index = start_hanging_task(scenario);
+	int agent = scenario->cluster.agents[index];
+
+	sim_send_odd_report(scenario->sim, agent, kind);
+	run_until_ms(scenario, START_MS + SETTLE_MS);
+	g_assert_cmpuint(
+	    sim_worker_run_count(sim_get_worker(scenario->sim, agent)), ==, 1);
+	g_assert_cmpuint(sim_count_all_starts(scenario->sim), ==, 1);
+	g_assert_cmpuint(
+	    mst_agent_counters(sim_get_agent(scenario->sim, agent))->crashes,
+	    ==, 0);
+	check_workers_are_used(scenario);
+	scenario_free(scenario);
+}
+
+static void
+lease_reports__agent_restarts_after_odd_report(gconstpointer data)
+{
+	enum sim_odd_report kind = (enum sim_odd_report)GPOINTER_TO_INT(data);
+	struct scenario *scenario = scenario_new_with_faults(1, REPORT_ONLY);
+
+	run_until_ms(scenario, START_MS);
+	sim_send_odd_report(scenario->sim, scenario->cluster.agents[0], kind);
+	run_until_ms(scenario, START_MS + 10);
+	cluster_restart(&scenario->cluster, SCENARIO_ENTRIES);
+	run_until_ms(scenario, START_MS + SETTLE_MS);
+	check_workers_are_used(scenario);
+	scenario_free(scenario);
+}
+
+struct odd_report {
+	enum sim_odd_report kind;
+	const char *name;
+	const char *open; /* suffix of the group of each test */
+	const char *open_restart;
+};
+
+static const struct odd_report odd_reports[] = {{SIM_ODD_ID, "id", "", ""},
+    {SIM_ODD_ID_UNDATED, "id-undated", "-open", ""},
+    {SIM_ODD_UNDATED, "undated", "", ""},
+    {SIM_ODD_FUTURE, "future", "-open", "-open"},
+    {SIM_ODD_ENDLESS, "endless", "-open", "-open"},
+    {SIM_ODD_PAST, "past", "", ""}, {SIM_ODD_SEQ, "seq", "", ""},
+    {SIM_ODD_SERVICE, "service", "", ""}, {SIM_ODD_DELETE, "delete", "", ""},
+    {SIM_ODD_DELETE_OTHER, "delete-other", "-open", ""}};
+
+static void
+add_test(const struct odd_report *odd, const char *open, const char *prefix,
+    GTestDataFunc test)
+{
+	char *path =
+	    g_strdup_printf("/lease-reports%s/%s%s", open, prefix, odd->name);
+
+	g_test_add_data_func(path, GINT_TO_POINTER(odd->kind), test);
+	g_free(path);
+}
+
+int
+main(int argc, char **argv)
+{
+	size_t i;
+
+	g_test_init(&argc, &argv, NULL);
+	for (i = 0; i < G_N_ELEMENTS(odd_reports); i++) {
+		const struct odd_report *odd = &odd_reports[i];
+
+		add_test(odd, odd->open, "",
+		    lease_reports__odd_report_changes_nothing);
+		add_test(odd, odd->open_restart, "restart-",
+		    lease_reports__agent_restarts_after_odd_report);
+	}
+	return g_test_run();
+}
--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -39,6 +39,16 @@
 #define LATE_START_MS       15000
 #define LATE_START_ATTEMPTS 8
 
+/* A host loses power: its worker is back after a while, its agent later. */
+#define POWER_SEEDS          40
+#define POWER_WORKER_MS      2500
+#define POWER_AGENT_MS       3500
+#define LONG_JOB_DEADLINE_MS 20000
+
+/* A task that runs while an announcement of an older agent is on its way. */
+#define REPLACED_START_MS 2000
+#define REPLACED_STEP_MS  500
+
 static void
 run_seed(uint32_t seed, bool faults, unsigned *completed)
 {
@@ -92,7 +102,7 @@
 		const struct mst_agent *agent =
 		    sim_get_agent(scenario->sim, scenario->cluster.agents[i]);
 
-		if (mst_agent_gauges(agent).running > 0)
+		if (agent != NULL && mst_agent_gauges(agent).running > 0)
 			return i;
 	}
 	return -1;
@@ -149,6 +159,112 @@
 	scenario_free(scenario);
 }
 
+/* Plays a job of one task without an end whose start is held up when its host
+ * loses power. */
+static void
+run_power_seed(uint32_t seed)
+{
+	struct scenario *scenario =
+	    scenario_new_with_faults(seed, 1U << FAULT_POWER);
+	int64_t start_ms = REPLACED_START_MS;
+	struct sim_worker *worker;
+	struct caller *caller;
+	int agent;
+
+	scenario->tasks_hang = true;
+	scenario->deadline_ms = LONG_JOB_DEADLINE_MS;
+	run_until_ms(scenario, start_ms);
+	scenario_add_caller(scenario);
+	caller = scenario->callers->pdata[0];
+	caller->count = 1;
+	set_late_probability(scenario, 1);
+	scenario_submit(scenario, caller);
+	run_until_ms(scenario, start_ms + 30);
+	agent = find_running_agent(scenario);
+	g_assert_cmpint(agent, >=, 0);
+	worker = sim_get_worker(scenario->sim, scenario->cluster.agents[agent]);
+	sim_worker_set_new_id_probability(worker, 0);
+	sim_kill(scenario->sim, scenario->cluster.agents[agent]);
+	sim_worker_go_down(
+	    worker, G_USEC_PER_SEC + (start_ms + POWER_WORKER_MS) * MS);
+	set_late_probability(scenario, 0);
+	run_until_ms(scenario, start_ms + POWER_AGENT_MS);
+	cluster_restart(&scenario->cluster, SCENARIO_ENTRIES + agent);
+	run_until_ms(scenario, start_ms + LATE_START_MS);
+	if (sim_overlap_count(scenario->sim) > 0)
+		g_test_message("seed %u: runs overlapped", seed);
+	g_assert_cmpuint(sim_overlap_count(scenario->sim), ==, 0);
+	scenario_free(scenario);
+}
+
+/* Guards against a second run elsewhere while a worker that is back under its
+ * id before its agent carries out a start that was held up. */
+static void
+leases__late_start_before_agent_is_back(void)
+{
+	uint32_t seed;
+
+	for (seed = 1; seed <= POWER_SEEDS; seed++)
+		run_power_seed(seed);
+}
+
+/* Restarts all agents but one, or kills them. */
+static void
+set_other_agents(const struct scenario *scenario, int agent, bool alive)
+{
+	int i;
+
+	for (i = 0; i < SCENARIO_WORKERS; i++) {
+		if (i == agent)
+			continue;
+		if (alive)
+			cluster_restart(
+			    &scenario->cluster, SCENARIO_ENTRIES + i);
+		else
+			sim_kill(scenario->sim, scenario->cluster.agents[i]);
+	}
+}
+
+/* Guards against taking a living agent for replaced when an announcement of an
+ * earlier incarnation of it arrives after its own. */
+static void
+leases__older_announcement_comes_last(void)
+{
+	struct scenario *scenario =
+	    scenario_new_with_faults(1, 1U << FAULT_REPLACED);
+	int entry = scenario->cluster.entries[0];
+	struct sim_link *link =
+	    sim_get_link(scenario->sim, scenario->cluster.agents[0], entry);
+	int64_t now_ms = REPLACED_START_MS;
+	struct caller *caller;
+
+	scenario->tasks_hang = true;
+	scenario->deadline_ms = LONG_JOB_DEADLINE_MS;
+	run_until_ms(scenario, now_ms);
+	cluster_restart(&scenario->cluster, SCENARIO_ENTRIES);
+	link->cut = link->holds = true;
+	link->cut_us = sim_now(scenario->sim);
+	run_until_ms(scenario, now_ms += REPLACED_STEP_MS);
+	cluster_restart(&scenario->cluster, SCENARIO_ENTRIES);
+	link->cut = false;
+	set_other_agents(scenario, 0, false);
+	run_until_ms(scenario, now_ms += REPLACED_STEP_MS * 4);
+	scenario_add_caller(scenario);
+	caller = scenario->callers->pdata[0];
+	caller->count = 1;
+	caller->entry = 0;
+	scenario_submit(scenario, caller);
+	run_until_ms(scenario, now_ms += REPLACED_STEP_MS);
+	g_assert_cmpint(find_running_agent(scenario), ==, 0);
+	set_other_agents(scenario, 0, true);
+	run_until_ms(scenario, now_ms += REPLACED_STEP_MS * 4);
+	sim_deliver_held_messages(scenario->sim);
+	run_until_ms(scenario, now_ms + REPLACED_STEP_MS * 8);
+	g_assert_cmpuint(sim_overlap_count(scenario->sim), ==, 0);
+	g_assert_cmpuint(sim_count_all_starts(scenario->sim), ==, 1);
+	scenario_free(scenario);
+}
+
 static void
 run_isolation_seed(uint32_t seed, unsigned *completed)
 {
@@ -387,6 +503,10 @@
 	    "/leases/startup", leases__accepts_jobs_before_first_announcement);
 	g_test_add_func("/leases/recorded-faults",
 	    leases__no_overlapping_runs_under_recorded_faults);
+	g_test_add_func("/leases-open/late-start-before-agent",
+	    leases__late_start_before_agent_is_back);
+	g_test_add_func("/leases-open/older-announcement-last",
+	    leases__older_announcement_comes_last);
 	g_test_add_func(
 	    "/leases-open/faults", leases__no_overlapping_runs_under_faults);
 	g_test_add_func("/leases/regressions", leases__regressions);
@@ -394,7 +514,7 @@
 	    leases__late_starts_at_isolated_workers);
 	g_test_add_func("/leases/late-start-at-restarted-worker",
 	    leases__late_start_at_restarted_worker);
-	g_test_add_func("/leases-open/late-copy-of-ended-run",
-	    leases__late_copy_of_ended_run);
+	g_test_add_func(
+	    "/leases/late-copy-of-ended-run", leases__late_copy_of_ended_run);
 	return g_test_run();
 }
