tests: a frozen agent takes a waiting answer for a restart of its worker

frozen-agent: an agent is frozen for 0.54 or 0.8 s while an answer waits. The clock in it is compared with the estimate of now, so the worker counts as restarted. Without restarts and hosts without power, the scenarios now check that none is seen.

Restarts take under 50 ms in half of the cases. A slow process reads its messages once an iteration, and callers that have left an iteration later.

--- a/tests/sim/effects.c
+++ b/tests/sim/effects.c
@@ -3,6 +3,7 @@
 #include "sim/sim_internal.h"
 
 #include <inttypes.h>
+#include <string.h>
 
 static void
 start_task(struct sim *sim, int node_id, const struct mst_agent_effect *effect)
@@ -52,6 +53,21 @@
 	    other >= 0 ? sim->nodes[other].name : "a node", change->version);
 }
 
+static void
+record_worker_state(struct sim *sim, int node_id, const char *state)
+{
+	sim->restarts += strcmp(state, "restarted") == 0;
+	if (sim->options.verbose)
+		sim_log(sim, "%s worker %s", sim->nodes[node_id].name, state);
+}
+
+static void
+record_crash(struct sim *sim, int node_id)
+{
+	sim->crashes++;
+	sim_log(sim, "%s records a crash", sim->nodes[node_id].name);
+}
+
 static void
 execute_agent_effects(struct sim *sim, int node_id, const GArray *effects)
 {
@@ -70,9 +86,10 @@
 			sim_worker_send_order(node->worker, &effect->order);
 		else if (effect->type == MST_AGENT_FX_STORE)
 			sim_send_store_op(sim, node_id, &effect->op);
-		else if (effect->type == MST_AGENT_FX_WORKER &&
-		    sim->options.verbose)
-			sim_log(sim, "%s worker %s", node->name, effect->state);
+		else if (effect->type == MST_AGENT_FX_WORKER)
+			record_worker_state(sim, node_id, effect->state);
+		else if (effect->type == MST_AGENT_FX_CRASH)
+			record_crash(sim, node_id);
 		else if (effect->type == MST_AGENT_FX_LOAD_REPORT)
 			sim_load_kept_report(sim, node_id);
 		else if (effect->type == MST_AGENT_FX_STOPPED)
--- a/tests/sim/leased_agent.c
+++ b/tests/sim/leased_agent.c
@@ -156,6 +156,18 @@
 	return sim->overlaps;
 }
 
+unsigned
+sim_crash_count(const struct sim *sim)
+{
+	return sim->crashes;
+}
+
+unsigned
+sim_restart_count(const struct sim *sim)
+{
+	return sim->restarts;
+}
+
 /* Returns true if the report of a node's worker is due. */
 static bool
 report_is_due(const struct sim *sim, const struct node *node)
--- a/tests/sim/node.c
+++ b/tests/sim/node.c
@@ -222,27 +222,40 @@
 	}
 }
 
+/* Returns true if a slow node has read an event by now. A caller's broken
+ * connection is found an iteration later than messages. */
+static bool
+has_read(const struct node *node, const struct sim_event *event)
+{
+	return event->type != SIM_EVENT_DISCONNECT ||
+	    event->at_us <= node->iteration_us;
+}
+
 void
 sim_iterate(struct sim *sim, int node_id)
 {
 	struct node *node = &sim->nodes[node_id];
-	struct sim_event *event;
 	GQueue backlog;
+	struct sim_event *event;
 
 	drop_ticks(node);
 	backlog = node->backlog;
 	g_queue_init(&node->backlog);
+	if (sim->options.separate_connections)
+		shuffle_answers(sim, &backlog);
 	node->paused = false;
-	while ((event = g_queue_peek_head(&backlog)) != NULL &&
-	    event->at_us <= node->iteration_us)
-		sim_handle_event(sim, g_queue_pop_head(&backlog));
 	event = g_new0(struct sim_event, 1);
 	event->type = SIM_EVENT_TICK;
 	event->target_node_id = node_id;
 	event->node_start_number = node->start_number;
 	sim_handle_event(sim, event);
+	while ((event = g_queue_pop_head(&backlog)) != NULL) {
+		if (has_read(node, event))
+			sim_handle_event(sim, event);
+		else
+			g_queue_push_tail(&node->backlog, event);
+	}
 	node->paused = true;
-	node->backlog = backlog;
 	node->iteration_us = sim->now_us;
 }
 
--- a/tests/sim/random_faults.c
+++ b/tests/sim/random_faults.c
@@ -14,6 +14,7 @@
 #define CUT_MIN_MS         200
 #define CUT_MAX_MS         3000
 #define DOWN_MAX_MS        1000 /* of a worker that is restarted */
+#define SHORT_DOWN_MAX_MS  50   /* the same, for half of the restarts */
 #define POWER_MIN_MS       200
 #define POWER_GAP_MIN_MS   100 /* between the starts of worker and agent */
 #define POWER_GAP_MAX_MS   1000
@@ -164,11 +165,13 @@
 restart_worker(struct scenario *scenario, int index)
 {
 	struct sim_worker *worker = get_worker(scenario, index);
+	int max_ms =
+	    g_rand_boolean(scenario->rand) ? DOWN_MAX_MS : SHORT_DOWN_MAX_MS;
 
 	if (!sim_worker_is_down(worker))
 		sim_worker_go_down(worker,
 		    sim_now(scenario->sim) + 1 +
-			MS * g_rand_int_range(scenario->rand, 0, DOWN_MAX_MS));
+			MS * g_rand_int_range(scenario->rand, 0, max_ms));
 }
 
 /* Takes the power from a host. The agent starts later than its worker, as a
--- a/tests/sim/scenario.c
+++ b/tests/sim/scenario.c
@@ -451,6 +451,21 @@
 	}
 }
 
+/* No crash or restart may be seen if no worker has ended. */
+static void
+check_crashes(const struct scenario *scenario)
+{
+	unsigned ends = 1U << FAULT_RESTART | 1U << FAULT_POWER;
+
+	if (scenario->faults & ends)
+		return;
+	if (sim_crash_count(scenario->sim) > 0)
+		g_test_message("seed %u: a crash was recorded without any",
+		    scenario->seed);
+	g_assert_cmpuint(sim_crash_count(scenario->sim), ==, 0);
+	g_assert_cmpuint(sim_restart_count(scenario->sim), ==, 0);
+}
+
 /* No living worker may be ignored once all is calm. */
 static void
 check_members(const struct scenario *scenario)
@@ -495,6 +510,8 @@
 	check_answers(scenario);
 	if (scenario->faults != 0)
 		check_members(scenario);
+	if (scenario->faults != 0)
+		check_crashes(scenario);
 	for (i = 0; i < SCENARIO_WORKERS; i++) {
 		if (sim_worker_run_count(sim_get_worker(
 			scenario->sim, scenario->cluster.agents[i])) > 0)
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -163,6 +163,12 @@
 void sim_send_odd_report(
     struct sim *sim, int node_id, enum sim_odd_report kind);
 
+/* Returns the number of crashes of workers that agents have recorded. */
+unsigned sim_crash_count(const struct sim *sim);
+
+/* Returns the number of restarts of workers that agents have noticed. */
+unsigned sim_restart_count(const struct sim *sim);
+
 /* Disconnects the caller of a request if it still waits for its answer. */
 void sim_disconnect(struct sim *sim, uint64_t id);
 
@@ -201,9 +207,9 @@
 void sim_resume(struct sim *sim, int node_id);
 
 /*
- * Lets a paused node go through one iteration of its loop: it handles the
- * events that had arrived when the last iteration began, then its timers. It
- * stays paused.
+ * Lets a paused node go through one iteration of its loop: its timers, then the
+ * events that have arrived. Callers that have left since the last iteration are
+ * noticed in the next one. The node stays paused.
  */
 void sim_iterate(struct sim *sim, int node_id);
 
--- a/tests/sim/sim_internal.h
+++ b/tests/sim/sim_internal.h
@@ -52,6 +52,8 @@
 	GHashTable *idempotent_tasks; /* set of keys as in starts */
 	GHashTable *running_counts;   /* task name -> runs in progress */
 	unsigned overlaps;     /* times that two runs of a task overlapped */
+	unsigned crashes;      /* recorded by agents */
+	unsigned restarts;     /* of workers, noticed by agents */
 	unsigned resume_count; /* paused nodes that went on */
 	GPtrArray *held;       /* struct sim_held_message */
 	struct sim_store *store;
--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -45,6 +45,20 @@
 #define POWER_AGENT_MS       3500
 #define LONG_JOB_DEADLINE_MS 20000
 
+/* A worker is down for a moment; jobs come meanwhile and just afterwards. */
+#define REFUSED_SEEDS    40
+#define REFUSED_START_MS 2000
+#define REFUSED_DOWN_MS  10
+#define REFUSED_NEXT_MS  30 /* from the first jobs to the next ones */
+#define REFUSED_JOBS     16 /* each time */
+
+/* An agent is frozen for longer than its worker's lease, or for less. */
+#define FROZEN_START_MS 2000
+#define FROZEN_LONG_MS  800
+#define FROZEN_SHORT_MS 540
+#define FROZEN_STEP_MS  10 /* between the beginnings that are tried */
+#define FROZEN_STEPS    16
+
 /* A task that runs while an announcement of an older agent is on its way. */
 #define REPLACED_START_MS 2000
 #define REPLACED_STEP_MS  500
@@ -208,6 +222,109 @@
 		run_power_seed(seed);
 }
 
+/* Submits jobs of one task at all entries in turn. */
+static void
+submit_jobs(struct scenario *scenario, int count)
+{
+	int i;
+
+	for (i = 0; i < count; i++) {
+		struct caller *caller;
+
+		scenario_add_caller(scenario);
+		caller = scenario->callers->pdata[scenario->callers->len - 1];
+		caller->count = 1;
+		caller->entry = i % SCENARIO_ENTRIES;
+		scenario_submit(scenario, caller);
+	}
+}
+
+static void
+run_refused_seed(uint32_t seed)
+{
+	struct scenario *scenario =
+	    scenario_new_with_faults(seed, 1U << FAULT_ANSWERS);
+	int64_t now_ms = REFUSED_START_MS;
+	struct sim_worker *worker =
+	    sim_get_worker(scenario->sim, scenario->cluster.agents[0]);
+
+	scenario->tasks_hang = true;
+	scenario->deadline_ms = LONG_JOB_DEADLINE_MS;
+	run_until_ms(scenario, now_ms);
+	sim_worker_set_slow_answers(worker, 1);
+	sim_worker_go_down(
+	    worker, sim_now(scenario->sim) + REFUSED_DOWN_MS * MS);
+	submit_jobs(scenario, REFUSED_JOBS);
+	run_until_ms(scenario, now_ms += REFUSED_DOWN_MS);
+	sim_worker_set_slow_answers(worker, 0);
+	run_until_ms(scenario, now_ms += REFUSED_NEXT_MS - REFUSED_DOWN_MS);
+	submit_jobs(scenario, REFUSED_JOBS);
+	run_until_ms(scenario, now_ms + SCENARIO_DEADLINE_MS);
+	if (sim_overlap_count(scenario->sim) > 0)
+		g_test_message("seed %u: runs overlapped", seed);
+	g_assert_cmpuint(sim_overlap_count(scenario->sim), ==, 0);
+	scenario_free(scenario);
+}
+
+/* Guards against ending runs that a worker has confirmed, because a connection
+ * that it had refused before is noticed after that. */
+static void
+leases__older_refusal_comes_last(void)
+{
+	uint32_t seed;
+
+	for (seed = 1; seed <= REFUSED_SEEDS; seed++)
+		run_refused_seed(seed);
+}
+
+/* Freezes the agent of a running task. tick_first: it then handles its timers
+ * before the answers that wait. */
+static void
+freeze_agent(int64_t begin_ms, int64_t duration_ms, bool tick_first)
+{
+	struct scenario *scenario =
+	    scenario_new_with_faults(1, 1U << FAULT_PAUSE);
+	int agent;
+
+	scenario->tasks_hang = true;
+	scenario->deadline_ms = LONG_JOB_DEADLINE_MS;
+	run_until_ms(scenario, FROZEN_START_MS);
+	submit_jobs(scenario, 1);
+	run_until_ms(scenario, begin_ms);
+	agent = find_running_agent(scenario);
+	g_assert_cmpint(agent, >=, 0);
+	sim_pause(scenario->sim, scenario->cluster.agents[agent]);
+	if (!tick_first) {
+		sim_resume(scenario->sim, scenario->cluster.agents[agent]);
+		sim_pause(scenario->sim, scenario->cluster.agents[agent]);
+	}
+	run_until_ms(scenario, begin_ms + duration_ms);
+	sim_resume(scenario->sim, scenario->cluster.agents[agent]);
+	run_until_ms(scenario, begin_ms + duration_ms + SCENARIO_DEADLINE_MS);
+	g_assert_cmpuint(sim_crash_count(scenario->sim), ==, 0);
+	g_assert_cmpuint(sim_restart_count(scenario->sim), ==, 0);
+	g_assert_cmpuint(sim_overlap_count(scenario->sim), ==, 0);
+	scenario_free(scenario);
+}
+
+/* Guards against taking an answer that waited while its agent was frozen for a
+ * sign that the worker was restarted. */
+static void
+leases__frozen_agent_sees_no_restart(void)
+{
+	int64_t begin_ms = FROZEN_START_MS + 100;
+	int i;
+
+	for (i = 0; i < FROZEN_STEPS; i++) {
+		int64_t step_ms = begin_ms + i * FROZEN_STEP_MS;
+
+		freeze_agent(step_ms, FROZEN_SHORT_MS, true);
+		freeze_agent(step_ms, FROZEN_SHORT_MS, false);
+		freeze_agent(step_ms, FROZEN_LONG_MS, true);
+		freeze_agent(step_ms, FROZEN_LONG_MS, false);
+	}
+}
+
 /* Restarts all agents but one, or kills them. */
 static void
 set_other_agents(const struct scenario *scenario, int agent, bool alive)
@@ -505,6 +622,10 @@
 	    leases__no_overlapping_runs_under_recorded_faults);
 	g_test_add_func("/leases-open/late-start-before-agent",
 	    leases__late_start_before_agent_is_back);
+	g_test_add_func(
+	    "/leases/older-refusal-last", leases__older_refusal_comes_last);
+	g_test_add_func(
+	    "/leases-open/frozen-agent", leases__frozen_agent_sees_no_restart);
 	g_test_add_func("/leases-open/older-announcement-last",
 	    leases__older_announcement_comes_last);
 	g_test_add_func(
