--- a/tests/sim/delivery.c
+++ b/tests/sim/delivery.c
@@ -4,6 +4,7 @@
 
 #include "codec/codec.h"
 
+#define CONNECT_US (5 * 1000) /* from a node's start to its connections */
 /* Longest time after a cut until a connection repeats what it has sent. */
 #define HELD_DELAY_MAX_MS 1000
 
@@ -81,7 +82,8 @@
 	struct sim_event *event;
 
 	if (!sim->links[from][to].holds ||
-	    sim->nodes[from].started_us > sim->links[from][to].cut_us)
+	    sim->nodes[from].started_us + CONNECT_US >
+		sim->links[from][to].cut_us)
 		return;
 	held = g_new0(struct sim_held_message, 1);
 	event = g_new0(struct sim_event, 1);
--- a/tests/sim/random_faults.c
+++ b/tests/sim/random_faults.c
@@ -26,7 +26,10 @@
 #define SLOW_ANSWERS       0.1  /* probability of an answer to be slow */
 #define LATE_ORDERS        0.15 /* probability of an order to be held up */
 #define WORKER_FIRST       0.75 /* probability that it is up before its agent */
-#define RESET_LOSSES_MAX   3    /* messages lost on each link by a reset */
+/* From an agent's start until its links are cut: it has connected, but not
+ * announced itself. */
+#define REPLACED_CUT_MS  6
+#define RESET_LOSSES_MAX 3 /* messages lost on each link by a reset */
 
 static const char *const fault_names[] = {[FAULT_KILL] = "kill",
     [FAULT_PAUSE] = "pause",
@@ -249,7 +252,8 @@
 	    scenario->replace_ms != 0)
 		return;
 	cluster_restart(&scenario->cluster, member);
-	sim_run_until(scenario->sim, sim_now(scenario->sim) + MS / 10);
+	sim_run_until(
+	    scenario->sim, sim_now(scenario->sim) + REPLACED_CUT_MS * MS);
 	cut_links(scenario);
 	scenario->replaced_member = member;
 	scenario->replace_ms = scenario->now_ms +
--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -62,6 +62,7 @@
 /* A task that runs while an announcement of an older agent is on its way. */
 #define REPLACED_START_MS 2000
 #define REPLACED_STEP_MS  500
+#define REPLACED_CUT_MS   6 /* it has connected, but not announced itself */
 
 static void
 run_seed(uint32_t seed, bool faults, unsigned *completed)
@@ -359,6 +360,7 @@
 	scenario->deadline_ms = LONG_JOB_DEADLINE_MS;
 	run_until_ms(scenario, now_ms);
 	cluster_restart(&scenario->cluster, SCENARIO_ENTRIES);
+	run_until_ms(scenario, now_ms += REPLACED_CUT_MS);
 	link->cut = link->holds = true;
 	link->cut_us = sim_now(scenario->sim);
 	run_until_ms(scenario, now_ms += REPLACED_STEP_MS);
