tests: runner stand-in with new ids, odd reports and a time of day of its own

After a crash the runner may have a new id; a late order that names another id is not carried out, a report comes at once, and its incarnations are dated by a time of day that can step. It also sends reports of another writer: another id, a start in the future or without end, a sequence number out of range, fields of other types, an unknown service, a DELETE.

--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -11,12 +11,18 @@
  * PUT /faults injects faults, which last until they are set again:
  * {"late_share": x} leaves this share of the orders without an answer and
  * carries them out LATE_MIN_MS to LATE_MAX_MS later, also in the runner's next
- * incarnation; {"lost_share": x} carries orders out and does not answer;
+ * incarnation, unless they name another id; {"lost_share": x} carries orders
+ * out and does not answer;
  * {"fail_share": x} lets runs fail; {"unhealthy": true} refuses all orders;
  * {"crash_ms": n} crashes the runner for that long; meanwhile it refuses
  * orders, or leaves them unanswered with {"hangs": true}, or refuses
  * connections with
- * {"refuses": true}. {"seed": n} seeds what is drawn.
+ * {"refuses": true}. {"new_id": true} gives the next incarnations ids of their
+ * own; {"wall_offset_ms": n} sets its time of day, which dates them.
+ * {"odd_report": KIND} sends one report of another writer: "id" (of another
+ * runner), "future" or "endless" (when it was born), "seq" (as high as can be),
+ * "fields" (of other types, or missing), "service" (that nobody knows) or
+ * "delete" (the end of this runner). {"seed": n} seeds what is drawn.
  *
  * Usage: standin-runner LISTEN REPORT ID SLOTS [CLOCK_RATE]
  */
@@ -39,6 +45,7 @@
 #define LATE_MIN_MS   1000
 #define LATE_MAX_MS   6000
 #define LATE_AFTER_MS 1000 /* most, from the end of a crash to a late order */
+#define ODD_BORN_MS   3600000    /* from a runner's start to an odd one */
 #define NO_REQUEST    UINT64_MAX /* of an order that gets no answer */
 
 struct run {
@@ -58,6 +65,7 @@
 	uv_timer_t timer; /* first member; cast to and from the structure */
 	char *path;
 	cJSON *json;
+	char *expected; /* id that it names; empty: none */
 };
 
 struct faults {
@@ -67,6 +75,8 @@
 	bool unhealthy;
 	bool hangs;
 	bool refuses;
+	bool new_id;
+	double wall_offset_ms;
 };
 
 static struct mst_httpd_options httpd_options;
@@ -74,8 +84,10 @@
 static struct mst_http_client *client;
 static struct faults faults;
 static GRand *faults_rand;
-static const char *report_url;
-static const char *id;
+static const char *report_to; /* address */
+static const char *first_id;
+static char *id;
+static unsigned id_count; /* ids that it has had besides */
 static unsigned slots;
 static double clock_rate = 1;
 static uint64_t seq;    /* of the reports of this incarnation */
@@ -89,6 +101,7 @@
 static GHashTable *highest; /* task -> highest run that ended or stopped */
 static cJSON *ended;        /* rows that are not acknowledged yet */
 static GPtrArray *holds;    /* struct hold */
+static uv_timer_t report_timer;
 
 static int64_t
 now_us(void)
@@ -251,11 +264,20 @@
 	g_list_free(list);
 }
 
+static void
+choose_id(void)
+{
+	if (!faults.new_id)
+		return;
+	g_free(id);
+	id = g_strdup_printf("%s-%u", first_id, ++id_count);
+}
+
 static void
 start_incarnation(void)
 {
 	born_us = now_us();
-	born_ms = g_get_real_time() / 1000;
+	born_ms = g_get_real_time() / 1000 + (int64_t)faults.wall_offset_ms;
 	seq = end_count = fence = 0;
 	until_ms = 0;
 	g_hash_table_remove_all(highest);
@@ -307,6 +329,94 @@
 	uv_timer_start(timer, on_up, down_ms, 0);
 }
 
+static void
+on_reported(int status, const char *body, size_t len, void *ctx)
+{
+}
+
+/* Sends a report about a runner with an id. */
+static void
+send_report(const char *method, const char *about, const char *body)
+{
+	static const char *const headers[] = {
+	    "Content-Type: application/json", NULL};
+	char *url =
+	    g_strdup_printf("http://%s/v1/instances/%s", report_to, about);
+	const struct mst_http_call call = {.url = url,
+	    .method = method,
+	    .headers = headers,
+	    .body = body,
+	    .timeout_ms = CALL_MS,
+	    .on_done = on_reported};
+
+	mst_http_client_send(client, &call);
+	g_free(url);
+}
+
+/* Returns a report as JSON; the texts of numbers may be no numbers. */
+static char *
+write_report(
+    const char *service, const char *born, const char *report_seq, unsigned mc)
+{
+	return g_strdup_printf(
+	    "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z\","
+	    "\"version\":\"v1\",\"slots\":%u,\"state\":\"ready\","
+	    "\"coldRemainingMs\":0,\"capacity\":{\"cpu\":%u,\"memMb\":%u},"
+	    "\"labels\":[\"a\",\"r1\"],\"clockMs\":%" G_GINT64_FORMAT
+	    ",\"born\":%s,\"seq\":%s}",
+	    service, httpd_options.listen, slots, mc, slots * TASK_MB,
+	    clock_ms(), born, report_seq);
+}
+
+static void
+on_report_due(uv_timer_t *timer)
+{
+	char *born = g_strdup_printf("%" G_GINT64_FORMAT, born_ms);
+	char *report_seq = g_strdup_printf("%" G_GUINT64_FORMAT, ++seq);
+	char *body = write_report("s", born, report_seq, slots * TASK_MC);
+
+	if (!is_down())
+		send_report("PUT", id, body);
+	g_free(body);
+	g_free(report_seq);
+	g_free(born);
+}
+
+/* Sends a report of another writer that is odd in one way. */
+static void
+send_odd_report(const char *kind)
+{
+	char *born = g_strdup_printf("%" G_GINT64_FORMAT, born_ms);
+	char *future =
+	    g_strdup_printf("%" G_GINT64_FORMAT, born_ms + ODD_BORN_MS);
+	const char *about = strcmp(kind, "id") == 0 ? "another" : id;
+	char *body = NULL;
+
+	if (strcmp(kind, "id") == 0)
+		body = write_report("s", born, "1", TASK_MC);
+	else if (strcmp(kind, "future") == 0)
+		body = write_report("s", future, "1", TASK_MC);
+	else if (strcmp(kind, "endless") == 0)
+		body = write_report("s", "18446744073709551615", "1", TASK_MC);
+	else if (strcmp(kind, "seq") == 0)
+		body = write_report("s", born, "1e300", TASK_MC);
+	else if (strcmp(kind, "fields") == 0)
+		body = write_report("s", "\"now\"", "null", TASK_MC);
+	else if (strcmp(kind, "service") == 0)
+		body = write_report("unknown", born, "1", TASK_MC);
+	send_report(body != NULL ? "PUT" : "DELETE", about, body);
+	g_free(body);
+	g_free(future);
+	g_free(born);
+}
+
+/* Sends reports from a time on. */
+static void
+report_from(unsigned delay_ms)
+{
+	uv_timer_start(&report_timer, on_report_due, delay_ms, REPORT_MS);
+}
+
 static void
 crash(unsigned down_ms)
 {
@@ -315,7 +425,9 @@
 	end_all("crashed", true);
 	drop_holds();
 	down_until_us = now_us() + (int64_t)down_ms * 1000;
+	choose_id();
 	start_incarnation();
+	report_from(down_ms + 1);
 }
 
 /* Ends what runs if the lease is over. */
@@ -507,9 +619,16 @@
 
 	cJSON_Delete(late->json);
 	g_free(late->path);
+	g_free(late->expected);
 	g_free(late);
 }
 
+static bool
+names_this_runner(const char *expected)
+{
+	return *expected == '\0' || strcmp(expected, id) == 0;
+}
+
 /* An order that is due while the runner is down meets its next incarnation. */
 static void
 on_late_order_due(uv_timer_t *timer)
@@ -523,16 +642,18 @@
 		    0);
 		return;
 	}
-	carry_out(late->path, NO_REQUEST, late->json);
+	if (names_this_runner(late->expected))
+		carry_out(late->path, NO_REQUEST, late->json);
 	uv_close((uv_handle_t *)timer, free_late_order);
 }
 
 static void
-carry_out_later(const char *path, const cJSON *order)
+carry_out_later(const char *path, const char *expected, const cJSON *order)
 {
 	struct late_order *late = g_new0(struct late_order, 1);
 
 	late->path = g_strdup(path);
+	late->expected = g_strdup(expected);
 	late->json = cJSON_Duplicate(order, 1);
 	uv_timer_init(uv_default_loop(), &late->timer);
 	uv_timer_start(&late->timer, on_late_order_due,
@@ -568,23 +689,29 @@
 	read_flag(&faults.unhealthy, json, "unhealthy");
 	read_flag(&faults.hangs, json, "hangs");
 	read_flag(&faults.refuses, json, "refuses");
+	read_flag(&faults.new_id, json, "new_id");
+	read_number(&faults.wall_offset_ms, json, "wall_offset_ms");
 	if (cJSON_HasObjectItem(json, "seed"))
 		g_rand_set_seed(faults_rand, get_number(json, "seed"));
 	mst_http_respond(httpd, request, 204, NULL, 0, "", 0);
+	if (cJSON_HasObjectItem(json, "odd_report"))
+		send_odd_report(cJSON_GetStringValue(
+		    cJSON_GetObjectItem(json, "odd_report")));
 	if (cJSON_HasObjectItem(json, "crash_ms"))
 		crash(get_number(json, "crash_ms"));
 }
 
 /* Carries out an order, with the faults that are set. */
 static void
-handle_order(uint64_t request, const char *path, const cJSON *order)
+handle_order(uint64_t request, const char *path, const char *expected,
+    const cJSON *order)
 {
 	if (is_down() && faults.hangs)
 		return;
 	if (is_down() || faults.unhealthy)
 		mst_http_respond(httpd, request, 503, NULL, 0, "", 0);
 	else if (draw(faults.late_share))
-		carry_out_later(path, order);
+		carry_out_later(path, expected, order);
 	else if (draw(faults.lost_share))
 		carry_out(path, NO_REQUEST, order);
 	else if (!carry_out(path, request, order))
@@ -594,19 +721,19 @@
 static void
 handle_request(struct mst_http_request *request)
 {
-	struct mst_bytes expected =
-	    mst_http_header(request, "x-expect-instance");
+	char *expected =
+	    mst_bytes_to_str(mst_http_header(request, "x-expect-instance"));
 	cJSON *json =
 	    cJSON_ParseWithLength(request->body.data, request->body.len);
 	char *path = mst_bytes_to_str(request->path);
 
 	if (strcmp(path, "/faults") == 0)
 		set_faults(request->id, json);
-	else if (!is_down() && expected.len > 0 &&
-	    !mst_bytes_equal_str(expected, id))
+	else if (!is_down() && !names_this_runner(expected))
 		respond(request->id, 421, cJSON_CreateObject());
 	else
-		handle_order(request->id, path, json);
+		handle_order(request->id, path, expected, json);
+	g_free(expected);
 	g_free(path);
 	cJSON_Delete(json);
 	fflush(stdout);
@@ -638,36 +765,6 @@
 	}
 }
 
-static void
-on_reported(int status, const char *body, size_t len, void *ctx)
-{
-}
-
-static void
-on_report_due(uv_timer_t *timer)
-{
-	static const char *const headers[] = {
-	    "Content-Type: application/json", NULL};
-	char *body = g_strdup_printf(
-	    "{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"z\","
-	    "\"version\":\"v1\",\"slots\":%u,\"state\":\"ready\","
-	    "\"coldRemainingMs\":0,\"capacity\":{\"cpu\":%u,\"memMb\":%u},"
-	    "\"labels\":[\"a\",\"r1\"],\"clockMs\":%" G_GINT64_FORMAT
-	    ",\"born\":%" G_GINT64_FORMAT ",\"seq\":%" G_GUINT64_FORMAT "}",
-	    httpd_options.listen, slots, slots * TASK_MC, slots * TASK_MB,
-	    clock_ms(), born_ms, ++seq);
-	const struct mst_http_call call = {.url = report_url,
-	    .method = "PUT",
-	    .headers = headers,
-	    .body = body,
-	    .timeout_ms = CALL_MS,
-	    .on_done = on_reported};
-
-	if (!is_down())
-		mst_http_client_send(client, &call);
-	g_free(body);
-}
-
 static void
 on_lease_check(uv_timer_t *timer)
 {
@@ -686,7 +783,7 @@
 int
 main(int argc, char **argv)
 {
-	uv_timer_t report_timer, lease_timer;
+	uv_timer_t lease_timer;
 	uv_signal_t sigterm;
 	GError *error = NULL;
 
@@ -702,8 +799,9 @@
 	    .body_max_bytes = 1 << 20,
 	    .on_request = on_request,
 	    .on_disconnect = on_disconnect};
-	id = argv[3];
-	report_url = g_strdup_printf("http://%s/v1/instances/%s", argv[2], id);
+	first_id = argv[3];
+	id = g_strdup(first_id);
+	report_to = argv[2];
 	slots = (unsigned)strtoul(argv[4], NULL, 10);
 	if (argc == 6)
 		clock_rate = g_ascii_strtod(argv[5], NULL);
@@ -718,7 +816,7 @@
 		return 1;
 	}
 	uv_timer_init(uv_default_loop(), &report_timer);
-	uv_timer_start(&report_timer, on_report_due, 1, REPORT_MS);
+	report_from(1);
 	uv_timer_init(uv_default_loop(), &lease_timer);
 	uv_timer_start(&lease_timer, on_lease_check, 20, 20);
 	uv_signal_init(uv_default_loop(), &sigterm);
