tests: a worker restarted after its clock stepped back is ignored

clock-stepped-back: the time of day of a host steps back by 10 s and its worker is restarted, so the incarnation is dated before the last one; the agent ignores its reports and answers, and no entry uses it 3 s later.

--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -59,6 +59,11 @@
 #define FROZEN_STEP_MS  10 /* between the beginnings that are tried */
 #define FROZEN_STEPS    16
 
+/* A host's time of day steps back before its worker is restarted. */
+#define STEPPED_START_MS  6000
+#define STEPPED_BACK_MS   10000
+#define STEPPED_SETTLE_MS 3000
+
 /* A task that runs while an announcement of an older agent is on its way. */
 #define REPLACED_START_MS 2000
 #define REPLACED_STEP_MS  500
@@ -326,6 +331,39 @@
 	}
 }
 
+/* Restarts a worker after its host's time of day has stepped back. */
+static void
+restart_after_step(double new_id_probability)
+{
+	struct scenario *scenario =
+	    scenario_new_with_faults(1, 1U << FAULT_RESTART);
+	struct sim_worker *worker =
+	    sim_get_worker(scenario->sim, scenario->cluster.agents[0]);
+	int i;
+
+	run_until_ms(scenario, STEPPED_START_MS);
+	sim_worker_set_new_id_probability(worker, new_id_probability);
+	sim_worker_step_wall_clock(worker, -STEPPED_BACK_MS);
+	sim_worker_go_down(worker, sim_now(scenario->sim) + 1);
+	run_until_ms(scenario, STEPPED_START_MS + STEPPED_SETTLE_MS);
+	for (i = 0; i < SCENARIO_ENTRIES; i++)
+		g_assert_cmpuint(
+		    mst_entry_gauges(sim_get_entry(scenario->sim,
+					 scenario->cluster.entries[i]))
+			.members_active,
+		    ==, SCENARIO_WORKERS);
+	scenario_free(scenario);
+}
+
+/* Guards against ignoring a worker whose start is dated before that of its last
+ * incarnation. */
+static void
+leases__worker_restarts_after_clock_stepped_back(void)
+{
+	restart_after_step(0);
+	restart_after_step(1);
+}
+
 /* Restarts all agents but one, or kills them. */
 static void
 set_other_agents(const struct scenario *scenario, int agent, bool alive)
@@ -628,6 +666,8 @@
 	    "/leases/older-refusal-last", leases__older_refusal_comes_last);
 	g_test_add_func(
 	    "/leases-open/frozen-agent", leases__frozen_agent_sees_no_restart);
+	g_test_add_func("/leases-open/clock-stepped-back",
+	    leases__worker_restarts_after_clock_stepped_back);
 	g_test_add_func("/leases-open/older-announcement-last",
 	    leases__older_announcement_comes_last);
 	g_test_add_func(
