--- a/tests/sim/scenario.c
+++ b/tests/sim/scenario.c
@@ -466,9 +466,8 @@
 	g_assert_cmpuint(sim_restart_count(scenario->sim), ==, 0);
 }
 
-/* No living worker may be ignored once all is calm. */
-static void
-check_members(const struct scenario *scenario)
+void
+scenario_check_members(const struct scenario *scenario)
 {
 	int i;
 
@@ -509,7 +508,7 @@
 	g_assert_cmpuint(sim_overlap_count(scenario->sim), ==, 0);
 	check_answers(scenario);
 	if (scenario->faults != 0)
-		check_members(scenario);
+		scenario_check_members(scenario);
 	if (scenario->faults != 0)
 		check_crashes(scenario);
 	for (i = 0; i < SCENARIO_WORKERS; i++) {
--- a/tests/sim/scenario.h
+++ b/tests/sim/scenario.h
@@ -108,6 +108,9 @@
 /* Returns true while a member is neither killed nor paused nor slow. */
 bool scenario_member_is_calm(const struct scenario *scenario, int member);
 
+/* Checks that the entries use all workers, as they must once all is calm. */
+void scenario_check_members(const struct scenario *scenario);
+
 /* Plays a scenario to its end, checks it and frees it. */
 void scenario_run(struct scenario *scenario, bool faults, unsigned *completed);
 
--- a/tests/test_lease_reports.c
+++ b/tests/test_lease_reports.c
@@ -44,19 +44,6 @@
 	g_error("the task was not started");
 }
 
-static void
-check_workers_are_used(const struct scenario *scenario)
-{
-	int i;
-
-	for (i = 0; i < SCENARIO_ENTRIES; i++)
-		g_assert_cmpuint(
-		    mst_entry_gauges(sim_get_entry(scenario->sim,
-					 scenario->cluster.entries[i]))
-			.members_active,
-		    ==, SCENARIO_WORKERS);
-}
-
 static void
 lease_reports__odd_report_changes_nothing(gconstpointer data)
 {
@@ -73,7 +60,7 @@
 	g_assert_cmpuint(
 	    mst_agent_counters(sim_get_agent(scenario->sim, agent))->crashes,
 	    ==, 0);
-	check_workers_are_used(scenario);
+	scenario_check_members(scenario);
 	scenario_free(scenario);
 }
 
@@ -88,7 +75,7 @@
 	run_until_ms(scenario, START_MS + 10);
 	cluster_restart(&scenario->cluster, SCENARIO_ENTRIES);
 	run_until_ms(scenario, START_MS + SETTLE_MS);
-	check_workers_are_used(scenario);
+	scenario_check_members(scenario);
 	scenario_free(scenario);
 }
 
--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -339,19 +339,13 @@
 	    scenario_new_with_faults(1, 1U << FAULT_RESTART);
 	struct sim_worker *worker =
 	    sim_get_worker(scenario->sim, scenario->cluster.agents[0]);
-	int i;
 
 	run_until_ms(scenario, STEPPED_START_MS);
 	sim_worker_set_new_id_probability(worker, new_id_probability);
 	sim_worker_step_wall_clock(worker, -STEPPED_BACK_MS);
 	sim_worker_go_down(worker, sim_now(scenario->sim) + 1);
 	run_until_ms(scenario, STEPPED_START_MS + STEPPED_SETTLE_MS);
-	for (i = 0; i < SCENARIO_ENTRIES; i++)
-		g_assert_cmpuint(
-		    mst_entry_gauges(sim_get_entry(scenario->sim,
-					 scenario->cluster.entries[i]))
-			.members_active,
-		    ==, SCENARIO_WORKERS);
+	scenario_check_members(scenario);
 	scenario_free(scenario);
 }
 
