--- a/tests/test_lease_reports.c
+++ b/tests/test_lease_reports.c
@@ -82,25 +82,18 @@
 struct odd_report {
 	enum sim_odd_report kind;
 	const char *name;
-	const char *open; /* suffix of the group of each test */
-	const char *open_restart;
 };
 
-static const struct odd_report odd_reports[] = {{SIM_ODD_ID, "id", "", ""},
-    {SIM_ODD_ID_UNDATED, "id-undated", "-open", ""},
-    {SIM_ODD_UNDATED, "undated", "", ""},
-    {SIM_ODD_FUTURE, "future", "-open", "-open"},
-    {SIM_ODD_ENDLESS, "endless", "-open", "-open"},
-    {SIM_ODD_PAST, "past", "", ""}, {SIM_ODD_SEQ, "seq", "", ""},
-    {SIM_ODD_SERVICE, "service", "", ""}, {SIM_ODD_DELETE, "delete", "", ""},
-    {SIM_ODD_DELETE_OTHER, "delete-other", "-open", ""}};
+static const struct odd_report odd_reports[] = {{SIM_ODD_ID, "id"},
+    {SIM_ODD_ID_UNDATED, "id-undated"}, {SIM_ODD_UNDATED, "undated"},
+    {SIM_ODD_FUTURE, "future"}, {SIM_ODD_ENDLESS, "endless"},
+    {SIM_ODD_PAST, "past"}, {SIM_ODD_SEQ, "seq"}, {SIM_ODD_SERVICE, "service"},
+    {SIM_ODD_DELETE, "delete"}, {SIM_ODD_DELETE_OTHER, "delete-other"}};
 
 static void
-add_test(const struct odd_report *odd, const char *open, const char *prefix,
-    GTestDataFunc test)
+add_test(const struct odd_report *odd, const char *prefix, GTestDataFunc test)
 {
-	char *path =
-	    g_strdup_printf("/lease-reports%s/%s%s", open, prefix, odd->name);
+	char *path = g_strdup_printf("/lease-reports/%s%s", prefix, odd->name);
 
 	g_test_add_data_func(path, GINT_TO_POINTER(odd->kind), test);
 	g_free(path);
@@ -115,9 +108,8 @@
 	for (i = 0; i < G_N_ELEMENTS(odd_reports); i++) {
 		const struct odd_report *odd = &odd_reports[i];
 
-		add_test(odd, odd->open, "",
-		    lease_reports__odd_report_changes_nothing);
-		add_test(odd, odd->open_restart, "restart-",
+		add_test(odd, "", lease_reports__odd_report_changes_nothing);
+		add_test(odd, "restart-",
 		    lease_reports__agent_restarts_after_odd_report);
 	}
 	return g_test_run();
--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -659,8 +659,8 @@
 	g_test_add_func(
 	    "/leases/older-refusal-last", leases__older_refusal_comes_last);
 	g_test_add_func(
-	    "/leases-open/frozen-agent", leases__frozen_agent_sees_no_restart);
-	g_test_add_func("/leases-open/clock-stepped-back",
+	    "/leases/frozen-agent", leases__frozen_agent_sees_no_restart);
+	g_test_add_func("/leases/clock-stepped-back",
 	    leases__worker_restarts_after_clock_stepped_back);
 	g_test_add_func("/leases-open/older-announcement-last",
 	    leases__older_announcement_comes_last);
