agent: an order that was never sent is not taken for one that may be executed

An order that waits for a connection until its time is over, or whose connection is not made in time, never leaves this host; the HTTP client knows that, but reported it as an order without an answer. Its task was then bound to the worker, or its run had to be stopped first.

The client tells it apart (MST_HTTP_NOT_SENT) for all methods but GET, whose sendings it does not count. For a start it is a refusal, as by a refused connection, without the worker counting as down; a stop is repeated; a renewal has failed; and it counts as silence of the worker. The store takes it for no answer, as before. The stand-in of callers counts it as unanswered, which it counted before under the other name.

Checked first: libcurl (7.88.1) calls the function before a request on reused connections too. test_http_client /reset sends its second request on a reused one that closes, and libcurl's own repetition is then refused; it would be let through if the first one had not been counted.

Seen on the way: libcurl ends a call that waits for a connection only when another call of that host ends, however long its own time is over (a call of 50 ms beside one of 2000 ms ended after 2000 ms). Orders have 50 ms and a renewal its wait and 50 ms more, which bounds it here.

--- a/include/masticstall/worker.h
+++ b/include/masticstall/worker.h
@@ -34,6 +34,7 @@
 enum mst_order_status {
 	MST_ORDER_DONE = 1,
 	MST_ORDER_NO_ANSWER, /* may have been executed, or still be executed */
+	MST_ORDER_NOT_SENT,  /* no connection in time: it was not executed */
 	MST_ORDER_DOWN,      /* connection refused: the worker is down */
 	MST_ORDER_FENCED,    /* the worker has seen a higher fence */
 	MST_ORDER_OLD_RUN,   /* the run number is not above the last one */
--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -355,6 +355,7 @@
 			mst_candidate_doubt_id(agent);
 		handle_start_refusal(agent, run, MST_REASON_UPSTREAM_DOWN);
 		break;
+	case MST_ORDER_NOT_SENT:
 	case MST_ORDER_UNHEALTHY:
 		handle_start_refusal(agent, run, MST_REASON_UPSTREAM_DOWN);
 		break;
@@ -378,6 +379,7 @@
 		    agent, answer->sent_us, agent->worker.incarnation);
 	/* An unhealthy worker has done nothing. */
 	if (answer->status == MST_ORDER_NO_ANSWER ||
+	    answer->status == MST_ORDER_NOT_SENT ||
 	    answer->status == MST_ORDER_FENCED ||
 	    answer->status == MST_ORDER_UNHEALTHY ||
 	    answer->status == MST_ORDER_DOWN) {
--- a/src/core/worker/state.c
+++ b/src/core/worker/state.c
@@ -23,6 +23,7 @@
 
 static const char *const status_names[] = {[MST_ORDER_DONE] = "done",
     [MST_ORDER_NO_ANSWER] = "no-answer",
+    [MST_ORDER_NOT_SENT] = "not-sent",
     [MST_ORDER_DOWN] = "down",
     [MST_ORDER_FENCED] = "fenced",
     [MST_ORDER_OLD_RUN] = "old-run",
--- a/src/core/worker/worker.c
+++ b/src/core/worker/worker.c
@@ -18,7 +18,8 @@
 	struct worker *worker = &agent->worker;
 
 	agent->counters.orders[answer->status]++;
-	if (answer->status == MST_ORDER_NO_ANSWER) {
+	if (answer->status == MST_ORDER_NO_ANSWER ||
+	    answer->status == MST_ORDER_NOT_SENT) {
 		worker->unreliable_until_us =
 		    agent->now_us + WORKER_UNRELIABLE_US;
 		worker->unanswered++;
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -2,6 +2,7 @@
 
 #include <curl/curl.h>
 #include <errno.h>
+#include <stdbool.h>
 #include <string.h>
 
 #define IDLE_HANDLES_MAX       16  /* idle CURL handles */
@@ -17,6 +18,7 @@
 	GByteArray *body;
 	mst_http_call_cb on_done;
 	void *ctx;
+	bool counts_sends;
 	unsigned sends; /* times that the request was about to be sent */
 };
 
@@ -51,7 +53,7 @@
 	g_free(transfer);
 }
 
-/* Returns the HTTP status, MST_HTTP_NO_RESPONSE or MST_HTTP_CONN_REFUSED. */
+/* Returns the HTTP status, or what is passed in place of one. */
 static int
 transfer_status(const struct transfer *transfer, CURLcode result)
 {
@@ -66,6 +68,8 @@
 	if (result == CURLE_COULDNT_CONNECT && value == ECONNREFUSED &&
 	    transfer->sends == 0)
 		return MST_HTTP_CONN_REFUSED;
+	if (transfer->counts_sends && transfer->sends == 0)
+		return MST_HTTP_NOT_SENT;
 	return MST_HTTP_NO_RESPONSE;
 }
 
@@ -284,6 +288,7 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
 	if (strcmp(call->method, "GET") != 0) {
+		transfer->counts_sends = true;
 		curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_curl_request);
 		curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
 	}
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -11,9 +11,10 @@
 /* Passed to the callback in place of an HTTP status if there is no response. */
 #define MST_HTTP_NO_RESPONSE  0    /* the request may have been processed */
 #define MST_HTTP_CONN_REFUSED (-1) /* nothing listens at the address */
+/* No connection could be used in time, so nothing was sent; not told of GET. */
+#define MST_HTTP_NOT_SENT (-2)
 
-/* status is the HTTP status, MST_HTTP_NO_RESPONSE or MST_HTTP_CONN_REFUSED. The
- * body is followed by a NUL and valid during the callback only. */
+/* status is the HTTP status or one of the above. The body is followed by a NUL and valid during the callback only. */
 typedef void (*mst_http_call_cb)(
     int status, const char *body, size_t len, void *ctx);
 
--- a/tests/standins/caller.c
+++ b/tests/standins/caller.c
@@ -165,7 +165,7 @@
 {
 	struct job *job = ctx;
 
-	if (status == MST_HTTP_NO_RESPONSE &&
+	if ((status == MST_HTTP_NO_RESPONSE || status == MST_HTTP_NOT_SENT) &&
 	    g_get_monotonic_time() - job->sent_us >=
 		(int64_t)answer_ms * 1000) {
 		job->unanswered++;
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -6,8 +6,11 @@
 
 #include "net/http_client.h"
 
-#define CALLS      2
-#define TIMEOUT_MS 2000
+#define CALLS        2
+#define TIMEOUT_MS   2000
+#define SILENT_MS    100 /* timeout of a call that is not answered */
+#define WAITING_PATH "waiting"
+#define SHORT_MS     50 /* timeout of a call that waits for that one */
 
 /* Answers the first request of the first connection and closes connections at
  * every further one. */
@@ -16,7 +19,9 @@
 	uv_tcp_t connections[CALLS + 1];
 	unsigned connection_count;
 	unsigned requests;
+	unsigned waiting_requests; /* those of WAITING_PATH */
 	char buffer[4096];
+	bool is_silent; /* answers nothing */
 };
 
 struct fixture {
@@ -27,6 +32,7 @@
 	int statuses[CALLS];
 	unsigned done;
 	bool closes_listener; /* before the second call */
+	int waiting_status;   /* of a call that waits for a connection */
 };
 
 static void
@@ -53,6 +59,10 @@
 	if (length <= 0)
 		return;
 	server->requests++;
+	if (g_strstr_len(server->buffer, length, WAITING_PATH) != NULL)
+		server->waiting_requests++;
+	if (server->is_silent)
+		return;
 	if (server->requests == 1)
 		uv_write(g_new0(uv_write_t, 1), stream, &out, 1, on_written);
 	else if (!uv_is_closing((uv_handle_t *)stream))
@@ -118,13 +128,38 @@
 	const struct mst_http_call call = {.url = fixture->url,
 	    .method = "POST",
 	    .body = "{}",
-	    .timeout_ms = TIMEOUT_MS,
+	    .timeout_ms = fixture->server.is_silent ? SILENT_MS : TIMEOUT_MS,
 	    .on_done = on_done,
 	    .ctx = fixture};
 
 	mst_http_client_send(fixture->client, &call);
 }
 
+static void
+on_waiting_done(int status, const char *body, size_t len, void *ctx)
+{
+	struct fixture *fixture = ctx;
+
+	fixture->waiting_status = status;
+	uv_stop(&fixture->loop);
+}
+
+/* Sends a call while the only connection is in use; libcurl lets it wait until
+ * that is free, and its time is over then. */
+static void
+send_waiting_call(struct fixture *fixture)
+{
+	char *url = g_strconcat(fixture->url, WAITING_PATH, NULL);
+	const struct mst_http_call call = {.url = url,
+	    .method = "POST",
+	    .timeout_ms = SHORT_MS,
+	    .on_done = on_waiting_done,
+	    .ctx = fixture};
+
+	mst_http_client_send(fixture->client, &call);
+	g_free(url);
+}
+
 static void
 on_walk(uv_handle_t *handle, void *ctx)
 {
@@ -132,6 +167,40 @@
 		uv_close(handle, NULL);
 }
 
+static void
+fixture_init(struct fixture *fixture)
+{
+	uv_loop_init(&fixture->loop);
+	start_server(fixture);
+	fixture->client = mst_http_client_new(&fixture->loop, 1);
+}
+
+static void
+fixture_clear(struct fixture *fixture)
+{
+	mst_http_client_close(fixture->client);
+	uv_run(&fixture->loop, UV_RUN_NOWAIT);
+	uv_walk(&fixture->loop, on_walk, NULL);
+	uv_run(&fixture->loop, UV_RUN_DEFAULT);
+	g_assert_cmpint(uv_loop_close(&fixture->loop), ==, 0);
+}
+
+/* Guards against an order that never left this host and counts as one that may
+ * still be executed. */
+static void
+http_client__unsent_request_is_told(void)
+{
+	struct fixture fixture = {.server = {.is_silent = true}};
+
+	fixture_init(&fixture);
+	send_call(&fixture);
+	send_waiting_call(&fixture);
+	uv_run(&fixture.loop, UV_RUN_DEFAULT);
+	g_assert_cmpint(fixture.waiting_status, ==, MST_HTTP_NOT_SENT);
+	g_assert_cmpuint(fixture.server.waiting_requests, ==, 0);
+	fixture_clear(&fixture);
+}
+
 /* Guards against a request that is sent twice as if it were one: its first copy
  * may have been executed, whatever becomes of the second. */
 static void
@@ -140,19 +209,13 @@
 	struct fixture fixture = {
 	    .closes_listener = GPOINTER_TO_INT(closes_listener)};
 
-	uv_loop_init(&fixture.loop);
-	start_server(&fixture);
-	fixture.client = mst_http_client_new(&fixture.loop, 1);
+	fixture_init(&fixture);
 	send_call(&fixture);
 	uv_run(&fixture.loop, UV_RUN_DEFAULT);
 	g_assert_cmpint(fixture.statuses[0], ==, 200);
 	g_assert_cmpint(fixture.statuses[1], ==, MST_HTTP_NO_RESPONSE);
 	g_assert_cmpuint(fixture.server.requests, ==, CALLS);
-	mst_http_client_close(fixture.client);
-	uv_run(&fixture.loop, UV_RUN_NOWAIT);
-	uv_walk(&fixture.loop, on_walk, NULL);
-	uv_run(&fixture.loop, UV_RUN_DEFAULT);
-	g_assert_cmpint(uv_loop_close(&fixture.loop), ==, 0);
+	fixture_clear(&fixture);
 }
 
 int
@@ -163,5 +226,7 @@
 	    http_client__request_is_sent_once);
 	g_test_add_data_func("/http-client/reset-then-refused",
 	    GINT_TO_POINTER(true), http_client__request_is_sent_once);
+	g_test_add_func(
+	    "/http-client/unsent", http_client__unsent_request_is_told);
 	return g_test_run();
 }
