agent: a run with an open start is stopped at the worker's new incarnation

A run that a worker had confirmed or stopped counted as ended when a list of the worker's next incarnation lacked it, and its task went elsewhere. If a copy of its start had no answer, nothing shut that copy out any more: that its number is used, or was stopped, is known to the earlier incarnation only. The same for a stop that the earlier incarnation answers after the new one was heard, and for a stop that the worker rejects as invalid.

Such a run is stopped at the new incarnation first; it ends with a list that was asked for after that answer. While a copy is open, only a stop that was carried out by the present incarnation counts. It costs a round trip for runs with an open start, after a restart. A further restart within the time that orders are held up is not covered: the task would have to be bound (KNOWN-RED.txt).

Script: copy_after_restart.

--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -370,6 +370,23 @@
 	}
 }
 
+/* Returns true if the present incarnation of the worker has carried out a stop.
+ * An unhealthy worker has done nothing. If no start can arrive any more, the
+ * lists tell the rest, whatever the worker has rejected. */
+static bool
+stop_is_in_force(const struct mst_agent *agent, const struct run *run,
+    const struct mst_order_answer *answer)
+{
+	if (mst_worker_start_is_uncertain(run))
+		return answer->status == MST_ORDER_DONE &&
+		    !mst_worker_answer_is_late(agent, answer);
+	return answer->status != MST_ORDER_NO_ANSWER &&
+	    answer->status != MST_ORDER_NOT_SENT &&
+	    answer->status != MST_ORDER_FENCED &&
+	    answer->status != MST_ORDER_UNHEALTHY &&
+	    answer->status != MST_ORDER_DOWN;
+}
+
 void
 mst_worker_handle_stop_answer(struct mst_agent *agent, struct run *run,
     const struct mst_order_answer *answer)
@@ -377,12 +394,7 @@
 	if (answer->status == MST_ORDER_FENCED)
 		mst_worker_handle_fenced(
 		    agent, answer->sent_us, agent->worker.incarnation);
-	/* An unhealthy worker has done nothing. */
-	if (answer->status == MST_ORDER_NO_ANSWER ||
-	    answer->status == MST_ORDER_NOT_SENT ||
-	    answer->status == MST_ORDER_FENCED ||
-	    answer->status == MST_ORDER_UNHEALTHY ||
-	    answer->status == MST_ORDER_DOWN) {
+	if (!stop_is_in_force(agent, run, answer)) {
 		repeat_order_later(agent, run, ORDER_STOP_DUE);
 		return;
 	}
--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -95,10 +95,19 @@
 	agent->counters.runs_unknown++;
 }
 
-/* Fails the runs that the worker had confirmed before the lists were requested,
+/* Returns true if a start order without an answer may still start a run: what
+ * shut it out is known to an earlier incarnation of the worker only. */
+static bool
+may_start_again(const struct mst_agent *agent, const struct run *run)
+{
+	return mst_worker_start_is_uncertain(run) &&
+	    run->confirmed_us < agent->worker.heard_us;
+}
+
+/* Ends the runs that the worker had confirmed before the lists were requested,
  * but does not list. They have ended without a listed completion. */
 static void
-fail_unlisted_runs(
+end_unlisted_runs(
     struct mst_agent *agent, const struct mst_order_answer *answer, GList *runs)
 {
 	GList *link;
@@ -106,9 +115,13 @@
 	for (link = runs; link != NULL; link = link->next) {
 		struct run *run = link->data;
 
-		if ((run->order_state == ORDER_STARTED ||
-			run->order_state == ORDER_STOPPED) &&
-		    run->confirmed_us < answer->sent_us)
+		if ((run->order_state != ORDER_STARTED &&
+			run->order_state != ORDER_STOPPED) ||
+		    run->confirmed_us >= answer->sent_us)
+			continue;
+		if (may_start_again(agent, run))
+			mst_worker_send_stop(agent, run);
+		else
 			mst_worker_fail_run(agent, run, MST_REASON_RUN_LOST,
 			    MST_PROOF_UNLISTED);
 	}
@@ -149,7 +162,7 @@
 			mst_worker_send_stop(agent, run);
 		}
 	}
-	fail_unlisted_runs(agent, answer, unlisted);
+	end_unlisted_runs(agent, answer, unlisted);
 	g_list_free(unlisted);
 	return unknown_runs;
 }
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -648,7 +648,7 @@
 	    "candidate_unanswered", "restart_reported", "time_of_day_back",
 	    "answer_of_earlier_incarnation", "clock_gap", "start_names_worker",
 	    "down_answer_late", "fence_rises", "unknown_run_bound",
-	    "two_runs_of_task", "start_not_sent"};
+	    "two_runs_of_task", "start_not_sent", "copy_after_restart"};
 	/* Listed in KNOWN-RED.txt. */
 	static const char *const open_scripts[] = {"ended_with_open_copy"};
 
