agent: starts go out only under a fence that the worker has taken from it alone

Two gaps in what the fence shuts out after the agent is restarted. An agent that reached the worker's fence by steps could end at the very fence that its earlier incarnation had used, and a worker executes an order with the same fence: a held-up start of that one was not shut out (always so while the steps were 1). And after a rejection on a worker in use, starts went out under a fence that the worker had not seen: held up, they could be above that of the agent's next incarnation.

A fence that was reached by steps and taken rises once more before it counts; and starts, also repeated ones, wait until a list was read under the present fence, which renewals ask for without waiting for a completion.

It costs a round trip where an agent had to step, and two or three after a rejection on a worker in use, in which tasks are given back as busy.

Script: fence_same. Before: 'worker answers' under 1008, which a worker that rejects 1006 may have, and 'START j.0.0.0 run 1, fence 1017' before any list under 1017.

The state that the lease search compares has the new fields, and the worker's id.

--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -87,6 +87,7 @@
 	if (!agent->worker.synced || agent->worker.renew_failures > 0)
 		return false;
 	if (agent->drained || agent->worker.id == NULL ||
+	    agent->worker.fence != agent->worker.fence_in_force ||
 	    !mst_worker_has_lease_for_start(agent))
 		return run->order_state == ORDER_STOP_DUE;
 	return run->order_state == ORDER_START_DUE ||
--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -218,7 +218,8 @@
 	if (!worker->lease_expiring &&
 	    !mst_unknown_completions_are_pending(worker))
 		order->completions_acked = mst_completions_last_acked(worker);
-	if (worker->synced && worker->renew_failures == 0)
+	if (worker->synced && worker->renew_failures == 0 &&
+	    worker->fence == worker->fence_in_force)
 		order->wait_ms = (uint32_t)(wait_us / 1000);
 	order->timeout_ms = order->wait_ms + WORKER_RENEW_MARGIN_MS;
 	/* Runs left by an earlier incarnation of this agent are not renewed. */
@@ -261,6 +262,21 @@
 		worker->unknown_since_us = 0;
 }
 
+/* Records that the worker has taken the present fence. One that may have been
+ * used by an earlier incarnation of this agent rises once more first, because
+ * the worker executes delayed orders with the same one. */
+static void
+put_fence_in_force(struct mst_agent *agent)
+{
+	struct worker *worker = &agent->worker;
+
+	worker->fence_step = 0;
+	if (worker->fence_is_guess)
+		mst_worker_raise_fence(agent, worker->incarnation);
+	else
+		worker->fence_in_force = worker->fence;
+}
+
 /* Handles the answer to a renew order with the given fence. */
 static void
 handle_renew_success(struct mst_agent *agent,
@@ -279,6 +295,8 @@
 		mst_worker_raise_fence(agent, worker->incarnation);
 		return;
 	}
+	if (fence == worker->fence)
+		put_fence_in_force(agent);
 	/* The worker may still execute starts that were delayed since its
 	 * earlier incarnation. */
 	if (!worker->synced && fence != worker->fence)
@@ -286,7 +304,6 @@
 	unknown_runs = process_lists(agent, answer);
 	bound_lease(agent, answer, unknown_runs);
 	worker->renew_failures = 0;
-	worker->fence_step = 0;
 	/* Runs of an earlier incarnation of this agent must end first, because
 	 * entries may start their tasks elsewhere once they know of this
 	 * incarnation. */
--- a/src/core/worker/state.c
+++ b/src/core/worker/state.c
@@ -109,7 +109,8 @@
 	const struct worker *worker = &agent->worker;
 
 	return worker->has_reported && worker->id != NULL && worker->synced &&
-	    !worker->draining && !agent->drained && !worker->lease_expiring &&
+	    worker->fence == worker->fence_in_force && !worker->draining &&
+	    !agent->drained && !worker->lease_expiring &&
 	    worker->unanswered < WORKER_UNANSWERED_MAX &&
 	    mst_worker_has_lease_for_start(agent) &&
 	    worker->renew_failures < WORKER_RENEW_FAILURES_MAX;
@@ -213,10 +214,12 @@
 mst_worker_raise_fence(struct mst_agent *agent, uint64_t incarnation)
 {
 	struct worker *worker = &agent->worker;
-	uint64_t fence =
+	uint64_t derived =
 	    incarnation + (uint64_t)MAX(mst_worker_clock_ms(agent), 1);
+	uint64_t fence =
+	    MAX(derived, worker->fence_max + MAX(worker->fence_step, 1));
 
-	fence = MAX(fence, worker->fence_max + MAX(worker->fence_step, 1));
+	worker->fence_is_guess = worker->fence_step > 0 && fence > derived;
 	worker->fence = worker->fence_max = MIN(fence, WORKER_FENCE_MAX);
 	worker->fence_us = agent->now_us;
 }
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -61,8 +61,12 @@
 	int64_t answered_us;
 	uint64_t report_seq;
 	uint64_t fence; /* 0: to be raised once the worker's clock is known */
-	uint64_t fence_max; /* highest that this agent has used */
+	uint64_t fence_max;      /* highest that this agent has used */
+	uint64_t fence_in_force; /* highest under which lists were read */
 	uint64_t fence_step;
+	/* The fence was reached by steps, so it may be that of an earlier
+	 * incarnation of this agent. */
+	bool fence_is_guess;
 	int64_t fence_us; /* when it was last raised */
 	/* Number of the last completion read from the worker's lists. The last
 	 * one that it may drop is given by mst_completions_last_acked(). */
--- a/tests/search/state_hash.c
+++ b/tests/search/state_hash.c
@@ -157,7 +157,13 @@
 	put(h, worker->incarnation == actual->incarnation);
 	put(h,
 	    (worker->fence > actual->fence) - (worker->fence < actual->fence));
-	put(h, worker->fence == 0);
+	put_bool4(h, worker->fence == 0,
+	    worker->fence == worker->fence_in_force, worker->fence_is_guess,
+	    worker->id != NULL);
+	put_bool4(h, worker->candidate.is_set,
+	    worker->candidate.renewal.id != 0, worker->candidate.is_kept,
+	    worker->unknown_since_us > 0);
+	put_time(h, worker->heard_us);
 	put(h, (int64_t)(actual->last_seq - worker->completions_read));
 	put(h, worker->clock_ms == 0);
 	put_time(h, worker->lease_end_us);
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -648,7 +648,8 @@
 	    "candidate_unanswered", "restart_reported", "time_of_day_back",
 	    "answer_of_earlier_incarnation", "clock_gap", "start_names_worker",
 	    "down_answer_late", "fence_rises", "unknown_run_bound",
-	    "two_runs_of_task", "start_not_sent", "copy_after_restart"};
+	    "two_runs_of_task", "start_not_sent", "copy_after_restart",
+	    "fence_same"};
 	/* Listed in KNOWN-RED.txt. */
 	static const char *const open_scripts[] = {"ended_with_open_copy"};
 
