agent: arriving reports apart from their application

Moves the decision whether a report counts into claim.c, and the doubt in an id that a start was refused for from the orders to the handling of answers: seven files needed each other, now only the two pairs that did before. Formats a header.

--- a/src/core/worker/candidate.c
+++ b/src/core/worker/candidate.c
@@ -61,10 +61,9 @@
 	mst_candidate_tick(agent);
 }
 
-/* Makes the present id a candidate, because an order that named it was refused.
- * Nothing is started until it is verified again. */
-void
-mst_candidate_doubt_id(struct mst_agent *agent)
+/* Nothing is started until the id is verified again. */
+static void
+doubt_id(struct mst_agent *agent)
 {
 	struct worker *worker = &agent->worker;
 	char *id = g_steal_pointer(&worker->id);
@@ -85,6 +84,18 @@
 	g_free(id);
 }
 
+void
+mst_candidate_handle_refusal(
+    struct mst_agent *agent, const struct mst_order_answer *answer)
+{
+	const struct worker *worker = &agent->worker;
+
+	if (answer->kind == MST_ORDER_START &&
+	    answer->status == MST_ORDER_OTHER_INCARNATION &&
+	    worker->id != NULL && answer->sent_us >= worker->id_us)
+		doubt_id(agent);
+}
+
 /* The order renews no lease and acknowledges nothing: it may be executed by a
  * worker of which nothing is known yet. */
 static void
--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -351,11 +351,6 @@
 		handle_start_refusal(agent, run, MST_REASON_BUSY);
 		break;
 	case MST_ORDER_OTHER_INCARNATION:
-		if (agent->worker.id != NULL &&
-		    answer->sent_us >= agent->worker.id_us)
-			mst_candidate_doubt_id(agent);
-		handle_start_refusal(agent, run, MST_REASON_UPSTREAM_DOWN);
-		break;
 	case MST_ORDER_NOT_SENT:
 	case MST_ORDER_UNHEALTHY:
 		handle_start_refusal(agent, run, MST_REASON_UPSTREAM_DOWN);
--- a/src/core/worker/worker.c
+++ b/src/core/worker/worker.c
@@ -59,6 +59,7 @@
 			mst_worker_drop_renewal(agent, answer->id);
 		return;
 	}
+	mst_candidate_handle_refusal(agent, answer);
 	run =
 	    g_hash_table_lookup(agent->active, mst_u64_to_pointer(answer->id));
 	if (run == NULL)
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -102,7 +102,7 @@
 /* candidate.c */
 void mst_candidate_clear(struct candidate *candidate);
 
-/* report.c */
+/* claim.c */
 /* Handles a status report of the worker. */
 void mst_worker_handle_report(
     struct mst_agent *agent, const struct mst_worker_report *report);
--- a/src/core/worker/worker_internal.h
+++ b/src/core/worker/worker_internal.h
@@ -70,6 +70,9 @@
 /* Applies a report of the worker's present incarnation. */
 void mst_worker_apply_report(struct mst_agent *agent,
     const struct mst_worker_report *report, bool is_kept);
+/* Applies the last report of the worker's present incarnation. */
+void mst_worker_apply_last_report(
+    struct mst_agent *agent, const struct mst_worker_report *report);
 /* Counts a report that is not of the worker's present incarnation. */
 void mst_worker_refuse_report(
     struct mst_agent *agent, const struct mst_worker_report *report);
@@ -78,9 +81,10 @@
 /* Records a report that must be verified, in place of an earlier one. */
 void mst_candidate_set(struct mst_agent *agent,
     const struct mst_worker_report *report, bool is_kept);
-/* Has the worker's id verified again, because the worker refused an order that
- * named it. */
-void mst_candidate_doubt_id(struct mst_agent *agent);
+/* Has the worker's id verified again if the worker refused a start that named
+ * it. */
+void mst_candidate_handle_refusal(
+    struct mst_agent *agent, const struct mst_order_answer *answer);
 /* Applies the candidate if the answer to another order than the one that
  * verifies it shows its incarnation. */
 void mst_candidate_compare(
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -14,7 +14,8 @@
 /* No connection could be used in time, so nothing was sent; not told of GET. */
 #define MST_HTTP_NOT_SENT (-2)
 
-/* status is the HTTP status or one of the above. The body is followed by a NUL and valid during the callback only. */
+/* status is the HTTP status or one of the above. The body is followed by a NUL
+ * and valid during the callback only. */
 typedef void (*mst_http_call_cb)(
     int status, const char *body, size_t len, void *ctx);
 
