tests: a caller's numbers and encodings

Numbers of a job that are out of range were undefined, and came out differently on arm64 (the nearest bound) and x86-64. They are the nearest one in range now.

--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -164,6 +164,61 @@
 	mst_config_free(config);
 }
 
+/* Guards against numbers of a job that differ between machines: those out of
+ * range are the nearest ones in range. */
+static void
+frontend__numbers_out_of_range(void)
+{
+	static const char body[] =
+	    "{\"steps\":[{\"count\":1.5,\"cpu\":1e300,\"memMb\":-5,"
+	    "\"gpu\":1e400,\"estimateMs\":1e300,\"antiAffinity\":4294967296},"
+	    "{\"count\":1,\"cpu\":-1e300,\"memMb\":1e-400,\"gpu\":0.5,"
+	    "\"estimateMs\":-1,\"antiAffinity\":-1}]}";
+	struct mst_config *config = config_new();
+	struct frontend_request job;
+
+	parse_request(&job, config, "POST", "/p/5c0e7a21d94b36f8", body);
+	g_assert_cmpint(job.kind, ==, FRONTEND_REQ_SUBMIT);
+	g_assert_cmpuint(job.spec.count, ==, 2);
+	g_assert_cmpuint(job.spec.tasks[0].needs.millicores, ==, UINT32_MAX);
+	g_assert_cmpuint(job.spec.tasks[0].needs.memory_mb, ==, 0);
+	g_assert_cmpuint(job.spec.tasks[0].needs.accelerators, ==, UINT32_MAX);
+	g_assert_cmpuint(job.spec.tasks[0].declared_us, ==, UINT32_MAX);
+	g_assert_cmpuint(job.spec.steps[0].per_member_max, ==, UINT32_MAX);
+	g_assert_cmpuint(job.spec.tasks[1].needs.millicores, ==, 0);
+	g_assert_cmpuint(job.spec.tasks[1].needs.memory_mb, ==, 0);
+	g_assert_cmpuint(job.spec.tasks[1].needs.accelerators, ==, 0);
+	g_assert_cmpuint(job.spec.tasks[1].declared_us, ==, 0);
+	g_assert_cmpuint(job.spec.steps[1].per_member_max, ==, 0);
+	platform_frontend.release(&job);
+	mst_config_free(config);
+}
+
+/* Guards against a specification that no worker can read, and against the loss
+ * of a job that an earlier build has accepted with one. */
+static void
+frontend__encodings(void)
+{
+	static const char body[] =
+	    "{\"spec\":\"\xff\",\"steps\":[{\"count\":1}]}";
+	struct mst_config *config = config_new();
+	char *nested = g_strnfill(100000, '[');
+	struct frontend_request job;
+
+	parse_request(&job, config, "POST", "/p/5c0e7a21d94b36f8", body);
+	g_assert_cmpint(job.kind, ==, FRONTEND_REQ_MALFORMED);
+	platform_frontend.release(&job);
+	platform_frontend.read_stored(&job, "5c0e7a21d94b36f8", body,
+	    mst_config_queue_by_name(config, "push"));
+	g_assert_cmpint(job.kind, ==, FRONTEND_REQ_SUBMIT);
+	platform_frontend.release(&job);
+	parse_request(&job, config, "POST", "/p/5c0e7a21d94b36f8", nested);
+	g_assert_cmpint(job.kind, ==, FRONTEND_REQ_MALFORMED);
+	platform_frontend.release(&job);
+	g_free(nested);
+	mst_config_free(config);
+}
+
 static void
 frontend__classifies_requests(void)
 {
@@ -335,6 +390,8 @@
 	g_test_add_func("/frontend/steps", frontend__parses_steps);
 	g_test_add_func("/frontend/job", frontend__parses_job);
 	g_test_add_func("/frontend/deadline", frontend__parses_deadline);
+	g_test_add_func("/frontend/numbers", frontend__numbers_out_of_range);
+	g_test_add_func("/frontend/encodings", frontend__encodings);
 	g_test_add_func("/frontend/kinds", frontend__classifies_requests);
 	g_test_add_func("/frontend/prefix", frontend__matches_longest_prefix);
 	g_test_add_func("/frontend/responses", frontend__formats_responses);
