--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -1,13 +1,14 @@
 /*
  * Stand-in for the platform's store. POST /v1/rows-tx sets and removes rows
- * without conditions, GET /v1/rows-get returns the rows of a table and
- * GET /v1/rows-feed the changes of a table after a revision, for which it waits
- * up to waitMs. PUT /faults sets {"away": bool, "compact": bool, "busy": bool,
- * "delay_ms": n, "lose_answers": bool}: whether all reads get no response,
- * whether the history up to now is dropped, so that a feed from there gets
- * status 410, whether all calls are refused with status 503, how much later all
- * responses are sent, and whether transactions get no response. GET /counts
- * returns the number of calls by kind and table.
+ * without conditions, GET /v1/rows-get returns the rows of a part of a table,
+ * at most PAGE_ROWS in the order of their keys, and GET /v1/rows-feed the
+ * changes of a table after a revision, for which it waits up to waitMs. PUT
+ * /faults sets {"away": bool, "compact": bool, "busy": bool, "delay_ms": n,
+ * "lose_answers": bool}: whether all reads get no response, whether the history
+ * up to now is dropped, so that a feed from there gets status 410, whether all
+ * calls are refused with status 503, how much later all responses are sent, and
+ * whether transactions get no response. GET /counts returns the number of calls
+ * by kind and table.
  */
 
 #include <cjson/cJSON.h>
@@ -34,6 +35,8 @@
 	char *text;
 };
 
+#define PAGE_ROWS 500
+
 static struct mst_httpd *httpd;
 static GPtrArray *changes; /* cJSON rows in the order of their revisions */
 static GPtrArray *feeds;   /* struct feed */
@@ -152,12 +155,60 @@
 	return false;
 }
 
-/* Responds with the present rows of a part of a table, or with after the
- * changes of the whole table since that revision. Returns the number of rows.
- */
+static gint
+compare_keys(gconstpointer a, gconstpointer b)
+{
+	return strcmp(get_string(*(const cJSON *const *)a, "key"),
+	    get_string(*(const cJSON *const *)b, "key"));
+}
+
+/* Returns the present rows of a part of a table from a key on, in the order of
+ * their keys. */
+static GPtrArray *
+find_rows(const char *table, const char *part, const char *from)
+{
+	GPtrArray *rows = g_ptr_array_new();
+	guint i;
+
+	for (i = 0; i < changes->len; i++) {
+		const cJSON *row = changes->pdata[i];
+
+		if (strcmp(get_string(row, "table"), table) == 0 &&
+		    strcmp(get_string(row, "part"), part) == 0 &&
+		    strcmp(get_string(row, "key"), from) >= 0 &&
+		    !cJSON_HasObjectItem(row, "removed") && !is_replaced(i))
+			g_ptr_array_add(rows, (gpointer)row);
+	}
+	g_ptr_array_sort(rows, compare_keys);
+	return rows;
+}
+
+static void
+respond_rows(
+    const struct mst_http_request *request, const char *table, const char *part)
+{
+	cJSON *json = cJSON_CreateObject();
+	cJSON *list = cJSON_AddArrayToObject(json, "rows");
+	char *from = get_param(request->query, "from");
+	GPtrArray *rows = find_rows(table, part, from);
+	uint64_t limit = get_number_param(request->query, "limit");
+	guint count = MIN(
+	    rows->len, limit > 0 ? (guint)MIN(limit, PAGE_ROWS) : PAGE_ROWS);
+	guint i;
+
+	for (i = 0; i < count; i++)
+		cJSON_AddItemToArray(list, cJSON_Duplicate(rows->pdata[i], 1));
+	cJSON_AddBoolToObject(json, "hasMore", rows->len > count);
+	cJSON_AddNumberToObject(json, "ver", (double)revision);
+	respond_json(request->id, 200, json);
+	g_ptr_array_unref(rows);
+	g_free(from);
+}
+
+/* Responds with the changes of a table since a revision if there are some, or
+ * in any case with force. Returns the number of rows. */
 static unsigned
-respond_rows(uint64_t id, const char *table, const char *part,
-    const uint64_t *after, bool force)
+respond_changes(uint64_t id, const char *table, uint64_t after, bool force)
 {
 	cJSON *json = cJSON_CreateObject();
 	cJSON *rows = cJSON_AddArrayToObject(json, "rows");
@@ -171,11 +222,7 @@
 		    cJSON_GetObjectItemCaseSensitive(row, "ver")->valuedouble;
 
 		if (strcmp(get_string(row, "table"), table) != 0 ||
-		    (after != NULL && ver <= (double)*after) ||
-		    (after == NULL &&
-			(strcmp(get_string(row, "part"), part) != 0 ||
-			    is_replaced(i) ||
-			    cJSON_HasObjectItem(row, "removed"))))
+		    ver <= (double)after)
 			continue;
 		cJSON_AddItemToArray(rows, cJSON_Duplicate(row, 1));
 		count++;
@@ -200,8 +247,7 @@
 static void
 feed_update(struct feed *feed, bool force)
 {
-	if (respond_rows(feed->id, feed->table, NULL, &feed->after, force) ==
-		0 &&
+	if (respond_changes(feed->id, feed->table, feed->after, force) == 0 &&
 	    !force)
 		return;
 	g_ptr_array_remove(feeds, feed);
@@ -315,7 +361,7 @@
 	} else if (mst_bytes_equal_str(request->path, "/v1/rows-get")) {
 		count_call("get", table);
 		if (!away)
-			respond_rows(request->id, table, part, NULL, true);
+			respond_rows(request, table, part);
 	} else if (mst_bytes_equal_str(request->path, "/v1/rows-feed")) {
 		count_call("feed", table);
 		if (!away)
