--- a/tests/test_store_rows.c
+++ b/tests/test_store_rows.c
@@ -157,20 +157,29 @@
 static void
 store__unreadable_value_is_a_row(void)
 {
+	/* Not base64; {"owner":"1"} and text behind a NUL. */
+	static const char *const bodies[] = {
+	    "{\"rows\":[7,{\"key\":8},{\"key\":\"k\",\"ver\":3,"
+	    "\"value\":\"?\"},{\"key\":\"l\",\"ver\":1e300}]}",
+	    "{\"rows\":[{\"key\":\"k\",\"ver\":3,"
+	    "\"value\":\"eyJvd25lciI6IjEifQB4\"}]}"};
 	static const struct store_range range = {
 	    .table = "t", .partition = "a"};
 	struct peer *peer = peer_new();
 	void *store = platform_store.open(peer->client, peer->address);
+	size_t i;
 
 	peer->status = 200;
-	peer->body = "{\"rows\":[7,{\"key\":8},{\"key\":\"k\",\"ver\":3,"
-		     "\"value\":\"?\"},{\"key\":\"l\",\"ver\":1e300}]}";
-	platform_store.list_range(store, &range, 500, peer_on_result, peer);
-	peer_wait(peer);
-	g_assert_cmpint(peer->result.status, ==, STORE_OK);
-	g_assert_cmpuint(peer->result.count, ==, 1);
-	g_assert_cmpstr(peer->row_key, ==, "k");
-	g_assert_cmpstr(peer->row_value, ==, "");
+	for (i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		peer->body = bodies[i];
+		platform_store.list_range(
+		    store, &range, 500, peer_on_result, peer);
+		peer_wait(peer);
+		g_assert_cmpint(peer->result.status, ==, STORE_OK);
+		g_assert_cmpuint(peer->result.count, ==, 1);
+		g_assert_cmpstr(peer->row_key, ==, "k");
+		g_assert_cmpstr(peer->row_value, ==, "");
+	}
 	platform_store.close(store);
 	peer_stop(peer);
 }
