--- a/src/core/entry/entry.c
+++ b/src/core/entry/entry.c
@@ -253,7 +253,8 @@
 		mst_entry_start_incarnation(entry);
 		return;
 	}
-	mst_entry_settle_echoes(entry);
+	if (mst_entry_settle_echoes(entry) && entry->options.leased)
+		mst_entry_place_tasks(entry);
 	mst_owner_tick(entry);
 	if (entry->now_us >= entry->next_scan_us) {
 		entry->next_scan_us = entry->now_us + ENTRY_SCAN_US;
--- a/src/core/member/echo.c
+++ b/src/core/member/echo.c
@@ -30,17 +30,33 @@
 		entry->ticks_behind = INPUT_TICKS;
 }
 
-void
+bool
+mst_member_has_valid_echo(
+    const struct mst_entry *entry, const struct member *member)
+{
+	int64_t clock_us =
+	    member->clock_us + (entry->now_us - member->clock_received_us);
+
+	return member->echo.settled_us > 0 &&
+	    clock_us - member->echo.settled_us <= entry->options.suspect_us;
+}
+
+bool
 mst_entry_settle_echoes(struct mst_entry *entry)
 {
+	bool became_valid = false;
 	guint i;
 
 	if (entry->ticks_behind > 0)
 		entry->ticks_behind--;
 	for (i = 0; i < entry->members->len; i++) {
 		struct member *member = entry->members->pdata[i];
+		bool was_valid = mst_member_has_valid_echo(entry, member);
 
 		member->echo.settled_us = member->echo.waiting_us;
 		member->echo.waiting_us = member->clock_us;
+		became_valid |=
+		    !was_valid && mst_member_has_valid_echo(entry, member);
 	}
+	return became_valid;
 }
--- a/src/core/member/member.h
+++ b/src/core/member/member.h
@@ -105,8 +105,13 @@
     struct mst_entry *entry, struct member *member, int64_t clock_us);
 /* Records a gap between two events, which may leave input waiting. */
 void mst_entry_note_gap(struct mst_entry *entry, int64_t gap_us);
-/* Lets the clocks be echoed that were heard before the last tick. */
-void mst_entry_settle_echoes(struct mst_entry *entry);
+/* Returns true if a member accepts tasks that are sent with the present echo.
+ * It refuses those with an older one than this entry's lease lasts. */
+bool mst_member_has_valid_echo(
+    const struct mst_entry *entry, const struct member *member);
+/* Lets the clocks be echoed that were heard before the last tick. Returns true
+ * if tasks can be sent to another member now. */
+bool mst_entry_settle_echoes(struct mst_entry *entry);
 
 /* state.c */
 /* Returns the member with an incarnation, or NULL if there is none. */
--- a/src/core/place/dispatch.c
+++ b/src/core/place/dispatch.c
@@ -95,14 +95,6 @@
 	    entry->options.dispatch_valid_us);
 }
 
-/* Returns true if a dispatch would be accepted. A leased member refuses one
- * without an echo of its clock, so tasks wait for the first one. */
-static bool
-may_dispatch(const struct mst_entry *entry, const struct member *member)
-{
-	return !entry->options.leased || member->echo.settled_us > 0;
-}
-
 void
 mst_entry_flush(struct mst_entry *entry)
 {
@@ -117,7 +109,7 @@
 		struct mst_msg *msg;
 
 		emit_withdrawals(entry, member);
-		if (member->outbox->len == 0 || !may_dispatch(entry, member))
+		if (member->outbox->len == 0)
 			continue;
 		append_dispatch_items(entry, member);
 		g_array_set_size(member->outbox, 0);
