codec: lists of confirmed starts, epochs, starts with the names of their hosts

Cause: an entry that loses an agent can't tell a task that has started for certain from one whose start is still on its way, and another entry does not know the agent's incarnation that a start is told of. Bytes of the first format are unchanged (wire/first.txt); a message of confirmed starts without results was not decoded to its end before (wire/confirmed-starts).

--- a/include/masticstall/message.h
+++ b/include/masticstall/message.h
@@ -101,6 +101,8 @@
 	MST_MSG_CRASHES,        /* agent to entry: crashes of its worker */
 	/* Agent to entry: a start that may still be executed. */
 	MST_MSG_UNCERTAIN_START,
+	/* Agent or entry to entry: starts that may still be executed. */
+	MST_MSG_UNCERTAIN_STARTS,
 	MST_MSG_MAX
 };
 
@@ -114,10 +116,15 @@
 	/* Announcements, results and messages of their own tell uncertain
 	 * starts. */
 	MST_FEATURE_UNCERTAIN_STARTS = 1u << 1,
+	/* Results list confirmed starts; uncertain ones are told with the name
+	 * of their host, by entries as well. */
+	MST_FEATURE_CONFIRMED_STARTS = 1u << 2,
 };
 
 /** Features of this build. */
-#define MST_FEATURES (MST_FEATURE_NEW_REASONS | MST_FEATURE_UNCERTAIN_STARTS)
+#define MST_FEATURES                                                           \
+	(MST_FEATURE_NEW_REASONS | MST_FEATURE_UNCERTAIN_STARTS |              \
+	    MST_FEATURE_CONFIRMED_STARTS)
 
 /** Build of the sender; the version is empty where it is not announced. */
 struct mst_build_msg {
@@ -181,6 +188,9 @@
 	 * for certain: they wait, or an order to start them has no answer. */
 	uint32_t uncertain_count;
 	const uint64_t *uncertain_seqs;
+	/* Leased: greater than that of each earlier incarnation of the agent;
+	 * announced with the description, 0: unknown. */
+	uint64_t epoch;
 };
 
 struct mst_heartbeat {
@@ -273,6 +283,10 @@
 	uint32_t free_slots; /* leased: idle slots */
 	uint32_t count;
 	const struct mst_result_item *items;
+	/* Numbers of tasks that have started, none of whose start orders may
+	 * still be executed. */
+	uint32_t confirmed_count;
+	const uint64_t *confirmed_seqs;
 };
 
 /** Start of a best-effort task that got no answer and was given up. */
@@ -282,6 +296,20 @@
 	uint32_t index;        /* of the task in its job */
 };
 
+/** Start of a best-effort task that may still be executed. */
+struct mst_uncertain_item {
+	uint64_t agent;        /* incarnation of the agent of the worker */
+	struct mst_bytes host; /* name of that agent */
+	struct mst_bytes job;  /* key of the job */
+	uint32_t index;        /* of the task in its job */
+	uint32_t age_ms;       /* since the start may have been ordered last */
+};
+
+struct mst_uncertain_starts {
+	uint32_t count;
+	const struct mst_uncertain_item *items;
+};
+
 struct mst_withdraw {
 	uint32_t count;
 	const uint64_t *seqs;
@@ -407,6 +435,7 @@
 		struct mst_config_request config_request;
 		struct mst_crashes crashes;
 		struct mst_uncertain_start uncertain_start;
+		struct mst_uncertain_starts uncertain_starts;
 		struct mst_forward forward;
 		struct mst_forwarded forwarded;
 	};
--- a/src/codec/codec.c
+++ b/src/codec/codec.c
@@ -62,6 +62,9 @@
 		codec_put_bytes(pk, msg->uncertain_start.task);
 		codec_put_u64(pk, msg->uncertain_start.index);
 		break;
+	case MST_MSG_UNCERTAIN_STARTS:
+		codec_put_uncertain_starts(pk, &msg->uncertain_starts);
+		break;
 	case MST_MSG_CRASHES:
 		codec_put_crashes(pk, &msg->crashes);
 		break;
@@ -114,6 +117,9 @@
 		msg->uncertain_start.task = codec_get_bytes(r);
 		msg->uncertain_start.index = codec_get_u32(r);
 		break;
+	case MST_MSG_UNCERTAIN_STARTS:
+		codec_get_uncertain_starts(r, &msg->uncertain_starts);
+		break;
 	case MST_MSG_CRASHES:
 		codec_get_crashes(r, &msg->crashes);
 		break;
@@ -152,6 +158,7 @@
     [MST_MSG_CONFIG_REQUEST] = 1,
     [MST_MSG_CRASHES] = 2,
     [MST_MSG_UNCERTAIN_START] = 3,
+    [MST_MSG_UNCERTAIN_STARTS] = 1,
 };
 
 void
--- a/src/codec/payload.h
+++ b/src/codec/payload.h
@@ -27,8 +27,12 @@
 void codec_get_dispatch(struct codec_reader *r, struct mst_dispatch *m);
 void codec_put_results(msgpack_packer *pk, const struct mst_results *m);
 void codec_get_results(struct codec_reader *r, struct mst_results *m);
-/* Returns true if the message has a list of the uncertain starts. */
-bool codec_has_uncertain_starts(const struct mst_results *m);
+/* Returns the number of fields that follow those of the first format. */
+uint32_t codec_count_appended_to_results(const struct mst_results *m);
+void codec_put_uncertain_starts(
+    msgpack_packer *pk, const struct mst_uncertain_starts *m);
+void codec_get_uncertain_starts(
+    struct codec_reader *r, struct mst_uncertain_starts *m);
 void codec_put_fenced(msgpack_packer *pk, const struct mst_fenced *m);
 void codec_get_fenced(struct codec_reader *r, struct mst_fenced *m);
 
--- a/src/codec/payload_task.c
+++ b/src/codec/payload_task.c
@@ -4,9 +4,12 @@
 
 #include "codec/payload.h"
 
-#define DISPATCH_ITEM_FIELDS 21
-#define RESULT_FIELDS        9
-#define FENCED_ITEM_FIELDS   (2 + RESULT_FIELDS)
+#define DISPATCH_ITEM_FIELDS  21
+#define RESULT_FIELDS         9
+#define UNCERTAIN_FIELDS      1
+#define CONFIRMED_FIELDS      1
+#define UNCERTAIN_ITEM_FIELDS 5
+#define FENCED_ITEM_FIELDS    (2 + RESULT_FIELDS)
 
 void
 codec_put_dispatch(msgpack_packer *pk, const struct mst_dispatch *m)
@@ -128,8 +131,8 @@
 	item->status = (uint16_t)status;
 }
 
-bool
-codec_has_uncertain_starts(const struct mst_results *m)
+static bool
+has_uncertain_starts(const struct mst_results *m)
 {
 	uint32_t i;
 
@@ -140,13 +143,22 @@
 	return false;
 }
 
-/* Packs one flag for each result. */
+uint32_t
+codec_count_appended_to_results(const struct mst_results *m)
+{
+	if (m->confirmed_count > 0)
+		return UNCERTAIN_FIELDS + CONFIRMED_FIELDS;
+	return has_uncertain_starts(m) ? UNCERTAIN_FIELDS : 0;
+}
+
+/* Packs one flag for each result. It is packed as well if another field
+ * follows. */
 static void
-put_uncertain_starts(msgpack_packer *pk, const struct mst_results *m)
+put_start_flags(msgpack_packer *pk, const struct mst_results *m)
 {
 	uint32_t i;
 
-	if (!codec_has_uncertain_starts(m))
+	if (!has_uncertain_starts(m) && m->confirmed_count == 0)
 		return;
 	msgpack_pack_array(pk, m->count);
 	for (i = 0; i < m->count; i++)
@@ -155,7 +167,7 @@
 
 /* Builds before this list was added send messages that end before it. */
 static void
-get_uncertain_starts(struct codec_reader *r, struct mst_results *m,
+get_start_flags(struct codec_reader *r, struct mst_results *m,
     struct mst_result_item *items)
 {
 	struct codec_reader nested;
@@ -179,7 +191,9 @@
 	msgpack_pack_array(pk, (size_t)m->count * RESULT_FIELDS);
 	for (i = 0; i < m->count; i++)
 		put_result(pk, &m->items[i]);
-	put_uncertain_starts(pk, m);
+	put_start_flags(pk, m);
+	if (m->confirmed_count > 0)
+		codec_put_u64_list(pk, m->confirmed_seqs, m->confirmed_count);
 }
 
 void
@@ -202,8 +216,53 @@
 		get_result(&nested, &items[i]);
 	m->items = items;
 	r->failed |= nested.failed;
-	if (!r->failed && items != NULL)
-		get_uncertain_starts(r, m, items);
+	if (r->failed)
+		return;
+	get_start_flags(r, m, items);
+	if (!codec_at_end(r))
+		m->confirmed_seqs = codec_get_u64_list(r, &m->confirmed_count);
+}
+
+void
+codec_put_uncertain_starts(
+    msgpack_packer *pk, const struct mst_uncertain_starts *m)
+{
+	uint32_t i;
+
+	msgpack_pack_array(pk, (size_t)m->count * UNCERTAIN_ITEM_FIELDS);
+	for (i = 0; i < m->count; i++) {
+		codec_put_u64(pk, m->items[i].agent);
+		codec_put_bytes(pk, m->items[i].host);
+		codec_put_bytes(pk, m->items[i].job);
+		codec_put_u64(pk, m->items[i].index);
+		codec_put_u64(pk, m->items[i].age_ms);
+	}
+}
+
+void
+codec_get_uncertain_starts(
+    struct codec_reader *r, struct mst_uncertain_starts *m)
+{
+	struct mst_uncertain_item *items;
+	struct codec_reader nested;
+	uint32_t count, i;
+
+	nested = codec_get_array(r, &count);
+	if (nested.failed || count % UNCERTAIN_ITEM_FIELDS != 0)
+		r->failed = true;
+	if (r->failed)
+		return;
+	m->count = count / UNCERTAIN_ITEM_FIELDS;
+	items = codec_list_alloc(r, m->count, sizeof(*items));
+	for (i = 0; items != NULL && i < m->count; i++) {
+		items[i].agent = codec_get_u64(&nested);
+		items[i].host = codec_get_bytes(&nested);
+		items[i].job = codec_get_bytes(&nested);
+		items[i].index = codec_get_u32(&nested);
+		items[i].age_ms = codec_get_u32(&nested);
+	}
+	m->items = items;
+	r->failed |= nested.failed;
 }
 
 void
--- a/tests/sim/delivery.c
+++ b/tests/sim/delivery.c
@@ -39,7 +39,10 @@
 	if (msg->type == MST_MSG_ANNOUNCE) {
 		msg->announce.build = none;
 		msg->announce.uncertain_count = 0;
-	} else if (msg->type == MST_MSG_HEARTBEAT)
+		msg->announce.epoch = 0;
+	} else if (msg->type == MST_MSG_RESULT)
+		msg->results.confirmed_count = 0;
+	else if (msg->type == MST_MSG_HEARTBEAT)
 		msg->heartbeat.build = none;
 	else if (msg->type == MST_MSG_PEER)
 		msg->peer.build = none;
--- a/tests/support/wire_samples.c
+++ b/tests/support/wire_samples.c
@@ -156,6 +156,22 @@
 	    .items = items};
 }
 
+static struct mst_uncertain_starts
+sample_uncertain_starts(void)
+{
+	static struct mst_uncertain_item items[2];
+
+	items[0] = (struct mst_uncertain_item){.agent = FROM,
+	    .host = text("agent1"),
+	    .job = text("5c0e7a21d94b36f8"),
+	    .index = 1,
+	    .age_ms = 1300};
+	items[1] = (struct mst_uncertain_item){
+	    .agent = TO, .host = text("agent2"), .job = text("x")};
+	return (struct mst_uncertain_starts){
+	    .count = G_N_ELEMENTS(items), .items = items};
+}
+
 static struct mst_crashes
 sample_crashes(void)
 {
@@ -244,6 +260,9 @@
 			.task = text("5c0e7a21d94b36f8.0.0.1"),
 			.index = 1};
 		break;
+	case MST_MSG_UNCERTAIN_STARTS:
+		out->uncertain_starts = sample_uncertain_starts();
+		break;
 	default:
 		break;
 	}
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -106,7 +106,9 @@
 	    {"forward", sizeof(struct mst_forward)},
 	    {"forwarded", sizeof(struct mst_forwarded)},
 	    {"drains", sizeof(struct mst_drains_msg)},
-	    {"build", sizeof(struct mst_build_msg)}};
+	    {"build", sizeof(struct mst_build_msg)},
+	    {"uncertain-starts", sizeof(struct mst_uncertain_starts)},
+	    {"uncertain-item", sizeof(struct mst_uncertain_item)}};
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(sizes); i++)
@@ -156,15 +158,19 @@
 	announce->build = build;
 	announce->uncertain_seqs = seqs;
 	announce->uncertain_count = G_N_ELEMENTS(seqs);
+	announce->epoch = 1700000000001;
 }
 
 static void
-set_uncertain_start(struct mst_results *results)
+add_result_fields(struct mst_results *results)
 {
+	static const uint64_t seqs[] = {21, 22};
 	struct mst_result_item *items =
 	    (struct mst_result_item *)results->items;
 
 	items[1].start_uncertain = true;
+	results->confirmed_seqs = seqs;
+	results->confirmed_count = G_N_ELEMENTS(seqs);
 }
 
 /* Appends every type of message with the added fields. */
@@ -189,7 +195,7 @@
 		else if (type == MST_MSG_CRASHES)
 			set_lasted_times(&msg.crashes);
 		else if (type == MST_MSG_RESULT)
-			set_uncertain_start(&msg.results);
+			add_result_fields(&msg.results);
 		mst_msg_encode(bytes, &msg);
 		append_record(text, mst_msg_type_name(type), bytes);
 		g_byte_array_unref(bytes);
@@ -314,6 +320,31 @@
 	mst_decoder_free(decoder);
 }
 
+/* Confirmed starts go out alone if there are no results, and without flags a
+ * reader would take them for those of the results. */
+static void
+wire__confirmed_starts_need_no_results(void)
+{
+	static const uint64_t seqs[] = {3, 9};
+	struct mst_msg msg = {.type = MST_MSG_RESULT,
+	    .from = 1,
+	    .to = 2,
+	    .results = {
+		.confirmed_count = G_N_ELEMENTS(seqs), .confirmed_seqs = seqs}};
+	struct mst_decoder *decoder = mst_decoder_new();
+	GByteArray *bytes = g_byte_array_new();
+
+	mst_msg_encode(bytes, &msg);
+	g_assert_cmpint(
+	    mst_decoder_decode(&msg, decoder, bytes->data, bytes->len, NULL),
+	    ==, 0);
+	g_assert_cmpuint(msg.results.count, ==, 0);
+	g_assert_cmpuint(msg.results.confirmed_count, ==, 2);
+	g_assert_cmpuint(msg.results.confirmed_seqs[1], ==, 9);
+	g_byte_array_unref(bytes);
+	mst_decoder_free(decoder);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -326,6 +357,8 @@
 	    "/wire/unknown-type", wire__unknown_types_name_their_sender);
 	g_test_add_func(
 	    "/wire/lasted-times", wire__lasted_times_belong_to_their_runs);
+	g_test_add_func(
+	    "/wire/confirmed-starts", wire__confirmed_starts_need_no_results);
 	g_test_add_func(
 	    "/wire/unknown-outcome", wire__unknown_outcomes_may_have_run);
 	return g_test_run();
