entry: unconfirmed starts bind their tasks to hosts, and all entries are told

Cause: a task could be bound to one member, the last one, and only if somebody had told of the uncertain start. A task at an agent that was lost before it told anything ran elsewhere, while its start could still be executed by the worker's next incarnation; so did one that was bound to a second member, and one whose caller came back at an entry that the lost agent had not told.

- A sent best-effort task is uncertain until its member confirms the start.
When the member is lost, the task is bound to the member's host, by name, for 14 s: orders are up to 12 s late.
Members that don't announce the feature: as before.
- A task has a list of such starts.
It may run at a host only if all of them are there.
A successor of the agent frees nothing for other hosts: its fence is that of one incarnation of the worker, and the order may wait for the next.
- Two late starts at one host would both be executed by a worker that restarts.
A task that returns to its host keeps its run number, of which a worker takes one; if the worker has ended a run so numbered, the agent returns the task (run-used) instead of raising the number, and it waits.
- Starts are kept beyond the end of their job, and told to the other entries: at once if the member is lost or this entry is being stopped, else when the withdrawal has no answer after 300 ms.
So callers that leave cost no message unless the agent is silent.
At most 256 starts in a message, one message to each entry every 50 ms.
- Confirmed starts ride on results and on the announcements that agents send every 150 ms, and cost no message.

--- a/include/masticstall/entry.h
+++ b/include/masticstall/entry.h
@@ -253,6 +253,7 @@
 	MST_ENTRY_FX_CRASHED,  /* a worker crashed during a run of a task */
 	/* Jobs of a team are restricted in where they run, or no longer. */
 	MST_ENTRY_FX_QUARANTINE,
+	MST_ENTRY_FX_BOUND, /* a task may run again at one host only */
 	MST_ENTRY_FX_BUILD /* a process of another version was met or is gone */
 };
 
@@ -269,17 +270,19 @@
 	enum mst_entry_effect_type type;
 	struct mst_msg msg; /* SEND, CONFIG */
 	uint64_t request;   /* ANSWER, REFUSE, TICKET, FORWARD, STATE */
-	/* ANSWER, TASK, CLOSED, CRASHED: handle for mst_entry_job() */
+	/* ANSWER, TASK, CLOSED, CRASHED, BOUND: handle for mst_entry_job() */
 	uint64_t job;
-	uint32_t index;           /* TASK, CRASHED */
+	uint32_t index;           /* TASK, CRASHED, BOUND */
 	struct mst_ticket ticket; /* TICKET */
 	enum mst_refusal refusal; /* REFUSE */
 	enum mst_reason reason;   /* REFUSE */
 	bool may_have_run;        /* REFUSE */
 	uint32_t retry_after_ms;  /* REFUSE */
-	uint64_t peer; /* FORWARD: entry; TASK, MEMBER, CRASHED: agent */
-	struct mst_bytes peers;       /* PEERS */
-	const char *state;            /* MEMBER, OWNER, QUARANTINE */
+	/* FORWARD: entry; TASK, MEMBER, CRASHED, BOUND: agent */
+	uint64_t peer;
+	struct mst_bytes peers; /* PEERS */
+	/* MEMBER, OWNER, QUARANTINE; BOUND: the host, or NULL */
+	const char *state;
 	const char *team;             /* QUARANTINE */
 	struct mst_store_op op;       /* STORE */
 	enum mst_stored_state stored; /* STATE */
@@ -316,10 +319,21 @@
 	uint64_t suspect_jobs; /* jobs that were to run alone for crashes */
 	uint64_t quarantines;  /* restrictions of teams */
 	uint64_t results;
-	uint64_t results_late; /* for tasks that were already closed */
-	/* Tasks that may run again at one member only, because a start there
-	 * got no answer or the member was lost. */
+	uint64_t results_late;     /* for tasks that were already closed */
+	uint64_t starts_confirmed; /* of sent tasks, by their members */
+	/* Tasks that may run again at one host only, because a start there has
+	 * no answer or is not confirmed; see core/job/uncertain.h. How their
+	 * wait ended: sent to that host, sent anywhere once the start could no
+	 * longer be executed, settled by a late result, or not at all. */
 	uint64_t tasks_bound;
+	uint64_t bound_tasks_returned;
+	uint64_t bound_tasks_released;
+	uint64_t bound_tasks_settled;
+	uint64_t bound_tasks_unrun;
+	/* Messages to other entries of such starts, and tasks that were not
+	 * told because too many waited. */
+	uint64_t starts_told;
+	uint64_t starts_untold;
 	uint64_t results_repeated;
 	uint64_t outcomes[MST_OUTCOME_UNKNOWN + 1];
 	uint64_t ejections;
--- a/include/masticstall/message.h
+++ b/include/masticstall/message.h
@@ -80,6 +80,7 @@
 	MST_REASON_NO_QUEUE,          /* no queue matches host and path */
 	MST_REASON_NOT_SERVED,        /* this kind of job is not supported */
 	MST_REASON_WORKER_CRASHED,    /* the worker crashed during the run */
+	MST_REASON_RUN_USED, /* the worker has ended a run so numbered */
 	/* One that a newer build has added; received, but never sent. */
 	MST_REASON_OTHER,
 	MST_REASON_MAX
@@ -228,6 +229,11 @@
  * agent tells all entries that it was not the cause.
  */
 #define MST_TASK_SUSPECT 8u
+/**
+ * Flag of a task: an earlier start with its run number may still be executed at
+ * the worker, which takes only one of them. The number must not be raised.
+ */
+#define MST_TASK_SAME_RUN 16u
 
 struct mst_dispatch_item {
 	uint64_t seq;
@@ -302,6 +308,7 @@
 	struct mst_bytes host; /* name of that agent */
 	struct mst_bytes job;  /* key of the job */
 	uint32_t index;        /* of the task in its job */
+	uint32_t run;          /* number of the run */
 	uint32_t age_ms;       /* since the start may have been ordered last */
 };
 
--- a/src/codec/payload_task.c
+++ b/src/codec/payload_task.c
@@ -8,7 +8,7 @@
 #define RESULT_FIELDS         9
 #define UNCERTAIN_FIELDS      1
 #define CONFIRMED_FIELDS      1
-#define UNCERTAIN_ITEM_FIELDS 5
+#define UNCERTAIN_ITEM_FIELDS 6
 #define FENCED_ITEM_FIELDS    (2 + RESULT_FIELDS)
 
 void
@@ -235,6 +235,7 @@
 		codec_put_bytes(pk, m->items[i].host);
 		codec_put_bytes(pk, m->items[i].job);
 		codec_put_u64(pk, m->items[i].index);
+		codec_put_u64(pk, m->items[i].run);
 		codec_put_u64(pk, m->items[i].age_ms);
 	}
 }
@@ -259,6 +260,7 @@
 		items[i].host = codec_get_bytes(&nested);
 		items[i].job = codec_get_bytes(&nested);
 		items[i].index = codec_get_u32(&nested);
+		items[i].run = codec_get_u32(&nested);
 		items[i].age_ms = codec_get_u32(&nested);
 	}
 	m->items = items;
--- a/src/core/agent/agent_internal.h
+++ b/src/core/agent/agent_internal.h
@@ -55,7 +55,7 @@
 	bool start_unanswered;
 	bool start_told;      /* to all entries, as an uncertain one */
 	bool start_confirmed; /* to its entry */
-	bool crashed; /* was in progress when the worker crashed */
+	bool crashed;         /* was in progress when the worker crashed */
 	/* Queued: enum mst_reason to refuse it for, once no earlier run of its
 	 * task is active. */
 	uint8_t refusal;
@@ -130,7 +130,6 @@
 	int64_t next_prune_us;
 	uint32_t description_version; /* increases with each change */
 	uint64_t epoch; /* leased: highest fence of its orders so far */
-	int64_t next_confirm_us; /* when confirmed starts are told alone */
 	bool draining;
 	int64_t drain_us;
 	bool stopped;
--- a/src/core/agent/report.c
+++ b/src/core/agent/report.c
@@ -1,10 +1,8 @@
-/* Reports of results and confirmed starts from an agent to the entries. */
+/* Reports of results from an agent to the entries, and of confirmed starts:
+ * those that no result takes along are in the next announcement. */
 
 #include "core/agent/agent_internal.h"
 
-/* Longest time for which a confirmed start waits for results to its entry. */
-#define CONFIRM_DELAY_US (20 * 1000)
-
 /* Moves the results in a session's outbox to the collected ones. */
 static void
 collect_results(struct mst_agent *agent, struct session *session)
@@ -21,21 +19,17 @@
 }
 
 static void
-flush_session(
-    struct mst_agent *agent, struct session *session, bool confirm_due)
+flush_session(struct mst_agent *agent, struct session *session)
 {
-	bool has_results = session->outbox->len > 0 || session->offer_due;
 	guint first_result = agent->scratch_results->len;
 	guint first_start = agent->scratch_confirmed->len;
 	struct mst_msg *msg;
 
-	if (has_results || confirm_due)
-		mst_session_confirm_starts(
-		    agent, session, agent->scratch_confirmed);
-	if (!has_results && agent->scratch_confirmed->len == first_start)
+	if (session->outbox->len == 0 && !session->offer_due)
 		return;
 	session->offer_due = false;
 	collect_results(agent, session);
+	mst_session_confirm_starts(agent, session, agent->scratch_confirmed);
 	msg = mst_agent_emit_msg(agent, session->entry, MST_MSG_RESULT);
 	msg->results.grant = mst_session_grant(agent, session);
 	msg->results.free_slots = mst_session_free_slots(agent, session);
@@ -61,7 +55,6 @@
 void
 mst_agent_flush(struct mst_agent *agent)
 {
-	bool confirm_due = agent->now_us >= agent->next_confirm_us;
 	GHashTableIter iter;
 	gpointer value;
 	guint i;
@@ -71,9 +64,7 @@
 	mst_agent_offer_slots(agent);
 	g_hash_table_iter_init(&iter, agent->sessions);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		flush_session(agent, value, confirm_due);
-	if (confirm_due)
-		agent->next_confirm_us = agent->now_us + CONFIRM_DELAY_US;
+		flush_session(agent, value);
 	for (i = 0; i < agent->effects->len; i++) {
 		struct mst_msg *msg =
 		    &g_array_index(agent->effects, struct mst_agent_effect, i)
--- a/src/core/agent/uncertain.c
+++ b/src/core/agent/uncertain.c
@@ -60,7 +60,8 @@
 	    .agent = agent->options.incarnation,
 	    .host = mst_bytes_from_str(agent->name),
 	    .job = mst_task_name_job(run->task.path),
-	    .index = run->task.index};
+	    .index = run->task.index,
+	    .run = run->run_number};
 	GArray *items;
 	GHashTableIter iter;
 	gpointer value;
--- a/src/core/entry/entry.c
+++ b/src/core/entry/entry.c
@@ -74,6 +74,8 @@
 	mst_drains_init(&entry->drains);
 	entry->crash_history = mst_crash_history_new();
 	entry->scratch_candidates = mst_candidates_new();
+	entry->scratch_starts =
+	    g_array_new(FALSE, FALSE, sizeof(struct mst_uncertain_item));
 	*out = entry;
 	return 0;
 }
@@ -109,6 +111,7 @@
 	g_array_unref(entry->scratch_items);
 	g_ptr_array_unref(entry->scratch_withdrawn);
 	g_array_unref(entry->scratch_candidates);
+	g_array_unref(entry->scratch_starts);
 	g_string_free(entry->peer_addresses, TRUE);
 	mst_seqset_clear(&entry->used_counters);
 	mst_config_free(entry->config);
@@ -178,6 +181,9 @@
 	case MST_MSG_UNCERTAIN_START:
 		mst_entry_handle_uncertain_start(entry, msg);
 		break;
+	case MST_MSG_UNCERTAIN_STARTS:
+		mst_entry_handle_uncertain_starts(entry, msg);
+		break;
 	case MST_MSG_CRASHES:
 		mst_entry_handle_crashes(entry, msg);
 		break;
@@ -266,6 +272,7 @@
 		mst_entry_expire_jobs(entry);
 		mst_entry_withdraw_stragglers(entry);
 		mst_entry_scan_overdue(entry);
+		mst_uncertain_tell_due(entry);
 	}
 	entry_greet_if_due(entry);
 	if (entry->now_us >= entry->next_heartbeat_us) {
--- a/src/core/entry/entry_internal.h
+++ b/src/core/entry/entry_internal.h
@@ -122,6 +122,7 @@
 	GArray *scratch_items;   /* struct mst_dispatch_item */
 	GPtrArray *scratch_withdrawn; /* arrays referenced by effects */
 	GArray *scratch_candidates;   /* see entry_place_leased.c */
+	GArray *scratch_starts;       /* struct mst_uncertain_item */
 };
 
 /* effect.c */
--- a/src/core/entry/view.c
+++ b/src/core/entry/view.c
@@ -26,7 +26,7 @@
 	    .submitted_us = job->submitted_us,
 	    .closed_us = job->closed_us,
 	    .may_have_run = mst_job_may_have_run(job),
-	    .start_uncertain = mst_job_is_uncertain(job),
+	    .start_uncertain = job->start_uncertain,
 	    .retry_after_ms = job->retry_after_ms,
 	    .traceparent = mst_span_bytes(job, job->traceparent)};
 	return 0;
--- a/src/core/job/job.c
+++ b/src/core/job/job.c
@@ -4,6 +4,7 @@
 #include "core/id.h"
 #include "core/job/adoption.h"
 #include "core/job/job.h"
+#include "core/job/start_list.h"
 #include "core/place/place.h"
 
 #include <string.h>
@@ -96,6 +97,7 @@
 		entry->bytes -= job->bytes;
 	}
 	for (i = 0; i < job->count; i++) {
+		mst_start_list_free(job->tasks[i].starts);
 		g_free((char *)job->tasks[i].result_type.data);
 		g_free((char *)job->tasks[i].result_body.data);
 	}
--- a/src/core/job/job.h
+++ b/src/core/job/job.h
@@ -23,10 +23,11 @@
 	int64_t deadline_us;
 	int64_t expected_end_us; /* when the tasks sent so far should end */
 	int64_t closed_us;
-	uint32_t count;    /* number of tasks */
-	uint32_t open;     /* tasks that are not closed */
-	uint32_t started;  /* tasks that were sent at least once */
-	bool may_have_run; /* other owners may have started any task */
+	uint32_t count;       /* number of tasks */
+	uint32_t open;        /* tasks that are not closed */
+	uint32_t started;     /* tasks that were sent at least once */
+	bool may_have_run;    /* other owners may have started any task */
+	bool start_uncertain; /* closed while an open task was bound */
 	struct task *tasks;
 	struct step *steps;
 	uint32_t step_count;
--- a/src/core/job/progress.c
+++ b/src/core/job/progress.c
@@ -207,6 +207,7 @@
 		mst_job_close_tasks(entry, job, reason);
 		entry->counters.jobs_failed++;
 	} else {
+		mst_uncertain_add_job(entry, job);
 		entry->counters.jobs_complete++;
 		mst_quarantine_count_complete(entry, job);
 	}
--- a/src/core/job/result.c
+++ b/src/core/job/result.c
@@ -310,14 +310,37 @@
 		return;
 	}
 	entry->tasks_sent--;
-	if (result->start_uncertain)
-		mst_task_bind(entry, job, (uint32_t)(tag & 0xffff), member);
+	mst_task_handle_start_result(
+	    entry, job, (uint32_t)(tag & 0xffff), member, result);
 	if (result->ack_after_record && job->stored != NULL)
 		mst_stored_defer_ack(entry, job, member, result->seq);
 	handle_task_result(
 	    entry, job, (uint32_t)(tag & 0xffff), member, result);
 }
 
+/* Records which sent tasks have started for certain. */
+static void
+confirm_starts(struct mst_entry *entry, struct member *member,
+    const struct mst_results *results)
+{
+	uint32_t i;
+
+	for (i = 0; i < results->confirmed_count; i++) {
+		uint64_t seq = results->confirmed_seqs[i];
+		uint64_t tag = (uint64_t)(uintptr_t)g_hash_table_lookup(
+		    member->sent_tasks, mst_u64_to_pointer(seq));
+		struct job *job;
+		struct task *task = tag != 0
+		    ? mst_find_sent_task(entry, member, seq, tag, &job)
+		    : NULL;
+
+		if (task == NULL)
+			continue;
+		task->start_state = START_SETTLED;
+		entry->counters.starts_confirmed++;
+	}
+}
+
 void
 mst_entry_handle_results(struct mst_entry *entry, struct member *member,
     const struct mst_results *results)
@@ -327,6 +350,7 @@
 
 	member->grant = results->grant;
 	member->free_slots = results->free_slots;
+	confirm_starts(entry, member, results);
 	for (i = 0; i < results->count; i++) {
 		apply_result(entry, member, &results->items[i]);
 		if (entry->incarnation != incarnation)
--- a/src/core/job/task.h
+++ b/src/core/job/task.h
@@ -24,7 +24,7 @@
 /* What the member that has a task says of its start. */
 enum start_state {
 	START_UNKNOWN = 0, /* nothing yet */
-	START_UNCERTAIN,   /* it is due, or an order to start got no answer */
+	START_UNCERTAIN,   /* it is due, or an order to start has no answer */
 	START_SETTLED      /* no start order may still be executed */
 };
 
@@ -54,8 +54,9 @@
 	struct member *member; /* set while sent */
 	uint64_t last_member;  /* member incarnation; 0: never sent */
 	uint64_t avoid_member; /* incarnation that failed the task, or 0 */
-	uint64_t bound_to;     /* see uncertain.h; 0: may run at any member */
+	struct uncertain_start *starts; /* see uncertain.h */
 	uint64_t seq;
+	uint32_t run; /* number of the run that was sent last */
 	int64_t sent_us;
 	int64_t closed_us;
 	int64_t withdrawn_us;
--- a/src/core/job/uncertain.c
+++ b/src/core/job/uncertain.c
@@ -6,31 +6,26 @@
 #include "core/job/uncertain.h"
 #include "core/member/member.h"
 
-/* Time for which a start without an answer may still be executed. */
-#define UNCERTAIN_KEEP_US (INT64_C(20) * G_USEC_PER_SEC)
 /* Most jobs remembered; the oldest one is dropped first. */
 #define UNCERTAIN_JOBS_MAX 4096
+/* Time within which a live agent has answered the withdrawal of a task. */
+#define SETTLE_TIME_US (300 * 1000)
 
 /* Closed job that may be submitted again. */
 struct uncertain_job {
 	char *key;
 	int64_t expires_us;
-	GArray *tasks; /* struct uncertain_task */
+	GHashTable *starts; /* index of a task -> struct uncertain_start */
 	GList link;
 };
 
-struct uncertain_task {
-	uint32_t index;
-	uint64_t bound_to; /* incarnation of the member */
-};
-
 static void
 uncertain_job_free(gpointer data)
 {
 	struct uncertain_job *uncertain = data;
 
 	g_free(uncertain->key);
-	g_array_unref(uncertain->tasks);
+	g_hash_table_unref(uncertain->starts);
 	g_free(uncertain);
 }
 
@@ -40,67 +35,105 @@
 	jobs->by_key = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, uncertain_job_free);
 	g_queue_init(&jobs->by_expiry);
+	g_queue_init(&jobs->untold);
+	jobs->telling = g_ptr_array_new_with_free_func(mst_untold_start_free);
 }
 
 void
 mst_uncertain_clear(struct uncertain_jobs *jobs)
 {
 	g_hash_table_unref(jobs->by_key);
+	g_queue_clear_full(&jobs->untold, mst_untold_start_free);
+	g_ptr_array_unref(jobs->telling);
+}
+
+/* Returns true if a start is at the host of a member. Agents of earlier builds
+ * tell only their incarnation. */
+static bool
+is_at_host_of(const struct mst_entry *entry,
+    const struct uncertain_start *start, const struct member *member)
+{
+	const struct member *agent;
+
+	if (start->agent == member->incarnation)
+		return true;
+	if (start->host != NULL)
+		return g_strcmp0(start->host, member->name) == 0;
+	agent = mst_member_find(entry, start->agent);
+	return agent == NULL || g_strcmp0(agent->name, member->name) == 0;
 }
 
 bool
 mst_task_may_run_at(const struct mst_entry *entry, const struct task *task,
     const struct member *member)
 {
-	const struct member *bound_to;
+	const struct uncertain_start *start;
 
-	if (task->bound_to == 0 || task->bound_to == member->incarnation)
-		return true;
-	bound_to = mst_member_find(entry, task->bound_to);
-	return bound_to == NULL || bound_to->succeeded;
+	for (start = task->starts; start != NULL; start = start->next) {
+		if (entry->now_us < start->expires_us &&
+		    (start->is_spent || !is_at_host_of(entry, start, member)))
+			return false;
+	}
+	return true;
 }
 
-static bool
-is_best_effort(const struct job *job)
+bool
+mst_task_is_bound(const struct mst_entry *entry, const struct task *task)
 {
-	return job->restartable && job->stored == NULL;
+	return mst_start_list_is_live(task->starts, entry->now_us);
+}
+
+uint32_t
+mst_task_bound_run_number(
+    const struct mst_entry *entry, const struct task *task)
+{
+	const struct uncertain_start *start;
+	uint32_t number = 0;
+
+	for (start = task->starts; start != NULL; start = start->next) {
+		if (entry->now_us < start->expires_us)
+			number = MAX(number, MAX(start->run, 1));
+	}
+	return number;
 }
 
 void
-mst_task_bind(struct mst_entry *entry, struct job *job, uint32_t index,
-    const struct member *member)
+mst_task_end_wait(struct mst_entry *entry, struct task *task)
 {
-	struct task *task = &job->tasks[index];
+	struct uncertain_start *live = NULL;
 
-	if (!is_best_effort(job))
+	if (task->starts == NULL)
 		return;
-	task->bound_to = member->incarnation;
-	entry->counters.tasks_bound++;
+	mst_start_list_move(&live, &task->starts, entry->now_us);
+	task->starts = live;
+	if (live != NULL)
+		entry->counters.bound_tasks_returned++;
+	else
+		entry->counters.bound_tasks_released++;
+}
+
+static bool
+is_best_effort(const struct job *job)
+{
+	return job->restartable && job->stored == NULL;
 }
 
 /* Returns true if a task is at a member that has not told that its start is
  * settled. Members of builds that never tell it count as settled. */
 static bool
-may_still_start(const struct task *task)
+may_still_start(const struct mst_entry *entry, const struct task *task)
 {
-	return task->state == TASK_SENT && task->start_state != START_SETTLED &&
+	return entry->options.leased && task->state == TASK_SENT &&
+	    task->start_state != START_SETTLED &&
 	    (task->member->build.features & MST_FEATURE_UNCERTAIN_STARTS) != 0;
 }
 
-bool
-mst_job_is_uncertain(const struct job *job)
+/* Returns true if a member confirms starts, so that one of which it has told
+ * nothing is uncertain. */
+static bool
+confirms_starts(const struct member *member)
 {
-	uint32_t i;
-
-	for (i = 0; i < job->count; i++) {
-		const struct task *task = &job->tasks[i];
-
-		if (task->bound_to != 0 &&
-		    (task->state != TASK_CLOSED ||
-			task->outcome == MST_OUTCOME_UNKNOWN))
-			return true;
-	}
-	return false;
+	return (member->build.features & MST_FEATURE_CONFIRMED_STARTS) != 0;
 }
 
 static void
@@ -125,8 +158,8 @@
 			remove_job(entry, g_queue_peek_head(&jobs->by_expiry));
 		uncertain = g_new0(struct uncertain_job, 1);
 		uncertain->key = g_strdup(key);
-		uncertain->tasks =
-		    g_array_new(FALSE, FALSE, sizeof(struct uncertain_task));
+		uncertain->starts = g_hash_table_new_full(g_direct_hash,
+		    g_direct_equal, NULL, (GDestroyNotify)mst_start_list_free);
 		uncertain->link.data = uncertain;
 		g_hash_table_insert(jobs->by_key, uncertain->key, uncertain);
 	}
@@ -135,33 +168,120 @@
 	return uncertain;
 }
 
-static struct uncertain_task *
-find_task(const struct uncertain_job *uncertain, uint32_t index)
+/* Moves the starts of a task into the record of its job. */
+static void
+remember_starts(struct uncertain_job *uncertain, uint32_t index,
+    struct uncertain_start **starts, int64_t now_us)
+{
+	struct uncertain_start *list = NULL;
+	gpointer known;
+
+	if (g_hash_table_steal_extended(
+		uncertain->starts, GUINT_TO_POINTER(index), NULL, &known))
+		list = known;
+	mst_start_list_move(&list, starts, now_us);
+	if (list != NULL)
+		g_hash_table_insert(
+		    uncertain->starts, GUINT_TO_POINTER(index), list);
+}
+
+/* Returns the open job with a key if its tasks can be bound. */
+static struct job *
+find_open_job(const struct mst_entry *entry, const char *key)
+{
+	struct job *job = g_hash_table_lookup(entry->jobs_by_key, key);
+
+	return job != NULL && is_best_effort(job) ? job : NULL;
+}
+
+static void
+report_bound(struct mst_entry *entry, const struct job *job, uint32_t index,
+    const struct uncertain_start *start)
 {
-	guint i;
+	struct mst_entry_effect *effect =
+	    mst_entry_emit(entry, MST_ENTRY_FX_BOUND);
+
+	effect->job = job->handle;
+	effect->index = index;
+	effect->peer = start->agent;
+	effect->state = job->tasks[index].starts->host;
+	entry->counters.tasks_bound++;
+}
 
-	for (i = 0; i < uncertain->tasks->len; i++) {
-		struct uncertain_task *task =
-		    &g_array_index(uncertain->tasks, struct uncertain_task, i);
+static void
+bind_task(struct mst_entry *entry, struct job *job, uint32_t index,
+    const struct uncertain_start *start)
+{
+	mst_start_list_add(&job->tasks[index].starts, start);
+	report_bound(entry, job, index, start);
+}
 
-		if (task->index == index)
-			return task;
+/* Adds a start that this entry was told of to the open job, or remembers it.
+ */
+static void
+add_told_start(struct mst_entry *entry, const char *key, uint32_t index,
+    const struct uncertain_start *start)
+{
+	struct job *job = find_open_job(entry, key);
+	struct uncertain_start *starts = NULL;
+
+	if (job != NULL && index < job->count) {
+		bind_task(entry, job, index, start);
+		return;
 	}
-	return NULL;
+	mst_start_list_add(&starts, start);
+	remember_starts(get_job(entry, key), index, &starts, entry->now_us);
+}
+
+/* Returns the start of a task that is sent to a member. The caller releases its
+ * host. */
+static struct uncertain_start
+sent_start(const struct mst_entry *entry, const struct member *member,
+    const struct task *task)
+{
+	return (struct uncertain_start){
+	    .host = g_ref_string_new_intern(member->name ? member->name : ""),
+	    .agent = member->incarnation,
+	    .seq = task->seq,
+	    .run = task->run,
+	    .expires_us = entry->now_us + UNCERTAIN_KEEP_US};
 }
 
 static void
-add_task(
-    struct mst_entry *entry, const char *key, uint32_t index, uint64_t bound_to)
+bind_sent_task(struct mst_entry *entry, struct job *job, uint32_t index,
+    const struct member *member, bool is_told)
 {
-	struct uncertain_job *uncertain = get_job(entry, key);
-	struct uncertain_task task = {.index = index, .bound_to = bound_to};
-	struct uncertain_task *known = find_task(uncertain, index);
+	struct uncertain_start start =
+	    sent_start(entry, member, &job->tasks[index]);
 
-	if (known != NULL)
-		known->bound_to = bound_to;
-	else
-		g_array_append_val(uncertain->tasks, task);
+	start.is_told = is_told;
+	bind_task(entry, job, index, &start);
+	g_ref_string_release(start.host);
+}
+
+/* Marks the starts at the host of a member, whose worker has ended a run with
+ * their number. With another number it might execute both after a restart. */
+static void
+spend_starts(const struct mst_entry *entry, struct task *task,
+    const struct member *member)
+{
+	struct uncertain_start *start;
+
+	for (start = task->starts; start != NULL; start = start->next)
+		start->is_spent |= is_at_host_of(entry, start, member);
+}
+
+void
+mst_task_handle_start_result(struct mst_entry *entry, struct job *job,
+    uint32_t index, const struct member *member,
+    const struct mst_result_item *result)
+{
+	if (result->outcome == MST_OUTCOME_NOT_RUN &&
+	    result->reason == MST_REASON_RUN_USED)
+		spend_starts(entry, &job->tasks[index], member);
+	/* The agent tells the other entries itself. */
+	if (result->start_uncertain && is_best_effort(job))
+		bind_sent_task(entry, job, index, member, true);
 }
 
 void
@@ -169,31 +289,76 @@
     uint32_t index, const struct member *member)
 {
 	const struct task *task = &job->tasks[index];
+	struct uncertain_start start;
+	struct uncertain_start *starts = NULL;
 
-	if (!is_best_effort(job) || !may_still_start(task))
+	if (!is_best_effort(job) || !may_still_start(entry, task))
+		return;
+	if (confirms_starts(member) || task->start_state == START_UNCERTAIN) {
+		bind_sent_task(entry, job, index, member, false);
+		if (job->key != NULL)
+			mst_uncertain_tell_later(entry, job->key, index, 0);
 		return;
-	if (task->start_state == START_UNCERTAIN)
-		mst_task_bind(entry, job, index, member);
-	else if (job->key != NULL)
-		add_task(entry, job->key, index, member->incarnation);
+	}
+	if (job->key == NULL)
+		return;
+	/* A member that never confirms starts: the task may run elsewhere for
+	 * the rest of the job. */
+	start = sent_start(entry, member, task);
+	mst_start_list_add(&starts, &start);
+	remember_starts(
+	    get_job(entry, job->key), index, &starts, entry->now_us);
+	g_ref_string_release(start.host);
 }
 
-void
-mst_uncertain_add_job(struct mst_entry *entry, const struct job *job)
+/* Adds the start of a task that is still at its member when its job is closed.
+ * The member's answer to the withdrawal may settle it. */
+static void
+add_sent_task(struct mst_entry *entry, struct task *task)
+{
+	struct uncertain_start start = sent_start(entry, task->member, task);
+
+	mst_start_list_add(&task->starts, &start);
+	g_ref_string_release(start.host);
+}
+
+static bool
+job_has_bound_task(const struct mst_entry *entry, const struct job *job)
 {
 	uint32_t i;
 
-	if (job->key == NULL || !is_best_effort(job))
-		return;
 	for (i = 0; i < job->count; i++) {
-		const struct task *task = &job->tasks[i];
+		if (job->tasks[i].state != TASK_CLOSED &&
+		    mst_task_is_bound(entry, &job->tasks[i]))
+			return true;
+	}
+	return false;
+}
+
+void
+mst_uncertain_add_job(struct mst_entry *entry, struct job *job)
+{
+	int64_t delay_us = entry->draining ? 0 : SETTLE_TIME_US;
+	struct uncertain_job *uncertain = NULL;
+	uint32_t i;
 
-		if (task->state == TASK_CLOSED)
+	if (!is_best_effort(job))
+		return;
+	job->start_uncertain = job_has_bound_task(entry, job);
+	for (i = 0; i < job->count && job->key != NULL; i++) {
+		struct task *task = &job->tasks[i];
+
+		if (task->state == TASK_WAITING &&
+		    mst_task_is_bound(entry, task))
+			entry->counters.bound_tasks_unrun++;
+		if (may_still_start(entry, task))
+			add_sent_task(entry, task);
+		if (task->starts == NULL)
 			continue;
-		if (may_still_start(task))
-			add_task(entry, job->key, i, task->member->incarnation);
-		else if (task->bound_to != 0)
-			add_task(entry, job->key, i, task->bound_to);
+		if (uncertain == NULL)
+			uncertain = get_job(entry, job->key);
+		remember_starts(uncertain, i, &task->starts, entry->now_us);
+		mst_uncertain_tell_later(entry, job->key, i, delay_us);
 	}
 }
 
@@ -202,20 +367,28 @@
     const struct member *member, const struct mst_result_item *result,
     uint32_t index)
 {
-	struct uncertain_job *uncertain = job->key != NULL
-	    ? g_hash_table_lookup(entry->uncertain.by_key, job->key)
-	    : NULL;
-	struct uncertain_task *task;
+	struct uncertain_job *uncertain;
+	struct uncertain_start *list;
+	struct job *again;
 
-	if (uncertain == NULL || result->start_uncertain)
+	if (job->key == NULL || result->start_uncertain)
+		return;
+	again = find_open_job(entry, job->key);
+	if (again != NULL && index < again->count &&
+	    mst_start_list_settle(
+		&again->tasks[index].starts, member->incarnation, result->seq))
+		entry->counters.bound_tasks_settled++;
+	uncertain = g_hash_table_lookup(entry->uncertain.by_key, job->key);
+	if (uncertain == NULL)
 		return;
-	task = find_task(uncertain, index);
-	if (task == NULL || task->bound_to != member->incarnation)
+	list = g_hash_table_lookup(uncertain->starts, GUINT_TO_POINTER(index));
+	if (!mst_start_list_settle(&list, member->incarnation, result->seq))
 		return;
-	g_array_remove_index_fast(uncertain->tasks,
-	    (guint)(task -
-		&g_array_index(uncertain->tasks, struct uncertain_task, 0)));
-	if (uncertain->tasks->len == 0)
+	g_hash_table_steal(uncertain->starts, GUINT_TO_POINTER(index));
+	if (list != NULL)
+		g_hash_table_insert(
+		    uncertain->starts, GUINT_TO_POINTER(index), list);
+	if (g_hash_table_size(uncertain->starts) == 0)
 		remove_job(entry, uncertain);
 }
 
@@ -223,39 +396,97 @@
 mst_entry_handle_uncertain_start(
     struct mst_entry *entry, const struct mst_msg *msg)
 {
-	const struct mst_uncertain_start *start = &msg->uncertain_start;
-	char *key = mst_bytes_to_str(mst_task_name_job(start->task));
-	struct job *job = g_hash_table_lookup(entry->jobs_by_key, key);
-	struct task *task;
-
-	add_task(entry, key, start->index, start->agent);
+	const struct mst_uncertain_start *told = &msg->uncertain_start;
+	const struct member *member = mst_member_find(entry, told->agent);
+	struct uncertain_start start = {.agent = told->agent,
+	    .expires_us = entry->now_us + UNCERTAIN_KEEP_US,
+	    .is_told = true};
+	char *key = mst_bytes_to_str(mst_task_name_job(told->task));
+
+	if (member != NULL && member->name != NULL)
+		start.host = g_ref_string_new_intern(member->name);
+	add_told_start(entry, key, told->index, &start);
+	if (start.host != NULL)
+		g_ref_string_release(start.host);
 	g_free(key);
-	if (job == NULL || !is_best_effort(job) || start->index >= job->count)
-		return;
-	task = &job->tasks[start->index];
-	if (task->state != TASK_WAITING)
+}
+
+static void
+handle_told_start(
+    struct mst_entry *entry, const struct mst_uncertain_item *item)
+{
+	int64_t age_us = (int64_t)item->age_ms * 1000;
+	struct uncertain_start start = {.agent = item->agent,
+	    .run = item->run,
+	    .expires_us = entry->now_us + UNCERTAIN_KEEP_US - age_us,
+	    .is_told = true};
+	char *host, *key;
+
+	if (age_us >= UNCERTAIN_KEEP_US || item->index >= MST_JOB_TASKS_MAX)
 		return;
-	task->bound_to = start->agent;
-	entry->counters.tasks_bound++;
+	host = mst_bytes_to_str(item->host);
+	key = mst_bytes_to_str(item->job);
+	start.host = g_ref_string_new_intern(host);
+	add_told_start(entry, key, item->index, &start);
+	g_ref_string_release(start.host);
+	g_free(host);
+	g_free(key);
+}
+
+void
+mst_entry_handle_uncertain_starts(
+    struct mst_entry *entry, const struct mst_msg *msg)
+{
+	const struct mst_uncertain_starts *starts = &msg->uncertain_starts;
+	uint32_t i;
+
+	for (i = 0; i < starts->count; i++)
+		handle_told_start(entry, &starts->items[i]);
 }
 
 void
 mst_uncertain_bind_job(struct mst_entry *entry, struct job *job)
 {
-	const struct uncertain_job *uncertain = job->key != NULL
+	struct uncertain_job *uncertain = job->key != NULL
 	    ? g_hash_table_lookup(entry->uncertain.by_key, job->key)
 	    : NULL;
-	guint i;
+	GHashTableIter iter;
+	gpointer key, value;
 
-	for (i = 0; uncertain != NULL && i < uncertain->tasks->len; i++) {
-		const struct uncertain_task *task =
-		    &g_array_index(uncertain->tasks, struct uncertain_task, i);
-
-		if (task->index < job->count) {
-			job->tasks[task->index].bound_to = task->bound_to;
-			entry->counters.tasks_bound++;
+	if (uncertain == NULL || !is_best_effort(job))
+		return;
+	g_hash_table_iter_init(&iter, uncertain->starts);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		uint32_t index = GPOINTER_TO_UINT(key);
+		struct uncertain_start *starts = value;
+		struct task *task;
+
+		g_hash_table_iter_steal(&iter);
+		if (index >= job->count) {
+			mst_start_list_free(starts);
+			continue;
 		}
+		task = &job->tasks[index];
+		mst_start_list_move(&task->starts, &starts, entry->now_us);
+		if (task->starts != NULL)
+			report_bound(entry, job, index, task->starts);
 	}
+	remove_job(entry, uncertain);
+}
+
+const struct uncertain_start *
+mst_uncertain_find(
+    const struct mst_entry *entry, const char *key, uint32_t index)
+{
+	const struct job *job = find_open_job(entry, key);
+	const struct uncertain_job *uncertain;
+
+	if (job != NULL)
+		return index < job->count ? job->tasks[index].starts : NULL;
+	uncertain = g_hash_table_lookup(entry->uncertain.by_key, key);
+	return uncertain != NULL
+	    ? g_hash_table_lookup(uncertain->starts, GUINT_TO_POINTER(index))
+	    : NULL;
 }
 
 void
--- /dev/null
+++ b/src/core/job/uncertain_tell.c
@@ -0,0 +1,126 @@
+/*
+ * What an entry tells the other entries of starts that may still be executed,
+ * because the caller of a job may come back at any of them. An agent that lives
+ * tells all entries itself, so a start is told only once its agent is lost, or
+ * has not answered a withdrawal for a while.
+ */
+
+#include "core/entry/entry_internal.h"
+#include "core/job/uncertain.h"
+#include "core/member/member.h"
+
+/* Most starts in one message; the others follow at the next scan. */
+#define TELL_STARTS_MAX 256
+/* Most tasks whose starts wait to be told. */
+#define UNTOLD_MAX 16384
+
+/* Task whose starts are told when that is due. */
+struct untold_start {
+	char *key; /* of its job */
+	uint32_t index;
+	int64_t due_us;
+};
+
+void
+mst_untold_start_free(gpointer data)
+{
+	struct untold_start *untold = data;
+
+	g_free(untold->key);
+	g_free(untold);
+}
+
+void
+mst_uncertain_tell_later(
+    struct mst_entry *entry, const char *key, uint32_t index, int64_t delay_us)
+{
+	struct untold_start *untold;
+
+	if (entry->uncertain.untold.length >= UNTOLD_MAX) {
+		entry->counters.starts_untold++;
+		return;
+	}
+	untold = g_new(struct untold_start, 1);
+	*untold = (struct untold_start){.key = g_strdup(key),
+	    .index = index,
+	    .due_us = entry->now_us + delay_us};
+	/* All others have the same delay. */
+	if (delay_us == 0)
+		g_queue_push_head(&entry->uncertain.untold, untold);
+	else
+		g_queue_push_tail(&entry->uncertain.untold, untold);
+}
+
+static struct mst_uncertain_item
+make_item(const struct mst_entry *entry, const struct untold_start *untold,
+    const struct uncertain_start *start)
+{
+	int64_t left_us = start->expires_us - entry->now_us;
+
+	return (struct mst_uncertain_item){.agent = start->agent,
+	    .host = mst_bytes_from_str(start->host),
+	    .job = mst_bytes_from_str(untold->key),
+	    .index = untold->index,
+	    .run = start->run,
+	    .age_ms = (uint32_t)((UNCERTAIN_KEEP_US - left_us) / 1000)};
+}
+
+/* Adds the starts of a task that the other entries do not know. */
+static void
+collect_starts(const struct mst_entry *entry, const struct untold_start *untold,
+    GArray *items)
+{
+	struct uncertain_start *start =
+	    (struct uncertain_start *)mst_uncertain_find(
+		entry, untold->key, untold->index);
+
+	for (; start != NULL; start = start->next) {
+		struct mst_uncertain_item item;
+
+		if (start->is_told || entry->now_us >= start->expires_us)
+			continue;
+		start->is_told = true;
+		item = make_item(entry, untold, start);
+		g_array_append_val(items, item);
+	}
+}
+
+static void
+tell_peers(struct mst_entry *entry, const GArray *items)
+{
+	GHashTableIter iter;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&iter, entry->peers);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const struct peer *peer = value;
+		struct mst_msg *msg;
+
+		if (!(peer->build.features & MST_FEATURE_CONFIRMED_STARTS))
+			continue;
+		msg = mst_entry_emit_msg(
+		    entry, (uint64_t)(uintptr_t)key, MST_MSG_UNCERTAIN_STARTS);
+		msg->uncertain_starts.items = (const void *)items->data;
+		msg->uncertain_starts.count = items->len;
+		entry->counters.starts_told++;
+	}
+}
+
+void
+mst_uncertain_tell_due(struct mst_entry *entry)
+{
+	struct uncertain_jobs *jobs = &entry->uncertain;
+	GArray *items = entry->scratch_starts;
+	const struct untold_start *next;
+
+	g_array_set_size(items, 0);
+	g_ptr_array_set_size(jobs->telling, 0);
+	while (items->len < TELL_STARTS_MAX &&
+	    (next = g_queue_peek_head(&jobs->untold)) != NULL &&
+	    entry->now_us >= next->due_us) {
+		g_ptr_array_add(jobs->telling, g_queue_pop_head(&jobs->untold));
+		collect_starts(entry, next, items);
+	}
+	if (items->len > 0)
+		tell_peers(entry, items);
+}
--- a/src/core/member/member.c
+++ b/src/core/member/member.c
@@ -118,7 +118,6 @@
 		    ? predecessor->warm_slowness
 		    : predecessor->reported_slowness;
 		member->mean_service_us = predecessor->mean_service_us;
-		predecessor->succeeded = true;
 		if (predecessor->state != MEMBER_GONE)
 			mst_member_mark_lost(entry, predecessor);
 	}
--- a/src/core/member/member.h
+++ b/src/core/member/member.h
@@ -59,7 +59,6 @@
 	uint64_t roster_version_sent; /* last sent to the member */
 	uint64_t peers_version_sent;  /* addresses last sent to the member */
 	int64_t peers_sent_us;
-	bool succeeded; /* its next incarnation has announced itself */
 	bool in_roster;
 	bool roster_recorded; /* roster entry recorded: may run tasks and
 				 arbitrate */
--- a/src/core/member/sync.c
+++ b/src/core/member/sync.c
@@ -121,7 +121,9 @@
 		struct task *task = mst_find_sent_task(
 		    entry, member, seq, (uint64_t)(uintptr_t)value, &job);
 
-		if (task != NULL &&
+		/* A start that is settled stays so, also if an announcement was
+		 * delayed. */
+		if (task != NULL && task->start_state != START_SETTLED &&
 		    mst_seqset_contains(&announce->seqs_received, seq))
 			task->start_state = has_uncertain_start(announce, seq)
 			    ? START_UNCERTAIN
--- a/src/core/message.c
+++ b/src/core/message.c
@@ -37,6 +37,7 @@
     [MST_REASON_NO_QUEUE] = "no-queue",
     [MST_REASON_NOT_SERVED] = "not-served",
     [MST_REASON_WORKER_CRASHED] = "worker-crashed",
+    [MST_REASON_RUN_USED] = "run-used",
     [MST_REASON_OTHER] = "other",
 };
 
--- a/src/core/place/fit.c
+++ b/src/core/place/fit.c
@@ -260,7 +260,7 @@
 	    !mst_member_matches_step(member, job, task))
 		return false;
 	return task->avoid_member != member->incarnation || is_quarantined ||
-	    task->bound_to != 0 || count_usable_members(entry) < 2;
+	    mst_task_is_bound(entry, task) || count_usable_members(entry) < 2;
 }
 
 struct member_sample
--- a/src/core/place/place.c
+++ b/src/core/place/place.c
@@ -215,6 +215,7 @@
 	task->state = TASK_SENT;
 	task->withdrawing = false;
 	task->start_state = START_UNKNOWN;
+	mst_task_end_wait(entry, task);
 	task->isolated = mst_job_is_isolated(job);
 	task->member = member;
 	task->last_member = member->incarnation;
@@ -265,7 +266,7 @@
 		/* Tasks of one step are similar: the next could not be placed
 		 * either, unless this one is bound to a member. */
 		if (job->restartable && job->step_count == 1 &&
-		    task->bound_to == 0)
+		    !mst_task_is_bound(entry, task))
 			break;
 	}
 	return false;
--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -323,6 +323,8 @@
 			 * state of its run. */
 			run->order_state = ORDER_STARTED;
 			run->confirmed_us = agent->now_us;
+		} else if (run->task.flags & MST_TASK_SAME_RUN) {
+			handle_start_refusal(agent, run, MST_REASON_RUN_USED);
 		} else {
 			run->run_number++;
 			repeat_start(agent, run);
--- a/src/runtime/entry_runtime.c
+++ b/src/runtime/entry_runtime.c
@@ -39,6 +39,21 @@
 	    effect->count, effect->peer);
 }
 
+/* Logs a task that may run again at one host only. */
+static void
+log_bound_task(
+    const struct entry_runtime *rt, const struct mst_entry_effect *effect)
+{
+	struct mst_job_view job;
+
+	if (mst_entry_job(&job, rt->entry, effect->job) < 0)
+		return;
+	mst_log(MST_LOG_INFO, "task-bound",
+	    "job=%s queue=%s task=%" PRIu32 " agent=%016" PRIx64 " host=%s",
+	    job.key != NULL ? job.key : "", job.team, effect->index,
+	    effect->peer, effect->state != NULL ? effect->state : "");
+}
+
 static void
 trace_closed_task(
     struct entry_runtime *rt, const struct mst_entry_effect *effect)
@@ -125,6 +140,9 @@
 	case MST_ENTRY_FX_TASK:
 		trace_closed_task(rt, effect);
 		break;
+	case MST_ENTRY_FX_BOUND:
+		log_bound_task(rt, effect);
+		break;
 	case MST_ENTRY_FX_CRASHED:
 		log_crashed_task(rt, effect);
 		break;
--- a/tests/support/wire_samples.c
+++ b/tests/support/wire_samples.c
@@ -165,6 +165,7 @@
 	    .host = text("agent1"),
 	    .job = text("5c0e7a21d94b36f8"),
 	    .index = 1,
+	    .run = 2,
 	    .age_ms = 1300};
 	items[1] = (struct mst_uncertain_item){
 	    .agent = TO, .host = text("agent2"), .job = text("x")};
