entry: announcements of an earlier incarnation of an agent are ignored

If an announcement of the earlier incarnation arrives last, the living one counts as replaced, and its tasks go elsewhere while they run. An announcement with the description now has an epoch: the highest fence of the agent's orders, which is greater than those of its earlier incarnations. A lower one than that of a member of the same name that is heard from is ignored. Evidence: bound/predecessor failed before (the task was sent to a third host); bound/predecessor-without-epoch and bound/lower-epoch guard the other two cases.

--- a/include/masticstall/entry.h
+++ b/include/masticstall/entry.h
@@ -338,6 +338,8 @@
 	uint64_t outcomes[MST_OUTCOME_UNKNOWN + 1];
 	uint64_t ejections;
 	uint64_t members_lost;
+	/* Ignored, from an earlier incarnation than the known one. */
+	uint64_t announcements_outdated;
 	uint64_t incarnations;
 };
 
--- a/src/core/member/member.c
+++ b/src/core/member/member.c
@@ -36,6 +36,7 @@
 	 * changes. */
 	if (announce->name.len > 0) {
 		member->description_version = announce->description_version;
+		member->epoch = MAX(member->epoch, announce->epoch);
 		mst_string_replace(&member->name, announce->name);
 		mst_string_replace(
 		    &member->failure_domain, announce->failure_domain);
@@ -123,6 +124,48 @@
 	}
 }
 
+/* Returns true if a member of the same name that is heard from has a higher
+ * epoch. The announcement is then a delayed one of an earlier incarnation,
+ * which has terminated. Builds before 0.4.0 announce no epoch. */
+static bool
+is_of_earlier_incarnation(const struct mst_entry *entry, uint64_t from,
+    const char *name, uint64_t epoch)
+{
+	guint i;
+
+	for (i = 0; i < entry->members->len && epoch != 0; i++) {
+		const struct member *member = entry->members->pdata[i];
+
+		if (member->incarnation != from &&
+		    member->state != MEMBER_GONE && member->epoch > epoch &&
+		    g_strcmp0(member->name, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Returns true if an announcement must be ignored, because the member's next
+ * incarnation is known. A living member is never searched for. */
+static bool
+is_outdated(const struct mst_entry *entry, const struct member *member,
+    const struct mst_msg *msg)
+{
+	const struct mst_announce *announce = &msg->announce;
+	bool outdated;
+	char *name;
+
+	if (member != NULL && member->state != MEMBER_GONE)
+		return false;
+	if (member != NULL)
+		return is_of_earlier_incarnation(
+		    entry, msg->from, member->name, member->epoch);
+	name = mst_bytes_to_str(announce->name);
+	outdated =
+	    is_of_earlier_incarnation(entry, msg->from, name, announce->epoch);
+	g_free(name);
+	return outdated;
+}
+
 void
 mst_entry_handle_announce(struct mst_entry *entry, const struct mst_msg *msg)
 {
@@ -136,6 +179,10 @@
 		mst_entry_start_incarnation(entry);
 		return;
 	}
+	if (entry->options.leased && is_outdated(entry, member, msg)) {
+		entry->counters.announcements_outdated++;
+		return;
+	}
 	if (member == NULL) {
 		member = mst_member_new(entry, msg->from);
 		if (member == NULL)
--- a/src/core/member/member.h
+++ b/src/core/member/member.h
@@ -26,6 +26,7 @@
 
 struct member {
 	uint64_t incarnation;
+	uint64_t epoch; /* greater than that of its predecessors; 0: unknown */
 	char *name;
 	char *failure_domain;
 	char *rack;
--- a/tests/test_bound_tasks.c
+++ b/tests/test_bound_tasks.c
@@ -26,6 +26,7 @@
 	uint32_t flags;
 	unsigned told;     /* starts, to another entry */
 	uint64_t features; /* of the members */
+	uint64_t epoch;    /* of the announced member; 0: not told */
 };
 
 static void
@@ -83,7 +84,8 @@
 		.grant = grant,
 		.free_slots = grant,
 		.build = {.version = mst_bytes_from_str("9.9.9"),
-		    .features = f->features}}};
+		    .features = f->features},
+		.epoch = f->epoch}};
 
 	deliver(f, member, &msg);
 }
@@ -287,19 +289,27 @@
 	fixture_free(f);
 }
 
+/* Confirms the start of the task that was dispatched last. */
+static void
+confirm_task(struct fixture *f)
+{
+	struct mst_msg msg = {.type = MST_MSG_RESULT,
+	    .results = {.confirmed_count = 1, .confirmed_seqs = &f->seq}};
+
+	deliver(f, f->dispatched_to, &msg);
+	f->dispatched_to = 0;
+}
+
 /* An order that was answered can't be executed any more. */
 static void
 bound__not_if_confirmed(void)
 {
 	struct fixture *f = fixture_new();
-	struct mst_msg msg = {
-	    .type = MST_MSG_RESULT, .results = {.confirmed_count = 1}};
 
 	announce(f, 100, "a", SLOTS);
 	submit(f);
 	run_ms(f, 100);
-	msg.results.confirmed_seqs = &f->seq;
-	deliver(f, 100, &msg);
+	confirm_task(f);
 	run_ms(f, LOST_MS);
 	announce(f, 300, "c", SLOTS);
 	run_ms(f, 100);
@@ -455,6 +465,65 @@
 	fixture_free(f);
 }
 
+/* Sends a task to the second incarnation of an agent, lets an announcement of
+ * the first one arrive, and returns the member that the task is sent to then.
+ */
+static uint64_t
+hear_earlier_incarnation(struct fixture *f, uint64_t epoch)
+{
+	f->epoch = epoch;
+	announce(f, 101, "a", SLOTS);
+	submit(f);
+	run_ms(f, 100);
+	g_assert_cmpuint(f->dispatched_to, ==, 101);
+	confirm_task(f);
+	f->epoch = 0;
+	announce(f, 300, "c", SLOTS);
+	f->epoch = epoch > 0 ? epoch - 1 : 0;
+	announce(f, 100, "a", 0);
+	run_ms(f, 100);
+	return f->dispatched_to;
+}
+
+/* Guards against a second run of a task whose member counts as replaced by its
+ * predecessor, of which an announcement arrives last. */
+static void
+bound__members_are_not_replaced_by_predecessors(void)
+{
+	struct fixture *f = fixture_new();
+
+	g_assert_cmpuint(hear_earlier_incarnation(f, 1000), ==, 0);
+	fixture_free(f);
+}
+
+/* An agent of 0.3.0 tells no epoch, and may be a successor. */
+static void
+bound__members_without_epoch_are_replaced(void)
+{
+	struct fixture *f = fixture_new();
+
+	g_assert_cmpuint(hear_earlier_incarnation(f, 0), ==, 300);
+	fixture_free(f);
+}
+
+/* A successor with a lower epoch, as after a reset of the clock, must not be
+ * ignored for ever. */
+static void
+bound__silent_members_are_replaced(void)
+{
+	struct fixture *f = fixture_new();
+
+	f->epoch = 1000;
+	announce(f, 100, "a", SLOTS);
+	run_ms(f, LOST_MS);
+	f->epoch = 999;
+	announce(f, 101, "a", SLOTS);
+	submit(f);
+	run_ms(f, 100);
+	g_assert_cmpuint(f->dispatched_to, ==, 101);
+	fixture_free(f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -474,5 +543,11 @@
 	    bound__other_entries_are_told_of_silent_members);
 	g_test_add_func(
 	    "/bound/settled", bound__a_late_result_settles_the_start);
+	g_test_add_func("/bound/predecessor",
+	    bound__members_are_not_replaced_by_predecessors);
+	g_test_add_func("/bound/predecessor-without-epoch",
+	    bound__members_without_epoch_are_replaced);
+	g_test_add_func(
+	    "/bound/lower-epoch", bound__silent_members_are_replaced);
 	return g_test_run();
 }
