--- a/src/core/job/uncertain.c
+++ b/src/core/job/uncertain.c
@@ -247,18 +247,6 @@
 	    .expires_us = entry->now_us + UNCERTAIN_KEEP_US};
 }
 
-static void
-bind_sent_task(struct mst_entry *entry, struct job *job, uint32_t index,
-    const struct member *member, bool is_told)
-{
-	struct uncertain_start start =
-	    sent_start(entry, member, &job->tasks[index]);
-
-	start.is_told = is_told;
-	bind_task(entry, job, index, &start);
-	g_ref_string_release(start.host);
-}
-
 /* Marks the starts at the host of a member, whose worker has ended a run with
  * their number. With another number it might execute both after a restart. */
 static void
@@ -276,12 +264,23 @@
     uint32_t index, const struct member *member,
     const struct mst_result_item *result)
 {
+	struct uncertain_start start;
+
 	if (result->outcome == MST_OUTCOME_NOT_RUN &&
 	    result->reason == MST_REASON_RUN_USED)
 		spend_starts(entry, &job->tasks[index], member);
+	if (!result->start_uncertain || !is_best_effort(job))
+		return;
 	/* The agent tells the other entries itself. */
-	if (result->start_uncertain && is_best_effort(job))
-		bind_sent_task(entry, job, index, member, true);
+	start = sent_start(entry, member, &job->tasks[index]);
+	start.is_told = true;
+	/* A task that has succeeded runs again only if its job does. */
+	if (result->outcome == MST_OUTCOME_DONE &&
+	    result->status < STATUS_FAILED_MIN)
+		mst_start_list_add(&job->tasks[index].starts, &start);
+	else
+		bind_task(entry, job, index, &start);
+	g_ref_string_release(start.host);
 }
 
 void
@@ -294,20 +293,18 @@
 
 	if (!is_best_effort(job) || !may_still_start(entry, task))
 		return;
+	start = sent_start(entry, member, task);
 	if (confirms_starts(member) || task->start_state == START_UNCERTAIN) {
-		bind_sent_task(entry, job, index, member, false);
+		bind_task(entry, job, index, &start);
 		if (job->key != NULL)
 			mst_uncertain_tell_later(entry, job->key, index, 0);
-		return;
+	} else if (job->key != NULL) {
+		/* A member that never confirms starts: the task may run
+		 * elsewhere for the rest of the job. */
+		mst_start_list_add(&starts, &start);
+		remember_starts(
+		    get_job(entry, job->key), index, &starts, entry->now_us);
 	}
-	if (job->key == NULL)
-		return;
-	/* A member that never confirms starts: the task may run elsewhere for
-	 * the rest of the job. */
-	start = sent_start(entry, member, task);
-	mst_start_list_add(&starts, &start);
-	remember_starts(
-	    get_job(entry, job->key), index, &starts, entry->now_us);
 	g_ref_string_release(start.host);
 }
 
--- a/src/runtime/metrics.c
+++ b/src/runtime/metrics.c
@@ -110,6 +110,37 @@
 	}
 }
 
+/* Adds what is known of starts that may still be executed. */
+static void
+add_bound_tasks(GString *out, const struct mst_entry_counters *counters)
+{
+	metrics_add_single(out, "starts_confirmed_total", "counter",
+	    "Sent tasks that have started for certain.",
+	    (double)counters->starts_confirmed);
+	metrics_add_single(out, "tasks_bound_total", "counter",
+	    "Tasks that may run again at one host only.",
+	    (double)counters->tasks_bound);
+	metrics_add_family(out, "bound_waits_total", "counter",
+	    "Bound tasks that waited for a host, by how that ended.");
+	metrics_add_sample(out, "bound_waits_total", "end", "returned",
+	    (double)counters->bound_tasks_returned);
+	metrics_add_sample(out, "bound_waits_total", "end", "released",
+	    (double)counters->bound_tasks_released);
+	metrics_add_sample(out, "bound_waits_total", "end", "settled",
+	    (double)counters->bound_tasks_settled);
+	metrics_add_sample(out, "bound_waits_total", "end", "unrun",
+	    (double)counters->bound_tasks_unrun);
+	metrics_add_single(out, "starts_told_total", "counter",
+	    "Messages to other entries of starts that may be executed.",
+	    (double)counters->starts_told);
+	metrics_add_single(out, "starts_untold_total", "counter",
+	    "Tasks with such starts that no other entry was told of.",
+	    (double)counters->starts_untold);
+	metrics_add_single(out, "announcements_outdated_total", "counter",
+	    "Announcements of earlier incarnations that were ignored.",
+	    (double)counters->announcements_outdated);
+}
+
 static void
 add_entry_counters(GString *out, const struct mst_entry_counters *counters)
 {
@@ -162,11 +193,9 @@
 	    (double)counters->withdrawals);
 	metrics_add_sample(out, "wasted_total", "cause", "result-late",
 	    (double)counters->results_late);
-	metrics_add_single(out, "tasks_bound_total", "counter",
-	    "Tasks that may run again at one agent only.",
-	    (double)counters->tasks_bound);
 	metrics_add_sample(out, "wasted_total", "cause", "result-repeated",
 	    (double)counters->results_repeated);
+	add_bound_tasks(out, counters);
 	metrics_add_single(out, "crashed_runs_total", "counter",
 	    "Runs that ended because their worker crashed.",
 	    (double)counters->crashed_runs);
@@ -383,6 +412,12 @@
 	metrics_add_single(out, "starts_unnamed_total", "counter",
 	    "Orders to start that did not name the worker.",
 	    (double)counters->starts_unnamed);
+	metrics_add_single(out, "starts_confirmed_total", "counter",
+	    "Starts told to their entries as certain.",
+	    (double)counters->starts_confirmed);
+	metrics_add_single(out, "starts_told_total", "counter",
+	    "Messages to other entries of starts that may be executed.",
+	    (double)counters->starts_told);
 	metrics_add_single(out, "entry_leases_lapsed_total", "counter",
 	    "Times that an entry's work was ended for its silence.",
 	    (double)counters->leases_expired);
