codec: no list of results without its flags

clang-tidy found a path on which the flags of results are read without the results: a message that says that it has some, of which the list could not be made. The reader has failed then and nothing is used; said where it is read.

--- a/src/codec/payload_task.c
+++ b/src/codec/payload_task.c
@@ -176,7 +176,7 @@
 	if (codec_at_end(r))
 		return;
 	nested = codec_get_array(r, &count);
-	for (i = 0; i < m->count; i++)
+	for (i = 0; items != NULL && i < m->count; i++)
 		items[i].start_uncertain = codec_get_bool(&nested);
 	r->failed |= nested.failed;
 }
