entry: an entry that was just started is told of uncertain starts

Cause: starts are told to the entries that live then. A caller that comes to one that was started later, as in a rolling restart, found an entry that knew nothing. Not covered: starts of jobs that are still open at another entry.

--- a/src/core/job/uncertain.c
+++ b/src/core/job/uncertain.c
@@ -423,9 +423,11 @@
 		return;
 	host = mst_bytes_to_str(item->host);
 	key = mst_bytes_to_str(item->job);
-	start.host = g_ref_string_new_intern(host);
+	if (item->host.len > 0)
+		start.host = g_ref_string_new_intern(host);
 	add_told_start(entry, key, item->index, &start);
-	g_ref_string_release(start.host);
+	if (start.host != NULL)
+		g_ref_string_release(start.host);
 	g_free(host);
 	g_free(key);
 }
@@ -486,6 +488,29 @@
 	    : NULL;
 }
 
+void
+mst_uncertain_for_each(const struct mst_entry *entry,
+    bool (*call)(void *ctx, const char *key, uint32_t index,
+	const struct uncertain_start *starts),
+    void *ctx)
+{
+	const GList *link;
+	GHashTableIter iter;
+	gpointer index, starts;
+
+	for (link = entry->uncertain.by_expiry.tail; link != NULL;
+	     link = link->prev) {
+		const struct uncertain_job *uncertain = link->data;
+
+		g_hash_table_iter_init(&iter, uncertain->starts);
+		while (g_hash_table_iter_next(&iter, &index, &starts)) {
+			if (!call(ctx, uncertain->key, GPOINTER_TO_UINT(index),
+				starts))
+				return;
+		}
+	}
+}
+
 void
 mst_uncertain_expire(struct mst_entry *entry)
 {
--- a/src/core/job/uncertain.h
+++ b/src/core/job/uncertain.h
@@ -76,6 +76,12 @@
 /* Returns the starts of a task, of an open job or one that is remembered. */
 const struct uncertain_start *mst_uncertain_find(
     const struct mst_entry *entry, const char *key, uint32_t index);
+/* Calls a function for the starts of each task of the remembered jobs, the last
+ * job first, until it returns false. */
+void mst_uncertain_for_each(const struct mst_entry *entry,
+    bool (*call)(void *ctx, const char *key, uint32_t index,
+	const struct uncertain_start *starts),
+    void *ctx);
 /* Forgets the jobs that were remembered for long enough. */
 void mst_uncertain_expire(struct mst_entry *entry);
 
@@ -84,6 +90,9 @@
  * settled by then. */
 void mst_uncertain_tell_later(
     struct mst_entry *entry, const char *key, uint32_t index, int64_t delay_us);
+/* Tells an entry that was met just now of the starts of closed jobs, whose
+ * callers may come to it. */
+void mst_uncertain_tell_new_peer(struct mst_entry *entry, uint64_t peer);
 /* Tells the other entries of the starts that are due. */
 void mst_uncertain_tell_due(struct mst_entry *entry);
 void mst_untold_start_free(gpointer data);
--- a/src/core/job/uncertain_tell.c
+++ b/src/core/job/uncertain_tell.c
@@ -52,23 +52,22 @@
 }
 
 static struct mst_uncertain_item
-make_item(const struct mst_entry *entry, const struct untold_start *untold,
+make_item(const struct mst_entry *entry, const char *key, uint32_t index,
     const struct uncertain_start *start)
 {
 	int64_t left_us = start->expires_us - entry->now_us;
 
 	return (struct mst_uncertain_item){.agent = start->agent,
 	    .host = mst_bytes_from_str(start->host),
-	    .job = mst_bytes_from_str(untold->key),
-	    .index = untold->index,
+	    .job = mst_bytes_from_str(key),
+	    .index = index,
 	    .run = start->run,
 	    .age_ms = (uint32_t)((UNCERTAIN_KEEP_US - left_us) / 1000)};
 }
 
 /* Adds the starts of a task that the other entries do not know. */
 static void
-collect_starts(const struct mst_entry *entry, const struct untold_start *untold,
-    GArray *items)
+collect_starts(struct mst_entry *entry, const struct untold_start *untold)
 {
 	struct uncertain_start *start =
 	    (struct uncertain_start *)mst_uncertain_find(
@@ -80,13 +79,51 @@
 		if (start->is_told || entry->now_us >= start->expires_us)
 			continue;
 		start->is_told = true;
-		item = make_item(entry, untold, start);
-		g_array_append_val(items, item);
+		item = make_item(entry, untold->key, untold->index, start);
+		g_array_append_val(entry->scratch_starts, item);
+	}
+}
+
+/* Adds the starts of a task until a message is full. */
+static bool
+collect_known_starts(void *ctx, const char *key, uint32_t index,
+    const struct uncertain_start *start)
+{
+	const struct mst_entry *entry = ctx;
+
+	for (; start != NULL; start = start->next) {
+		struct mst_uncertain_item item =
+		    make_item(entry, key, index, start);
+
+		if (entry->now_us < start->expires_us)
+			g_array_append_val(entry->scratch_starts, item);
 	}
+	return entry->scratch_starts->len < TELL_STARTS_MAX;
 }
 
 static void
-tell_peers(struct mst_entry *entry, const GArray *items)
+tell_peer(struct mst_entry *entry, uint64_t peer)
+{
+	const GArray *items = entry->scratch_starts;
+	struct mst_msg *msg =
+	    mst_entry_emit_msg(entry, peer, MST_MSG_UNCERTAIN_STARTS);
+
+	msg->uncertain_starts.items = (const void *)items->data;
+	msg->uncertain_starts.count = items->len;
+	entry->counters.starts_told++;
+}
+
+void
+mst_uncertain_tell_new_peer(struct mst_entry *entry, uint64_t peer)
+{
+	g_array_set_size(entry->scratch_starts, 0);
+	mst_uncertain_for_each(entry, collect_known_starts, entry);
+	if (entry->scratch_starts->len > 0)
+		tell_peer(entry, peer);
+}
+
+static void
+tell_peers(struct mst_entry *entry)
 {
 	GHashTableIter iter;
 	gpointer key, value;
@@ -94,15 +131,9 @@
 	g_hash_table_iter_init(&iter, entry->peers);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		const struct peer *peer = value;
-		struct mst_msg *msg;
 
-		if (!(peer->build.features & MST_FEATURE_CONFIRMED_STARTS))
-			continue;
-		msg = mst_entry_emit_msg(
-		    entry, (uint64_t)(uintptr_t)key, MST_MSG_UNCERTAIN_STARTS);
-		msg->uncertain_starts.items = (const void *)items->data;
-		msg->uncertain_starts.count = items->len;
-		entry->counters.starts_told++;
+		if (peer->build.features & MST_FEATURE_CONFIRMED_STARTS)
+			tell_peer(entry, (uint64_t)(uintptr_t)key);
 	}
 }
 
@@ -119,8 +150,8 @@
 	    (next = g_queue_peek_head(&jobs->untold)) != NULL &&
 	    entry->now_us >= next->due_us) {
 		g_ptr_array_add(jobs->telling, g_queue_pop_head(&jobs->untold));
-		collect_starts(entry, next, items);
+		collect_starts(entry, next);
 	}
 	if (items->len > 0)
-		tell_peers(entry, items);
+		tell_peers(entry);
 }
--- a/src/core/member/peer.c
+++ b/src/core/member/peer.c
@@ -38,6 +38,7 @@
 {
 	struct peer *peer =
 	    g_hash_table_lookup(entry->peers, mst_u64_to_pointer(msg->from));
+	bool is_new = peer == NULL;
 	struct mst_entry_effect *effect;
 
 	if (outdated)
@@ -56,6 +57,8 @@
 	peer->config_version = msg->peer.config_version;
 	mst_entry_update_build(entry, msg->from, MST_PROCESS_ENTRY,
 	    &peer->build, &msg->peer.build);
+	if (is_new && (peer->build.features & MST_FEATURE_CONFIRMED_STARTS))
+		mst_uncertain_tell_new_peer(entry, msg->from);
 	mst_entry_pull_config(entry, msg->from, msg->peer.config_version);
 	effect = mst_entry_emit(entry, MST_ENTRY_FX_PEERS);
 	effect->peers = msg->peer.address;
--- a/tests/test_bound_tasks.c
+++ b/tests/test_bound_tasks.c
@@ -414,6 +414,22 @@
 	fixture_free(f);
 }
 
+/* Guards against a run at an entry that was started after the others were told
+ * of a start. */
+static void
+bound__new_entries_are_told(void)
+{
+	struct fixture *f = fixture_new();
+
+	tell_start(f, "a", 0);
+	run_ms(f, SILENCE_MS);
+	greet(f);
+	g_assert_cmpuint(f->told, ==, 1);
+	greet(f);
+	g_assert_cmpuint(f->told, ==, 1);
+	fixture_free(f);
+}
+
 /* A member that lives answers the withdrawal, or tells all entries itself. */
 static void
 bound__other_entries_are_told_of_silent_members(void)
@@ -539,6 +555,7 @@
 	g_test_add_func("/bound/same-run", bound__runs_with_the_same_number);
 	g_test_add_func(
 	    "/bound/tells-lost", bound__other_entries_are_told_of_lost_members);
+	g_test_add_func("/bound/tells-new", bound__new_entries_are_told);
 	g_test_add_func("/bound/tells-silent",
 	    bound__other_entries_are_told_of_silent_members);
 	g_test_add_func(
