tests: the cases of the lease faults pass, so they are required

late-start-before-agent, older-announcement-last and the ordinary faults (same-id restarts, agents back after their workers, odd reports, stepped clocks) pass since starts are confirmed, tasks are bound to hosts and the announcements of an agent's earlier incarnations are told apart by their epoch.

--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -654,7 +654,7 @@
 	    "/leases/startup", leases__accepts_jobs_before_first_announcement);
 	g_test_add_func("/leases/recorded-faults",
 	    leases__no_overlapping_runs_under_recorded_faults);
-	g_test_add_func("/leases-open/late-start-before-agent",
+	g_test_add_func("/leases/late-start-before-agent",
 	    leases__late_start_before_agent_is_back);
 	g_test_add_func(
 	    "/leases/older-refusal-last", leases__older_refusal_comes_last);
@@ -662,10 +662,10 @@
 	    "/leases/frozen-agent", leases__frozen_agent_sees_no_restart);
 	g_test_add_func("/leases/clock-stepped-back",
 	    leases__worker_restarts_after_clock_stepped_back);
-	g_test_add_func("/leases-open/older-announcement-last",
+	g_test_add_func("/leases/older-announcement-last",
 	    leases__older_announcement_comes_last);
 	g_test_add_func(
-	    "/leases-open/faults", leases__no_overlapping_runs_under_faults);
+	    "/leases/faults", leases__no_overlapping_runs_under_faults);
 	g_test_add_func("/leases/regressions", leases__regressions);
 	g_test_add_func("/leases/late-starts-at-isolated-workers",
 	    leases__late_starts_at_isolated_workers);
