--- a/src/net/bus.c
+++ b/src/net/bus.c
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "base/random.h"
 #include "codec/codec.h"
+#include "net/bus_auth.h"
 
 G_DEFINE_QUARK(mst_bus_error, mst_bus_error)
 
@@ -23,7 +24,6 @@
 /* Least time between two broadcast announcements on one connection. */
 #define BUS_ANNOUNCE_INTERVAL_US (100 * 1000)
 #define BUS_HWM_MESSAGES         100000
-#define BUS_ZAP_ENDPOINT         "inproc://zeromq.zap.01"
 #define BUS_ID_BYTES             9 /* length of a routing id */
 /* Senders of undecodable messages that are remembered as logged. */
 #define BUS_REPORTED_MAX 4096
@@ -53,9 +53,8 @@
 
 struct mst_bus {
 	struct mst_bus_options options;
-	void *context; /* of ZeroMQ */
-	void *zap; /* socket for authentication requests; NULL without keys */
-	uv_poll_t zap_poll;
+	void *context;               /* of ZeroMQ */
+	struct mst_bus_auth *auth;   /* NULL without keys */
 	char identity[BUS_ID_BYTES]; /* routing id of the DEALERs */
 	struct link *listener; /* ROUTER; NULL if the bus doesn't listen */
 	GPtrArray *links;      /* DEALERs */
@@ -272,34 +271,6 @@
 		uv_idle_start(&bus->idle, on_idle);
 }
 
-static void
-socket_set_curve_client(struct mst_bus *bus, void *socket)
-{
-	const struct mst_curve_keys *keys = &bus->options.curve;
-
-	if (keys->secret_key == NULL)
-		return;
-	zmq_setsockopt(socket, ZMQ_CURVE_SERVERKEY, keys->public_key,
-	    strlen(keys->public_key) + 1);
-	zmq_setsockopt(socket, ZMQ_CURVE_PUBLICKEY, keys->public_key,
-	    strlen(keys->public_key) + 1);
-	zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, keys->secret_key,
-	    strlen(keys->secret_key) + 1);
-}
-
-static void
-socket_set_curve_server(struct mst_bus *bus, void *socket)
-{
-	const struct mst_curve_keys *keys = &bus->options.curve;
-	int on = 1;
-
-	if (keys->secret_key == NULL)
-		return;
-	zmq_setsockopt(socket, ZMQ_CURVE_SERVER, &on, sizeof(on));
-	zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, keys->secret_key,
-	    strlen(keys->secret_key) + 1);
-}
-
 static void
 socket_set_options(void *socket)
 {
@@ -367,7 +338,7 @@
 
 	zmq_setsockopt(link->socket, ZMQ_ROUTER_MANDATORY, &on, sizeof(on));
 	zmq_setsockopt(link->socket, ZMQ_ROUTER_HANDOVER, &on, sizeof(on));
-	socket_set_curve_server(bus, link->socket);
+	mst_bus_auth_set_server(link->socket, &bus->options.curve);
 	rc = zmq_bind(link->socket, endpoint);
 	if (rc < 0)
 		g_set_error(error, MST_BUS_ERROR, MST_BUS_ERROR_LISTEN,
@@ -378,75 +349,6 @@
 	return rc < 0 ? -1 : 0;
 }
 
-/*
- * Handles one authentication request (ZAP, ZeroMQ RFC 27): accepts only daemons
- * that use the shared key.
- */
-static void
-zap_handle_request(struct mst_bus *bus)
-{
-	const char *expected = bus->options.curve.public_key;
-	char frames[7][256];
-	int frame_lens[7] = {0};
-	int has_more = 1;
-	size_t size = sizeof(has_more);
-	uint8_t key[32];
-	bool allowed;
-	int n = 0;
-
-	while (has_more && n < 7) {
-		frame_lens[n] = zmq_recv(
-		    bus->zap, frames[n], sizeof(frames[n]) - 1, ZMQ_DONTWAIT);
-		if (frame_lens[n] < 0)
-			return;
-		n++;
-		zmq_getsockopt(bus->zap, ZMQ_RCVMORE, &has_more, &size);
-	}
-	allowed = n == 7 && frame_lens[6] == sizeof(key) &&
-	    zmq_z85_decode(key, expected) != NULL &&
-	    memcmp(key, frames[6], sizeof(key)) == 0;
-	if (!allowed)
-		mst_log(MST_LOG_WARNING, "member-key-refused", "parts=%d", n);
-	zmq_send(bus->zap, "1.0", 3, ZMQ_SNDMORE);
-	zmq_send(
-	    bus->zap, frames[1], (size_t)MAX(frame_lens[1], 0), ZMQ_SNDMORE);
-	zmq_send(bus->zap, allowed ? "200" : "400", 3, ZMQ_SNDMORE);
-	zmq_send(bus->zap, "", 0, ZMQ_SNDMORE);
-	zmq_send(bus->zap, "", 0, ZMQ_SNDMORE);
-	zmq_send(bus->zap, "", 0, 0);
-}
-
-static void
-on_zap_poll(uv_poll_t *poll, int status, int events)
-{
-	struct mst_bus *bus = poll->data;
-	int zmq_events = 0;
-	size_t len = sizeof(zmq_events);
-
-	for (;;) {
-		zmq_getsockopt(bus->zap, ZMQ_EVENTS, &zmq_events, &len);
-		if (!(zmq_events & ZMQ_POLLIN))
-			return;
-		zap_handle_request(bus);
-	}
-}
-
-static void
-zap_start(struct mst_bus *bus)
-{
-	int fd = -1;
-	size_t len = sizeof(fd);
-
-	if (bus->options.curve.secret_key == NULL)
-		return;
-	bus->zap = zmq_socket(bus->context, ZMQ_REP);
-	zmq_bind(bus->zap, BUS_ZAP_ENDPOINT);
-	zmq_getsockopt(bus->zap, ZMQ_FD, &fd, &len);
-	uv_poll_init(bus->options.loop, &bus->zap_poll, fd);
-	bus->zap_poll.data = bus;
-	uv_poll_start(&bus->zap_poll, UV_READABLE, on_zap_poll);
-}
-
 int
 mst_bus_new(
     struct mst_bus **out, const struct mst_bus_options *options, GError **error)
@@ -469,7 +371,8 @@
 	bus->prepare.data = bus;
 	uv_prepare_start(&bus->prepare, on_prepare);
 	uv_idle_init(options->loop, &bus->idle);
-	zap_start(bus);
+	bus->auth =
+	    mst_bus_auth_new(bus->context, options->loop, &bus->options.curve);
 	*out = bus;
 	if (options->listen != NULL)
 		return bus_listen(bus, error);
@@ -513,7 +416,7 @@
 	/* Announcements for an entry that is down would otherwise be queued and
 	 * all be sent when it is back. */
 	zmq_setsockopt(link->socket, ZMQ_IMMEDIATE, &on, sizeof(on));
-	socket_set_curve_client(bus, link->socket);
+	mst_bus_auth_set_client(link->socket, &bus->options.curve);
 	endpoint = g_strdup_printf("tcp://%s", address);
 	rc = zmq_connect(link->socket, endpoint);
 	if (rc < 0)
@@ -694,8 +597,7 @@
 
 	uv_close((uv_handle_t *)&bus->prepare, NULL);
 	uv_close((uv_handle_t *)&bus->idle, NULL);
-	if (bus->zap != NULL)
-		uv_close((uv_handle_t *)&bus->zap_poll, NULL);
+	mst_bus_auth_close(bus->auth);
 	if (bus->listener != NULL)
 		uv_close((uv_handle_t *)&bus->listener->poll, NULL);
 	for (i = 0; i < bus->links->len; i++) {
@@ -715,8 +617,7 @@
 	for (i = 0; i < bus->links->len; i++)
 		link_free(bus->links->pdata[i]);
 	link_free(bus->listener);
-	if (bus->zap != NULL)
-		zmq_close(bus->zap);
+	mst_bus_auth_free(bus->auth);
 	zmq_ctx_term(bus->context);
 	g_ptr_array_unref(bus->links);
 	g_hash_table_unref(bus->routes);
