--- a/tests/test_bound_tasks.c
+++ b/tests/test_bound_tasks.c
@@ -15,7 +15,8 @@
 #define LOST_MS       1500 /* more than that time */
 #define KEEP_MS       14000
 #define JOB_TIMEOUT_S 30
-#define PEER          9 /* another entry */
+#define PEER          9   /* another entry */
+#define MANY_JOBS     600 /* more than a message holds */
 
 struct fixture {
 	struct mst_entry *entry;
@@ -102,13 +103,14 @@
 	deliver(f, PEER, &msg);
 }
 
-/* Another entry tells of a start of the task. */
+/* Another entry tells of a start of a job's task. */
 static void
-tell_start(struct fixture *f, const char *host, uint32_t age_ms)
+tell_start_of(
+    struct fixture *f, const char *key, const char *host, uint32_t age_ms)
 {
 	const struct mst_uncertain_item item = {.agent = 99,
 	    .host = mst_bytes_from_str(host),
-	    .job = mst_bytes_from_str(KEY),
+	    .job = mst_bytes_from_str(key),
 	    .run = 1,
 	    .age_ms = age_ms};
 	struct mst_msg msg = {.type = MST_MSG_UNCERTAIN_STARTS,
@@ -117,6 +119,13 @@
 	deliver(f, PEER, &msg);
 }
 
+/* Another entry tells of a start of the task. */
+static void
+tell_start(struct fixture *f, const char *host, uint32_t age_ms)
+{
+	tell_start_of(f, KEY, host, age_ms);
+}
+
 /* Delivers a result of the member that the last task was dispatched to. */
 static void
 give_result(struct fixture *f, const struct mst_result_item *item)
@@ -540,6 +549,25 @@
 	fixture_free(f);
 }
 
+/* Guards against a new entry that learns of the last starts only. */
+static void
+bound__new_entry_is_told_of_all_starts(void)
+{
+	struct fixture *f = fixture_new();
+	unsigned i;
+
+	for (i = 0; i < MANY_JOBS; i++) {
+		char *key = g_strdup_printf("%016x", i);
+
+		tell_start_of(f, key, "b", 0);
+		g_free(key);
+	}
+	greet(f);
+	run_ms(f, SILENCE_MS);
+	g_assert_cmpuint(f->told, ==, MANY_JOBS);
+	fixture_free(f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -566,5 +594,7 @@
 	    bound__members_without_epoch_are_replaced);
 	g_test_add_func(
 	    "/bound/lower-epoch", bound__silent_members_are_replaced);
+	g_test_add_func(
+	    "/bound-open/many-starts", bound__new_entry_is_told_of_all_starts);
 	return g_test_run();
 }
