tests: isolated tasks run elsewhere while a start of them may be executed

Cause: can_isolate_at() in place/quarantine_place.c chooses the member of an isolated job by itself, without mst_task_may_run_at(), which only mst_member_is_candidate() asks. Tasks become suspects after crashes of workers, so these are the tasks that have starts without an answer beside restarts. Not asked there either: whether the member would refuse the task for an old echo.

--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -16,6 +16,9 @@
 #define MEMBERS     12
 #define QUARANTINED 3 /* a quarter */
 #define SLOTS       8
+#define TICK_MS     10
+#define SILENCE_MS  1000 /* less than the time after which one is lost */
+#define LOST_MS     1450 /* more than that time, and within the job's */
 #define BAD_TEAM    "bad"
 #define GOOD_TEAM   "good"
 #define BAD_JOB     "00000000000000aa"
@@ -24,6 +27,7 @@
 /* What an entry has emitted. */
 struct outcome {
 	uint64_t dispatched_to; /* incarnation; 0: no dispatch */
+	uint64_t seq;           /* of the first task */
 	uint32_t flags;         /* of the first task */
 	bool answered;
 	uint64_t job; /* handle, if answered */
@@ -51,6 +55,7 @@
 		    effect->msg.type == MST_MSG_DISPATCH) {
 			outcome.dispatched_to = effect->msg.to;
 			outcome.flags = effect->msg.dispatch.items[0].flags;
+			outcome.seq = effect->msg.dispatch.items[0].seq;
 		} else if (effect->type == MST_ENTRY_FX_ANSWER) {
 			outcome.answered = true;
 			outcome.job = effect->job;
@@ -76,7 +81,9 @@
 {
 	char name[16];
 	struct mst_msg msg = {.type = MST_MSG_ANNOUNCE,
-	    .announce = {.failure_domain = mst_bytes_from_str("domain"),
+	    .announce = {.build = {.version = mst_bytes_from_str("9.9.9"),
+			     .features = MST_FEATURES},
+		.failure_domain = mst_bytes_from_str("domain"),
 		.service = mst_bytes_from_str("service"),
 		.description_version = 1,
 		.clock_us = (uint64_t)fixture->now_us,
@@ -324,6 +331,76 @@
 	fixture_free(fixture);
 }
 
+/* Lets time pass in which all members announce themselves, but for a silent
+ * one. Returns the last dispatch. */
+static struct outcome
+run_without(struct fixture *fixture, uint64_t silent, int64_t duration_ms)
+{
+	struct outcome last = {0};
+	int64_t ms;
+
+	for (ms = 0; ms < duration_ms; ms += TICK_MS) {
+		struct mst_entry_event tick = {.type = MST_ENTRY_EV_TICK};
+		struct mst_entry_event flush = {.type = MST_ENTRY_EV_FLUSH};
+		struct outcome outcome;
+		unsigned i;
+
+		fixture->now_us += TICK_MS * MS;
+		for (i = 0; i < MEMBERS; i++) {
+			if (AGENT + i != silent)
+				announce(fixture, i, SLOTS);
+		}
+		outcome = step(fixture, &flush);
+		if (outcome.dispatched_to != 0)
+			last = outcome;
+		outcome = step(fixture, &tick);
+		if (outcome.dispatched_to != 0)
+			last = outcome;
+	}
+	return last;
+}
+
+/* Guards against a second run of an isolated task, at another member than the
+ * one that has given it up while a start of it may still be executed. */
+static void
+quarantine__isolated_task_is_bound(void)
+{
+	struct fixture *fixture = fixture_new();
+	struct mst_result_item item = {.outcome = MST_OUTCOME_UNKNOWN,
+	    .reason = MST_REASON_RUN_LOST,
+	    .start_uncertain = true};
+	struct mst_msg msg = {
+	    .type = MST_MSG_RESULT, .results = {.count = 1, .items = &item}};
+	struct outcome first, again;
+
+	announce_all(fixture, false);
+	report_crashes(fixture, 2);
+	first = submit(fixture, BAD_JOB, BAD_TEAM);
+	g_assert_true(first.flags & MST_TASK_ISOLATED);
+	item.seq = first.seq;
+	announce(fixture, (unsigned)(first.dispatched_to - AGENT), 0);
+	deliver(fixture, (unsigned)(first.dispatched_to - AGENT), &msg);
+	again = run_without(fixture, first.dispatched_to, SILENCE_MS);
+	g_assert_cmpuint(again.dispatched_to, ==, 0);
+	fixture_free(fixture);
+}
+
+/* The same for a member that is lost before it has confirmed the start. */
+static void
+quarantine__isolated_task_of_lost_member_is_bound(void)
+{
+	struct fixture *fixture = fixture_new();
+	struct outcome first, again;
+
+	announce_all(fixture, false);
+	report_crashes(fixture, 2);
+	first = submit(fixture, BAD_JOB, BAD_TEAM);
+	g_assert_true(first.flags & MST_TASK_ISOLATED);
+	again = run_without(fixture, first.dispatched_to, LOST_MS);
+	g_assert_cmpuint(again.dispatched_to, ==, 0);
+	fixture_free(fixture);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -340,5 +417,9 @@
 	    "/quarantine/suspect-is-isolated", quarantine__suspect_is_isolated);
 	g_test_add_func("/quarantine/nothing-changes-without-crashes",
 	    quarantine__nothing_changes_without_crashes);
+	g_test_add_func(
+	    "/quarantine-open/bound-task", quarantine__isolated_task_is_bound);
+	g_test_add_func("/quarantine-open/bound-task-of-lost-member",
+	    quarantine__isolated_task_of_lost_member_is_bound);
 	return g_test_run();
 }
