tests: run numbers of bound tasks that differ

A task that returns to the host of an uncertain start keeps its run number, so that a worker that is restarted executes one of the late starts only.

--- a/tests/test_bound_tasks.c
+++ b/tests/test_bound_tasks.c
@@ -14,6 +14,7 @@
 #define SILENCE_MS    1000 /* less than the time after which one is lost */
 #define LOST_MS       1500 /* more than that time */
 #define KEEP_MS       14000
+#define LONG_MS       2000 /* of a task that is not overdue meanwhile */
 #define JOB_TIMEOUT_S 30
 #define PEER          9   /* another entry */
 #define MANY_JOBS     600 /* more than a message holds */
@@ -25,9 +26,10 @@
 	uint64_t seq;
 	uint32_t run;
 	uint32_t flags;
-	unsigned told;     /* starts, to another entry */
-	uint64_t features; /* of the members */
-	uint64_t epoch;    /* of the announced member; 0: not told */
+	unsigned told;        /* starts, to another entry */
+	uint64_t features;    /* of the members */
+	uint64_t epoch;       /* of the announced member; 0: not told */
+	uint32_t declared_us; /* duration of the task */
 };
 
 static void
@@ -103,6 +105,27 @@
 	deliver(f, PEER, &msg);
 }
 
+/* A member announces that it has not received what was sent to it. */
+static void
+announce_nothing_received(struct fixture *f, uint64_t member, const char *name)
+{
+	struct mst_msg msg = {.type = MST_MSG_ANNOUNCE,
+	    .announce = {.name = mst_bytes_from_str(name),
+		.failure_domain = mst_bytes_from_str("domain"),
+		.service = mst_bytes_from_str("service"),
+		.description_version = 1,
+		.clock_us = (uint64_t)f->now_us,
+		.slots = SLOTS,
+		.resources = {.millicores = SLOTS * 1000, .memory_mb = 1024},
+		.grant = SLOTS,
+		.free_slots = SLOTS,
+		.sent_through = f->seq,
+		.build = {.version = mst_bytes_from_str("9.9.9"),
+		    .features = f->features}}};
+
+	deliver(f, member, &msg);
+}
+
 /* Another entry tells of a start of a job's task. */
 static void
 tell_start_of(
@@ -173,7 +196,7 @@
 	const struct mst_task_spec task = {
 	    .path = mst_bytes_from_str(KEY ".0.0.0"),
 	    .flags = MST_TASK_RESTARTABLE,
-	    .declared_us = 50 * MS,
+	    .declared_us = f->declared_us,
 	    .needs = {.millicores = 1000}};
 	const struct mst_job_spec spec = {.key = KEY,
 	    .team = "queue",
@@ -206,6 +229,7 @@
 	mst_entry_new(&f->entry, &options);
 	f->now_us = G_USEC_PER_SEC;
 	f->features = MST_FEATURES;
+	f->declared_us = 50 * MS;
 	g_assert_cmpint(
 	    mst_config_parse(&config.config, config.document, 1, NULL), ==, 0);
 	step(f, &config);
@@ -549,6 +573,63 @@
 	fixture_free(f);
 }
 
+/* Guards against a dispatch that is repeated with another run number, because a
+ * start was told meanwhile: the member may have started the first one. */
+static void
+bound__repeated_dispatch_keeps_its_number(void)
+{
+	const struct mst_result_item busy = {.seq = 1,
+	    .outcome = MST_OUTCOME_NOT_RUN,
+	    .reason = MST_REASON_BUSY};
+	struct fixture *f = fixture_new();
+	uint64_t seq;
+
+	f->declared_us = LONG_MS * MS;
+	announce(f, 100, "a", SLOTS);
+	submit(f);
+	run_ms(f, 100);
+	give_result(f, &busy);
+	announce(f, 100, "a", SLOTS);
+	run_ms(f, 100);
+	g_assert_cmpuint(f->dispatched_to, ==, 100);
+	g_assert_cmpuint(f->run, ==, 2);
+	seq = f->seq;
+	tell_start(f, "a", 0);
+	run_ms(f, SILENCE_MS);
+	f->dispatched_to = 0;
+	announce_nothing_received(f, 100, "a");
+	run_ms(f, 100);
+	g_assert_cmpuint(f->dispatched_to, ==, 100);
+	g_assert_cmpuint(f->seq, ==, seq);
+	g_assert_cmpuint(f->run, ==, 2);
+	fixture_free(f);
+}
+
+/* Guards against a third start beside two that have different run numbers, both
+ * of which the worker's next incarnation would execute. */
+static void
+bound__waits_for_starts_with_two_numbers(void)
+{
+	const struct mst_result_item busy = {.seq = 1,
+	    .outcome = MST_OUTCOME_NOT_RUN,
+	    .reason = MST_REASON_BUSY};
+	struct fixture *f = fixture_new();
+
+	announce(f, 100, "a", SLOTS);
+	submit(f);
+	run_ms(f, 100);
+	give_result(f, &busy);
+	announce(f, 100, "a", SLOTS);
+	run_ms(f, 100);
+	g_assert_cmpuint(f->run, ==, 2);
+	lose_task(f, 100);
+	tell_start(f, "a", 0);
+	announce(f, 100, "a", SLOTS);
+	run_ms(f, 400);
+	g_assert_cmpuint(f->dispatched_to, ==, 0);
+	fixture_free(f);
+}
+
 /* Guards against a new entry that learns of the last starts only. */
 static void
 bound__new_entry_is_told_of_all_starts(void)
@@ -596,5 +677,9 @@
 	    "/bound/lower-epoch", bound__silent_members_are_replaced);
 	g_test_add_func(
 	    "/bound-open/many-starts", bound__new_entry_is_told_of_all_starts);
+	g_test_add_func("/bound-open/repeated-number",
+	    bound__repeated_dispatch_keeps_its_number);
+	g_test_add_func("/bound-open/two-numbers",
+	    bound__waits_for_starts_with_two_numbers);
 	return g_test_run();
 }
