tests: the soak draws restarts under new ids, power losses, odd reports and rows

The soak restarted runners under their id alone, lost no host with its agent, and had no other writer. Its stand-ins can do more. New kinds of faults: - a third of the hosts, or one, lose power while orders are late; the runner is back 0.1 to 2 s before its agent; - half of all crashes and restarts of a runner give it a new id; - a step of up to 10 s of the time of day that dates a runner's incarnations; - reports of another writer (of another id, born in the future, out of range, with other types, of an unknown service, the end of the runner); - odd rows in all tables, also in the operator's before a good configuration.

The checks are the same.

--- a/script/soak_faults.sh
+++ b/script/soak_faults.sh
@@ -1,11 +1,22 @@
 # Faults of script/soak. A round draws its faults first, as a plan of actions with
 # times, and then carries it out, so that the faults depend on the seed alone.
+# With FAULTS=recorded only kinds are drawn that the first seeds in
+# tests/soak_seeds.txt had, so that these draw what they drew then.
 
 FAULT_KINDS=(freeze kill term reload link-delay link-cut link-reset link-reset-one
     link-silence runner-crash runner-crash runner-exit runner-freeze
     runner-unhealthy runner-late runner-late runner-lost runner-late-crash
     runner-late-crash runners-late runners-late-crash runner-fails store-away store-slow store-busy
     store-loses store-compacts drain)
+[ "$FAULTS" = recorded ] || FAULT_KINDS+=(host-power host-power hosts-power
+    runner-clock runner-odd-report runner-odd-report runners-odd-report store-odd
+    store-odd-operator)
+ODD_REPORTS=(id future endless seq fields service delete)
+ODD_ADDRESSES=20     # of a fault
+CLOCK_STEP_MS=10000  # most
+odd_writes=0         # of rows, by this script
+config_version=9     # of the last configuration
+declare -A RUNNER_STARTS # runner -> number of ids that it has had besides the first
 
 # plan MS ACTION...: adds an action of this round, MS after its start.
 plan() {
@@ -33,6 +44,22 @@
 	kill "-$2" "$(pid_of "$1")" 2>/dev/null || true
 }
 
+# choose_new_id VARIABLE: draws whether a runner gets an id of its own when it is
+# restarted.
+choose_new_id() {
+	if [ "$FAULTS" = recorded ]; then
+		printf -v "$1" false
+	else
+		choose "$1" true false
+	fi
+}
+
+# name_anew RUNNER: gives a runner that is not running yet another id.
+name_anew() {
+	RUNNER_STARTS[$1]=$((${RUNNER_STARTS[$1]:-0} + 1))
+	RUNNER_IDS[$1]=i-${1#runner}-p${RUNNER_STARTS[$1]}
+}
+
 # restart_process NAME: starts a process that was ended; one that has not ended
 # yet is killed. A runner that is frozen must write first what it ends.
 restart_process() {
@@ -57,8 +84,19 @@
 plan_restart() { # NAME AT SIGNAL DELAY_MAX_MS
 	local delay_ms
 	draw delay_ms 50 "$4"
+	plan_restart_after "$1" "$2" "$3" "$delay_ms"
+}
+
+plan_restart_after() { # NAME AT SIGNAL DELAY_MS
 	plan "$2" end_process "$1" "$3"
-	plan $(($2 + delay_ms)) restart_process "$1"
+	plan $(($2 + $4)) restart_process "$1"
+}
+
+plan_exit() { # RUNNER AT
+	local new_id
+	choose_new_id new_id
+	[ "$new_id" = false ] || plan "$2" name_anew "$1"
+	plan_restart "$1" "$2" TERM 3000
 }
 
 # plan_runner NAME AT FROM TO LOW HIGH: sets faults of a runner and resets them.
@@ -72,12 +110,17 @@
 # The connections break with the runner's crash. While it is down it refuses
 # connections or orders, or leaves orders unanswered.
 plan_crash() { # NAME AT
-	local down_ms hangs refuses
+	local down_ms
 	draw down_ms 100 3000
+	plan_crash_for "$1" "$2" "$down_ms"
+}
+
+plan_crash_for() { # NAME AT DOWN_MS
+	local hangs refuses new_id
 	choose hangs true false
 	choose refuses true false
-	plan "$2" set_runner "$1" \
-	    "'{\"crash_ms\":$down_ms,\"hangs\":$hangs,\"refuses\":$refuses}'"
+	choose_new_id new_id
+	plan "$2" set_runner "$1" "'{\"crash_ms\":$3,\"hangs\":$hangs,\"refuses\":$refuses,\"new_id\":$new_id}'"
 	plan "$2" set_link "orders${1#runner}" "'{\"reset\":true}'"
 }
 
@@ -103,6 +146,47 @@
 	esac
 }
 
+# A host loses power while orders are late; its runner is back before its agent.
+plan_power() { # RUNNER AT
+	local after_ms down_ms later_ms
+	draw after_ms 200 2000
+	draw down_ms 100 3000
+	draw later_ms 100 2000
+	plan_late "$1" "$2"
+	plan_crash_for "$1" $(($2 + after_ms)) "$down_ms"
+	plan_restart_after "agent${1#runner}" $(($2 + after_ms)) KILL \
+	    $((down_ms + later_ms))
+}
+
+# The time of day of a runner's host steps, which its next incarnation has.
+plan_clock() { # RUNNER AT
+	local step_ms
+	draw step_ms "-$CLOCK_STEP_MS" "$CLOCK_STEP_MS"
+	plan "$2" set_runner "$1" "'{\"wall_offset_ms\":$step_ms}'"
+	plan_crash "$1" $(($2 + 1))
+}
+
+plan_odd_report() { # RUNNER AT
+	local kind
+	choose kind "${ODD_REPORTS[@]}"
+	plan "$2" set_runner "$1" "'{\"odd_report\":\"$kind\"}'"
+}
+
+plan_odd_rows() { # AT
+	local prefix
+	odd_writes=$((odd_writes + 1))
+	printf -v prefix '%03x' "$odd_writes"
+	plan "$1" commit_addresses $((odd_writes * ODD_ADDRESSES)) "$ODD_ADDRESSES"
+	plan "$1" commit_rows_of_all "$prefix"
+}
+
+plan_odd_operator() { # AT
+	local value
+	choose value "${ODD_VALUES[@]}"
+	config_version=$((config_version + 1))
+	plan "$1" commit_operator "$config_version" "'$value'"
+}
+
 # plan_many ACTION AT: plans the action for a third of the runners.
 plan_many() {
 	local runner
@@ -177,7 +261,7 @@
 	link-reset-one) plan "$at" set_link "$link" "'{\"reset_one\":$RANDOM}'" ;;
 	link-silence) plan_silence "$at" ;;
 	runner-crash) plan_crash "$runner" "$at" ;;
-	runner-exit) plan_restart "$runner" "$at" TERM 3000 ;;
+	runner-exit) plan_exit "$runner" "$at" ;;
 	runner-freeze) plan_freeze "$runner" "$at" ;;
 	runner-unhealthy)
 		plan_runner "$runner" "$at" '{"unhealthy":true}' \
@@ -199,5 +283,12 @@
 	store-loses) plan_store "$at" '{"lose_answers":true}' ;;
 	store-compacts) plan "$at" set_store "'{\"compact\":true}'" ;;
 	drain) plan_drain "$at" ;;
+	host-power) plan_power "$runner" "$at" ;;
+	hosts-power) plan_many plan_power "$at" ;;
+	runner-clock) plan_clock "$runner" "$at" ;;
+	runner-odd-report) plan_odd_report "$runner" "$at" ;;
+	runners-odd-report) plan_many plan_odd_report "$at" ;;
+	store-odd) plan_odd_rows "$at" ;;
+	store-odd-operator) plan_odd_operator "$at" ;;
 	esac
 }
--- a/script/soak_system.sh
+++ b/script/soak_system.sh
@@ -20,6 +20,7 @@
 LINKS=()               # names of the links of the proxy
 LINK_ARGUMENTS=()      # of the proxy: name, address, target
 declare -A CLOCK_RATES # runner -> speed of its clock
+declare -A RUNNER_IDS  # runner -> its id, if that is not i-N
 
 # name_ports PROCESS FIRST KIND...: names the free ports of a process.
 name_ports() {
@@ -122,8 +123,9 @@
 	runner*)
 		start "$1" "$BUILD/standin-runner" \
 		    "${ADDRESSES["agent$n runner"]}" \
-		    "${ADDRESSES["agent$n report-link"]}" "i-$n" \
-		    "$RUNNER_SLOTS" "${CLOCK_RATES[$1]}"
+		    "${ADDRESSES["agent$n report-link"]}" \
+		    "${RUNNER_IDS[$1]:-i-$n}" "$RUNNER_SLOTS" \
+		    "${CLOCK_RATES[$1]}"
 		;;
 	esac
 }
--- a/tests/soak_leases.sh
+++ b/tests/soak_leases.sh
@@ -5,4 +5,4 @@
 # off, and entries that do not serve again.
 set -eu
 cd "$(dirname "$0")/.."
-exec script/soak 78 6 18 "$1"
+exec script/soak 78 6 18 "$1" recorded
