tests: the lease search has late answers, odd reports, new ids, older announcements

What the search could not do, and does now: an answer of a worker that arrives after those of newer orders, or after its agent has stopped waiting; a report of another writer (another id, a later incarnation, the worker's end); a restart under a new id, so orders that name the old one are refused, and the kept report has the id of its time; an announcement that arrives after those of the agent's next incarnation. A restart of the worker while its agent is down was possible before; a set of its own has it now with a caller that comes back elsewhere.

--- a/tests/search/apply.c
+++ b/tests/search/apply.c
@@ -80,7 +80,11 @@
 
 	if (event->type == MODEL_ORDER)
 		event->answer_lost = true;
-	deliver_pending(m, index);
+	if (event->type == MODEL_ANSWER &&
+	    !model_end_wait(m, event->order.number))
+		g_ptr_array_remove_index(m->pending, index);
+	else
+		deliver_pending(m, index);
 }
 
 static void
@@ -162,10 +166,10 @@
 }
 
 static void
-restart_worker(struct model *m, int agent)
+restart_worker(struct model *m, int agent, bool new_id)
 {
 	stop_worker(m, agent);
-	search_worker_restart(&m->workers[agent], m->now_us);
+	search_worker_restart(&m->workers[agent], m->now_us, new_id);
 	m->next_report_us[agent] = m->now_us;
 }
 
@@ -176,6 +180,16 @@
 	case MOVE_HOLD_RENEW:
 		m->hold_renew[move->a] = true;
 		break;
+	case MOVE_HOLD_ANSWER:
+		m->hold_answer[move->a] = (enum mst_order_kind)move->b;
+		break;
+	case MOVE_HOLD_ANNOUNCE:
+		m->hold_announce[move->a] = move->b + 1;
+		break;
+	case MOVE_ODD_REPORT:
+		model_send_odd_report(
+		    m, move->a, (enum model_odd_report)move->b);
+		break;
 	case MOVE_CUT_WORKER:
 		m->worker_cut[move->a] = true;
 		break;
@@ -187,7 +201,7 @@
 		break;
 	case MOVE_RESTART_WORKER:
 	case MOVE_START_WORKER:
-		restart_worker(m, move->a);
+		restart_worker(m, move->a, move->b);
 		break;
 	case MOVE_CRASH_WORKER:
 		stop_worker(m, move->a);
@@ -295,8 +309,9 @@
 {
 	static const char *const orders[] = {"", "start", "stop", "renewal"};
 
-	if (event->type == MODEL_ORDER)
-		g_string_append_printf(out, " %s to worker %d",
+	if (event->type == MODEL_ORDER || event->type == MODEL_ANSWER)
+		g_string_append_printf(out, " %s%s to worker %d",
+		    event->type == MODEL_ANSWER ? "answer of " : "",
 		    orders[event->order.kind], event->to);
 	else
 		g_string_append_printf(out, " %s of %d to %d",
@@ -308,10 +323,11 @@
 {
 	static const char *const names[MOVE_TYPES] = {"pass", "hold up",
 	    "execute without an answer", "repeat", "release",
-	    "hold up the next renewal", "kill entry", "kill agent", "restart",
-	    "freeze entry", "freeze agent", "thaw", "cut", "stall", "heal",
-	    "cut from its agent", "mute", "reconnect to its agent",
-	    "restart worker", "crash worker", "start worker",
+	    "hold up the next renewal", "hold up the next answer",
+	    "hold up the next announcement", "kill entry", "kill agent",
+	    "restart", "freeze entry", "freeze agent", "thaw", "cut", "stall",
+	    "heal", "cut from its agent", "mute", "reconnect to its agent",
+	    "restart worker", "crash worker", "start worker", "odd report to",
 	    "finish a run at worker", "break the caller"};
 
 	g_string_append(out, names[move->type]);
@@ -328,5 +344,6 @@
 	else if (move->type >= MOVE_KILL_ENTRY && move->type <= MOVE_THAW)
 		g_string_append_printf(out, " %d", move->a);
 	else if (move->type != MOVE_BREAK)
-		g_string_append_printf(out, " %d", MODEL_ENTRIES + move->a);
+		g_string_append_printf(
+		    out, " %d, variant %d", MODEL_ENTRIES + move->a, move->b);
 }
--- a/tests/search/event.c
+++ b/tests/search/event.c
@@ -57,6 +57,21 @@
 		m->has_new_pending = true;
 }
 
+static bool
+is_held_announcement(const struct model *m, const struct model_event *event)
+{
+	return event->msg_type == MST_MSG_ANNOUNCE &&
+	    m->hold_announce[event->from - MODEL_ENTRIES] == event->to + 1;
+}
+
+static void
+hold_announcement(struct model *m, struct model_event *event)
+{
+	m->hold_announce[event->from - MODEL_ENTRIES] = 0;
+	event->is_held = true;
+	add_pending(m, event);
+}
+
 static void
 route_message(struct model *m, struct model_event *event)
 {
@@ -64,6 +79,8 @@
 
 	if (link == MODEL_LINK_CUT || !m->nodes[event->to].is_alive)
 		model_event_free(event);
+	else if (is_held_announcement(m, event))
+		hold_announcement(m, event);
 	else if (link == MODEL_LINK_STALLED)
 		g_ptr_array_add(m->stalled[event->from][event->to], event);
 	else if (is_explored(m, event))
--- a/tests/search/model.c
+++ b/tests/search/model.c
@@ -100,7 +100,7 @@
 	for (i = 0; i < MODEL_AGENTS; i++) {
 		m->workers[i].clock_rate = options->clock_rate;
 		search_worker_restart(
-		    &m->workers[i], MODEL_START_US - WORKER_AGE_US);
+		    &m->workers[i], MODEL_START_US - WORKER_AGE_US, false);
 	}
 	for (i = 0; i < MODEL_NODES; i++) {
 		m->nodes[i].backlog =
--- a/tests/search/model.h
+++ b/tests/search/model.h
@@ -94,6 +94,7 @@
 	/* Agents are killed only when they have told their entry that the
 	 * start of a task is uncertain. */
 	bool agents_tell_first;
+	bool new_ids; /* workers may get another id when they are restarted */
 };
 
 struct model {
@@ -106,16 +107,22 @@
 	bool worker_cut[MODEL_AGENTS];   /* orders are lost */
 	bool worker_muted[MODEL_AGENTS]; /* answers are lost */
 	bool hold_renew[MODEL_AGENTS];   /* the next one is held up */
+	/* Kind of the orders of which the next answer is held up; 0: none. */
+	enum mst_order_kind hold_answer[MODEL_AGENTS];
+	/* Entry on the way to which the next announcement is held up, from 1;
+	 * 0: none. */
+	int hold_announce[MODEL_AGENTS];
 	int64_t next_report_us[MODEL_AGENTS];
 	uint64_t report_seq;
 	/* Incarnation in the report that the agent has kept; 0: none. */
 	uint64_t kept_incarnation[MODEL_AGENTS];
-	GQueue traffic;       /* struct model_event; delivered at once */
-	GQueue next_traffic;  /* the same, at the next tick */
-	GPtrArray *pending;   /* struct model_event; delivered by moves */
-	bool has_new_pending; /* since the last move */
-	GArray *waits;        /* struct model_wait */
-	GArray *polls;        /* struct model_poll */
+	int kept_id[MODEL_AGENTS]; /* index of the worker's id in it */
+	GQueue traffic;            /* struct model_event; delivered at once */
+	GQueue next_traffic;       /* the same, at the next tick */
+	GPtrArray *pending;        /* struct model_event; delivered by moves */
+	bool has_new_pending;      /* since the last move */
+	GArray *waits;             /* struct model_wait */
+	GArray *polls;             /* struct model_poll */
 	uint64_t last_order_number;
 	uint64_t last_request;
 	struct model_caller caller;
@@ -160,6 +167,21 @@
 /* Ends the waits for orders that have timed out. */
 void model_end_waits(struct model *m);
 
+/* Ends the wait for an order. Returns false if its agent no longer waits. */
+bool model_end_wait(struct model *m, uint64_t number);
+
+/* Report of another writer: what is odd about it. */
+enum model_odd_report {
+	MODEL_ODD_ID,    /* another id */
+	MODEL_ODD_LATER, /* a later incarnation */
+	MODEL_ODD_END,   /* the worker's end */
+	MODEL_ODD_REPORTS
+};
+
+/* Delivers a report of another writer to an agent. */
+void model_send_odd_report(
+    struct model *m, int agent, enum model_odd_report kind);
+
 /* Takes an answer that is too late for a request as none. */
 void model_drop_late_answers(GPtrArray *events, int64_t now_us);
 
--- a/tests/search/moves.c
+++ b/tests/search/moves.c
@@ -99,6 +99,46 @@
 	add(l, MOVE_STALL, agent, entry);
 }
 
+/* A worker may get an id of its own at its start. */
+static void
+list_worker_starts(const struct listing *l, enum move_type type, int agent)
+{
+	add(l, type, agent, false);
+	if (l->m->options.new_ids &&
+	    l->m->workers[agent].id + 1 < SEARCH_IDS_MAX)
+		add(l, type, agent, true);
+}
+
+static void
+list_reports(const struct listing *l, int agent)
+{
+	int i;
+
+	if (!model_is_running(l->m, MODEL_ENTRIES + agent))
+		return;
+	for (i = 0; i < MODEL_ODD_REPORTS; i++)
+		add(l, MOVE_ODD_REPORT, agent, i);
+}
+
+/* What is held up later, if nothing is held up already. */
+static void
+list_holds(const struct listing *l, int agent)
+{
+	int entry;
+
+	if (!l->m->hold_renew[agent])
+		add(l, MOVE_HOLD_RENEW, agent, 0);
+	if (l->m->hold_answer[agent] == 0) {
+		add(l, MOVE_HOLD_ANSWER, agent, MST_ORDER_START);
+		add(l, MOVE_HOLD_ANSWER, agent, MST_ORDER_RENEW);
+	}
+	for (entry = 0; entry < MODEL_ENTRIES; entry++) {
+		if (l->m->hold_announce[agent] == 0 &&
+		    l->m->nodes[entry].was_used)
+			add(l, MOVE_HOLD_ANNOUNCE, agent, entry);
+	}
+}
+
 static void
 list_worker_moves(const struct listing *l, int agent)
 {
@@ -108,18 +148,18 @@
 	if (is_cut)
 		add(l, MOVE_HEAL_WORKER, agent, 0);
 	if (worker->is_down)
-		add(l, MOVE_START_WORKER, agent, 0);
+		list_worker_starts(l, MOVE_START_WORKER, agent);
 	if (!l->m->nodes[MODEL_ENTRIES + agent].was_used)
 		return;
-	if (!l->m->hold_renew[agent])
-		add(l, MOVE_HOLD_RENEW, agent, 0);
+	list_holds(l, agent);
+	list_reports(l, agent);
 	if (!is_cut) {
 		add(l, MOVE_CUT_WORKER, agent, 0);
 		add(l, MOVE_MUTE_WORKER, agent, 0);
 	}
 	if (worker->is_down)
 		return;
-	add(l, MOVE_RESTART_WORKER, agent, 0);
+	list_worker_starts(l, MOVE_RESTART_WORKER, agent);
 	add(l, MOVE_CRASH_WORKER, agent, 0);
 	if (worker->run_count > 0)
 		add(l, MOVE_FINISH, agent, 0);
--- a/tests/search/moves.h
+++ b/tests/search/moves.h
@@ -13,6 +13,10 @@
 	MOVE_REPEAT,     /* message: it is delivered, a copy is held up */
 	MOVE_RELEASE,    /* what was held up arrives */
 	MOVE_HOLD_RENEW, /* the next renewal to a worker is held up */
+	/* The next answer of a worker is held up; the variant is the kind of
+	 * its order. */
+	MOVE_HOLD_ANSWER,
+	MOVE_HOLD_ANNOUNCE, /* the next announcement to an entry is held up */
 	/* Of a process: */
 	MOVE_KILL_ENTRY,
 	MOVE_KILL_AGENT,
@@ -28,9 +32,11 @@
 	MOVE_MUTE_WORKER, /* its answers are lost */
 	MOVE_HEAL_WORKER,
 	/* Of a worker: */
-	MOVE_RESTART_WORKER, /* as a new incarnation under its id, at once */
+	MOVE_RESTART_WORKER, /* as a new incarnation, at once; variant 1: under
+				a new id */
 	MOVE_CRASH_WORKER,
-	MOVE_START_WORKER, /* after a crash, as a new incarnation */
+	MOVE_START_WORKER, /* after a crash, as MOVE_RESTART_WORKER */
+	MOVE_ODD_REPORT,   /* the variant tells which, enum model_odd_report */
 	MOVE_FINISH,       /* a run ends well */
 	MOVE_BREAK,        /* the connection of the caller breaks */
 	MOVE_TYPES
--- a/tests/search/node.c
+++ b/tests/search/node.c
@@ -7,6 +7,7 @@
 #define REPORT_INTERVAL_US (500 * 1000)
 #define LEASE_MAX_MS       1000
 #define RESEND_MS          (MODEL_RESEND_US / 1000)
+#define ODD_LATER_MS       3600000 /* from an incarnation to an odd one */
 
 static void
 load_kept_report(struct model *m, int node)
@@ -118,9 +119,9 @@
 
 static void
 step_report(struct model *m, int node, enum mst_agent_event_type type,
-    uint64_t incarnation)
+    const char *id, uint64_t incarnation)
 {
-	struct mst_worker_report report = {.id = mst_bytes_from_str("worker"),
+	struct mst_worker_report report = {.id = mst_bytes_from_str(id),
 	    .service = mst_bytes_from_str("service"),
 	    .rack = mst_bytes_from_str(""),
 	    .labels = mst_bytes_from_str(""),
@@ -132,6 +133,41 @@
 	step_agent(m, node, &event);
 }
 
+static void
+step_last_report(struct model *m, int node, const char *id)
+{
+	struct mst_worker_report report = {
+	    .id = mst_bytes_from_str(id), .shutting_down = true};
+	struct mst_agent_event event = {
+	    .type = MST_AGENT_EV_REPORT, .report = &report};
+
+	step_agent(m, node, &event);
+}
+
+void
+model_send_odd_report(struct model *m, int agent, enum model_odd_report kind)
+{
+	const struct search_worker *worker = &m->workers[agent];
+	const char *id = search_worker_id(worker->id);
+	int node = MODEL_ENTRIES + agent;
+
+	switch (kind) {
+	case MODEL_ODD_ID:
+		step_report(m, node, MST_AGENT_EV_REPORT, "another",
+		    worker->incarnation);
+		break;
+	case MODEL_ODD_LATER:
+		step_report(m, node, MST_AGENT_EV_REPORT, id,
+		    worker->incarnation + ODD_LATER_MS);
+		break;
+	case MODEL_ODD_END:
+		step_last_report(m, node, id);
+		break;
+	case MODEL_ODD_REPORTS:
+		break;
+	}
+}
+
 static void
 step_submit(struct model *m, const struct model_event *event)
 {
@@ -178,6 +214,7 @@
 		break;
 	case MODEL_KEPT_REPORT:
 		step_report(m, event->to, MST_AGENT_EV_KEPT_REPORT,
+		    search_worker_id(m->kept_id[event->to - MODEL_ENTRIES]),
 		    m->kept_incarnation[event->to - MODEL_ENTRIES]);
 		break;
 	case MODEL_SUBMIT:
@@ -296,6 +333,8 @@
 		return;
 	m->next_report_us[agent] = m->now_us + REPORT_INTERVAL_US;
 	m->kept_incarnation[agent] = m->workers[agent].incarnation;
-	step_report(
-	    m, node, MST_AGENT_EV_REPORT, m->workers[agent].incarnation);
+	m->kept_id[agent] = m->workers[agent].id;
+	step_report(m, node, MST_AGENT_EV_REPORT,
+	    search_worker_id(m->workers[agent].id),
+	    m->workers[agent].incarnation);
 }
--- a/tests/search/order.c
+++ b/tests/search/order.c
@@ -5,9 +5,8 @@
 /* Longest wait for the answer to an order that does not wait itself. */
 #define ANSWER_TIMEOUT_US (50 * 1000)
 
-/* Ends the wait for an order. Returns false if its agent no longer waits. */
-static bool
-end_wait(struct model *m, uint64_t number)
+bool
+model_end_wait(struct model *m, uint64_t number)
 {
 	guint i;
 
@@ -21,6 +20,29 @@
 	return false;
 }
 
+/* Holds up an answer, which is delivered by a move if its agent still waits. */
+static void
+hold_answer(struct model *m, int agent, struct model_event *event)
+{
+	m->hold_answer[agent] = 0;
+	event->is_held = true;
+	g_ptr_array_add(m->pending, event);
+}
+
+static struct model_event *
+answer_event_new(struct model *m, int agent, const struct search_order *order,
+    enum mst_order_status status)
+{
+	struct model_event *event =
+	    model_event_new(MODEL_ANSWER, MODEL_ENTRIES + agent);
+
+	event->agent_start = m->nodes[event->to].starts;
+	event->order = *order;
+	event->answer =
+	    search_answer_new(&m->workers[agent], order, status, m->now_us);
+	return event;
+}
+
 /* Answers an order if its agent waits for that. */
 static void
 answer_order(struct model *m, int agent, const struct search_order *order,
@@ -28,12 +50,15 @@
 {
 	struct model_event *event;
 
-	if (!end_wait(m, order->number))
+	if (order->kind == m->hold_answer[agent] &&
+	    status != MST_ORDER_NO_ANSWER) {
+		hold_answer(
+		    m, agent, answer_event_new(m, agent, order, status));
 		return;
-	event = model_event_new(MODEL_ANSWER, MODEL_ENTRIES + agent);
-	event->agent_start = m->nodes[event->to].starts;
-	event->answer =
-	    search_answer_new(&m->workers[agent], order, status, m->now_us);
+	}
+	if (!model_end_wait(m, order->number))
+		return;
+	event = answer_event_new(m, agent, order, status);
 	/* An agent repeats such an order at once, up to thousands of times. */
 	if (status == MST_ORDER_FENCED)
 		g_queue_push_tail(&m->next_traffic, event);
@@ -51,6 +76,7 @@
 	event->order = (struct search_order){.kind = order->kind,
 	    .id = order->id,
 	    .number = ++m->last_order_number,
+	    .worker_id = search_worker_find_id(order->worker_id),
 	    .run = order->run,
 	    .lease_end_ms = order->lease_end_ms,
 	    .fence = order->fence,
--- a/tests/search/state_hash.c
+++ b/tests/search/state_hash.c
@@ -72,6 +72,10 @@
 	    event->agent_start == h->m->nodes[event->to].starts, false);
 	if (event->type == MODEL_ORDER)
 		put_order(h, &event->order, event->to - MODEL_ENTRIES);
+	if (event->type == MODEL_ANSWER && event->is_held) {
+		put_order(h, &event->order, event->to - MODEL_ENTRIES);
+		put(h, event->answer->answer.status);
+	}
 	if (event->type == MODEL_MESSAGE) {
 		put(h, event->msg_type);
 		put_time(h, event->sent_us);
@@ -145,6 +149,13 @@
 	put_sum(h, session->runs, put_session_run);
 }
 
+/* Counts an id by its index; NULL: none. */
+static void
+put_id(const struct hasher *h, const char *id)
+{
+	put(h, search_worker_find_id(mst_bytes_from_str(id)));
+}
+
 static void
 put_agent_worker(const struct hasher *h, const struct mst_agent *agent,
     const struct search_worker *actual)
@@ -163,6 +174,9 @@
 	put_bool4(h, worker->candidate.is_set,
 	    worker->candidate.renewal.id != 0, worker->candidate.is_kept,
 	    worker->unknown_since_us > 0);
+	put_id(h, worker->id);
+	put_id(h, worker->candidate.report.id.data);
+	put(h, worker->candidate.report.incarnation == actual->incarnation);
 	put_time(h, worker->heard_us);
 	put(h, (int64_t)(actual->last_seq - worker->completions_read));
 	put(h, worker->clock_ms == 0);
@@ -260,6 +274,7 @@
 
 	put(h, worker->is_down);
 	put(h, worker->starts);
+	put(h, worker->id);
 	put(h, worker->fence == 0);
 	put(h, CLAMP(left_ms, 0, 1100) / 10);
 	put(h, worker->last_run);
@@ -339,6 +354,7 @@
 		put_worker(&h, &m->workers[i]);
 		put_bool4(&h, m->worker_cut[i], m->worker_muted[i],
 		    m->hold_renew[i], false);
+		put(&h, (int)m->hold_answer[i] << 8 | m->hold_announce[i]);
 		put_time(&h, m->next_report_us[i]);
 	}
 	put_links(&h);
--- a/tests/search/worker.c
+++ b/tests/search/worker.c
@@ -6,12 +6,37 @@
 
 #define LEASE_MAX_MS 1000 /* longest lease granted */
 
+static const char *const ids[SEARCH_IDS_MAX] = {
+    "worker", "worker-1", "worker-2", "worker-3"};
+
+const char *
+search_worker_id(int index)
+{
+	return ids[index];
+}
+
+int
+search_worker_find_id(struct mst_bytes id)
+{
+	int i;
+
+	if (id.len == 0)
+		return SEARCH_NO_ID;
+	for (i = 0; i < SEARCH_IDS_MAX; i++) {
+		if (mst_bytes_equal_str(id, ids[i]))
+			return i;
+	}
+	return SEARCH_OTHER_ID;
+}
+
 void
-search_worker_restart(struct search_worker *worker, int64_t now_us)
+search_worker_restart(struct search_worker *worker, int64_t now_us, bool new_id)
 {
 	uint64_t started_ms = (uint64_t)(now_us / 1000);
 
 	worker->is_down = false;
+	worker->id += new_id;
+	g_assert_cmpint(worker->id, <, SEARCH_IDS_MAX);
 	worker->starts++;
 	worker->incarnation = MAX(worker->incarnation + 1, started_ms);
 	worker->started_us = now_us;
@@ -115,6 +140,8 @@
 	int64_t max_end_ms =
 	    search_worker_clock_ms(worker, now_us) + LEASE_MAX_MS;
 
+	if (order->worker_id != SEARCH_NO_ID && order->worker_id != worker->id)
+		return MST_ORDER_OTHER_INCARNATION;
 	search_worker_check_lease(worker, now_us);
 	if (order->fence < worker->fence)
 		return MST_ORDER_FENCED;
--- a/tests/search/worker.h
+++ b/tests/search/worker.h
@@ -13,12 +13,16 @@
 #define SEARCH_RUNS_MAX        4
 #define SEARCH_COMPLETIONS_MAX 16
 #define SEARCH_TASK            "0123456789abcdef.0.0.0"
+#define SEARCH_IDS_MAX         4  /* that a worker has in turn */
+#define SEARCH_NO_ID           -1 /* order to a worker of any id */
+#define SEARCH_OTHER_ID        -2 /* order to another worker */
 
 /* Order to a worker without its strings: there is only one task. */
 struct search_order {
 	enum mst_order_kind kind;
 	uint64_t id;
 	uint64_t number; /* unique within the model */
+	int worker_id;   /* index of the id that it names */
 	uint32_t run;
 	int64_t lease_end_ms;
 	uint64_t fence;
@@ -30,6 +34,7 @@
 struct search_worker {
 	bool is_down;
 	uint64_t incarnation;
+	int id;             /* index of its id */
 	unsigned starts;    /* of the worker */
 	int64_t started_us; /* when its clock was 0 */
 	double clock_rate;  /* relative to the model's clock */
@@ -45,8 +50,16 @@
 	unsigned runs_done;    /* the same */
 };
 
-/* Starts a new incarnation, whose runs, fence and lease are empty. */
-void search_worker_restart(struct search_worker *worker, int64_t now_us);
+/* Starts a new incarnation, whose runs, fence and lease are empty. It keeps the
+ * id or has the next one. */
+void search_worker_restart(
+    struct search_worker *worker, int64_t now_us, bool new_id);
+
+/* Returns the text of an id, by its index. */
+const char *search_worker_id(int index);
+
+/* Returns the index of an id, or why it has none. */
+int search_worker_find_id(struct mst_bytes id);
 
 /* Returns the worker's clock, in milliseconds since its start. */
 int64_t search_worker_clock_ms(
--- a/tests/test_lease_search.c
+++ b/tests/test_lease_search.c
@@ -328,6 +328,59 @@
 	    .faults = 5},
 	.depth = 12,
 	.states = 1500},
+    /* Answers that come late, also after those of newer orders. */
+    {.name = "lease-search-order/answers",
+	.options = {.clock_rate = 0.98, .explore_orders = true},
+	.limits = {.budgets = {ENDS_OF_FAULTS, [MOVE_HOLD] = 1,
+		       [MOVE_HOLD_ANSWER] = 2, [MOVE_KILL_AGENT] = 1,
+		       [MOVE_CRASH_WORKER] = 1, [MOVE_RESTART_WORKER] = 1},
+	    .faults = 3},
+	.depth = 9,
+	.states = 1000},
+    /* Reports of another writer, while orders are late. */
+    {.name = "lease-search-order/reports",
+	.options = {.clock_rate = 0.98, .explore_orders = true},
+	.limits =
+	    {.budgets = {ENDS_OF_FAULTS, [MOVE_HOLD] = 1, [MOVE_ODD_REPORT] = 2,
+		 [MOVE_KILL_AGENT] = 1, [MOVE_RESTART_WORKER] = 1},
+		.faults = 4},
+	.depth = 9,
+	.states = 1000},
+    /* Two restarts of a worker, under its id or a new one, also while its agent
+       is down. */
+    {.name = "lease-search-order/new-ids",
+	.options = {.clock_rate = 0.98,
+	    .explore_orders = true,
+	    .new_ids = true},
+	.limits = {.budgets = {ENDS_OF_FAULTS, [MOVE_HOLD] = 1,
+		       [MOVE_HOLD_ANSWER] = 1, [MOVE_ODD_REPORT] = 1,
+		       [MOVE_KILL_AGENT] = 1, [MOVE_RESTART_WORKER] = 2},
+	    .faults = 4},
+	.depth = 9,
+	.states = 1000},
+    /* A host without power, whose worker is back before its agent or after it,
+       and a caller that comes back elsewhere. */
+    {.name = "lease-search-order/power",
+	.options = {.clock_rate = 0.98,
+	    .explore_orders = true,
+	    .new_ids = true},
+	.limits =
+	    {.budgets = {ENDS_OF_FAULTS, [MOVE_HOLD] = 1, [MOVE_KILL_AGENT] = 1,
+		 [MOVE_CRASH_WORKER] = 1, [MOVE_BREAK] = 1},
+		.faults = 4},
+	.depth = 9,
+	.states = 1000},
+    /* An announcement that arrives after those of the agent's next
+       incarnation. */
+    {.name = "lease-search-order/announcements",
+	.options = {.clock_rate = 0.98, .explore_orders = true},
+	.limits =
+	    {.budgets =
+		    {ENDS_OF_FAULTS, [MOVE_HOLD] = 1, [MOVE_HOLD_ANNOUNCE] = 1,
+			[MOVE_KILL_AGENT] = 2, [MOVE_RESTART_WORKER] = 1},
+		.faults = 4},
+	.depth = 9,
+	.states = 1000},
     /* Listed in KNOWN-RED.txt: agent and entry are lost at once, before the
        order has been overdue, so that nobody alive knows of it. */
     {.name = "lease-search-open/lost-together",
