--- a/tests/test_lease_reports.c
+++ b/tests/test_lease_reports.c
@@ -92,38 +92,56 @@
 
 #define PAIRS (SIM_ODD_REPORTS * SIM_ODD_REPORTS)
 
-/* Guards against a worker that is no longer used after two odd reports. */
+/* Sends a pair of odd reports to the agent of a worker, which is restarted
+ * between them if that is asked for, and checks that the worker is used. */
 static void
-lease_reports__two_odd_reports_change_nothing(gconstpointer data)
+send_pair(int pair, bool restarts_agent)
 {
-	int pair = GPOINTER_TO_INT(data);
 	struct scenario *scenario = scenario_new_with_faults(1, REPORT_ONLY);
 	int agent = scenario->cluster.agents[0];
+	int64_t now_ms = START_MS;
 
-	run_until_ms(scenario, START_MS);
+	run_until_ms(scenario, now_ms);
 	sim_send_odd_report(scenario->sim, agent,
 	    (enum sim_odd_report)(pair / SIM_ODD_REPORTS));
-	run_until_ms(scenario, START_MS + 10);
+	run_until_ms(scenario, now_ms += 10);
+	if (restarts_agent) {
+		cluster_restart(&scenario->cluster, SCENARIO_ENTRIES);
+		run_until_ms(scenario, now_ms += SETTLE_MS);
+	}
 	sim_send_odd_report(scenario->sim, agent,
 	    (enum sim_odd_report)(pair % SIM_ODD_REPORTS));
-	run_until_ms(scenario, START_MS + SETTLE_MS);
+	run_until_ms(scenario, now_ms + SETTLE_MS);
 	scenario_check_members(scenario);
 	scenario_free(scenario);
 }
 
+/* Guards against a worker that is no longer used after two odd reports. */
+static void
+lease_reports__two_odd_reports_change_nothing(gconstpointer data)
+{
+	send_pair(GPOINTER_TO_INT(data), false);
+}
+
+/* Guards against the same if the first one is read from the store again. */
+static void
+lease_reports__agent_restarts_between_odd_reports(gconstpointer data)
+{
+	send_pair(GPOINTER_TO_INT(data), true);
+}
+
 /* The pairs that are listed in KNOWN-RED.txt have a prefix of their own. */
 static void
-add_pair(int pair)
+add_pair(int pair, const char *between, GTestDataFunc test)
 {
 	int first = pair / SIM_ODD_REPORTS;
 	int second = pair % SIM_ODD_REPORTS;
 	bool is_open = first == SIM_ODD_SEQ && second == SIM_ODD_DELETE;
-	char *path = g_strdup_printf("/lease-reports%s/%s-then-%s",
-	    is_open ? "-open" : "", odd_reports[first].name,
+	char *path = g_strdup_printf("/lease-reports%s/%s%s-then-%s",
+	    is_open ? "-open" : "", odd_reports[first].name, between,
 	    odd_reports[second].name);
 
-	g_test_add_data_func(path, GINT_TO_POINTER(pair),
-	    lease_reports__two_odd_reports_change_nothing);
+	g_test_add_data_func(path, GINT_TO_POINTER(pair), test);
 	g_free(path);
 }
 
@@ -150,7 +168,11 @@
 		add_test(odd, "restart-",
 		    lease_reports__agent_restarts_after_odd_report);
 	}
-	for (pair = 0; pair < PAIRS; pair++)
-		add_pair(pair);
+	for (pair = 0; pair < PAIRS; pair++) {
+		add_pair(
+		    pair, "", lease_reports__two_odd_reports_change_nothing);
+		add_pair(pair, "-restart",
+		    lease_reports__agent_restarts_between_odd_reports);
+	}
 	return g_test_run();
 }
