place: an isolated task is sent only where its starts allow it

The choice of a member for isolated jobs did not ask where a task is bound, nor whether the member would refuse it for an old echo. Suspects are the tasks that have starts without an answer beside restarts of workers, so one could run at a second host while a late start of it was executed at the first. test_quarantine /quarantine/bound-task and bound-task-of-lost-member, which failed before, pass.

--- a/src/core/entry/entry.c
+++ b/src/core/entry/entry.c
@@ -259,7 +259,7 @@
 		mst_entry_start_incarnation(entry);
 		return;
 	}
-	if (mst_entry_settle_echoes(entry) && entry->options.leased)
+	if (mst_entry_settle_echoes(entry))
 		mst_entry_place_tasks(entry);
 	mst_owner_tick(entry);
 	if (entry->now_us >= entry->next_scan_us) {
--- a/src/core/member/echo.c
+++ b/src/core/member/echo.c
@@ -37,6 +37,8 @@
 	int64_t clock_us =
 	    member->clock_us + (entry->now_us - member->clock_received_us);
 
+	if (!entry->options.leased)
+		return true;
 	return member->echo.settled_us > 0 &&
 	    clock_us - member->echo.settled_us <= entry->options.suspect_us;
 }
--- a/src/core/member/member.h
+++ b/src/core/member/member.h
@@ -105,8 +105,8 @@
     struct mst_entry *entry, struct member *member, int64_t clock_us);
 /* Records a gap between two events, which may leave input waiting. */
 void mst_entry_note_gap(struct mst_entry *entry, int64_t gap_us);
-/* Returns true if a member accepts tasks that are sent with the present echo.
- * It refuses those with an older one than this entry's lease lasts. */
+/* Returns true if a member accepts tasks that are sent with the present echo. A
+ * leased one refuses those with an older one than this entry's lease lasts. */
 bool mst_member_has_valid_echo(
     const struct mst_entry *entry, const struct member *member);
 /* Lets the clocks be echoed that were heard before the last tick. Returns true
--- a/src/core/place/fit.c
+++ b/src/core/place/fit.c
@@ -120,7 +120,7 @@
 {
 	if (!mst_member_is_usable(entry, member))
 		return false;
-	if (entry->options.leased && !mst_member_has_valid_echo(entry, member))
+	if (!mst_member_has_valid_echo(entry, member))
 		return false;
 	if (member->probing || member->overdue)
 		return member->outstanding == 0 && member->grant > 0;
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -418,8 +418,8 @@
 	g_test_add_func("/quarantine/nothing-changes-without-crashes",
 	    quarantine__nothing_changes_without_crashes);
 	g_test_add_func(
-	    "/quarantine-open/bound-task", quarantine__isolated_task_is_bound);
-	g_test_add_func("/quarantine-open/bound-task-of-lost-member",
+	    "/quarantine/bound-task", quarantine__isolated_task_is_bound);
+	g_test_add_func("/quarantine/bound-task-of-lost-member",
 	    quarantine__isolated_task_of_lost_member_is_bound);
 	return g_test_run();
 }
