entry: the run number of a sent task is settled when it is sent

It was worked out anew for a repeated dispatch, so a start that was told of in between changed it: the agent had used one number, the entry remembered another. And a task whose starts at one host have different numbers was sent there once more, although a restarted worker executes one start of each number. The number is now set once, with the sequence number, and a task waits if its starts differ in it. test_bound_tasks /bound/repeated-number and /bound/two-numbers, which failed before, pass.

--- a/src/core/job/uncertain.c
+++ b/src/core/job/uncertain.c
@@ -63,15 +63,34 @@
 	return agent == NULL || g_strcmp0(agent->name, member->name) == 0;
 }
 
+uint32_t
+mst_task_bound_run_number(
+    const struct mst_entry *entry, const struct task *task)
+{
+	const struct uncertain_start *start;
+	uint32_t number = 0;
+
+	for (start = task->starts; start != NULL; start = start->next) {
+		if (entry->now_us < start->expires_us)
+			number = MAX(number, MAX(start->run, 1));
+	}
+	return number;
+}
+
+/* A worker that is restarted executes one start of each number, so all starts
+ * must have the same one. */
 bool
 mst_task_may_run_at(const struct mst_entry *entry, const struct task *task,
     const struct member *member)
 {
 	const struct uncertain_start *start;
+	uint32_t number = mst_task_bound_run_number(entry, task);
 
 	for (start = task->starts; start != NULL; start = start->next) {
-		if (entry->now_us < start->expires_us &&
-		    (start->is_spent || !is_at_host_of(entry, start, member)))
+		if (entry->now_us >= start->expires_us)
+			continue;
+		if (start->is_spent || MAX(start->run, 1) != number ||
+		    !is_at_host_of(entry, start, member))
 			return false;
 	}
 	return true;
@@ -83,20 +102,6 @@
 	return mst_start_list_is_live(task->starts, entry->now_us);
 }
 
-uint32_t
-mst_task_bound_run_number(
-    const struct mst_entry *entry, const struct task *task)
-{
-	const struct uncertain_start *start;
-	uint32_t number = 0;
-
-	for (start = task->starts; start != NULL; start = start->next) {
-		if (entry->now_us < start->expires_us)
-			number = MAX(number, MAX(start->run, 1));
-	}
-	return number;
-}
-
 void
 mst_task_end_wait(struct mst_entry *entry, struct task *task)
 {
--- a/src/core/place/dispatch.c
+++ b/src/core/place/dispatch.c
@@ -22,21 +22,6 @@
 	return MST_TASK_ISOLATED | (job->suspect ? MST_TASK_SUSPECT : 0);
 }
 
-/* Sets the number of a task's run. Repeated dispatches keep it. */
-static void
-set_run_number(const struct mst_entry *entry, const struct member *member,
-    const struct job *job, struct task *task, struct mst_dispatch_item *item)
-{
-	uint32_t bound_run = mst_task_bound_run_number(entry, task);
-
-	task->run =
-	    bound_run > 0 ? bound_run : mst_stored_run_number(job, task);
-	item->run = task->run;
-	if (bound_run > 0 &&
-	    (member->build.features & MST_FEATURE_CONFIRMED_STARTS) != 0)
-		item->flags |= MST_TASK_SAME_RUN;
-}
-
 /* Appends the tasks in a member's outbox to the dispatch items; tasks that
  * were closed or moved since they were queued are left out. */
 static void
@@ -73,7 +58,7 @@
 		    .content_type = mst_span_bytes(job, task->content_type),
 		    .body = mst_span_bytes(job, task->body),
 		    .traceparent = mst_span_bytes(job, job->traceparent)};
-		set_run_number(entry, member, job, task, &item);
+		item.run = task->run;
 		mst_stored_fill_dispatch(entry, job, &item);
 		g_array_append_val(entry->scratch_items, item);
 	}
--- a/src/core/place/place.c
+++ b/src/core/place/place.c
@@ -194,6 +194,22 @@
 	return choose_by_finish_time(entry, job, task, service_us, queued_us);
 }
 
+/* Sets the number of a task's run, which repeated dispatches keep, whatever is
+ * told of its starts meanwhile. */
+static void
+set_run_number(const struct mst_entry *entry, const struct member *member,
+    const struct job *job, struct task *task)
+{
+	uint32_t bound_run = mst_task_bound_run_number(entry, task);
+
+	task->run =
+	    bound_run > 0 ? bound_run : mst_stored_run_number(job, task);
+	task->flags &= (uint8_t)~MST_TASK_SAME_RUN;
+	if (bound_run > 0 &&
+	    (member->build.features & MST_FEATURE_CONFIRMED_STARTS) != 0)
+		task->flags |= MST_TASK_SAME_RUN;
+}
+
 static void
 send_task(struct mst_entry *entry, struct job *job, guint position,
     struct member *member, double service_us)
@@ -220,6 +236,7 @@
 	task->member = member;
 	task->last_member = member->incarnation;
 	task->seq = ++member->next_seq;
+	set_run_number(entry, member, job, task);
 	task->sent_us = entry->now_us;
 	job->expected_end_us = MAX(job->expected_end_us, end_us);
 	if (member->free_slots > 0)
