--- a/src/core/job/uncertain_tell.c
+++ b/src/core/job/uncertain_tell.c
@@ -84,7 +84,7 @@
 	}
 }
 
-/* Adds the starts of a task until a message is full. */
+/* Adds the starts of a task until as many are collected as wait at most. */
 static bool
 collect_known_starts(void *ctx, const char *key, uint32_t index,
     const struct uncertain_start *start)
@@ -98,19 +98,26 @@
 		if (entry->now_us < start->expires_us)
 			g_array_append_val(entry->scratch_starts, item);
 	}
-	return entry->scratch_starts->len < TELL_STARTS_MAX;
+	return entry->scratch_starts->len < UNTOLD_MAX;
 }
 
+/* Tells an entry of the collected starts. */
 static void
 tell_peer(struct mst_entry *entry, uint64_t peer)
 {
 	const GArray *items = entry->scratch_starts;
-	struct mst_msg *msg =
-	    mst_entry_emit_msg(entry, peer, MST_MSG_UNCERTAIN_STARTS);
+	guint first;
 
-	msg->uncertain_starts.items = (const void *)items->data;
-	msg->uncertain_starts.count = items->len;
-	entry->counters.starts_told++;
+	for (first = 0; first < items->len; first += TELL_STARTS_MAX) {
+		struct mst_msg *msg =
+		    mst_entry_emit_msg(entry, peer, MST_MSG_UNCERTAIN_STARTS);
+
+		msg->uncertain_starts.items =
+		    &g_array_index(items, struct mst_uncertain_item, first);
+		msg->uncertain_starts.count =
+		    MIN(items->len - first, TELL_STARTS_MAX);
+		entry->counters.starts_told++;
+	}
 }
 
 void
@@ -118,8 +125,7 @@
 {
 	g_array_set_size(entry->scratch_starts, 0);
 	mst_uncertain_for_each(entry, collect_known_starts, entry);
-	if (entry->scratch_starts->len > 0)
-		tell_peer(entry, peer);
+	tell_peer(entry, peer);
 }
 
 static void
--- a/tests/test_bound_tasks.c
+++ b/tests/test_bound_tasks.c
@@ -676,10 +676,10 @@
 	g_test_add_func(
 	    "/bound/lower-epoch", bound__silent_members_are_replaced);
 	g_test_add_func(
-	    "/bound-open/many-starts", bound__new_entry_is_told_of_all_starts);
-	g_test_add_func("/bound-open/repeated-number",
+	    "/bound/many-starts", bound__new_entry_is_told_of_all_starts);
+	g_test_add_func("/bound/repeated-number",
 	    bound__repeated_dispatch_keeps_its_number);
-	g_test_add_func("/bound-open/two-numbers",
-	    bound__waits_for_starts_with_two_numbers);
+	g_test_add_func(
+	    "/bound/two-numbers", bound__waits_for_starts_with_two_numbers);
 	return g_test_run();
 }
