entry: a successor of a member has to answer before the other one counts as ended

Entries told the incarnations of an agent apart by an epoch, the fence of its orders.

A member that is heard from beside a living one of the same name now stays unproven until it has answered a heartbeat of this entry, by the roster version that the heartbeat told: bytes that an ended process has left can't do that. The epoch goes, with its field, which no release has sent.

--- a/include/masticstall/entry.h
+++ b/include/masticstall/entry.h
@@ -338,8 +338,8 @@
 	uint64_t outcomes[MST_OUTCOME_UNKNOWN + 1];
 	uint64_t ejections;
 	uint64_t members_lost;
-	/* Ignored, from an earlier incarnation than the known one. */
-	uint64_t announcements_outdated;
+	/* Heard from beside a living one of the same name. */
+	uint64_t members_unproven;
 	uint64_t incarnations;
 };
 
--- a/include/masticstall/message.h
+++ b/include/masticstall/message.h
@@ -189,9 +189,6 @@
 	 * for certain: they wait, or an order to start them has no answer. */
 	uint32_t uncertain_count;
 	const uint64_t *uncertain_seqs;
-	/* Leased: greater than that of each earlier incarnation of the agent;
-	 * announced with the description, 0: unknown. */
-	uint64_t epoch;
 };
 
 struct mst_heartbeat {
--- a/src/codec/payload_member.c
+++ b/src/codec/payload_member.c
@@ -5,7 +5,6 @@
 #define BUILD_FIELDS       2
 #define LASTED_FIELDS      1
 #define UNCERTAIN_FIELDS   1
-#define EPOCH_FIELDS       1
 #define CRASH_FIELDS       5
 #define CRASHED_RUN_FIELDS 2
 
@@ -53,7 +52,7 @@
 static void
 put_uncertain_seqs(msgpack_packer *pk, const struct mst_announce *m)
 {
-	if (m->uncertain_count == 0 && m->epoch == 0)
+	if (m->uncertain_count == 0)
 		return;
 	if (m->build.version.len == 0) {
 		codec_put_bytes(pk, m->build.version);
@@ -92,8 +91,6 @@
 	put_drains(pk, &m->drains);
 	put_build(pk, &m->build);
 	put_uncertain_seqs(pk, m);
-	if (m->epoch != 0)
-		codec_put_u64(pk, m->epoch);
 }
 
 void
@@ -127,8 +124,6 @@
 	m->build = get_build(r);
 	if (!codec_at_end(r))
 		m->uncertain_seqs = codec_get_u64_list(r, &m->uncertain_count);
-	if (!codec_at_end(r))
-		m->epoch = codec_get_u64(r);
 }
 
 void
@@ -329,8 +324,6 @@
 		return has_lasted_times(&msg->crashes) ? LASTED_FIELDS : 0;
 	if (msg->type == MST_MSG_RESULT)
 		return codec_count_appended_to_results(&msg->results);
-	if (msg->type == MST_MSG_ANNOUNCE && msg->announce.epoch != 0)
-		return BUILD_FIELDS + UNCERTAIN_FIELDS + EPOCH_FIELDS;
 	if (msg->type == MST_MSG_ANNOUNCE && msg->announce.uncertain_count > 0)
 		return BUILD_FIELDS + UNCERTAIN_FIELDS;
 	if (msg->type == MST_MSG_ANNOUNCE)
--- a/src/core/agent/agent_internal.h
+++ b/src/core/agent/agent_internal.h
@@ -129,7 +129,6 @@
 	int64_t next_heartbeat_us;
 	int64_t next_prune_us;
 	uint32_t description_version; /* increases with each change */
-	uint64_t epoch; /* leased: highest fence of its orders so far */
 	bool draining;
 	int64_t drain_us;
 	bool stopped;
--- a/src/core/agent/announce.c
+++ b/src/core/agent/announce.c
@@ -29,10 +29,8 @@
 /* Adds the description, which changes rarely and is therefore sent to an entry
  * only until the entry has confirmed its version. */
 static void
-add_description(struct mst_agent *agent, struct mst_announce *announce)
+add_description(const struct mst_agent *agent, struct mst_announce *announce)
 {
-	agent->epoch = MAX(agent->epoch, agent->worker.fence);
-	announce->epoch = agent->epoch;
 	announce->name = mst_bytes_from_str(agent->name);
 	announce->failure_domain = mst_bytes_from_str(agent->failure_domain);
 	announce->rack = mst_bytes_from_str(agent->rack);
--- a/src/core/member/member.c
+++ b/src/core/member/member.c
@@ -36,7 +36,6 @@
 	 * changes. */
 	if (announce->name.len > 0) {
 		member->description_version = announce->description_version;
-		member->epoch = MAX(member->epoch, announce->epoch);
 		mst_string_replace(&member->name, announce->name);
 		mst_string_replace(
 		    &member->failure_domain, announce->failure_domain);
@@ -81,6 +80,8 @@
 		    MAX(member->roster_version, announce->roster_version);
 		mst_member_repair(entry, member, announce);
 	}
+	if (member->unproven)
+		return;
 	if (is_leaving)
 		mst_member_set_state(entry, member, MEMBER_LEAVING);
 	else if (member->state == MEMBER_SUSPECT ||
@@ -124,46 +125,48 @@
 	}
 }
 
-/* Returns true if a member of the same name that is heard from has a higher
- * epoch. The announcement is then a delayed one of an earlier incarnation,
- * which has terminated. Builds before 0.4.0 announce no epoch. */
+/* Returns true if a member is heard from that has the same name. */
 static bool
-is_of_earlier_incarnation(const struct mst_entry *entry, uint64_t from,
-    const char *name, uint64_t epoch)
+has_living_namesake(const struct mst_entry *entry, const struct member *member)
 {
 	guint i;
 
-	for (i = 0; i < entry->members->len && epoch != 0; i++) {
-		const struct member *member = entry->members->pdata[i];
+	for (i = 0; i < entry->members->len; i++) {
+		const struct member *other = entry->members->pdata[i];
 
-		if (member->incarnation != from &&
-		    member->state != MEMBER_GONE && member->epoch > epoch &&
-		    g_strcmp0(member->name, name) == 0)
+		if (other != member && other->state != MEMBER_GONE &&
+		    g_strcmp0(other->name, member->name) == 0)
 			return true;
 	}
 	return false;
 }
 
-/* Returns true if an announcement must be ignored, because the member's next
- * incarnation is known. A living member is never searched for. */
-static bool
-is_outdated(const struct mst_entry *entry, const struct member *member,
-    const struct mst_msg *msg)
+/* Adds a member that has announced itself. Beside a living one of the same name
+ * it is its successor, or an earlier incarnation that has ended and whose
+ * announcement was delayed. */
+static void
+member_join(struct mst_entry *entry, struct member *member)
 {
-	const struct mst_announce *announce = &msg->announce;
-	bool outdated;
-	char *name;
-
-	if (member != NULL && member->state != MEMBER_GONE)
-		return false;
-	if (member != NULL)
-		return is_of_earlier_incarnation(
-		    entry, msg->from, member->name, member->epoch);
-	name = mst_bytes_to_str(announce->name);
-	outdated =
-	    is_of_earlier_incarnation(entry, msg->from, name, announce->epoch);
-	g_free(name);
-	return outdated;
+	member->unproven =
+	    entry->options.leased && has_living_namesake(entry, member);
+	if (member->unproven)
+		entry->counters.members_unproven++;
+	else if (entry->options.leased)
+		member_replace_predecessor(entry, member);
+	mst_roster_add(entry, member);
+}
+
+/* Takes a member for the successor of its namesakes once it has answered a
+ * heartbeat: it lives, so they have ended. */
+static void
+member_check_proof(struct mst_entry *entry, struct member *member,
+    const struct mst_announce *announce, bool is_recipient)
+{
+	if (!member->unproven || !is_recipient ||
+	    announce->roster_version < member->join_version)
+		return;
+	member->unproven = false;
+	member_replace_predecessor(entry, member);
 }
 
 void
@@ -179,26 +182,22 @@
 		mst_entry_start_incarnation(entry);
 		return;
 	}
-	if (entry->options.leased && is_outdated(entry, member, msg)) {
-		entry->counters.announcements_outdated++;
-		return;
-	}
 	if (member == NULL) {
 		member = mst_member_new(entry, msg->from);
 		if (member == NULL)
 			return;
 		member_set_description(entry, member, announce);
 		mst_member_report(entry, member);
-		if (entry->options.leased)
-			member_replace_predecessor(entry, member);
-		mst_roster_add(entry, member);
+		member_join(entry, member);
 	} else if (member->state == MEMBER_GONE) {
 		mst_member_set_state(entry, member, MEMBER_JOINING);
-		mst_roster_add(entry, member);
+		member_join(entry, member);
 	}
 	member_set_description(entry, member, announce);
 	member->last_heard_us = entry->now_us;
 	member_update_clock(entry, member, announce);
+	member_check_proof(
+	    entry, member, announce, msg->to == entry->incarnation);
 	member_update(
 	    entry, member, announce, msg->to == entry->incarnation, outdated);
 	if (outdated)
--- a/src/core/member/member.h
+++ b/src/core/member/member.h
@@ -26,7 +26,8 @@
 
 struct member {
 	uint64_t incarnation;
-	uint64_t epoch; /* greater than that of its predecessors; 0: unknown */
+	/* It may have ended before another member of the same name. */
+	bool unproven;
 	char *name;
 	char *failure_domain;
 	char *rack;
--- a/src/core/member/roster.c
+++ b/src/core/member/roster.c
@@ -43,7 +43,7 @@
 	guint i;
 
 	if (entry->options.leased)
-		return true;
+		return !joining->unproven;
 	if (joining->roster_version < joining->join_version)
 		return false;
 	if (joining->join_version == 1)
--- a/src/runtime/metrics.c
+++ b/src/runtime/metrics.c
@@ -136,9 +136,9 @@
 	metrics_add_single(out, "starts_untold_total", "counter",
 	    "Tasks with such starts that no other entry was told of.",
 	    (double)counters->starts_untold);
-	metrics_add_single(out, "announcements_outdated_total", "counter",
-	    "Announcements of earlier incarnations that were ignored.",
-	    (double)counters->announcements_outdated);
+	metrics_add_single(out, "members_unproven_total", "counter",
+	    "Agents heard from beside another incarnation of them.",
+	    (double)counters->members_unproven);
 }
 
 static void
