agent: a withdrawn task that waits for its earlier run is given back after it

A task that waits at an agent for the end of its earlier run was given back at once, as not run, when its entry withdrew it. Entries withdraw overdue tasks in order to send them elsewhere, so it could run there beside the earlier run, which is the reason why it waits. It is now given back when that one has ended. worker/two_runs_withdrawn, found by a review, failed before: 'result for entry 2' right after the withdrawal.

--- a/src/core/agent/run.c
+++ b/src/core/agent/run.c
@@ -298,9 +298,14 @@
 		add_to_outbox(run);
 		return;
 	}
+	agent->counters.withdrawn++;
+	/* Its entry may send the task elsewhere once it is given back. */
+	if (mst_run_must_wait(agent, run)) {
+		run->refusal = MST_REASON_WITHDRAWN;
+		return;
+	}
 	dequeue_run(agent, run);
 	refuse_run(agent, run, MST_REASON_WITHDRAWN);
-	agent->counters.withdrawn++;
 }
 
 static void
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -680,9 +680,9 @@
 	    "answer_of_earlier_incarnation", "clock_gap", "start_names_worker",
 	    "down_answer_late", "fence_rises", "unknown_run_bound",
 	    "two_runs_of_task", "start_not_sent", "copy_after_restart",
-	    "fence_same", "ended_with_open_copy", "starts_told"};
-	static const char *const open_scripts[] = {
-	    "two_runs_withdrawn", "seq_far_ahead"};
+	    "fence_same", "ended_with_open_copy", "starts_told",
+	    "two_runs_withdrawn"};
+	static const char *const open_scripts[] = {"seq_far_ahead"};
 
 	g_test_init(&argc, &argv, NULL);
 	add_scripts("/worker/", scripts, G_N_ELEMENTS(scripts));
