entry: work that needs no slot of others refuses nobody

Cause: the expected wait of a new job counted all tasks that wait at the entry. Tasks bound to a lost host wait there for up to 14 s, and those of quarantined jobs have members of their own. An entry with a few of them took every job for late that did not fit into the free slots once for each live entry. What callers saw: refusals for seconds after hosts were lost, with room at the others. Now only tasks that any member outside the quarantine could run count.

--- a/src/core/job/job.h
+++ b/src/core/job/job.h
@@ -27,6 +27,7 @@
 	uint32_t open;        /* tasks that are not closed */
 	uint32_t started;     /* tasks that were sent at least once */
 	bool may_have_run;    /* other owners may have started any task */
+	bool was_bound;       /* some task has been bound to a host */
 	bool start_uncertain; /* closed while an open task was bound */
 	struct task *tasks;
 	struct step *steps;
--- a/src/core/job/uncertain.c
+++ b/src/core/job/uncertain.c
@@ -200,7 +200,7 @@
 }
 
 static void
-report_bound(struct mst_entry *entry, const struct job *job, uint32_t index,
+note_bound(struct mst_entry *entry, struct job *job, uint32_t index,
     const struct uncertain_start *start)
 {
 	struct mst_entry_effect *effect =
@@ -211,6 +211,7 @@
 	effect->peer = start->agent;
 	effect->state = job->tasks[index].starts->host;
 	entry->counters.tasks_bound++;
+	job->was_bound = true;
 }
 
 static void
@@ -218,7 +219,7 @@
     const struct uncertain_start *start)
 {
 	mst_start_list_add(&job->tasks[index].starts, start);
-	report_bound(entry, job, index, start);
+	note_bound(entry, job, index, start);
 }
 
 /* Adds a start that this entry was told of to the open job, or remembers it.
@@ -473,7 +474,7 @@
 		task = &job->tasks[index];
 		mst_start_list_move(&task->starts, &starts, entry->now_us);
 		if (task->starts != NULL)
-			report_bound(entry, job, index, task->starts);
+			note_bound(entry, job, index, task->starts);
 	}
 	remove_job(entry, uncertain);
 }
--- a/src/core/place/objective.c
+++ b/src/core/place/objective.c
@@ -10,6 +10,7 @@
 #include "core/member/member.h"
 #include "core/place/fit.h"
 #include "core/place/place.h"
+#include "core/place/quarantine.h"
 
 #define PRIORITY_MAX 10 /* levels that are told apart; 0 is served first */
 
@@ -59,10 +60,35 @@
 	    job->soft_deadline_us - (int64_t)(service_us * entry->min_slowness);
 }
 
-/* Returns the waiting load of a team's jobs up to a virtual deadline, in
+/* Returns the load of a job's waiting tasks that any member outside the
+ * quarantine could run, in microseconds. The others use none of the slots that
+ * later jobs wait for: the tasks of quarantined jobs have members of their own,
+ * and a bound task waits for one host, which is often lost. */
+static double
+movable_load_us(const struct mst_entry *entry, const struct job *job)
+{
+	double load_us = 0;
+	guint i;
+
+	if (mst_job_is_quarantined(job))
+		return 0;
+	if (!job->was_bound)
+		return job->waiting_load_us;
+	for (i = 0; i < job->waiting_tasks->len; i++) {
+		const struct task *task =
+		    &job->tasks[g_array_index(job->waiting_tasks, uint16_t, i)];
+
+		if (!mst_task_is_bound(entry, task))
+			load_us += mst_task_expected_us(job, task);
+	}
+	return load_us;
+}
+
+/* Returns the movable load of a team's jobs up to a virtual deadline, in
  * microseconds. */
 static double
-queued_load_before_us(const struct team *team, int64_t virtual_deadline_us)
+movable_load_before_us(const struct mst_entry *entry, const struct team *team,
+    int64_t virtual_deadline_us)
 {
 	GSequenceIter *iter = g_sequence_get_begin_iter(team->jobs);
 	double load_us = 0;
@@ -72,7 +98,7 @@
 
 		if (job->virtual_deadline_us > virtual_deadline_us)
 			break;
-		load_us += job->waiting_load_us;
+		load_us += movable_load_us(entry, job);
 		iter = g_sequence_iter_next(iter);
 	}
 	return load_us;
@@ -99,8 +125,8 @@
 	guint i;
 
 	for (i = 0; i < entry->active_teams->len; i++)
-		load_us += queued_load_before_us(
-		    entry->active_teams->pdata[i], virtual_deadline_us);
+		load_us += movable_load_before_us(
+		    entry, entry->active_teams->pdata[i], virtual_deadline_us);
 	if (load_us == 0)
 		return 0;
 	g_hash_table_iter_init(&iter, entry->teams);
--- a/tests/test_load_faults.c
+++ b/tests/test_load_faults.c
@@ -28,6 +28,12 @@
 /* Least share of the submitted jobs that end in time. */
 #define IN_TIME_MIN 0.95
 
+#define LOST_AGENTS 2
+/* After the loss, until the entries know of it. */
+#define LOST_KNOWN_MS 700
+/* Largest share of the jobs that is refused while there are slots for them. */
+#define REFUSED_MAX 0.01
+
 /* Workers of the same speed, jobs of two kinds. */
 static const struct load_shape even_shape = {.name = "even",
     .entries = 3,
@@ -81,6 +87,25 @@
     .target_ms = 30,
     .deadline_ms = 1500};
 
+/* Callers that wait for seconds, so that tasks that are bound to a lost host
+ * stay in the queues. */
+static const struct load_shape patient_shape = {.name = "patient",
+    .entries = 4,
+    .workers = 11,
+    .slots = 8,
+    .service_factors = {1},
+    .factor_count = 1,
+    .kinds = {{"short", 8, 60, 34, 0}, {"medium", 2, 200, 100, 1},
+	{"long", 4, 900, 6, 2}},
+    .kind_count = 3,
+    .service_sigma = 0.4,
+    .declared_sigma = 0.4,
+    .base_load = 0.6,
+    .peak_load = 0.6,
+    .stretch = 1.6,
+    .target_ms = 60,
+    .deadline_ms = 9000};
+
 static struct load_counts
 play_peaks(const struct load_shape *shape, const char *fault)
 {
@@ -262,6 +287,45 @@
 	load_free(load);
 }
 
+static void
+lose_agents(struct load *load)
+{
+	int i;
+
+	for (i = 0; i < LOST_AGENTS; i++)
+		sim_kill(load->sim, load->cluster.agents[i]);
+}
+
+/* Tasks that are bound to lost hosts must not refuse or delay jobs that the
+ * other hosts can serve in time. */
+static void
+load_faults__bound_tasks_refuse_nobody(void)
+{
+	static const struct load_fault fault = {
+	    .name = "agents-lost", .begin = lose_agents};
+	unsigned submitted = 0, in_time = 0, refused = 0;
+	uint32_t seed;
+
+	for (seed = 1; seed <= SEEDS; seed++) {
+		const struct load_options options = {
+		    .seed = seed, .paired = true, .fault = &fault};
+		struct load *load = load_new(&patient_shape, &options);
+		struct load_counts counts;
+
+		load_run(load);
+		counts = load_count(
+		    load, LOAD_PEAK_START_MS + LOST_KNOWN_MS, LOAD_END_MS);
+		submitted += counts.submitted;
+		in_time += counts.in_time;
+		refused += counts.refused;
+		load_free(load);
+	}
+	g_test_message(
+	    "%u jobs, %u in time, %u refused", submitted, in_time, refused);
+	g_assert_cmpfloat(refused, <=, REFUSED_MAX * submitted);
+	g_assert_cmpfloat(in_time, >=, IN_TIME_MIN * submitted);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -280,5 +344,7 @@
 	    load_faults__waiting_by_choice_refuses_nobody);
 	g_test_add_func("/load-faults/slow-free-slots",
 	    load_faults__slow_free_slots_admit_nobody);
+	g_test_add_func(
+	    "/load-faults/bound-tasks", load_faults__bound_tasks_refuse_nobody);
 	return g_test_run();
 }
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -23,6 +23,9 @@
 #define GOOD_TEAM   "good"
 #define BAD_JOB     "00000000000000aa"
 #define GOOD_JOB    "00000000000000bb"
+/* Jobs of the bad team that wait: too much for the members that its quarantine
+ * leaves to others, but not for all. */
+#define WAITING_JOBS 190
 
 /* What an entry has emitted. */
 struct outcome {
@@ -30,6 +33,7 @@
 	uint64_t seq;           /* of the first task */
 	uint32_t flags;         /* of the first task */
 	bool answered;
+	bool refused;
 	uint64_t job; /* handle, if answered */
 };
 
@@ -59,6 +63,8 @@
 		} else if (effect->type == MST_ENTRY_FX_ANSWER) {
 			outcome.answered = true;
 			outcome.job = effect->job;
+		} else if (effect->type == MST_ENTRY_FX_REFUSE) {
+			outcome.refused = true;
 		}
 	}
 	return outcome;
@@ -75,9 +81,9 @@
 	step(fixture, &event);
 }
 
-/* A member without slots is one whose worker is down. */
 static void
-announce(struct fixture *fixture, unsigned member, uint32_t slots)
+announce_free(struct fixture *fixture, unsigned member, uint32_t slots,
+    uint32_t free_slots)
 {
 	char name[16];
 	struct mst_msg msg = {.type = MST_MSG_ANNOUNCE,
@@ -91,14 +97,21 @@
 		.resources = {.millicores = SLOTS * 1000, .memory_mb = 1024},
 		.resources_max = {.millicores = SLOTS * 1000,
 		    .memory_mb = 1024},
-		.grant = slots,
-		.free_slots = slots}};
+		.grant = free_slots,
+		.free_slots = free_slots}};
 
 	g_snprintf(name, sizeof(name), "member-%u", member);
 	msg.announce.name = mst_bytes_from_str(name);
 	deliver(fixture, member, &msg);
 }
 
+/* A member without slots is one whose worker is down. */
+static void
+announce(struct fixture *fixture, unsigned member, uint32_t slots)
+{
+	announce_free(fixture, member, slots, slots);
+}
+
 static struct fixture *
 fixture_new(void)
 {
@@ -192,7 +205,8 @@
 
 	g_snprintf(name, sizeof(name), "%s.0.0.0", key);
 	outcome = step(fixture, &event);
-	return outcome.answered ? outcome : step(fixture, &flush);
+	return outcome.answered || outcome.refused ? outcome
+						   : step(fixture, &flush);
 }
 
 static bool
@@ -233,6 +247,31 @@
 	fixture_free(fixture);
 }
 
+/* Guards against work that waits for the quarantined members alone counting as
+ * ahead of the jobs of other teams, which are refused for it. */
+static void
+quarantine__waiting_jobs_refuse_no_others(void)
+{
+	struct fixture *fixture = fixture_new();
+	struct outcome bad, good;
+	char key[20];
+	unsigned i;
+
+	for (i = 0; i < MEMBERS; i++)
+		announce_free(fixture, i, SLOTS, 0);
+	for (i = 0; i < WAITING_JOBS; i++) {
+		g_snprintf(key, sizeof(key), "%016x", 0x100 + i);
+		bad = submit(fixture, key, BAD_TEAM);
+		g_assert_false(bad.refused);
+		g_assert_cmpuint(bad.dispatched_to, ==, 0);
+	}
+	report_crashes(fixture, 2);
+	g_assert_cmpuint(count_quarantined(fixture), ==, QUARANTINED);
+	good = submit(fixture, GOOD_JOB, GOOD_TEAM);
+	g_assert_false(good.refused);
+	fixture_free(fixture);
+}
+
 /* Guards against entries that put different members at risk. */
 static void
 quarantine__entries_choose_alike(void)
@@ -407,6 +446,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/quarantine/teams-are-kept-apart",
 	    quarantine__teams_are_kept_apart);
+	g_test_add_func("/quarantine/waiting-jobs-refuse-no-others",
+	    quarantine__waiting_jobs_refuse_no_others);
 	g_test_add_func("/quarantine/entries-choose-alike",
 	    quarantine__entries_choose_alike);
 	g_test_add_func("/quarantine/members-that-are-down-are-not-replaced",
