agent: innocent tasks are no longer given up as the cause of crashes

Cause: a run counted as present at a crash although its START was never answered, and the same run counted again at each further crash while it waited for its stop, then often as the only one.

Now a run counts at one crash at most. One of which the worker has shown nothing does not count the first time that this agent sees its task so, but from the second time on (64 tasks, 60 s): a task that always crashes its worker before the answer to its start is still found, one crash later. A refused connection proves the end only of what was confirmed before its order was sent, so a run that was confirmed later is no longer recorded as crashed by it (the worker of down_answer_late is alive). The state "synced" no longer decides: what was not counted at the refusal is counted at the restart that follows.

Ruled out: counting only confirmed runs, without the second chance; a task that crashes its worker before the answer would have been started for ever.

start.c takes what is known of a start out of order.c, so that crash.c does not need order.c.

--- a/src/core/worker/incarnation.c
+++ b/src/core/worker/incarnation.c
@@ -21,7 +21,7 @@
 {
 	struct worker *worker = &agent->worker;
 
-	mst_worker_record_crash(agent);
+	mst_worker_record_crash(agent, INT64_MAX);
 	worker->incarnation = incarnation;
 	worker->heard_us = agent->now_us;
 	if (worker->clock_ms > 0) {
--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -197,19 +197,6 @@
 	mst_worker_complete_run(agent, run, &result, proof);
 }
 
-bool
-mst_worker_start_is_uncertain(const struct run *run)
-{
-	return run->start_unanswered || run->starts_open > 0;
-}
-
-bool
-mst_worker_start_is_settled(const struct run *run)
-{
-	return run->order_state >= ORDER_STARTED &&
-	    !mst_worker_start_is_uncertain(run);
-}
-
 static void
 handle_start_refusal(
     struct mst_agent *agent, struct run *run, enum mst_reason reason)
@@ -273,7 +260,7 @@
 	/* It has answered a newer order. */
 	if (answer->sent_us < worker->answered_us)
 		return;
-	mst_worker_record_crash(agent);
+	mst_worker_record_crash(agent, answer->sent_us);
 	if (worker->synced)
 		mst_worker_emit_state(agent, "down");
 	mst_worker_fail_runs(agent, MST_PROOF_DOWN, answer->sent_us);
@@ -314,15 +301,13 @@
 {
 	switch (answer->status) {
 	case MST_ORDER_DONE:
-		run->order_state = ORDER_STARTED;
-		run->confirmed_us = agent->now_us;
+		mst_worker_confirm_start(agent, run);
 		break;
 	case MST_ORDER_OLD_RUN:
 		if (mst_worker_start_is_uncertain(run)) {
 			/* Another copy used the number; the lists show the
 			 * state of its run. */
-			run->order_state = ORDER_STARTED;
-			run->confirmed_us = agent->now_us;
+			mst_worker_confirm_start(agent, run);
 		} else if (run->task.flags & MST_TASK_SAME_RUN) {
 			handle_start_refusal(agent, run, MST_REASON_RUN_USED);
 		} else {
--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -152,10 +152,10 @@
 		}
 		unlisted = g_list_remove(unlisted, run);
 		run->crashed = false;
+		run->was_seen = true;
 		if (run->order_state == ORDER_STARTING ||
 		    run->order_state == ORDER_START_DUE) {
-			run->order_state = ORDER_STARTED;
-			run->confirmed_us = agent->now_us;
+			mst_worker_confirm_start(agent, run);
 		} else if (run->order_state == ORDER_STOPPED &&
 		    run->confirmed_us < answer->sent_us) {
 			/* A delayed start arrived after the stop. */
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -24,6 +24,9 @@
  * lost. */
 #define WORKER_RENEWS_MAX 2
 
+/* Tasks remembered after a crash of which the worker had shown nothing. */
+#define WORKER_UNSEEN_TASKS_MAX 64
+
 /* A renew order without an answer. */
 struct renewal {
 	uint64_t id; /* 0: none */
@@ -41,6 +44,13 @@
 	int64_t due_us;                  /* not verified before */
 };
 
+/* Task that may have been in progress at a crash, of which the worker had shown
+ * nothing. */
+struct unseen_task {
+	uint64_t hash;      /* of its path */
+	int64_t crashed_us; /* 0: none */
+};
+
 /* Worker of a leased agent. */
 struct worker {
 	bool has_reported;   /* its status is known */
@@ -89,6 +99,8 @@
 	double answer_deviation_us;
 	unsigned renew_failures; /* consecutive failures */
 	unsigned unanswered;     /* consecutive orders without an answer */
+	struct unseen_task unseen_tasks[WORKER_UNSEEN_TASKS_MAX];
+	unsigned unseen_next; /* the oldest of them */
 	struct mst_resources used_resources;
 	struct mst_resources capacity_max; /* most that it has reported */
 	struct mst_slowness slowness_avg; /* slowness as an average over runs */
@@ -121,18 +133,20 @@
 /* Returns true if the worker accepts new tasks. */
 bool mst_worker_is_ready(const struct mst_agent *agent);
 
-/* order.c */
-/* Orders the worker to start a run. */
-void mst_worker_start_run(struct mst_agent *agent, struct run *run);
-/* Ends the runs whose start order waits to be repeated, because the failure
- * domain of the worker is drained. */
-void mst_worker_cancel_due_starts(struct mst_agent *agent);
+/* start.c */
 /* Returns true if a start order of a run got no answer and may still be
  * executed. */
 bool mst_worker_start_is_uncertain(const struct run *run);
 /* Returns true if a run was started and no start order of it may still be
  * executed. */
 bool mst_worker_start_is_settled(const struct run *run);
+
+/* order.c */
+/* Orders the worker to start a run. */
+void mst_worker_start_run(struct mst_agent *agent, struct run *run);
+/* Ends the runs whose start order waits to be repeated, because the failure
+ * domain of the worker is drained. */
+void mst_worker_cancel_due_starts(struct mst_agent *agent);
 /* Orders the worker to stop a run, unless that was done already. The reason is
  * reported if the run ends without a result. */
 void mst_worker_stop_run(
--- a/src/core/worker/worker_internal.h
+++ b/src/core/worker/worker_internal.h
@@ -110,6 +110,10 @@
 /* Adds the service time of a completed run to the average slowness. */
 void mst_worker_update_slowness(struct mst_agent *agent, const struct run *run);
 
+/* start.c */
+/* Records that the worker has shown that a run was started. */
+void mst_worker_confirm_start(const struct mst_agent *agent, struct run *run);
+
 /* order.c */
 /* Handles a refused connection: the worker is down, and the runs have ended
  * that were confirmed before the order was sent. */
@@ -138,10 +142,12 @@
     const struct mst_order_answer *answer);
 
 /* crash.c */
-/* Marks the runs in progress as ended by a crash of the worker. Called when the
- * present incarnation of the worker is known to have ended, and before the
- * state is reset; has no effect if the end was announced. */
-void mst_worker_record_crash(struct mst_agent *agent);
+/* Marks the runs in progress as ended by a crash of the worker: those that were
+ * last confirmed, or sent if they have not been seen, before a time. Called
+ * when the present incarnation of the worker is known to have ended, and before
+ * the state is reset; has no effect if the end was announced. */
+void mst_worker_record_crash(
+    struct mst_agent *agent, int64_t confirmed_before_us);
 
 /* completions.c */
 /* Drops all completions, because the worker no longer lists them. */
--- a/tests/sim/load.c
+++ b/tests/sim/load.c
@@ -97,6 +97,9 @@
 crash_worker(struct load *load, struct load_job *job)
 {
 	job->crashing_starts++;
+	if (load->crashing_at_once)
+		return (struct sim_task_result){
+		    .crashes = true, .start_unanswered = true};
 	return (struct sim_task_result){.duration_us = MS *
 		g_rand_int_range(load->rand, CRASH_MIN_MS, CRASH_MAX_MS),
 	    .crashes = true};
--- a/tests/sim/load.h
+++ b/tests/sim/load.h
@@ -140,6 +140,7 @@
 	double declared_sigma;
 	double poisoned_share; /* of the jobs */
 	double crashing_share; /* of the jobs of the first kind */
+	bool crashing_at_once; /* before the answers to their starts */
 	double due_burst_jobs; /* the same for the extra jobs of burst_kind */
 	/* Kind whose jobs come more often; NULL: none. */
 	const struct load_kind *burst_kind;
--- a/tests/sim/load_faults.c
+++ b/tests/sim/load_faults.c
@@ -21,7 +21,11 @@
 #define RACK_PERIOD_MS       1000 /* between two lost racks */
 #define RACK_WORKERS         2
 #define CRASHING_SHARE       0.1 /* of the jobs of one kind */
-#define WRONG_SIGMA          1.0 /* of declared over true time */
+#define OWN_CRASH_PERIOD_MS  170
+#define OWN_CRASH_PERCENT    36 /* of the workers */
+#define OWN_CRASH_DOWN_US    (70 * 1000)
+#define OWN_CRASH_LATE       0.24 /* of the orders */
+#define WRONG_SIGMA          1.0  /* of declared over true time */
 
 static int
 faulty_count(const struct load *load, int percent)
@@ -152,13 +156,19 @@
 }
 
 static void
-late_orders_begin(struct load *load)
+set_late_probability(const struct load *load, double probability)
 {
 	int i;
 
 	for (i = 0; i < load->cluster.agent_count; i++)
 		sim_worker_set_late_probability(
-		    get_worker(load, i), LATE_PROBABILITY);
+		    get_worker(load, i), probability);
+}
+
+static void
+late_orders_begin(struct load *load)
+{
+	set_late_probability(load, LATE_PROBABILITY);
 }
 
 static void
@@ -252,6 +262,25 @@
 			load->cluster.agent_count));
 }
 
+/* Some workers crash for a moment, again and again. */
+static void
+own_crashes_step(struct load *load, int64_t now_ms)
+{
+	int i;
+
+	if (now_ms % OWN_CRASH_PERIOD_MS != 0)
+		return;
+	for (i = 0; i < faulty_count(load, OWN_CRASH_PERCENT); i++)
+		sim_worker_go_down(get_worker(load, i),
+		    sim_now(load->sim) + OWN_CRASH_DOWN_US);
+}
+
+static void
+own_crashes_begin(struct load *load)
+{
+	set_late_probability(load, OWN_CRASH_LATE);
+}
+
 static void
 wrong_times_begin(struct load *load)
 {
@@ -308,6 +337,10 @@
     {.name = "poison", .begin = poison_begin, .end = poison_end},
     {.name = "crashing", .begin = crashing_begin, .end = crashing_end},
     {.name = "rack-lost", .step = rack_lost_step},
+    {.name = "own-crashes",
+	.begin = own_crashes_begin,
+	.step = own_crashes_step,
+	.end = clear_worker_faults},
     {.name = "wrong-times", .begin = wrong_times_begin, .end = wrong_times_end},
     {0}};
 
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -24,6 +24,7 @@
 	enum mst_reason reason;
 	uint16_t status;
 	bool crashes; /* leased: its worker crashes after duration_us */
+	bool start_unanswered; /* leased: its start gets no answer */
 };
 
 /* Faults of the link from one node to another; it has one direction. */
--- a/tests/sim/worker.c
+++ b/tests/sim/worker.c
@@ -448,8 +448,9 @@
 }
 
 static enum mst_order_status
-start_run(struct sim_worker *worker, const struct mst_order *order)
+start_run(struct sim_worker *worker, struct sim_order *pending)
 {
+	const struct mst_order *order = &pending->order;
 	const char *task = order->task.data;
 	struct sim_task_result service;
 	struct sim_run *run;
@@ -471,6 +472,7 @@
 	run->needs.millicores = 1000;
 	run->status = service.status < 500 ? MST_RUN_DONE : MST_RUN_FAILED;
 	run->crashes = service.crashes;
+	pending->answer_lost |= service.start_unanswered;
 	run->end_us = service.duration_us < 0
 	    ? G_MAXINT64
 	    : now_us(worker) + service.duration_us;
@@ -555,7 +557,7 @@
 	if (order->lease_end_ms > 0 && order->lease_end_ms > clock_ms(worker))
 		extend_lease(worker, order->lease_end_ms);
 	if (order->kind == MST_ORDER_START)
-		status = start_run(worker, order);
+		status = start_run(worker, pending);
 	else if (order->kind == MST_ORDER_STOP)
 		status = stop_run(worker, order);
 	else
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -34,6 +34,13 @@
 /* An idempotent task without leases. */
 #define RESET_US  (INT64_C(10) * 1000) /* until its upstream crashes */
 #define UPSTREAMS 8
+/* Workers that crash by themselves. */
+#define OWN_CRASHES_SEEDS 12
+/* A task that crashes its worker before the answer to its start: each agent may
+ * find out only the second time. */
+#define UNANSWERED_STARTS_MAX  (2 * STARTS_MAX)
+#define UNANSWERED_DEADLINE_MS 60000
+#define UNANSWERED_US          (INT64_C(60) * G_USEC_PER_SEC)
 /* Until the caller of a lost entry submits its job again. */
 #define RESUBMIT_US (INT64_C(1300) * 1000)
 
@@ -89,12 +96,20 @@
 	unsigned given_up; /* jobs answered as failed without cause */
 };
 
+static bool
+is_given_up(const struct load *load, const struct load_job *job)
+{
+	const struct sim_request *request =
+	    sim_get_request(load->sim, job->request);
+
+	return request->state == MST_JOB_FAILED &&
+	    request->reason == MST_REASON_TASK_FAILED;
+}
+
 static void
 count_job(struct results *results, const struct load *load,
     const struct load_job *job)
 {
-	const struct sim_request *request =
-	    sim_get_request(load->sim, job->request);
 	size_t kind = (size_t)(job->kind - load->shape.kinds);
 
 	if (job->crashing) {
@@ -102,8 +117,7 @@
 		    MAX(results->starts_max, job->crashing_starts);
 		return;
 	}
-	results->given_up += request->state == MST_JOB_FAILED &&
-	    request->reason == MST_REASON_TASK_FAILED;
+	results->given_up += is_given_up(load, job);
 	if (job->submitted_ms >= LOAD_PEAK_START_MS &&
 	    job->submitted_ms < LOAD_PEAK_END_MS)
 		load_count_job(&results->during[kind], load, job);
@@ -347,6 +361,81 @@
 	load_free(load);
 }
 
+/* Guards against giving up tasks whose starts got no answer while their workers
+ * crashed by themselves. */
+static void
+crashes__own_crashes_give_up_nobody(void)
+{
+	unsigned given_up = 0, crashes = 0;
+	uint32_t seed;
+	guint i;
+
+	for (seed = 1; seed <= OWN_CRASHES_SEEDS; seed++) {
+		const struct load_options options = {.seed = seed,
+		    .paired = true,
+		    .fault = load_fault_find("own-crashes")};
+		struct load *load = load_new(&shape, &options);
+
+		load_run(load);
+		for (i = 0; i < load->jobs->len; i++)
+			given_up += is_given_up(load, load->jobs->pdata[i]);
+		crashes += sim_crash_count(load->sim);
+		load_free(load);
+	}
+	g_test_message("%u given up, %u crashes", given_up, crashes);
+	g_assert_cmpuint(crashes, >, 0);
+	g_assert_cmpuint(given_up, ==, 0);
+}
+
+/* Submits one job whose first task crashes its worker before the answer to its
+ * start, and again whenever it is answered. Returns the starts of that task. */
+static unsigned
+play_unanswered_starts(uint32_t seed, double new_id_probability)
+{
+	const struct load_options options = {.seed = seed, .paired = true};
+	struct load_shape long_shape = shape;
+	struct load *load;
+	const struct load_job *job;
+	unsigned starts;
+	int i;
+
+	long_shape.kinds[CRASHING_KIND].deadline_ms = UNANSWERED_DEADLINE_MS;
+	load = load_new(&long_shape, &options);
+	load_run(load);
+	load->crashing_share = 1;
+	load->crashing_at_once = true;
+	for (i = 0; i < load->cluster.agent_count; i++)
+		sim_worker_set_new_id_probability(
+		    sim_get_worker(load->sim, load->cluster.agents[i]),
+		    new_id_probability);
+	load_submit(load, &load->shape.kinds[CRASHING_KIND], LOAD_END_MS);
+	job = load->jobs->pdata[load->jobs->len - 1];
+	sim_run_until(load->sim, sim_now(load->sim) + UNANSWERED_US);
+	starts = job->crashing_starts;
+	load_free(load);
+	return starts;
+}
+
+/* Guards against a task that goes on crashing workers because they never answer
+ * its starts. */
+static void
+crashes__unanswered_starts_are_limited(void)
+{
+	uint32_t seed;
+
+	for (seed = 1; seed <= SEEDS; seed++) {
+		unsigned same_id = play_unanswered_starts(seed, 0);
+		unsigned new_id = play_unanswered_starts(seed, 1);
+
+		g_test_message(
+		    "seed %u: %u and %u starts", seed, same_id, new_id);
+		g_assert_cmpuint(same_id, >, 1);
+		g_assert_cmpuint(same_id, <=, UNANSWERED_STARTS_MAX);
+		g_assert_cmpuint(new_id, >, 1);
+		g_assert_cmpuint(new_id, <=, UNANSWERED_STARTS_MAX);
+	}
+}
+
 static struct sim_task_result
 crash_upstream(
     void *ctx, int agent, const struct mst_dispatch_item *task, int64_t now_us)
@@ -406,6 +495,10 @@
 	    crashes__lost_racks_quarantine_nobody);
 	g_test_add_func(
 	    "/crashes/count-outlives-entries", crashes__count_outlives_entries);
+	g_test_add_func("/crashes/own-crashes-give-up-nobody",
+	    crashes__own_crashes_give_up_nobody);
+	g_test_add_func("/crashes/unanswered-starts-are-limited",
+	    crashes__unanswered_starts_are_limited);
 	g_test_add_func("/crashes/idempotent-task-is-not-retried-for-ever",
 	    crashes__idempotent_task_is_not_retried_for_ever);
 	return g_test_run();
