agent: a start that is ordered again after a crash counts anew

Cause: a START without an answer is repeated at the worker's next incarnation if the crash was shown by a list rather than by a refused connection. Since a run counts at one crash only, a task that crashes its worker before the answer could do so six times in one run, of which one counted.

Each order to start a run now lets it count once more.

--- a/src/core/agent/agent_internal.h
+++ b/src/core/agent/agent_internal.h
@@ -57,7 +57,7 @@
 	bool start_confirmed; /* to its entry */
 	bool was_seen;        /* the worker has shown that it started it */
 	bool crashed;         /* was in progress when the worker crashed */
-	bool crash_counted; /* that was recorded, or noted if it is not seen */
+	bool crash_counted;   /* since its last start order; see crash.c */
 	/* Queued: enum mst_reason to refuse it for, once no earlier run of its
 	 * task is active. */
 	uint8_t refusal;
--- a/src/core/worker/crash.c
+++ b/src/core/worker/crash.c
@@ -1,9 +1,10 @@
 /*
  * Crashes of a worker. Any of the runs that were in progress may have caused a
- * crash, so all of them are reported as crashed, each at one crash only. A run
- * of which the worker has shown nothing may never have started. It is reported
- * only if its task was in the same state at an earlier crash: a task that
- * always crashes its worker before the answer to its start does this again.
+ * crash, so all of them are reported as crashed, each once for an order to
+ * start it. A run of which the worker has shown nothing may never have started.
+ * It is reported only if its task was in the same state at an earlier crash: a
+ * task that always crashes its worker before the answer to its start does this
+ * again.
  */
 
 #include "core/agent/agent_internal.h"
--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -38,6 +38,7 @@
 	    agent->now_us + mst_worker_expected_answer_us(agent);
 	run->order_tries++;
 	run->starts_open++;
+	run->crash_counted = false;
 	set_order_run(order, run);
 	order->spec = run->task.body;
 	order->worker_id = mst_bytes_from_str(agent->worker.id);
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -681,7 +681,8 @@
 	    "down_answer_late", "fence_rises", "unknown_run_bound",
 	    "two_runs_of_task", "start_not_sent", "copy_after_restart",
 	    "fence_same", "ended_with_open_copy", "starts_told",
-	    "two_runs_withdrawn", "crash_unanswered", "crash_once"};
+	    "two_runs_withdrawn", "crash_unanswered", "crash_once",
+	    "crash_repeated_start"};
 	static const char *const open_scripts[] = {"seq_far_ahead"};
 
 	g_test_init(&argc, &argv, NULL);
