agent: a late list that shows no incarnation is not used

A list that tells no start of the worker, for an order that was sent before the present incarnation was heard, may be that of the earlier one. It was read all the same, and could hide completions or end a run of the same name. Read by a review, not seen; workers on the platform tell their start in each list.

--- a/src/core/worker/incarnation.c
+++ b/src/core/worker/incarnation.c
@@ -99,8 +99,9 @@
 	bool is_other = answer->incarnation != 0 &&
 	    answer->incarnation != worker->incarnation;
 
+	/* Lists that show no incarnation may be those of the earlier one. */
 	if (mst_worker_answer_is_late(agent, answer))
-		return !is_other;
+		return !is_other && answer->kind != MST_ORDER_RENEW;
 	if (is_other && worker->incarnation != 0) {
 		reset_worker(agent, answer->incarnation, MST_RESTART_LIST);
 	} else if (is_other) {
