agent: a claimed start beyond any date raises no fence

The start that a report claims raises the fence when the worker rejects the order that verifies it. A kept report that claimed 2^53 left a fence of 2^53 - 1, which could not rise with the worker's next restart and so shut out nothing.

--- a/src/core/worker/incarnation.c
+++ b/src/core/worker/incarnation.c
@@ -32,7 +32,7 @@
 		worker->has_reported = worker->report_is_kept = false;
 	g_clear_pointer(&worker->id, g_free);
 	worker->synced = false;
-	worker->fence = 0;
+	worker->fence = worker->fence_in_force = 0;
 	worker->completions_read = 0;
 	mst_completions_drop(worker);
 	mst_unknown_drop(worker);
--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -12,7 +12,10 @@
 #define WORKER_RENEW_MARGIN_MS    50 /* for the answer, beyond the wait */
 #define WORKER_UNRELIABLE_WAIT_US (20 * 1000)
 #define WORKER_RENEW_RETRY_US     (20 * 1000) /* while runs are awaited */
-#define WORKER_UNKNOWN_STOPS_MAX  64          /* per list of running runs */
+/* In milliseconds since 1970; fences, which are derived from it, stay far below
+ * their limit. */
+#define WORKER_INCARNATION_MAX   (UINT64_C(1) << 43)
+#define WORKER_UNKNOWN_STOPS_MAX 64 /* per list of running runs */
 /* Consecutive failures after which the lease is not renewed before an answer
  * arrives, so that it is known when the runs have ended. */
 #define WORKER_RENEWED_FAILURES_MAX 2
@@ -326,6 +329,18 @@
 		mst_agent_announce_all(agent, agent->now_us);
 }
 
+/* Returns the incarnation for the fence after the order of a candidate was
+ * rejected, which only the worker that it names does. One that is later than
+ * any worker can have been started is none. */
+static uint64_t
+get_claimed_incarnation(
+    const struct worker *worker, const struct mst_worker_report *report)
+{
+	if (report->incarnation > WORKER_INCARNATION_MAX)
+		return worker->incarnation;
+	return MAX(worker->incarnation, report->incarnation);
+}
+
 /* The order that verified a candidate is no renewal of the lease, so it does
  * not tell whether renewals fail. Its answer shows the lists all the same. */
 static void
@@ -333,9 +348,8 @@
     struct mst_agent *agent, const struct mst_order_answer *answer)
 {
 	struct worker *worker = &agent->worker;
-	/* Only the worker that the candidate names rejects its order so. */
 	uint64_t claimed =
-	    MAX(worker->incarnation, worker->candidate.report.incarnation);
+	    get_claimed_incarnation(worker, &worker->candidate.report);
 	struct renewal renewal = mst_candidate_handle_answer(agent, answer);
 
 	if (answer->status == MST_ORDER_DONE)
