--- a/tests/test_lease_reports.c
+++ b/tests/test_lease_reports.c
@@ -130,7 +130,6 @@
 	send_pair(GPOINTER_TO_INT(data), true);
 }
 
-/* The pairs that are listed in KNOWN-RED.txt have a prefix of their own. */
 static void
 add_pair(int pair, const char *between, GTestDataFunc test)
 {
