agent: all orders name the worker's id, and another id proves that they are void

Cause: only START orders named the incarnation that they were meant for. A held up renewal could give the worker's next incarnation the longest lease, so after each restart nothing started for some 470 ms; and a run whose START had no answer waited for a stop and bound its task to the host, although that START named an id that the worker no longer went by.

Now RENEW and STOP name the id, too, once it is known. Without an id no lease is renewed unless the present incarnation has shown a run, and none after a confirmed id was refused. An id is confirmed by an order that names it and is executed; the report alone is no proof. Once confirmed: - if no order with a lease of the last 14 s named this id, or none, no long lease is expected: tasks start at once; - runs whose starts all named another id end without a stop (proof other-id), and their results are not uncertain. Under the same id, and for 14 s after an agent's start, all stays as it was.

Ruled out: taking the refusal itself as the end of the runs (a report with a wrong id would end living ones); settling on the report's id.

The expected files of the scripts differ in the id that RENEW and STOP name, and in leases that are not renewed while the id is not known.

--- a/include/masticstall/worker.h
+++ b/include/masticstall/worker.h
@@ -22,7 +22,7 @@
 	struct mst_bytes task; /* START, STOP: name of the task */
 	uint32_t run;          /* START, STOP: run number */
 	struct mst_bytes spec; /* START: specification of the task */
-	/* START, RENEW: id of the incarnation that it is for; empty: any */
+	/* id of the incarnation that it is for; empty: any */
 	struct mst_bytes worker_id;
 	int64_t lease_end_ms; /* time on the worker's clock; 0: unchanged */
 	uint64_t fence;       /* the worker rejects orders with a lower one */
@@ -70,6 +70,7 @@
 	MST_PROOF_REFUSED,  /* all its start orders were refused */
 	MST_PROOF_DOWN,     /* the worker refused a connection */
 	MST_PROOF_LAPSED,   /* the worker's lease has expired */
+	MST_PROOF_OTHER_ID, /* the worker goes by another id than its starts */
 	MST_PROOF_MAX
 };
 
--- a/src/core/agent/agent.c
+++ b/src/core/agent/agent.c
@@ -40,6 +40,7 @@
 	mst_drains_init(&agent->drains);
 	mst_completions_init(&agent->worker);
 	mst_unknown_init(&agent->worker);
+	mst_identity_init(&agent->worker);
 	mst_crash_list_init(&agent->crashes);
 	agent->description_version = 1;
 	agent->sessions = g_hash_table_new_full(g_direct_hash, g_direct_equal,
@@ -70,6 +71,7 @@
 	mst_drains_clear(&agent->drains);
 	mst_completions_clear(&agent->worker);
 	mst_unknown_clear(&agent->worker);
+	mst_identity_clear(&agent->worker);
 	mst_candidate_clear(&agent->worker.candidate);
 	mst_crash_list_clear(&agent->crashes);
 	g_hash_table_unref(agent->active);
@@ -87,7 +89,6 @@
 	g_free(agent->name);
 	g_free(agent->failure_domain);
 	g_free(agent->rack);
-	g_free(agent->worker.id);
 	g_free(agent->worker.service);
 	g_free(agent->worker.labels);
 	g_free(agent->entries);
@@ -410,6 +411,7 @@
 {
 	g_array_set_size(agent->effects, 0);
 	g_ptr_array_set_size(agent->scratch_starts, 0);
+	g_ptr_array_set_size(agent->worker.old_ids, 0);
 	mst_crash_list_release(&agent->crashes);
 	agent->now_us = MAX(agent->now_us, event->now_us);
 	/* After a pause of this process any event may be the first one. */
--- a/src/core/agent/agent_internal.h
+++ b/src/core/agent/agent_internal.h
@@ -53,11 +53,13 @@
 	uint8_t starts_open; /* start orders that are not answered yet */
 	/* A start order that got no answer may still be executed. */
 	bool start_unanswered;
-	bool start_told;      /* to all entries, as an uncertain one */
-	bool start_confirmed; /* to its entry */
-	bool was_seen;        /* the worker has shown that it started it */
-	bool crashed;         /* was in progress when the worker crashed */
-	bool crash_counted;   /* since its last start order; see crash.c */
+	uint64_t
+	    start_worker; /* hash of the id that its starts name; 0: none */
+	bool start_workers_differ; /* they name several ids */
+	bool start_told;           /* to all entries, as an uncertain one */
+	bool start_confirmed;      /* to its entry */
+	bool crashed;              /* was in progress when the worker crashed */
+	bool crash_counted;        /* since its last start order; see crash.c */
 	/* Queued: enum mst_reason to refuse it for, once no earlier run of its
 	 * task is active. */
 	uint8_t refusal;
@@ -72,7 +74,8 @@
 	int64_t order_due_us;
 	bool start_hedged;    /* it was sent again in this way */
 	int64_t confirmed_us; /* time of the worker's last confirmation */
-	GList link;           /* link in queue, unacked or retained */
+	int64_t seen_us; /* when an answer last showed that it was started */
+	GList link;      /* link in queue, unacked or retained */
 	struct run *next_in_job;
 };
 
--- a/src/core/worker/candidate.c
+++ b/src/core/worker/candidate.c
@@ -66,8 +66,8 @@
 doubt_id(struct mst_agent *agent)
 {
 	struct worker *worker = &agent->worker;
-	char *id = g_steal_pointer(&worker->id);
-	const struct mst_worker_report report = {.id = mst_bytes_from_str(id),
+	const struct mst_worker_report report = {
+	    .id = mst_bytes_from_str(worker->id),
 	    .service = mst_bytes_from_str(worker->service),
 	    .rack = mst_bytes_from_str(agent->rack),
 	    .labels = mst_bytes_from_str(worker->labels),
@@ -81,7 +81,8 @@
 		mst_candidate_set(agent, &report, worker->report_is_kept);
 		worker->candidate.is_doubted = true;
 	}
-	g_free(id);
+	/* Its bytes are kept until the end of the step. */
+	mst_identity_set(agent, (struct mst_bytes){0});
 }
 
 void
@@ -180,6 +181,7 @@
 		mst_worker_take_id(
 		    agent, candidate->report.id, candidate->report.incarnation);
 	adopt(agent, candidate);
+	mst_identity_confirm(agent);
 }
 
 struct renewal
--- a/src/core/worker/crash.c
+++ b/src/core/worker/crash.c
@@ -70,7 +70,7 @@
 {
 	if (run->crash_counted)
 		return false;
-	if (run->was_seen) {
+	if (run->seen_us > 0) {
 		run->crash_counted = run->confirmed_us < confirmed_before_us;
 		return run->crash_counted;
 	}
--- a/src/core/worker/incarnation.c
+++ b/src/core/worker/incarnation.c
@@ -30,7 +30,7 @@
 	}
 	if (worker->report_is_kept)
 		worker->has_reported = worker->report_is_kept = false;
-	g_clear_pointer(&worker->id, g_free);
+	mst_identity_set(agent, (struct mst_bytes){0});
 	worker->synced = false;
 	worker->fence = worker->fence_in_force = 0;
 	worker->completions_read = 0;
--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -41,7 +41,7 @@
 	run->crash_counted = false;
 	set_order_run(order, run);
 	order->spec = run->task.body;
-	order->worker_id = mst_bytes_from_str(agent->worker.id);
+	mst_identity_note_start(run, order);
 	if (order->worker_id.len == 0)
 		agent->counters.starts_unnamed++;
 	mst_worker_order_set_lease(agent, order);
--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -155,7 +155,7 @@
 		}
 		unlisted = g_list_remove(unlisted, run);
 		run->crashed = false;
-		run->was_seen = true;
+		run->seen_us = agent->now_us;
 		if (run->order_state == ORDER_STARTING ||
 		    run->order_state == ORDER_START_DUE) {
 			mst_worker_confirm_start(agent, run);
@@ -194,18 +194,52 @@
 	return false;
 }
 
-/* While answers get lost, a second renew order is used, because its answer
+/* Returns true if a renew order that names the id is to be sent at once. */
+static bool
+must_confirm_id(const struct worker *worker)
+{
+	size_t i;
+
+	for (i = 0; i < WORKER_RENEWS_MAX; i++) {
+		if (worker->renewals[i].id != 0 && worker->renewals[i].is_named)
+			return false;
+	}
+	return mst_identity_must_confirm(worker);
+}
+
+/* A second renew order is used to confirm the worker's id while one without it
+ * waits, and while answers get lost, because its answer
  * lists the completions if the answer to the first is lost. */
 struct renewal *
 mst_worker_get_free_renewal(struct mst_agent *agent)
 {
 	struct worker *worker = &agent->worker;
 
-	if (worker->synced && mst_worker_is_unreliable(agent))
+	if (must_confirm_id(worker) ||
+	    (worker->synced && mst_worker_is_unreliable(agent)))
 		return mst_worker_find_renewal(worker, 0);
 	return has_open_renewal(worker) ? NULL : &worker->renewals[0];
 }
 
+/* Returns true if the worker's present incarnation has a run of this agent.
+ * Before its id is known, it is given none, and no lease without need: a later
+ * incarnation could take it. */
+static bool
+has_seen_run(const struct mst_agent *agent)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, agent->active);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct run *run = value;
+
+		if (run->seen_us >= agent->worker.heard_us)
+			return !agent->worker.has_ended;
+	}
+	return false;
+}
+
 void
 mst_worker_send_renew(struct mst_agent *agent, struct renewal *renewal)
 {
@@ -215,18 +249,21 @@
 	    : agent->options.leases.renew_interval_us;
 	struct mst_order *order;
 
-	*renewal = (struct renewal){
-	    .id = ++agent->next_handle, .fence = worker->fence};
+	*renewal = (struct renewal){.id = ++agent->next_handle,
+	    .fence = worker->fence,
+	    .is_named = worker->id != NULL};
 	order = mst_worker_emit_order(agent, MST_ORDER_RENEW, renewal->id);
 	if (!worker->lease_expiring &&
 	    !mst_unknown_completions_are_pending(worker))
 		order->completions_acked = mst_completions_last_acked(worker);
 	if (worker->synced && worker->renew_failures == 0 &&
-	    worker->fence == worker->fence_in_force)
+	    worker->fence == worker->fence_in_force &&
+	    !mst_identity_must_confirm(worker))
 		order->wait_ms = (uint32_t)(wait_us / 1000);
 	order->timeout_ms = order->wait_ms + WORKER_RENEW_MARGIN_MS;
 	/* Runs left by an earlier incarnation of this agent are not renewed. */
 	if (worker->synced && !worker->lease_expiring &&
+	    (worker->id != NULL || has_seen_run(agent)) &&
 	    worker->renew_failures < WORKER_RENEWED_FAILURES_MAX)
 		mst_worker_order_set_lease(agent, order);
 	worker->next_renew_us = agent->now_us + wait_us;
@@ -371,6 +408,8 @@
 	renewal->id = 0;
 	switch (answer->status) {
 	case MST_ORDER_DONE:
+		if (renewal->is_named && answer->sent_us >= worker->id_us)
+			mst_identity_confirm(agent);
 		handle_renew_success(agent, answer, renewal->fence);
 		break;
 	case MST_ORDER_FENCED:
@@ -382,6 +421,9 @@
 		mst_worker_handle_down(agent, answer);
 		handle_renew_failure(agent, answer->status);
 		break;
+	case MST_ORDER_OTHER_INCARNATION:
+		mst_identity_handle_refusal(agent, answer);
+		break;
 	default:
 		handle_renew_failure(agent, answer->status);
 		break;
--- a/src/core/worker/report.c
+++ b/src/core/worker/report.c
@@ -45,12 +45,8 @@
 	struct worker *worker = &agent->worker;
 
 	worker->report_seq = report->seq;
-	if (worker->id == NULL ||
-	    !mst_bytes_equal_str(report->id, worker->id)) {
-		g_free(worker->id);
-		worker->id = mst_bytes_to_str(report->id);
-		worker->id_us = agent->now_us;
-	}
+	if (worker->id == NULL || !mst_bytes_equal_str(report->id, worker->id))
+		mst_identity_set(agent, report->id);
 	emit_reported_state(agent, report, is_kept);
 	update_description(agent, &worker->service, report->service);
 	update_description(agent, &agent->rack, report->rack);
--- a/src/core/worker/start.c
+++ b/src/core/worker/start.c
@@ -9,7 +9,7 @@
 void
 mst_worker_confirm_start(const struct mst_agent *agent, struct run *run)
 {
-	run->was_seen = true;
+	run->seen_us = agent->now_us;
 	run->order_state = ORDER_STARTED;
 	run->confirmed_us = agent->now_us;
 }
--- a/src/core/worker/state.c
+++ b/src/core/worker/state.c
@@ -63,7 +63,8 @@
 	    [MST_PROOF_UNLISTED] = "unlisted",
 	    [MST_PROOF_REFUSED] = "refused",
 	    [MST_PROOF_DOWN] = "down",
-	    [MST_PROOF_LAPSED] = "lapsed"};
+	    [MST_PROOF_LAPSED] = "lapsed",
+	    [MST_PROOF_OTHER_ID] = "other-id"};
 
 	if (proof < 0 || proof >= MST_PROOF_MAX)
 		return "none";
@@ -248,6 +249,7 @@
 
 	effect->order = (struct mst_order){.kind = kind,
 	    .id = id,
+	    .worker_id = mst_bytes_from_str(agent->worker.id),
 	    .fence = agent->worker.fence,
 	    .timeout_ms = WORKER_ORDER_TIMEOUT_MS};
 	return &effect->order;
@@ -281,6 +283,18 @@
 
 	worker->lease_end_us = MAX(worker->lease_end_us, long_end_us);
 	worker->start_after_us = long_end_us - leases->run_lease_us;
+	worker->expects_long_lease = true;
+}
+
+void
+mst_worker_exclude_long_lease(struct mst_agent *agent)
+{
+	struct worker *worker = &agent->worker;
+
+	worker->is_restarted = worker->expects_long_lease = false;
+	worker->start_after_us = 0;
+	worker->lease_end_us =
+	    MIN(worker->lease_end_us, mst_worker_lease_end_us(agent));
 }
 
 void
@@ -294,4 +308,5 @@
 	order->lease_end_ms = mst_worker_clock_ms(agent) + left_us / 1000;
 	worker->lease_end_us =
 	    MAX(worker->lease_end_us, lease_end_us(agent, left_us));
+	mst_identity_note_lease(agent, order);
 }
--- a/src/core/worker/worker.c
+++ b/src/core/worker/worker.c
@@ -60,6 +60,10 @@
 		return;
 	}
 	mst_candidate_handle_refusal(agent, answer);
+	if (answer->kind == MST_ORDER_START &&
+	    answer->status == MST_ORDER_DONE &&
+	    answer->sent_us >= agent->worker.id_us)
+		mst_identity_confirm(agent);
 	run =
 	    g_hash_table_lookup(agent->active, mst_u64_to_pointer(answer->id));
 	if (run == NULL)
@@ -82,6 +86,8 @@
 
 	if (!worker->report_loaded) {
 		worker->report_loaded = true;
+		/* Those of an earlier incarnation of this agent. */
+		worker->unnamed_us = agent->now_us;
 		mst_agent_emit(agent, MST_AGENT_FX_LOAD_REPORT);
 	}
 	if (agent->now_us > worker->lease_end_us) {
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -27,10 +27,20 @@
 /* Tasks remembered after a crash of which the worker had shown nothing. */
 #define WORKER_UNSEEN_TASKS_MAX 64
 
+/* Ids of the worker that orders with a lease have named lately. */
+#define WORKER_NAMED_IDS_MAX 16
+
 /* A renew order without an answer. */
 struct renewal {
 	uint64_t id; /* 0: none */
 	uint64_t fence;
+	bool is_named; /* it names the worker's id */
+};
+
+/* Id that orders with a lease have named. */
+struct named_id {
+	uint64_t hash;
+	int64_t sent_us; /* the last of them; 0: none */
 };
 
 /* Report that is not known to be of the present incarnation of the worker. */
@@ -60,8 +70,14 @@
 	bool was_synced;   /* has been so before, perhaps in an earlier life */
 	bool is_restarted; /* has been since the last synced list */
 	bool draining;
-	char *id;      /* of the present incarnation; NULL: not known */
-	int64_t id_us; /* when it was learnt */
+	char *id;           /* of the present incarnation; NULL: not known */
+	int64_t id_us;      /* when it was learnt */
+	bool id_confirmed;  /* the worker has executed an order that names it */
+	bool id_is_new;     /* no order that may be held up gives it a lease */
+	bool has_ended;     /* it refused an order that named this id */
+	GPtrArray *old_ids; /* which effects of this step may refer to */
+	struct named_id named_ids[WORKER_NAMED_IDS_MAX];
+	int64_t unnamed_us; /* last order with a lease that named no id */
 	struct candidate candidate;
 	char *service;
 	char *labels;
@@ -89,8 +105,9 @@
 	int64_t clock_us;
 	/* When a list first showed runs that are not this agent's; 0: none. */
 	int64_t unknown_since_us;
-	int64_t lease_end_us;   /* its runs end by then unless renewed */
-	int64_t start_after_us; /* nothing is started before */
+	int64_t lease_end_us;    /* its runs end by then unless renewed */
+	int64_t start_after_us;  /* nothing is started before */
+	bool expects_long_lease; /* that is why, unless the time is over */
 	struct renewal renewals[WORKER_RENEWS_MAX];
 	int64_t next_renew_us;
 	int64_t unreliable_until_us; /* set when an order gets no answer */
@@ -186,6 +203,10 @@
 void mst_completions_handle_store_answer(
     struct mst_agent *agent, const struct mst_store_answer *answer);
 
+/* identity.c */
+void mst_identity_init(struct worker *worker);
+void mst_identity_clear(struct worker *worker);
+
 /* unknown.c */
 void mst_unknown_init(struct worker *worker);
 void mst_unknown_clear(struct worker *worker);
--- a/src/core/worker/worker_internal.h
+++ b/src/core/worker/worker_internal.h
@@ -46,6 +46,8 @@
 /* Allows for a lease of the worker's new incarnation that is longer than asked
  * for: nothing is started until it ends no later than a usual one. */
 void mst_worker_expect_long_lease(struct mst_agent *agent);
+/* Ends that, because no such lease is possible. */
+void mst_worker_exclude_long_lease(struct mst_agent *agent);
 /* Sets the new end of the lease in an order. */
 void mst_worker_order_set_lease(
     struct mst_agent *agent, struct mst_order *order);
@@ -66,6 +68,23 @@
 void mst_worker_take_id(
     struct mst_agent *agent, struct mst_bytes id, uint64_t incarnation);
 
+/* identity.c */
+/* Sets the id of the present incarnation; empty: not known. */
+void mst_identity_set(struct mst_agent *agent, struct mst_bytes id);
+/* Forgets the worker's id if an order that named it was refused for it. */
+void mst_identity_handle_refusal(
+    struct mst_agent *agent, const struct mst_order_answer *answer);
+/* Returns true if nothing is started until the id is confirmed. */
+bool mst_identity_must_confirm(const struct worker *worker);
+/* Records that an order with a lease is sent. */
+void mst_identity_note_lease(
+    struct mst_agent *agent, const struct mst_order *order);
+/* Records the id that a start order of a run names. */
+void mst_identity_note_start(struct run *run, const struct mst_order *order);
+/* Handles that the present incarnation has executed an order that names its id:
+ * orders that name another one do nothing any more. */
+void mst_identity_confirm(struct mst_agent *agent);
+
 /* report.c */
 /* Applies a report of the worker's present incarnation. */
 void mst_worker_apply_report(struct mst_agent *agent,
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -683,7 +683,8 @@
 	    "two_runs_of_task", "start_not_sent", "copy_after_restart",
 	    "fence_same", "ended_with_open_copy", "starts_told",
 	    "two_runs_withdrawn", "crash_unanswered", "crash_once",
-	    "crash_repeated_start", "seq_far_ahead"};
+	    "crash_repeated_start", "seq_far_ahead", "other_id",
+	    "renew_other_id"};
 
 	g_test_init(&argc, &argv, NULL);
 	add_scripts("/worker/", scripts, G_N_ELEMENTS(scripts));
