--- a/src/core/worker/identity.c
+++ b/src/core/worker/identity.c
@@ -67,8 +67,10 @@
 		g_ptr_array_add(worker->old_ids, worker->id);
 	worker->id = id.len > 0 ? mst_bytes_to_str(id) : NULL;
 	worker->id_us = agent->now_us;
+	worker->id_hash = hash_id(id);
 	worker->id_confirmed = worker->has_ended = false;
-	worker->id_is_new = worker->id != NULL && is_new_id(agent, hash_id(id));
+	worker->id_is_new =
+	    worker->id != NULL && is_new_id(agent, worker->id_hash);
 	if (mst_identity_must_confirm(worker))
 		worker->next_renew_us = agent->now_us;
 }
@@ -140,43 +142,3 @@
 		run->start_workers_differ = true;
 	run->start_worker = hash;
 }
-
-/* Returns true if no start of a run can be executed by the worker of an id, and
- * the worker of another one may have executed it. */
-static bool
-is_settled_by(const struct run *run, const struct worker *worker, uint64_t hash)
-{
-	return run->seen_us < worker->heard_us &&
-	    mst_worker_start_is_uncertain(run) && run->start_worker != 0 &&
-	    run->start_worker != hash && !run->start_workers_differ;
-}
-
-static void
-settle_run(struct mst_agent *agent, struct run *run)
-{
-	run->start_unanswered = false;
-	run->starts_open = 0;
-	mst_worker_fail_run(
-	    agent, run, MST_REASON_RUN_LOST, MST_PROOF_OTHER_ID);
-}
-
-void
-mst_identity_confirm(struct mst_agent *agent)
-{
-	struct worker *worker = &agent->worker;
-	uint64_t hash = hash_id(mst_bytes_from_str(worker->id));
-	GList *runs;
-	GList *link;
-
-	if (worker->id == NULL || worker->id_confirmed)
-		return;
-	worker->id_confirmed = true;
-	if (worker->id_is_new)
-		mst_worker_exclude_long_lease(agent);
-	runs = mst_worker_list_runs(agent);
-	for (link = runs; link != NULL; link = link->next) {
-		if (is_settled_by(link->data, worker, hash))
-			settle_run(agent, link->data);
-	}
-	g_list_free(runs);
-}
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -72,6 +72,7 @@
 	bool draining;
 	char *id;           /* of the present incarnation; NULL: not known */
 	int64_t id_us;      /* when it was learnt */
+	uint64_t id_hash;   /* 0: not known */
 	bool id_confirmed;  /* the worker has executed an order that names it */
 	bool id_is_new;     /* no order that may be held up gives it a lease */
 	bool has_ended;     /* it refused an order that named this id */
--- a/src/core/worker/worker_internal.h
+++ b/src/core/worker/worker_internal.h
@@ -81,6 +81,8 @@
     struct mst_agent *agent, const struct mst_order *order);
 /* Records the id that a start order of a run names. */
 void mst_identity_note_start(struct run *run, const struct mst_order *order);
+
+/* identity_confirm.c */
 /* Handles that the present incarnation has executed an order that names its id:
  * orders that name another one do nothing any more. */
 void mst_identity_confirm(struct mst_agent *agent);
