--- a/src/core/agent/agent_internal.h
+++ b/src/core/agent/agent_internal.h
@@ -56,10 +56,10 @@
 	uint64_t
 	    start_worker; /* hash of the id that its starts name; 0: none */
 	bool start_workers_differ; /* they name several ids */
-	bool start_told;           /* to all entries, as an uncertain one */
-	bool start_confirmed;      /* to its entry */
-	bool crashed;              /* was in progress when the worker crashed */
-	bool crash_counted;        /* since its last start order; see crash.c */
+	bool start_told;      /* as uncertain, to the entries that it serves */
+	bool start_confirmed; /* to its entry */
+	bool crashed;         /* was in progress when the worker crashed */
+	bool crash_counted;   /* since its last start order; see crash.c */
 	/* Queued: enum mst_reason to refuse it for, once no earlier run of its
 	 * task is active. */
 	uint8_t refusal;
--- a/src/core/entry/entry_internal.h
+++ b/src/core/entry/entry_internal.h
@@ -50,7 +50,7 @@
 	int64_t next_scan_us;
 	int64_t last_scan_us;
 	uint32_t heartbeat_rounds; /* rounds of heartbeats sent */
-	unsigned ticks_behind; /* until the input that waits is handled */
+	unsigned ticks_behind;     /* until the input that waits is handled */
 	bool draining;
 	int64_t drain_us;
 	int64_t stop_us; /* the open jobs are closed then; 0: not set */
--- a/src/core/job/uncertain.c
+++ b/src/core/job/uncertain.c
@@ -6,47 +6,9 @@
 #include "core/job/uncertain.h"
 #include "core/member/member.h"
 
-/* Most jobs remembered; the oldest one is dropped first. */
-#define UNCERTAIN_JOBS_MAX 4096
 /* Time within which a live agent has answered the withdrawal of a task. */
 #define SETTLE_TIME_US (300 * 1000)
 
-/* Closed job that may be submitted again. */
-struct uncertain_job {
-	char *key;
-	int64_t expires_us;
-	GHashTable *starts; /* index of a task -> struct uncertain_start */
-	GList link;
-};
-
-static void
-uncertain_job_free(gpointer data)
-{
-	struct uncertain_job *uncertain = data;
-
-	g_free(uncertain->key);
-	g_hash_table_unref(uncertain->starts);
-	g_free(uncertain);
-}
-
-void
-mst_uncertain_init(struct uncertain_jobs *jobs)
-{
-	jobs->by_key = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, NULL, uncertain_job_free);
-	g_queue_init(&jobs->by_expiry);
-	g_queue_init(&jobs->untold);
-	jobs->telling = g_ptr_array_new_with_free_func(mst_untold_start_free);
-}
-
-void
-mst_uncertain_clear(struct uncertain_jobs *jobs)
-{
-	g_hash_table_unref(jobs->by_key);
-	g_queue_clear_full(&jobs->untold, mst_untold_start_free);
-	g_ptr_array_unref(jobs->telling);
-}
-
 /* Returns true if a start is at the host of a member. Agents of earlier builds
  * tell only their incarnation. */
 static bool
@@ -141,55 +103,6 @@
 	return (member->build.features & MST_FEATURE_CONFIRMED_STARTS) != 0;
 }
 
-static void
-remove_job(struct mst_entry *entry, struct uncertain_job *uncertain)
-{
-	g_queue_unlink(&entry->uncertain.by_expiry, &uncertain->link);
-	g_hash_table_remove(entry->uncertain.by_key, uncertain->key);
-}
-
-/* Returns the record of a job's key, and creates it if there is none. */
-static struct uncertain_job *
-get_job(struct mst_entry *entry, const char *key)
-{
-	struct uncertain_jobs *jobs = &entry->uncertain;
-	struct uncertain_job *uncertain =
-	    g_hash_table_lookup(jobs->by_key, key);
-
-	if (uncertain != NULL) {
-		g_queue_unlink(&jobs->by_expiry, &uncertain->link);
-	} else {
-		if (jobs->by_expiry.length >= UNCERTAIN_JOBS_MAX)
-			remove_job(entry, g_queue_peek_head(&jobs->by_expiry));
-		uncertain = g_new0(struct uncertain_job, 1);
-		uncertain->key = g_strdup(key);
-		uncertain->starts = g_hash_table_new_full(g_direct_hash,
-		    g_direct_equal, NULL, (GDestroyNotify)mst_start_list_free);
-		uncertain->link.data = uncertain;
-		g_hash_table_insert(jobs->by_key, uncertain->key, uncertain);
-	}
-	uncertain->expires_us = entry->now_us + UNCERTAIN_KEEP_US;
-	g_queue_push_tail_link(&jobs->by_expiry, &uncertain->link);
-	return uncertain;
-}
-
-/* Moves the starts of a task into the record of its job. */
-static void
-remember_starts(struct uncertain_job *uncertain, uint32_t index,
-    struct uncertain_start **starts, int64_t now_us)
-{
-	struct uncertain_start *list = NULL;
-	gpointer known;
-
-	if (g_hash_table_steal_extended(
-		uncertain->starts, GUINT_TO_POINTER(index), NULL, &known))
-		list = known;
-	mst_start_list_move(&list, starts, now_us);
-	if (list != NULL)
-		g_hash_table_insert(
-		    uncertain->starts, GUINT_TO_POINTER(index), list);
-}
-
 /* Returns the open job with a key if its tasks can be bound. */
 static struct job *
 find_open_job(const struct mst_entry *entry, const char *key)
@@ -236,7 +149,7 @@
 		return;
 	}
 	mst_start_list_add(&starts, start);
-	remember_starts(get_job(entry, key), index, &starts, entry->now_us);
+	mst_uncertain_remember(entry, key, index, &starts);
 }
 
 /* Returns the start of a task that is sent to a member. The caller releases its
@@ -308,8 +221,7 @@
 		/* A member that never confirms starts: the task may run
 		 * elsewhere for the rest of the job. */
 		mst_start_list_add(&starts, &start);
-		remember_starts(
-		    get_job(entry, job->key), index, &starts, entry->now_us);
+		mst_uncertain_remember(entry, job->key, index, &starts);
 	}
 	g_ref_string_release(start.host);
 }
@@ -342,7 +254,6 @@
 mst_uncertain_add_job(struct mst_entry *entry, struct job *job)
 {
 	int64_t delay_us = entry->draining ? 0 : SETTLE_TIME_US;
-	struct uncertain_job *uncertain = NULL;
 	uint32_t i;
 
 	if (!is_best_effort(job))
@@ -358,9 +269,7 @@
 			add_sent_task(entry, task);
 		if (task->starts == NULL)
 			continue;
-		if (uncertain == NULL)
-			uncertain = get_job(entry, job->key);
-		remember_starts(uncertain, i, &task->starts, entry->now_us);
+		mst_uncertain_remember(entry, job->key, i, &task->starts);
 		mst_uncertain_tell_later(entry, job->key, i, delay_us);
 	}
 }
@@ -370,8 +279,6 @@
     const struct member *member, const struct mst_result_item *result,
     uint32_t index)
 {
-	struct uncertain_job *uncertain;
-	struct uncertain_start *list;
 	struct job *again;
 
 	if (job->key == NULL || result->start_uncertain)
@@ -381,18 +288,8 @@
 	    mst_start_list_settle(
 		&again->tasks[index].starts, member->incarnation, result->seq))
 		entry->counters.bound_tasks_settled++;
-	uncertain = g_hash_table_lookup(entry->uncertain.by_key, job->key);
-	if (uncertain == NULL)
-		return;
-	list = g_hash_table_lookup(uncertain->starts, GUINT_TO_POINTER(index));
-	if (!mst_start_list_settle(&list, member->incarnation, result->seq))
-		return;
-	g_hash_table_steal(uncertain->starts, GUINT_TO_POINTER(index));
-	if (list != NULL)
-		g_hash_table_insert(
-		    uncertain->starts, GUINT_TO_POINTER(index), list);
-	if (g_hash_table_size(uncertain->starts) == 0)
-		remove_job(entry, uncertain);
+	mst_uncertain_settle(
+	    entry, job->key, index, member->incarnation, result->seq);
 }
 
 void
@@ -452,31 +349,30 @@
 void
 mst_uncertain_bind_job(struct mst_entry *entry, struct job *job)
 {
-	struct uncertain_job *uncertain = job->key != NULL
-	    ? g_hash_table_lookup(entry->uncertain.by_key, job->key)
-	    : NULL;
+	GHashTable *remembered;
 	GHashTableIter iter;
 	gpointer key, value;
 
-	if (uncertain == NULL || !is_best_effort(job))
+	if (job->key == NULL || !is_best_effort(job))
+		return;
+	remembered = mst_uncertain_take(entry, job->key);
+	if (remembered == NULL)
 		return;
-	g_hash_table_iter_init(&iter, uncertain->starts);
+	g_hash_table_iter_init(&iter, remembered);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		uint32_t index = GPOINTER_TO_UINT(key);
 		struct uncertain_start *starts = value;
 		struct task *task;
 
-		g_hash_table_iter_steal(&iter);
-		if (index >= job->count) {
-			mst_start_list_free(starts);
+		if (index >= job->count)
 			continue;
-		}
+		g_hash_table_iter_steal(&iter);
 		task = &job->tasks[index];
 		mst_start_list_move(&task->starts, &starts, entry->now_us);
 		if (task->starts != NULL)
 			note_bound(entry, job, index, task->starts);
 	}
-	remove_job(entry, uncertain);
+	g_hash_table_unref(remembered);
 }
 
 const struct uncertain_start *
@@ -484,46 +380,8 @@
     const struct mst_entry *entry, const char *key, uint32_t index)
 {
 	const struct job *job = find_open_job(entry, key);
-	const struct uncertain_job *uncertain;
-
-	if (job != NULL)
-		return index < job->count ? job->tasks[index].starts : NULL;
-	uncertain = g_hash_table_lookup(entry->uncertain.by_key, key);
-	return uncertain != NULL
-	    ? g_hash_table_lookup(uncertain->starts, GUINT_TO_POINTER(index))
-	    : NULL;
-}
-
-void
-mst_uncertain_for_each(const struct mst_entry *entry,
-    bool (*call)(void *ctx, const char *key, uint32_t index,
-	const struct uncertain_start *starts),
-    void *ctx)
-{
-	const GList *link;
-	GHashTableIter iter;
-	gpointer index, starts;
-
-	for (link = entry->uncertain.by_expiry.tail; link != NULL;
-	     link = link->prev) {
-		const struct uncertain_job *uncertain = link->data;
-
-		g_hash_table_iter_init(&iter, uncertain->starts);
-		while (g_hash_table_iter_next(&iter, &index, &starts)) {
-			if (!call(ctx, uncertain->key, GPOINTER_TO_UINT(index),
-				starts))
-				return;
-		}
-	}
-}
-
-void
-mst_uncertain_expire(struct mst_entry *entry)
-{
-	struct uncertain_job *oldest;
 
-	while (
-	    (oldest = g_queue_peek_head(&entry->uncertain.by_expiry)) != NULL &&
-	    entry->now_us >= oldest->expires_us)
-		remove_job(entry, oldest);
+	if (job == NULL)
+		return mst_uncertain_recall(entry, key, index);
+	return index < job->count ? job->tasks[index].starts : NULL;
 }
--- a/src/core/job/uncertain.h
+++ b/src/core/job/uncertain.h
@@ -33,8 +33,6 @@
 };
 
 /* uncertain.c */
-void mst_uncertain_init(struct uncertain_jobs *jobs);
-void mst_uncertain_clear(struct uncertain_jobs *jobs);
 /* Handles the result of a sent task. It may run elsewhere if each copy of its
  * start order was answered. */
 void mst_task_handle_start_result(struct mst_entry *entry, struct job *job,
@@ -76,6 +74,22 @@
 /* Returns the starts of a task, of an open job or one that is remembered. */
 const struct uncertain_start *mst_uncertain_find(
     const struct mst_entry *entry, const char *key, uint32_t index);
+
+/* uncertain_jobs.c */
+void mst_uncertain_init(struct uncertain_jobs *jobs);
+void mst_uncertain_clear(struct uncertain_jobs *jobs);
+/* Moves the starts of a task to those that are remembered of its job. */
+void mst_uncertain_remember(struct mst_entry *entry, const char *key,
+    uint32_t index, struct uncertain_start **starts);
+/* Returns the remembered starts of a task, or NULL. */
+const struct uncertain_start *mst_uncertain_recall(
+    const struct mst_entry *entry, const char *key, uint32_t index);
+/* Forgets the start of a dispatch of this entry. */
+void mst_uncertain_settle(struct mst_entry *entry, const char *key,
+    uint32_t index, uint64_t agent, uint64_t seq);
+/* Forgets a job and returns its starts by the indices of the tasks, or NULL.
+ * The caller unreferences the table. */
+GHashTable *mst_uncertain_take(struct mst_entry *entry, const char *key);
 /* Calls a function for the starts of each task of the remembered jobs, the last
  * job first, until it returns false. */
 void mst_uncertain_for_each(const struct mst_entry *entry,
--- a/src/core/job/uncertain_tell.c
+++ b/src/core/job/uncertain_tell.c
@@ -9,7 +9,7 @@
 #include "core/job/uncertain.h"
 #include "core/member/member.h"
 
-/* Most starts in one message; the others follow at the next scan. */
+/* Most starts in one message. */
 #define TELL_STARTS_MAX 256
 /* Most tasks whose starts wait to be told. */
 #define UNTOLD_MAX 16384
--- a/src/core/member/echo.c
+++ b/src/core/member/echo.c
@@ -2,7 +2,8 @@
  * Echoes of the members' clocks, which extend this entry's leases. An echo
  * promises that the entry still waits for the results of what it has sent. It
  * must not be newer than the input that the entry has handled: a caller whose
- * broken connection is not handled yet may come back at another entry.
+ * broken connection is not handled yet may come back at another entry. Ticks
+ * come with the timer by which net/httpd.c finds broken connections.
  */
 
 #include "core/entry/entry_internal.h"
