--- a/src/core/job/start_list.c
+++ b/src/core/job/start_list.c
@@ -45,11 +45,12 @@
 mst_start_list_settle(
     struct uncertain_start **list, uint64_t agent, uint64_t seq)
 {
-	struct uncertain_start *start;
+	struct uncertain_start *start = *list;
 
-	while ((start = *list) != NULL &&
-	    (start->agent != agent || start->seq != seq))
+	while (start != NULL && (start->agent != agent || start->seq != seq)) {
 		list = &start->next;
+		start = *list;
+	}
 	if (start == NULL)
 		return false;
 	*list = start->next;
--- a/src/core/place/quarantine_place.c
+++ b/src/core/place/quarantine_place.c
@@ -42,8 +42,8 @@
 
 	return member->quarantined && mst_member_is_usable(entry, member) &&
 	    mst_member_has_valid_echo(entry, member) &&
-	    mst_task_may_run_at(entry, task, member) &&
-	    member->grant > 0 && member->outstanding == sent_there &&
+	    mst_task_may_run_at(entry, task, member) && member->grant > 0 &&
+	    member->outstanding == sent_there &&
 	    count_sent(job, NULL) == sent_there &&
 	    sent_there < member->slots * ISOLATED_TASKS_PER_SLOT &&
 	    mst_member_has_service(member, job) &&
--- a/src/net/bus_auth.c
+++ b/src/net/bus_auth.c
@@ -5,10 +5,10 @@
 
 #include "base/log.h"
 
-#define ZAP_ENDPOINT "inproc://zeromq.zap.01"
-#define ZAP_FRAMES   7 /* of a request with a CURVE key, which is the last one \
-			*/
-#define ZAP_FRAME_MAX   256
+#define ZAP_ENDPOINT  "inproc://zeromq.zap.01"
+#define ZAP_FRAME_MAX 256
+/* Frames of a request with a CURVE key, which is the last one. */
+#define ZAP_FRAMES      7
 #define ZAP_REQUEST_ID  1 /* index of the frame that the reply repeats */
 #define CURVE_KEY_BYTES 32
 
