entry: other entries are told of uncertain starts that a result shows

Callers would see: two runs of a best-effort task at once. An order to start it is held up and overdue, its caller leaves and comes back at an entry that its agent does not serve or was cut off from, and the worker's next incarnation under the same id carries the order out.

Cause: a start that a result showed as uncertain was marked as told, because its agent tells all entries. An agent tells those that it has a session with and has heard: at most entries_max (16), and none behind a cut. The entry of the task, which may know more of them, then never told them, not even when its job ended.

Ruled out: lost members and unanswered withdrawals, which the entry has told itself all along (bound/tells-lost, bound/tells-silent).

Why it works: whoever knows of the start tells, in the same step as the result; a start is told once by each. Still open: agent and entry tell at different times, so an entry that the agent does not serve does not know while only the agent does (from the overdue order to the result).

--- a/src/core/job/uncertain.c
+++ b/src/core/job/uncertain.c
@@ -190,15 +190,16 @@
 		spend_starts(entry, &job->tasks[index], member);
 	if (!result->start_uncertain || !is_best_effort(job))
 		return;
-	/* The agent tells the other entries itself. */
 	start = sent_start(entry, member, &job->tasks[index]);
-	start.is_told = true;
 	/* A task that has succeeded runs again only if its job does. */
 	if (result->outcome == MST_OUTCOME_DONE &&
 	    result->status < STATUS_FAILED_MIN)
 		mst_start_list_add(&job->tasks[index].starts, &start);
 	else
 		bind_task(entry, job, index, &start);
+	/* The agent tells only the entries that it serves. */
+	if (job->key != NULL)
+		mst_uncertain_tell_later(entry, job->key, index, 0);
 	g_ref_string_release(start.host);
 }
 
--- a/tests/test_bound_tasks.c
+++ b/tests/test_bound_tasks.c
@@ -447,6 +447,45 @@
 	fixture_free(f);
 }
 
+/* An agent tells the entries that it serves and hears, which need not be all:
+ * the entry of the task tells them as well. */
+static void
+bound__other_entries_are_told_of_uncertain_results(void)
+{
+	struct fixture *f = fixture_new();
+
+	greet(f);
+	announce(f, 100, "a", SLOTS);
+	submit(f);
+	run_ms(f, 100);
+	lose_task(f, 100);
+	run_ms(f, 100);
+	g_assert_cmpuint(f->told, ==, 1);
+	run_ms(f, SILENCE_MS);
+	g_assert_cmpuint(f->told, ==, 1);
+	fixture_free(f);
+}
+
+/* The same for a task that has succeeded: its caller may have missed that. */
+static void
+bound__other_entries_are_told_after_success(void)
+{
+	struct fixture *f = fixture_new();
+
+	greet(f);
+	announce(f, 100, "a", SLOTS);
+	submit(f);
+	run_ms(f, 100);
+	give_result(f,
+	    &(struct mst_result_item){.seq = f->seq,
+		.outcome = MST_OUTCOME_DONE,
+		.status = 200,
+		.start_uncertain = true});
+	run_ms(f, 400);
+	g_assert_cmpuint(f->told, ==, 1);
+	fixture_free(f);
+}
+
 /* Guards against a run at an entry that was started after the others were told
  * of a start. */
 static void
@@ -688,6 +727,10 @@
 	g_test_add_func(
 	    "/bound/tells-lost", bound__other_entries_are_told_of_lost_members);
 	g_test_add_func("/bound/tells-new", bound__new_entries_are_told);
+	g_test_add_func("/bound/tells-uncertain",
+	    bound__other_entries_are_told_of_uncertain_results);
+	g_test_add_func("/bound/tells-after-success",
+	    bound__other_entries_are_told_after_success);
 	g_test_add_func("/bound/tells-silent",
 	    bound__other_entries_are_told_of_silent_members);
 	g_test_add_func(
