entry: an entry that is met is told of the starts of open jobs as well

Callers would see: two runs of a best-effort task at once, after an entry was started, or cut off for more than 1.3 s, while the job was open at another one, which is lost then; the caller comes back at the new entry, and the worker's next incarnation carries out an order that was held up.

Cause: an entry that was met was told of closed jobs only. The starts of open ones had been told to those who were there at the time, and count as told.

Evidence: bound/tells-new-open told 0 starts before, 1 after.

--- a/src/core/job/uncertain.h
+++ b/src/core/job/uncertain.h
@@ -104,8 +104,8 @@
  * settled by then. */
 void mst_uncertain_tell_later(
     struct mst_entry *entry, const char *key, uint32_t index, int64_t delay_us);
-/* Tells an entry that was met just now of the starts of closed jobs, whose
- * callers may come to it. */
+/* Tells an entry that was met just now of all starts: the callers of the jobs
+ * may come to it. */
 void mst_uncertain_tell_new_peer(struct mst_entry *entry, uint64_t peer);
 /* Tells the other entries of the starts that are due. */
 void mst_uncertain_tell_due(struct mst_entry *entry);
--- a/src/core/job/uncertain_tell.c
+++ b/src/core/job/uncertain_tell.c
@@ -6,6 +6,7 @@
  */
 
 #include "core/entry/entry_internal.h"
+#include "core/job/job.h"
 #include "core/job/uncertain.h"
 #include "core/member/member.h"
 
@@ -101,6 +102,26 @@
 	return entry->scratch_starts->len < UNTOLD_MAX;
 }
 
+/* Adds the starts of open jobs, whose callers may leave this entry. */
+static void
+collect_open_starts(struct mst_entry *entry)
+{
+	GHashTableIter iter;
+	gpointer key, value;
+	uint32_t i;
+
+	g_hash_table_iter_init(&iter, entry->jobs_by_key);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const struct job *job = value;
+
+		for (i = 0; i < job->count; i++) {
+			if (!collect_known_starts(
+				entry, key, i, job->tasks[i].starts))
+				return;
+		}
+	}
+}
+
 /* Tells an entry of the collected starts. */
 static void
 tell_peer(struct mst_entry *entry, uint64_t peer)
@@ -124,6 +145,7 @@
 mst_uncertain_tell_new_peer(struct mst_entry *entry, uint64_t peer)
 {
 	g_array_set_size(entry->scratch_starts, 0);
+	collect_open_starts(entry);
 	mst_uncertain_for_each(entry, collect_known_starts, entry);
 	tell_peer(entry, peer);
 }
--- a/tests/test_bound_tasks.c
+++ b/tests/test_bound_tasks.c
@@ -486,6 +486,26 @@
 	fixture_free(f);
 }
 
+/* Guards against a run at an entry that was met after the others were told of a
+ * start, while the job is still open here: its caller may go there next. */
+static void
+bound__new_entries_are_told_of_open_jobs(void)
+{
+	struct fixture *f = fixture_new();
+
+	announce(f, 100, "a", SLOTS);
+	submit(f);
+	run_ms(f, 100);
+	lose_task(f, 100);
+	run_ms(f, SILENCE_MS);
+	g_assert_cmpuint(f->told, ==, 0);
+	greet(f);
+	g_assert_cmpuint(f->told, ==, 1);
+	run_ms(f, SILENCE_MS);
+	g_assert_cmpuint(f->told, ==, 1);
+	fixture_free(f);
+}
+
 /* Guards against a run at an entry that was started after the others were told
  * of a start. */
 static void
@@ -731,6 +751,8 @@
 	    bound__other_entries_are_told_of_uncertain_results);
 	g_test_add_func("/bound/tells-after-success",
 	    bound__other_entries_are_told_after_success);
+	g_test_add_func(
+	    "/bound/tells-new-open", bound__new_entries_are_told_of_open_jobs);
 	g_test_add_func("/bound/tells-silent",
 	    bound__other_entries_are_told_of_silent_members);
 	g_test_add_func(
