--- a/src/core/job/uncertain.c
+++ b/src/core/job/uncertain.c
@@ -166,8 +166,9 @@
 	    .expires_us = entry->now_us + UNCERTAIN_KEEP_US};
 }
 
-/* Marks the starts at the host of a member, whose worker has ended a run with
- * their number. With another number it might execute both after a restart. */
+/* Marks the starts at the host of a member as spent, because its worker has
+ * ended a run with their number. A new number is no way out: after a restart
+ * the worker might execute the old start as well. */
 static void
 spend_starts(const struct mst_entry *entry, struct task *task,
     const struct member *member)
--- a/src/core/job/uncertain.h
+++ b/src/core/job/uncertain.h
@@ -25,16 +25,18 @@
 struct member;
 struct task;
 
+/* What an entry remembers of the starts of closed jobs, and has yet to tell the
+ * other entries. */
 struct uncertain_jobs {
 	GHashTable *by_key; /* key -> struct uncertain_job, of closed jobs */
 	GQueue by_expiry;   /* struct uncertain_job, next one to expire first */
 	GQueue untold;      /* struct untold_start, next one to tell first */
-	GPtrArray *telling; /* struct untold_start; effects refer to them */
+	GPtrArray *telling; /* struct untold_start that effects refer to */
 };
 
 /* uncertain.c */
-/* Handles the result of a sent task. It may run elsewhere if each copy of its
- * start order was answered. */
+/* Handles the result of a sent task. Unless each copy of its start order was
+ * answered, the task is bound to the member's host. */
 void mst_task_handle_start_result(struct mst_entry *entry, struct job *job,
     uint32_t index, const struct member *member,
     const struct mst_result_item *result);
@@ -69,7 +71,8 @@
 /* Remembers starts that an agent or another entry tells of. */
 void mst_entry_handle_uncertain_starts(
     struct mst_entry *entry, const struct mst_msg *msg);
-/* Binds the tasks of a job that was submitted again. */
+/* Binds the tasks of a job that was submitted again to the hosts of the starts
+ * that are remembered of it. */
 void mst_uncertain_bind_job(struct mst_entry *entry, struct job *job);
 /* Returns the starts of a task, of an open job or one that is remembered. */
 const struct uncertain_start *mst_uncertain_find(
@@ -109,6 +112,7 @@
 void mst_uncertain_tell_new_peer(struct mst_entry *entry, uint64_t peer);
 /* Tells the other entries of the starts that are due. */
 void mst_uncertain_tell_due(struct mst_entry *entry);
+/* Frees a struct untold_start. */
 void mst_untold_start_free(gpointer data);
 
 #endif
--- a/src/core/job/uncertain_tell.c
+++ b/src/core/job/uncertain_tell.c
@@ -12,7 +12,7 @@
 
 /* Most starts in one message. */
 #define TELL_STARTS_MAX 256
-/* Most tasks whose starts wait to be told. */
+/* Most tasks whose starts wait to be told; further ones are not told. */
 #define UNTOLD_MAX 16384
 
 /* Task whose starts are told when that is due. */
@@ -45,7 +45,7 @@
 	*untold = (struct untold_start){.key = g_strdup(key),
 	    .index = index,
 	    .due_us = entry->now_us + delay_us};
-	/* All others have the same delay. */
+	/* The other delays are all equal, so the queue is ordered by due_us. */
 	if (delay_us == 0)
 		g_queue_push_head(&entry->uncertain.untold, untold);
 	else
@@ -66,7 +66,8 @@
 	    .age_ms = (uint32_t)((UNCERTAIN_KEEP_US - left_us) / 1000)};
 }
 
-/* Adds the starts of a task that the other entries do not know. */
+/* Collects the starts of a task that the other entries have not been told of.
+ */
 static void
 collect_starts(struct mst_entry *entry, const struct untold_start *untold)
 {
@@ -85,7 +86,8 @@
 	}
 }
 
-/* Adds the starts of a task until as many are collected as wait at most. */
+/* Collects the starts of a task that have not expired. Returns false once
+ * UNTOLD_MAX of them are collected. */
 static bool
 collect_known_starts(void *ctx, const char *key, uint32_t index,
     const struct uncertain_start *start)
