core, platform, net: comments that needed a second reading

Comments name their subject, say what a field holds and in which unit, and why a rule holds; a reference to a file that is gone names the present one, and the status of an answer that was not sent is on the page of its reader. Comments and one blank line between declarations only; no code changes.

--- a/include/masticstall/agent.h
+++ b/include/masticstall/agent.h
@@ -109,8 +109,10 @@
 	MST_AGENT_FX_DRAINS,      /* the set of drained domains has changed */
 	MST_AGENT_FX_CRASH,       /* the worker has crashed with active runs */
 	MST_AGENT_FX_BUILD, /* an entry of another version was met or is gone */
-	MST_AGENT_FX_KEEP_REPORT,   /* keep a report for a later incarnation */
-	MST_AGENT_FX_REPORT_REFUSED /* a report of no present worker */
+	MST_AGENT_FX_KEEP_REPORT, /* keep a report for a later incarnation */
+	/* A report was ignored: it is not of the worker's present incarnation.
+	 */
+	MST_AGENT_FX_REPORT_REFUSED
 };
 
 struct mst_agent_effect {
@@ -164,11 +166,11 @@
 	uint64_t starts_uncertain;
 	/* Leased: ended runs, by enum mst_run_proof. */
 	uint64_t runs_ended[MST_PROOF_MAX];
-	uint64_t reports_refused; /* of no present incarnation of the worker */
+	uint64_t reports_refused; /* not of the worker's present incarnation */
 	/* Start orders that did not name the worker they were meant for. */
 	uint64_t starts_unnamed;
-	/* Starts that were told to their entries as confirmed, and messages to
-	 * other entries of starts that may still be executed. */
+	/* Starts whose entries were told that they are confirmed, and messages
+	 * to other entries about starts that may still be executed. */
 	uint64_t starts_confirmed;
 	uint64_t starts_told;
 	uint64_t leases_expired;
--- a/include/masticstall/entry.h
+++ b/include/masticstall/entry.h
@@ -330,15 +330,16 @@
 	uint64_t bound_tasks_released;
 	uint64_t bound_tasks_settled;
 	uint64_t bound_tasks_unrun;
-	/* Messages to other entries of such starts, and tasks that were not
-	 * told because too many waited. */
+	/* Messages to other entries about such starts, and tasks whose starts
+	 * they were not told of, because too many waited to be told. */
 	uint64_t starts_told;
 	uint64_t starts_untold;
 	uint64_t results_repeated;
 	uint64_t outcomes[MST_OUTCOME_UNKNOWN + 1];
 	uint64_t ejections;
 	uint64_t members_lost;
-	/* Heard from beside a living one of the same name. */
+	/* Members that were first heard from while another one of the same name
+	 * was. */
 	uint64_t members_unproven;
 	uint64_t incarnations;
 };
--- a/include/masticstall/message.h
+++ b/include/masticstall/message.h
@@ -80,7 +80,8 @@
 	MST_REASON_NO_QUEUE,          /* no queue matches host and path */
 	MST_REASON_NOT_SERVED,        /* this kind of job is not supported */
 	MST_REASON_WORKER_CRASHED,    /* the worker crashed during the run */
-	MST_REASON_RUN_USED, /* the worker has ended a run so numbered */
+	/* The worker has already ended a run with this number. */
+	MST_REASON_RUN_USED,
 	/* One that a newer build has added; received, but never sent. */
 	MST_REASON_OTHER,
 	MST_REASON_MAX
@@ -100,7 +101,8 @@
 	MST_MSG_FORWARDED,    /* entry to entry: HTTP answer of the owner */
 	MST_MSG_CONFIG_REQUEST, /* to any: asks for a newer configuration */
 	MST_MSG_CRASHES,        /* agent to entry: crashes of its worker */
-	/* Agent to entry: a start that may still be executed. */
+	/* Agent to an entry without MST_FEATURE_CONFIRMED_STARTS: a start that
+	 * may still be executed. */
 	MST_MSG_UNCERTAIN_START,
 	/* Agent or entry to entry: starts that may still be executed. */
 	MST_MSG_UNCERTAIN_STARTS,
@@ -228,7 +230,8 @@
 #define MST_TASK_SUSPECT 8u
 /**
  * Flag of a task: an earlier start with its run number may still be executed at
- * the worker, which takes only one of them. The number must not be raised.
+ * the worker. The worker executes one start of a number, so the number must not
+ * be raised.
  */
 #define MST_TASK_SAME_RUN 16u
 
--- a/src/core/agent/agent_internal.h
+++ b/src/core/agent/agent_internal.h
@@ -53,15 +53,15 @@
 	uint8_t starts_open; /* start orders that are not answered yet */
 	/* A start order that got no answer may still be executed. */
 	bool start_unanswered;
-	uint64_t
-	    start_worker; /* hash of the id that its starts name; 0: none */
-	bool start_workers_differ; /* they name several ids */
-	bool start_told;      /* as uncertain, to the entries that it serves */
-	bool start_confirmed; /* to its entry */
+	/* Hash of the worker's id that its last start order named; 0: none. */
+	uint64_t start_worker;
+	bool start_workers_differ; /* its start orders named several ids */
+	bool start_told;      /* all entries were told that it is uncertain */
+	bool start_confirmed; /* its entry was told that it has started */
 	bool crashed;         /* was in progress when the worker crashed */
 	bool crash_counted;   /* since its last start order; see crash.c */
-	/* Queued: enum mst_reason to refuse it for, once no earlier run of its
-	 * task is active. */
+	/* Queued: enum mst_reason for which it is refused once no earlier run
+	 * of its task is active; MST_REASON_NONE: it is started then. */
 	uint8_t refusal;
 	uint8_t proof; /* leased, finished: enum mst_run_proof */
 	enum mst_reason stop_reason;
@@ -148,7 +148,7 @@
 	uint64_t next_handle;
 	GHashTable *sessions;  /* entry incarnation -> struct session */
 	GHashTable *active;    /* handle -> running struct run */
-	GHashTable *task_runs; /* leased: set of them, by task */
+	GHashTable *task_runs; /* leased: the same as a set, by task */
 	GHashTable *claims;    /* struct mst_job_id -> struct claim */
 	GQueue queue;          /* runs that wait for a slot */
 	GQueue retained;       /* acknowledged runs, oldest first */
@@ -231,6 +231,7 @@
 /* task_runs.c */
 /* Creates the set of active runs by task. */
 GHashTable *mst_task_runs_new(void);
+/* Adds an active run, or removes one; no effect unless the agent is leased. */
 void mst_task_runs_add(struct mst_agent *agent, struct run *run);
 void mst_task_runs_remove(struct mst_agent *agent, const struct run *run);
 /* Returns true if an earlier run of the task of a queued run is active. */
--- a/src/core/agent/report.c
+++ b/src/core/agent/report.c
@@ -1,5 +1,6 @@
-/* Reports of results from an agent to the entries, and of confirmed starts:
- * those that no result takes along are in the next announcement. */
+/* Reports of an agent to its entries: results, and with them the starts that
+ * were confirmed meanwhile. A confirmed start is not reported on its own; the
+ * next announcement shows it. */
 
 #include "core/agent/agent_internal.h"
 
--- a/src/core/agent/uncertain.c
+++ b/src/core/agent/uncertain.c
@@ -7,7 +7,8 @@
 #include "core/agent/agent_internal.h"
 #include "core/id.h"
 
-/* Returns an array that effects of this step may refer to. */
+/* Returns an array that lives until the end of the step, so that effects may
+ * refer to it. */
 static GArray *
 add_scratch(struct mst_agent *agent, guint size)
 {
@@ -30,8 +31,8 @@
 		.index = run->task.index};
 }
 
-/* Tells an entry of the starts in an array. The entry of the run itself takes
- * its start for uncertain until it is confirmed. */
+/* Tells an entry of the start of a run, which items holds. The run's own entry
+ * needs no message: to it a start is uncertain until it is confirmed. */
 static void
 tell_session(struct mst_agent *agent, const struct session *session,
     const struct run *run, const GArray *items)
@@ -112,7 +113,8 @@
 	}
 }
 
-/* Adds the runs that have ended, but whose results may not have arrived. */
+/* Adds the runs that have ended with an uncertain start, as long as their entry
+ * has not acknowledged the result. */
 static void
 add_unacked(const struct session *session, GArray *seqs)
 {
--- a/src/core/entry/entry_internal.h
+++ b/src/core/entry/entry_internal.h
@@ -50,7 +50,7 @@
 	int64_t next_scan_us;
 	int64_t last_scan_us;
 	uint32_t heartbeat_rounds; /* rounds of heartbeats sent */
-	unsigned ticks_behind;     /* until the input that waits is handled */
+	unsigned ticks_behind; /* ticks until all waiting input is handled */
 	bool draining;
 	int64_t drain_us;
 	int64_t stop_us; /* the open jobs are closed then; 0: not set */
@@ -121,7 +121,7 @@
 	uint64_t peers_version;  /* increases when peer_addresses changes */
 	GArray *scratch_items;   /* struct mst_dispatch_item */
 	GPtrArray *scratch_withdrawn; /* arrays referenced by effects */
-	GArray *scratch_candidates;   /* see entry_place_leased.c */
+	GArray *scratch_candidates;   /* see place/place_leased.c */
 	GArray *scratch_starts;       /* struct mst_uncertain_item */
 };
 
--- a/src/core/entry_choice.c
+++ b/src/core/entry_choice.c
@@ -10,9 +10,10 @@
 #define CANDIDATE_FORGET_US (60 * G_USEC_PER_SEC)
 /* Addresses that are known at a time; more are ignored. */
 #define CANDIDATES_MAX 1024
-/* Of these, stored ones that were never reached; and those tried at a time. */
+/* Of these, those that only the store names and that were never reached. */
 #define UNPROVEN_MAX 512
-#define TRIALS_MAX   16
+/* Unproven ones that are connected to at a time. */
+#define TRIALS_MAX 16
 /* Connections, lost ones included, for each live entry that is wanted. */
 #define CONNECTIONS_PER_ENTRY 2
 
@@ -23,7 +24,7 @@
 	bool proven; /* reached, or not named by the store alone */
 	bool connected;
 	bool wanted;
-	bool on_trial;        /* not proven: may be connected to now */
+	bool on_trial;        /* not proven, but may be connected to now */
 	int64_t connected_us; /* 0: never */
 	int64_t heard_us;     /* 0: never */
 	int64_t named_us;
@@ -34,8 +35,8 @@
 	uint64_t seed;
 	GPtrArray *ranked;  /* struct candidate, by rank */
 	GPtrArray *learnt;  /* struct candidate, in the order of their names */
-	GPtrArray *trials;  /* struct candidate, those that are not proven */
-	GString *addresses; /* of those learnt that are proven */
+	GPtrArray *trials;  /* struct candidate, all that are not proven */
+	GString *addresses; /* proven ones of learnt, comma-separated */
 };
 
 struct mst_entry_choice *
@@ -228,8 +229,9 @@
 	}
 }
 
-/* Orders candidates that are not proven: those whose trial goes on, those that
- * were never tried, those whose last trial is the longest ago. */
+/* Orders candidates that are not proven: first those whose trial goes on, then
+ * those that were never tried, then the others by the time of their last trial.
+ */
 static gint
 compare_trials(gconstpointer a, gconstpointer b, gpointer now_us)
 {
@@ -247,8 +249,8 @@
 	return compare_ranks(a, b);
 }
 
-/* Chooses which candidates that are not proven may be connected to. Each of
- * them has its turn if there are too many. */
+/* Chooses which candidates that are not proven may be connected to. If there
+ * are more than TRIALS_MAX, they take turns. */
 static void
 choose_trials(struct mst_entry_choice *choice, int64_t now_us)
 {
--- a/src/core/entry_choice.h
+++ b/src/core/entry_choice.h
@@ -16,7 +16,8 @@
 
 /* Who has named an address. */
 enum mst_entry_source {
-	/* A row of the store, where others write too: nothing may be there. */
+	/* A row of the store, which others may have written: the address need
+	 * not be that of an entry. */
 	MST_ENTRY_STORED = 1,
 	MST_ENTRY_NAMED, /* a member, which has reached it */
 	MST_ENTRY_CONFIGURED
@@ -43,17 +44,18 @@
     const struct mst_entry_choice_options *options);
 void mst_entry_choice_free(struct mst_entry_choice *choice);
 
-/* Adds an address, or notes that it was named again. A configured one is never
- * forgotten. Stored ones are tried a few at a time until they are reached, and
- * never in place of others. Returns false if too many are known. */
+/* Adds an address, or records that it was named again. A configured one is
+ * never forgotten. Stored ones are tried a few at a time until they are
+ * reached, and take no other's place. Returns false if too many are known. */
 bool mst_entry_choice_add(struct mst_entry_choice *choice, const char *address,
     enum mst_entry_source source, int64_t now_us);
 
-/* Notes that something answers at an address. */
+/* Records that a connection to an address was accepted. */
 void mst_entry_choice_reach(
     struct mst_entry_choice *choice, const char *address);
 
-/* Notes when an entry was last heard from; 0: not on this connection. */
+/* Records when the entry at an address was last heard from, in microseconds; 0:
+ * not yet. */
 void mst_entry_choice_hear(
     struct mst_entry_choice *choice, const char *address, int64_t heard_us);
 
--- a/src/core/member/echo.c
+++ b/src/core/member/echo.c
@@ -9,7 +9,7 @@
 #include "core/entry/entry_internal.h"
 #include "core/member/member.h"
 
-/* Longer gaps between two events leave input waiting. */
+/* After a longer gap between two events, input may be waiting. */
 #define INPUT_GAP_US (200 * 1000)
 /* Ticks after which the input that waited has been handled. */
 #define INPUT_TICKS 2
--- a/src/core/member/member.h
+++ b/src/core/member/member.h
@@ -16,17 +16,18 @@
 	MEMBER_GONE
 };
 
-/* Clocks of a member by the ticks since they were heard. Between two ticks the
- * entry handles all input that waits, so by the second tick it has handled what
- * arrived before the clock was read. */
+/* Which clock of a member may be echoed. Between two ticks the entry handles
+ * all waiting input, so by the second tick after a clock was heard it has
+ * handled all input that arrived before the member read that clock. */
 struct echo {
-	int64_t settled_us; /* may be echoed; 0: none yet */
-	int64_t waiting_us; /* heard before the last tick */
+	int64_t settled_us; /* clock that may be echoed; 0: none yet */
+	int64_t waiting_us; /* clock heard before the last tick */
 };
 
 struct member {
 	uint64_t incarnation;
-	/* It may have ended before another member of the same name. */
+	/* A living member has the same name, and this one has not yet shown
+	 * that it is the later incarnation. */
 	bool unproven;
 	char *name;
 	char *failure_domain;
@@ -110,8 +111,8 @@
  * leased one refuses those with an older one than this entry's lease lasts. */
 bool mst_member_has_valid_echo(
     const struct mst_entry *entry, const struct member *member);
-/* Lets the clocks be echoed that were heard before the last tick. Returns true
- * if tasks can be sent to another member now. */
+/* Allows the echo of the clocks that were heard before the last tick. Returns
+ * true if this made a further member accept tasks. */
 bool mst_entry_settle_echoes(struct mst_entry *entry);
 
 /* state.c */
--- a/src/core/worker/crash.c
+++ b/src/core/worker/crash.c
@@ -1,9 +1,9 @@
 /*
  * Crashes of a worker. Any of the runs that were in progress may have caused a
- * crash, so all of them are reported as crashed, each once for an order to
- * start it. A run of which the worker has shown nothing may never have started.
- * It is reported only if its task was in the same state at an earlier crash: a
- * task that always crashes its worker before the answer to its start does this
+ * crash, so all of them are reported as crashed, each at most once after an
+ * order to start it. A run that the worker has never shown ("unseen") may not
+ * have started. It is reported only if its task was unseen at an earlier crash,
+ * too: a task that crashes its worker before the start is answered does so
  * again.
  */
 
@@ -12,7 +12,7 @@
 
 #include <xxhash.h>
 
-/* Time for which such a task is remembered. */
+/* Time for which a task that was not seen at a crash is remembered. */
 #define UNSEEN_KEEP_US (INT64_C(60) * G_USEC_PER_SEC)
 
 static struct unseen_task *
@@ -31,8 +31,8 @@
 	return NULL;
 }
 
-/* Notes that the task of a run which was not seen may have been in progress at
- * a crash. Returns true if that was so at an earlier crash, too. */
+/* Records that the task of an unseen run may have been in progress at a crash.
+ * Returns true if that was so at an earlier crash, too. */
 static bool
 note_unseen(struct mst_agent *agent, const struct run *run)
 {
@@ -51,9 +51,9 @@
 	return is_known;
 }
 
-/* Returns true if a run that was not seen may have been in progress. A start
- * that has not been answered yet was most likely sent after the crash; if not,
- * it will get no answer. */
+/* Returns true if an unseen run may have been in progress. A start whose answer
+ * is still awaited was most likely sent after the crash; if not, it will get no
+ * answer. */
 static bool
 may_have_started(const struct run *run, int64_t before_us)
 {
--- a/src/core/worker/identity.c
+++ b/src/core/worker/identity.c
@@ -1,8 +1,8 @@
 /*
  * Id of a worker, and what it proves. An order that names an id is executed by
  * the incarnation of this id only. So once the worker is known to go by another
- * id than the one that an order named, the order does nothing any more, even if
- * it is held up: a start of it needs no stop, and it gives no lease.
+ * id than the one that an order named, that order can no longer be executed,
+ * even if it is held up: a start needs no stop, and no lease is granted by it.
  */
 
 #include "core/agent/agent_internal.h"
@@ -87,7 +87,6 @@
     struct mst_agent *agent, const struct mst_order_answer *answer)
 {
 	struct worker *worker = &agent->worker;
-
 	bool has_ended = worker->id_confirmed;
 
 	if (worker->id == NULL || answer->sent_us < worker->id_us)
@@ -97,7 +96,7 @@
 	worker->next_renew_us = agent->now_us;
 }
 
-/* Returns the entry of an id, or the one that is to be replaced by it. */
+/* Returns the record of an id, or the oldest one, which the id may replace. */
 static struct named_id *
 find_named(struct worker *worker, uint64_t hash)
 {
@@ -127,7 +126,8 @@
 		return;
 	}
 	named = find_named(worker, hash);
-	/* An id that is dropped is no longer told from a new one. */
+	/* A dropped id can't be told from a new one, so its orders count as
+	 * orders without an id. */
 	if (named->hash != hash && may_be_held_up(agent, named->sent_us))
 		worker->unnamed_us = MAX(worker->unnamed_us, named->sent_us);
 	*named = (struct named_id){.hash = hash, .sent_us = agent->now_us};
--- a/src/core/worker/identity_confirm.c
+++ b/src/core/worker/identity_confirm.c
@@ -6,8 +6,9 @@
 #include "core/agent/agent_internal.h"
 #include "core/worker/worker_internal.h"
 
-/* Returns true if no start of a run can be executed by the worker of an id, and
- * the worker of another one may have executed it. */
+/* Returns true if the starts of a run named one other id than the worker's, so
+ * that none of them can be executed any more, and the present incarnation has
+ * not shown the run. */
 static bool
 is_settled_by(const struct run *run, const struct worker *worker)
 {
--- a/src/core/worker/incarnation.c
+++ b/src/core/worker/incarnation.c
@@ -1,15 +1,15 @@
 /*
  * Incarnations of a worker. Only the worker's own answers show which one is
  * present. An answer may be late, so one that shows another incarnation counts
- * only if its order was sent after the present one was first heard:
- * incarnations follow each other, whatever the time of day that they are named
- * by.
+ * only if its order was sent after the present one was first heard. The numbers
+ * of incarnations say nothing of their order: each is the time of day at the
+ * worker's start, which may have been set back.
  */
 
 #include "core/agent/agent_internal.h"
 #include "core/worker/worker_internal.h"
 
-/* Clocks are told in whole milliseconds. */
+/* Both clocks that are compared are in whole milliseconds. */
 #define WORKER_CLOCK_ROUNDING_MS 2
 
 /* Resets the state for a new incarnation of the worker. The runs of the earlier
--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -258,7 +258,7 @@
 {
 	struct worker *worker = &agent->worker;
 
-	/* It has answered a newer order. */
+	/* It has answered an order that was sent later, so it is up again. */
 	if (answer->sent_us < worker->answered_us)
 		return;
 	mst_worker_record_crash(agent, answer->sent_us);
--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -12,8 +12,8 @@
 #define WORKER_RENEW_MARGIN_MS    50 /* for the answer, beyond the wait */
 #define WORKER_UNRELIABLE_WAIT_US (20 * 1000)
 #define WORKER_RENEW_RETRY_US     (20 * 1000) /* while runs are awaited */
-/* In milliseconds since 1970; fences, which are derived from it, stay far below
- * their limit. */
+/* Latest plausible incarnation, in milliseconds since 1970. Fences, which are
+ * derived from it, stay far below their limit. */
 #define WORKER_INCARNATION_MAX   (UINT64_C(1) << 43)
 #define WORKER_UNKNOWN_STOPS_MAX 64 /* per list of running runs */
 /* Consecutive failures after which the lease is not renewed before an answer
@@ -207,9 +207,9 @@
 	return mst_identity_must_confirm(worker);
 }
 
-/* A second renew order is used to confirm the worker's id while one without it
- * waits, and while answers get lost, because its answer
- * lists the completions if the answer to the first is lost. */
+/* Two renew orders are open at a time while answers get lost, because the
+ * answer to the second lists the completions as well, and while an order
+ * without the worker's id waits although the id is to be confirmed. */
 struct renewal *
 mst_worker_get_free_renewal(struct mst_agent *agent)
 {
@@ -222,8 +222,9 @@
 }
 
 /* Returns true if the worker's present incarnation has a run of this agent.
- * Before its id is known, it is given none, and no lease without need: a later
- * incarnation could take it. */
+ * Only then is its lease renewed before its id is known: a later incarnation
+ * could execute the order as well, and would get a lease that nobody expects.
+ */
 static bool
 has_seen_run(const struct mst_agent *agent)
 {
@@ -287,8 +288,8 @@
 	agent->counters.orders_repeated++;
 }
 
-/* Bounds the lease while the worker has runs that this agent does not know,
- * whose stops may be refused. */
+/* Records since when the worker has runs that this agent does not know. Their
+ * stops may be refused, so the lease is renewed for a limited time only. */
 static void
 bound_lease(struct mst_agent *agent, const struct mst_order_answer *answer,
     uint32_t unknown_runs)
@@ -302,9 +303,9 @@
 		worker->unknown_since_us = 0;
 }
 
-/* Records that the worker has taken the present fence. One that may have been
- * used by an earlier incarnation of this agent rises once more first, because
- * the worker executes delayed orders with the same one. */
+/* Records that the worker has taken the present fence. If an earlier
+ * incarnation of this agent may have used it, it is raised once more first,
+ * because the worker also executes delayed orders with that fence. */
 static void
 put_fence_in_force(struct mst_agent *agent)
 {
@@ -366,9 +367,10 @@
 		mst_agent_announce_all(agent, agent->now_us);
 }
 
-/* Returns the incarnation for the fence after the order of a candidate was
- * rejected, which only the worker that it names does. One that is later than
- * any worker can have been started is none. */
+/* Returns the incarnation to derive the fence from after the order that was to
+ * verify a candidate was rejected for its fence. Only the worker that the order
+ * names checks the fence, so the candidate's incarnation counts, unless it is
+ * not plausible. */
 static uint64_t
 get_claimed_incarnation(
     const struct worker *worker, const struct mst_worker_report *report)
--- a/src/core/worker/state.c
+++ b/src/core/worker/state.c
@@ -225,8 +225,7 @@
 	worker->fence_us = agent->now_us;
 }
 
-/* The steps grow, because the worker may have been given a much higher fence.
- */
+/* The steps double, because the worker's fence may be much higher. */
 void
 mst_worker_handle_fenced(
     struct mst_agent *agent, int64_t sent_us, uint64_t incarnation)
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -24,10 +24,10 @@
  * lost. */
 #define WORKER_RENEWS_MAX 2
 
-/* Tasks remembered after a crash of which the worker had shown nothing. */
+/* Tasks that are remembered in struct unseen_task; the oldest is replaced. */
 #define WORKER_UNSEEN_TASKS_MAX 64
 
-/* Ids of the worker that orders with a lease have named lately. */
+/* Ids that are remembered in struct named_id; the oldest is replaced. */
 #define WORKER_NAMED_IDS_MAX 16
 
 /* A renew order without an answer. */
@@ -46,12 +46,14 @@
 /* Report that is not known to be of the present incarnation of the worker. */
 struct candidate {
 	bool is_set;
-	bool is_kept;                    /* the kept report */
-	bool is_doubted;                 /* its id was taken for the worker's */
+	bool is_kept; /* the kept report */
+	/* What was known of the worker, until it refused a start that named its
+	 * id. */
+	bool is_doubted;
 	struct mst_worker_report report; /* owns its strings */
 	struct renewal renewal;          /* order that verifies it */
-	unsigned failures;               /* such orders without a decision */
-	int64_t due_us;                  /* not verified before */
+	unsigned failures;               /* orders that have not decided it */
+	int64_t due_us;                  /* time of the next such order */
 };
 
 /* Task that may have been in progress at a crash, of which the worker had shown
@@ -70,13 +72,15 @@
 	bool was_synced;   /* has been so before, perhaps in an earlier life */
 	bool is_restarted; /* has been since the last synced list */
 	bool draining;
-	char *id;           /* of the present incarnation; NULL: not known */
-	int64_t id_us;      /* when it was learnt */
-	uint64_t id_hash;   /* 0: not known */
-	bool id_confirmed;  /* the worker has executed an order that names it */
-	bool id_is_new;     /* no order that may be held up gives it a lease */
-	bool has_ended;     /* it refused an order that named this id */
-	GPtrArray *old_ids; /* which effects of this step may refer to */
+	char *id;          /* of the present incarnation; NULL: not known */
+	int64_t id_us;     /* when it was learnt */
+	uint64_t id_hash;  /* 0: not known */
+	bool id_confirmed; /* the worker has executed an order that names it */
+	bool id_is_new;    /* no order that may be held up gives it a lease */
+	/* No id is known, because an order that named the confirmed one was
+	 * refused: the worker of that id has ended. */
+	bool has_ended;
+	GPtrArray *old_ids; /* texts that effects of this step refer to */
 	struct named_id named_ids[WORKER_NAMED_IDS_MAX];
 	int64_t unnamed_us; /* last order with a lease that named no id */
 	struct candidate candidate;
@@ -84,13 +88,12 @@
 	char *labels;
 	uint64_t incarnation; /* the present one, as its answers show */
 	int64_t heard_us;     /* when it was first heard */
-	/* Newest order that the worker has answered: when it was sent. */
-	int64_t answered_us;
+	int64_t answered_us;  /* when the newest answered order was sent */
 	uint64_t report_seq;
 	uint64_t fence; /* 0: to be raised once the worker's clock is known */
 	uint64_t fence_max;      /* highest that this agent has used */
 	uint64_t fence_in_force; /* highest under which lists were read */
-	uint64_t fence_step;
+	uint64_t fence_step;     /* last rise after a rejected order; 0: none */
 	/* The fence was reached by steps, so it may be that of an earlier
 	 * incarnation of this agent. */
 	bool fence_is_guess;
@@ -103,12 +106,12 @@
 	GPtrArray *unknown_records; /* struct unknown_record */
 	bool lease_expiring;        /* the lease is no longer renewed */
 	int64_t clock_ms;           /* clock of the worker at clock_us */
-	int64_t clock_us;
+	int64_t clock_us;           /* when clock_ms was estimated */
 	/* When a list first showed runs that are not this agent's; 0: none. */
 	int64_t unknown_since_us;
 	int64_t lease_end_us;    /* its runs end by then unless renewed */
 	int64_t start_after_us;  /* nothing is started before */
-	bool expects_long_lease; /* that is why, unless the time is over */
+	bool expects_long_lease; /* start_after_us allows for such a lease */
 	struct renewal renewals[WORKER_RENEWS_MAX];
 	int64_t next_renew_us;
 	int64_t unreliable_until_us; /* set when an order gets no answer */
@@ -118,7 +121,7 @@
 	unsigned renew_failures; /* consecutive failures */
 	unsigned unanswered;     /* consecutive orders without an answer */
 	struct unseen_task unseen_tasks[WORKER_UNSEEN_TASKS_MAX];
-	unsigned unseen_next; /* the oldest of them */
+	unsigned unseen_next; /* index of the oldest of them */
 	struct mst_resources used_resources;
 	struct mst_resources capacity_max; /* most that it has reported */
 	struct mst_slowness slowness_avg; /* slowness as an average over runs */
@@ -130,6 +133,7 @@
 };
 
 /* candidate.c */
+/* Drops a candidate. */
 void mst_candidate_clear(struct candidate *candidate);
 
 /* claim.c */
--- a/src/core/worker/worker_internal.h
+++ b/src/core/worker/worker_internal.h
@@ -46,7 +46,7 @@
 /* Allows for a lease of the worker's new incarnation that is longer than asked
  * for: nothing is started until it ends no later than a usual one. */
 void mst_worker_expect_long_lease(struct mst_agent *agent);
-/* Ends that, because no such lease is possible. */
+/* Takes that back: no order that may be held up gives the worker a lease. */
 void mst_worker_exclude_long_lease(struct mst_agent *agent);
 /* Sets the new end of the lease in an order. */
 void mst_worker_order_set_lease(
@@ -83,15 +83,17 @@
 void mst_identity_note_start(struct run *run, const struct mst_order *order);
 
 /* identity_confirm.c */
-/* Handles that the present incarnation has executed an order that names its id:
- * orders that name another one do nothing any more. */
+/* Records that the present incarnation has executed an order that names its id.
+ * Orders that name another id can no longer be executed, so the runs that only
+ * they could start end, and no long lease is expected. */
 void mst_identity_confirm(struct mst_agent *agent);
 
 /* report.c */
 /* Applies a report of the worker's present incarnation. */
 void mst_worker_apply_report(struct mst_agent *agent,
     const struct mst_worker_report *report, bool is_kept);
-/* Applies the last report of the worker's present incarnation. */
+/* Applies the report by which the worker's present incarnation announces its
+ * end. */
 void mst_worker_apply_last_report(
     struct mst_agent *agent, const struct mst_worker_report *report);
 /* Counts a report that is not of the worker's present incarnation. */
@@ -112,7 +114,8 @@
     struct mst_agent *agent, const struct mst_order_answer *answer);
 /* Sends the order that verifies the candidate, if it is due. */
 void mst_candidate_tick(struct mst_agent *agent);
-/* Handles the answer to that order, and returns what was recorded of it. */
+/* Handles the answer to the order that verifies the candidate. Returns what was
+ * recorded of the order. */
 struct renewal mst_candidate_handle_answer(
     struct mst_agent *agent, const struct mst_order_answer *answer);
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -11,7 +11,8 @@
 /* Passed to the callback in place of an HTTP status if there is no response. */
 #define MST_HTTP_NO_RESPONSE  0    /* the request may have been processed */
 #define MST_HTTP_CONN_REFUSED (-1) /* nothing listens at the address */
-/* No connection could be used in time, so nothing was sent; not told of GET. */
+/* No connection was available in time, so nothing was sent. A GET ends with
+ * MST_HTTP_NO_RESPONSE in this case. */
 #define MST_HTTP_NOT_SENT (-2)
 
 /* status is the HTTP status or one of the above. The body is followed by a NUL
