agent: the forced expiry of a worker's lease below the completions

Completions of known and of unknown runs needed each other: both force the expiry of the lease, and the expiry drops both. Forcing it is now a part below both, and the end of a lease is handled in worker.c, above both. Groups of files that need each other: three before (job/uncertain*, worker/unknown and completions, agent/run and worker/order), two after. No change of behaviour: test_sessions, test_worker, test_agent and test_stored pass.

--- a/src/core/worker/completions.c
+++ b/src/core/worker/completions.c
@@ -147,47 +147,6 @@
 			      : worker->completions_read;
 }
 
-/* Stops renewing the worker's lease. Its expiry ends all runs, and the worker's
- * completions have no effect afterwards. */
-static void
-let_lease_expire(struct mst_agent *agent)
-{
-	struct worker *worker = &agent->worker;
-
-	if (worker->lease_expiring)
-		return;
-	worker->lease_expiring = true;
-	agent->counters.forced_expiries++;
-	mst_worker_emit_state(agent, "lapses");
-}
-
-void
-mst_completions_handle_expiry(struct mst_agent *agent)
-{
-	struct worker *worker = &agent->worker;
-
-	mst_completions_drop(worker);
-	if (!worker->lease_expiring)
-		return;
-	worker->lease_expiring = false;
-	mst_unknown_drop(worker);
-	mst_worker_emit_state(agent, "lapsed");
-}
-
-void
-mst_completions_handle_unknown(struct mst_agent *agent)
-{
-	struct worker *worker = &agent->worker;
-
-	if (worker->lease_expiring)
-		return;
-	/* A lease that an earlier incarnation of this agent renewed expires
-	 * within the duration of one lease from now. */
-	worker->lease_end_us =
-	    MAX(worker->lease_end_us, mst_worker_lease_end_us(agent));
-	let_lease_expire(agent);
-}
-
 static struct record_update *
 find_update(const struct worker *worker, const char *record)
 {
@@ -389,7 +348,7 @@
 			completion->unrecordable = true;
 	}
 	g_ptr_array_remove_fast(agent->worker.record_updates, update);
-	let_lease_expire(agent);
+	mst_worker_force_expiry(agent);
 }
 
 static void
--- a/src/core/worker/unknown.c
+++ b/src/core/worker/unknown.c
@@ -64,6 +64,20 @@
 	return false;
 }
 
+/* Forces the expiry of the lease. One that an earlier incarnation of this agent
+ * has renewed ends within the duration of a lease from now. */
+static void
+force_expiry(struct mst_agent *agent)
+{
+	struct worker *worker = &agent->worker;
+
+	if (worker->lease_expiring)
+		return;
+	worker->lease_end_us =
+	    MAX(worker->lease_end_us, mst_worker_lease_end_us(agent));
+	mst_worker_force_expiry(agent);
+}
+
 static void
 look_up(struct mst_agent *agent, char *key)
 {
@@ -94,7 +108,7 @@
 		g_free(key);
 		/* The lookups are kept, because effects of this step may refer
 		 * to their keys. */
-		mst_completions_handle_unknown(agent);
+		force_expiry(agent);
 	} else {
 		look_up(agent, key);
 	}
@@ -129,5 +143,5 @@
 	}
 	/* The job is stored, or may be. */
 	g_ptr_array_set_size(records, 0);
-	mst_completions_handle_unknown(agent);
+	force_expiry(agent);
 }
--- a/src/core/worker/worker.c
+++ b/src/core/worker/worker.c
@@ -78,6 +78,23 @@
 		mst_worker_handle_stop_answer(agent, run, answer);
 }
 
+/* Ends the runs and drops the completions of a worker whose lease has expired.
+ */
+static void
+handle_lease_expiry(struct mst_agent *agent)
+{
+	struct worker *worker = &agent->worker;
+
+	if (agent->running > 0)
+		mst_worker_fail_runs(agent, MST_PROOF_LAPSED, INT64_MAX);
+	if (!worker->lease_expiring && worker->unacked_completions.length == 0)
+		return;
+	mst_completions_drop(worker);
+	if (worker->lease_expiring)
+		mst_unknown_drop(worker);
+	mst_worker_end_forced_expiry(agent);
+}
+
 void
 mst_worker_tick(struct mst_agent *agent)
 {
@@ -90,14 +107,8 @@
 		worker->unnamed_us = agent->now_us;
 		mst_agent_emit(agent, MST_AGENT_FX_LOAD_REPORT);
 	}
-	if (agent->now_us > worker->lease_end_us) {
-		if (agent->running > 0)
-			mst_worker_fail_runs(
-			    agent, MST_PROOF_LAPSED, INT64_MAX);
-		if (worker->lease_expiring ||
-		    worker->unacked_completions.length > 0)
-			mst_completions_handle_expiry(agent);
-	}
+	if (agent->now_us > worker->lease_end_us)
+		handle_lease_expiry(agent);
 	mst_worker_check_warm_up(agent);
 	mst_completions_tick(agent);
 	mst_worker_send_due_orders(agent);
--- a/src/core/worker/worker_internal.h
+++ b/src/core/worker/worker_internal.h
@@ -173,19 +173,21 @@
 void mst_worker_record_crash(
     struct mst_agent *agent, int64_t confirmed_before_us);
 
+/* forced_expiry.c */
+/* Stops the renewal of the worker's lease, unless that was done already. */
+void mst_worker_force_expiry(struct mst_agent *agent);
+/* Lets the lease be renewed again after it has expired. */
+void mst_worker_end_forced_expiry(struct mst_agent *agent);
+
 /* completions.c */
-/* Drops all completions, because the worker no longer lists them. */
+/* Drops all completions, because the worker no longer lists them or they have
+ * no effect any more. */
 void mst_completions_drop(struct worker *worker);
 /* Adds the completion of a stored job's run; returns false for other runs. */
 bool mst_completions_add(struct mst_agent *agent, const struct run *run,
     uint64_t worker_seq, bool failed);
 /* Returns the last completion that the worker may drop. */
 uint64_t mst_completions_last_acked(const struct worker *worker);
-/* Drops the completions after the worker's lease has expired. */
-void mst_completions_handle_expiry(struct mst_agent *agent);
-/* Lets the worker's lease expire, because a completion that this agent cannot
- * record may belong to a stored job. */
-void mst_completions_handle_unknown(struct mst_agent *agent);
 /* Starts the record updates that are due. */
 void mst_completions_tick(struct mst_agent *agent);
 
