entry: starts that one agent tells with two numbers are kept apart

Callers would see: two runs of a task at once at one worker, whose next incarnation carries out two held-up orders with different run numbers.

Cause: a start is identified by host, agent and dispatch, and one that another process tells has no dispatch. Two of one agent with different numbers became one with the higher number, and the task went to the host with that number, as if the worker would take one of them only.

Evidence: bound/two-told-numbers: sent before, waits now.

Why it works: the number is part of what identifies a start, so both are known, and a task with starts of two numbers waits (bound/two-numbers).

--- a/src/core/job/start_list.c
+++ b/src/core/job/start_list.c
@@ -16,7 +16,7 @@
 	/* Host names are interned. */
 	while (list != NULL &&
 	    (list->host != start->host || list->agent != start->agent ||
-		list->seq != start->seq))
+		list->seq != start->seq || list->run != start->run))
 		list = list->next;
 	return list;
 }
@@ -36,7 +36,6 @@
 		*list = known;
 	}
 	known->expires_us = MAX(known->expires_us, start->expires_us);
-	known->run = MAX(known->run, start->run);
 	known->is_spent |= start->is_spent;
 	known->is_told |= start->is_told;
 }
--- a/tests/test_bound_tasks.c
+++ b/tests/test_bound_tasks.c
@@ -126,20 +126,27 @@
 	deliver(f, member, &msg);
 }
 
+/* Another process tells of a start of a job's task. */
+static void
+tell_run(struct fixture *f, uint64_t from, const struct mst_uncertain_item *item)
+{
+	struct mst_msg msg = {.type = MST_MSG_UNCERTAIN_STARTS,
+	    .uncertain_starts = {.count = 1, .items = item}};
+
+	deliver(f, from, &msg);
+}
+
 /* Another entry tells of a start of a job's task. */
 static void
 tell_start_of(
     struct fixture *f, const char *key, const char *host, uint32_t age_ms)
 {
-	const struct mst_uncertain_item item = {.agent = 99,
-	    .host = mst_bytes_from_str(host),
-	    .job = mst_bytes_from_str(key),
-	    .run = 1,
-	    .age_ms = age_ms};
-	struct mst_msg msg = {.type = MST_MSG_UNCERTAIN_STARTS,
-	    .uncertain_starts = {.count = 1, .items = &item}};
-
-	deliver(f, PEER, &msg);
+	tell_run(f, PEER,
+	    &(struct mst_uncertain_item){.agent = 99,
+		.host = mst_bytes_from_str(host),
+		.job = mst_bytes_from_str(key),
+		.run = 1,
+		.age_ms = age_ms});
 }
 
 /* Another entry tells of a start of the task. */
@@ -712,6 +719,24 @@
 	fixture_free(f);
 }
 
+/* The same for two starts that one agent has told. */
+static void
+bound__waits_for_told_starts_with_two_numbers(void)
+{
+	struct fixture *f = fixture_new();
+	struct mst_uncertain_item item = {.agent = 99,
+	    .host = mst_bytes_from_str("a"),
+	    .job = mst_bytes_from_str(KEY)};
+
+	for (item.run = 1; item.run <= 2; item.run++)
+		tell_run(f, 99, &item);
+	announce(f, 100, "a", SLOTS);
+	submit(f);
+	run_ms(f, 400);
+	g_assert_cmpuint(f->dispatched_to, ==, 0);
+	fixture_free(f);
+}
+
 /* Guards against a new entry that learns of the last starts only. */
 static void
 bound__new_entry_is_told_of_all_starts(void)
@@ -771,5 +796,7 @@
 	    bound__repeated_dispatch_keeps_its_number);
 	g_test_add_func(
 	    "/bound/two-numbers", bound__waits_for_starts_with_two_numbers);
+	g_test_add_func("/bound/two-told-numbers",
+	    bound__waits_for_told_starts_with_two_numbers);
 	return g_test_run();
 }
