agent: the entry of a task knows the number of each of its starts

Callers would see: two runs of a task at once at one worker. A job is submitted again, its worker has used number 1 already, so its agent orders a start with number 2, which is held up. The entry takes the start for number 1 and sends the task to the restarted worker with it; if that order is held up too, the next incarnation carries out both, since their numbers differ.

Cause: the agent raised the number by itself, and neither a result nor the loss of the agent tells the entry which one the start had. The other entries were told the raised one.

Ruled out: telling the number to the entry beside the start, since such a message names no dispatch and may be of a run of another entry at the same agent.

Why it works: the task comes back as not run, which an entry answers with its next number (bound/used-number passes before, too). It costs a round trip for a task of a job that is submitted again to the same incarnation of the same worker.

--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -284,6 +284,19 @@
 	g_list_free(runs);
 }
 
+/* Returns true if a run must keep the number that its entry has sent, so that
+ * the entry knows the number of each start that may still be executed. Entries
+ * of earlier builds don't know why the task comes back otherwise. */
+static bool
+must_keep_number(const struct run *run)
+{
+	uint64_t features = run->session->build.features;
+
+	return (run->task.flags & MST_TASK_SAME_RUN) != 0 ||
+	    (run->task.record.len == 0 &&
+		(features & MST_FEATURE_CONFIRMED_STARTS) != 0);
+}
+
 static void
 repeat_start(struct mst_agent *agent, struct run *run)
 {
@@ -309,7 +322,7 @@
 			/* Another copy used the number; the lists show the
 			 * state of its run. */
 			mst_worker_confirm_start(agent, run);
-		} else if (run->task.flags & MST_TASK_SAME_RUN) {
+		} else if (must_keep_number(run)) {
 			handle_start_refusal(agent, run, MST_REASON_RUN_USED);
 		} else {
 			run->run_number++;
--- a/tests/test_bound_tasks.c
+++ b/tests/test_bound_tasks.c
@@ -737,6 +737,29 @@
 	fixture_free(f);
 }
 
+/* A job that is submitted again begins with a number that the worker has used.
+ */
+static void
+bound__next_number_after_a_used_one(void)
+{
+	struct fixture *f = fixture_new();
+
+	announce(f, 100, "a", SLOTS);
+	submit(f);
+	run_ms(f, 100);
+	g_assert_cmpuint(f->run, ==, 1);
+	give_result(f,
+	    &(struct mst_result_item){.seq = f->seq,
+		.outcome = MST_OUTCOME_NOT_RUN,
+		.reason = MST_REASON_RUN_USED});
+	run_ms(f, 100);
+	announce(f, 100, "a", SLOTS);
+	run_ms(f, 100);
+	g_assert_cmpuint(f->dispatched_to, ==, 100);
+	g_assert_cmpuint(f->run, ==, 2);
+	fixture_free(f);
+}
+
 /* Guards against a new entry that learns of the last starts only. */
 static void
 bound__new_entry_is_told_of_all_starts(void)
@@ -798,5 +821,7 @@
 	    "/bound/two-numbers", bound__waits_for_starts_with_two_numbers);
 	g_test_add_func("/bound/two-told-numbers",
 	    bound__waits_for_told_starts_with_two_numbers);
+	g_test_add_func(
+	    "/bound/used-number", bound__next_number_after_a_used_one);
 	return g_test_run();
 }
