--- a/src/core/agent/uncertain.c
+++ b/src/core/agent/uncertain.c
@@ -19,7 +19,7 @@
 }
 
 static void
-emit_first_message(struct mst_agent *agent, const struct session *session,
+emit_uncertain_start(struct mst_agent *agent, const struct session *session,
     const struct run *run)
 {
 	struct mst_msg *msg =
@@ -42,7 +42,7 @@
 
 	if (!(features & MST_FEATURE_CONFIRMED_STARTS)) {
 		if (features & MST_FEATURE_UNCERTAIN_STARTS)
-			emit_first_message(agent, session, run);
+			emit_uncertain_start(agent, session, run);
 		return;
 	}
 	if (session == run->session)
--- a/src/core/worker/candidate.c
+++ b/src/core/worker/candidate.c
@@ -28,7 +28,7 @@
 }
 
 static bool
-is_same_claim(
+is_same_report(
     const struct candidate *candidate, const struct mst_worker_report *report)
 {
 	return candidate->is_set &&
@@ -36,7 +36,7 @@
 	    mst_bytes_equal_str(report->id, candidate->report.id.data);
 }
 
-/* A repeated claim keeps the order that verifies it. */
+/* A repeated report keeps the order that verifies the first one. */
 void
 mst_candidate_set(struct mst_agent *agent,
     const struct mst_worker_report *report, bool is_kept)
@@ -45,7 +45,7 @@
 	struct candidate next = {
 	    .is_set = true, .is_kept = is_kept, .report = *report};
 
-	if (is_same_claim(candidate, report)) {
+	if (is_same_report(candidate, report)) {
 		if (report->seq < candidate->report.seq)
 			return;
 		next.renewal = candidate->renewal;
@@ -63,7 +63,7 @@
 
 /* Nothing is started until the id is verified again. */
 static void
-doubt_id(struct mst_agent *agent)
+verify_id_again(struct mst_agent *agent)
 {
 	struct worker *worker = &agent->worker;
 	const struct mst_worker_report report = {
@@ -94,7 +94,7 @@
 	if (answer->kind == MST_ORDER_START &&
 	    answer->status == MST_ORDER_OTHER_INCARNATION &&
 	    worker->id != NULL && answer->sent_us >= worker->id_us)
-		doubt_id(agent);
+		verify_id_again(agent);
 }
 
 /* The order renews no lease and acknowledges nothing: it may be executed by a
@@ -126,7 +126,7 @@
 }
 
 static void
-adopt(struct mst_agent *agent, struct candidate *candidate)
+apply_candidate(struct mst_agent *agent, struct candidate *candidate)
 {
 	candidate->is_set = false;
 	candidate->renewal.id = 0;
@@ -134,7 +134,7 @@
 }
 
 static void
-refuse(struct mst_agent *agent, struct candidate *candidate)
+refuse_candidate(struct mst_agent *agent, struct candidate *candidate)
 {
 	candidate->is_set = false;
 	candidate->renewal.id = 0;
@@ -153,7 +153,7 @@
 	    !candidate->is_doubted && worker->id == NULL &&
 	    worker->incarnation != 0 &&
 	    candidate->report.incarnation == worker->incarnation)
-		adopt(agent, candidate);
+		apply_candidate(agent, candidate);
 }
 
 /* Returns true if the answer to an order that named the candidate's id shows
@@ -180,7 +180,7 @@
 	if (answer->incarnation == 0)
 		mst_worker_take_id(
 		    agent, candidate->report.id, candidate->report.incarnation);
-	adopt(agent, candidate);
+	apply_candidate(agent, candidate);
 	mst_identity_confirm(agent);
 }
 
@@ -197,7 +197,7 @@
 		confirm(agent, answer);
 	} else if (answer->status == MST_ORDER_DONE ||
 	    answer->status == MST_ORDER_OTHER_INCARNATION) {
-		refuse(agent, candidate);
+		refuse_candidate(agent, candidate);
 	} else {
 		candidate->failures++;
 		candidate->due_us = agent->now_us + CANDIDATE_RETRY_US;
--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -291,8 +291,8 @@
 /* Records since when the worker has runs that this agent does not know. Their
  * stops may be refused, so the lease is renewed for a limited time only. */
 static void
-bound_lease(struct mst_agent *agent, const struct mst_order_answer *answer,
-    uint32_t unknown_runs)
+record_unknown_runs(struct mst_agent *agent,
+    const struct mst_order_answer *answer, uint32_t unknown_runs)
 {
 	struct worker *worker = &agent->worker;
 
@@ -343,7 +343,7 @@
 	if (!worker->synced && fence != worker->fence)
 		return;
 	unknown_runs = process_lists(agent, answer);
-	bound_lease(agent, answer, unknown_runs);
+	record_unknown_runs(agent, answer, unknown_runs);
 	worker->renew_failures = 0;
 	/* Runs of an earlier incarnation of this agent must end first, because
 	 * entries may start their tasks elsewhere once they know of this
@@ -372,7 +372,7 @@
  * names checks the fence, so the candidate's incarnation counts, unless it is
  * not plausible. */
 static uint64_t
-get_claimed_incarnation(
+get_fence_incarnation(
     const struct worker *worker, const struct mst_worker_report *report)
 {
 	if (report->incarnation > WORKER_INCARNATION_MAX)
@@ -387,8 +387,8 @@
     struct mst_agent *agent, const struct mst_order_answer *answer)
 {
 	struct worker *worker = &agent->worker;
-	uint64_t claimed =
-	    get_claimed_incarnation(worker, &worker->candidate.report);
+	uint64_t fence_incarnation =
+	    get_fence_incarnation(worker, &worker->candidate.report);
 	struct renewal renewal = mst_candidate_handle_answer(agent, answer);
 
 	if (answer->status == MST_ORDER_DONE)
@@ -397,7 +397,7 @@
 		mst_worker_handle_down(agent, answer);
 	if (answer->status != MST_ORDER_FENCED)
 		return;
-	mst_worker_handle_fenced(agent, answer->sent_us, claimed);
+	mst_worker_handle_fenced(agent, answer->sent_us, fence_incarnation);
 	worker->next_renew_us = agent->now_us;
 }
 
--- a/src/core/worker/claim.c
+++ b/src/core/worker/report_check.c
@@ -1,8 +1,8 @@
 /*
- * Claims: reports that arrive. A report may be late, kept by an earlier
- * incarnation of this agent, or of another sender. It counts if it names the
- * incarnation that the worker's answers show; others are candidates, which
- * candidate.c verifies.
+ * Reports that arrive. A report may be late, kept by an earlier incarnation of
+ * this agent, or from another sender. It is applied if it names the incarnation
+ * that the worker's answers show; others become candidates, which candidate.c
+ * verifies.
  */
 
 #include "core/agent/agent_internal.h"
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -136,7 +136,7 @@
 /* Drops a candidate. */
 void mst_candidate_clear(struct candidate *candidate);
 
-/* claim.c */
+/* report_check.c */
 /* Handles a status report of the worker. */
 void mst_worker_handle_report(
     struct mst_agent *agent, const struct mst_worker_report *report);
