--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -309,6 +309,23 @@
 		mst_worker_stop_run(agent, run, MST_REASON_UPSTREAM_TIMEOUT);
 }
 
+/* Handles that the worker has seen a start with the run's number, or a higher
+ * one. */
+static void
+handle_old_run(struct mst_agent *agent, struct run *run)
+{
+	if (mst_worker_start_is_uncertain(run)) {
+		/* Another copy used the number; the lists show the state of
+		 * its run. */
+		mst_worker_confirm_start(agent, run);
+	} else if (must_keep_number(run)) {
+		handle_start_refusal(agent, run, MST_REASON_RUN_USED);
+	} else {
+		run->run_number++;
+		repeat_start(agent, run);
+	}
+}
+
 void
 mst_worker_handle_start_answer(struct mst_agent *agent, struct run *run,
     const struct mst_order_answer *answer)
@@ -318,16 +335,7 @@
 		mst_worker_confirm_start(agent, run);
 		break;
 	case MST_ORDER_OLD_RUN:
-		if (mst_worker_start_is_uncertain(run)) {
-			/* Another copy used the number; the lists show the
-			 * state of its run. */
-			mst_worker_confirm_start(agent, run);
-		} else if (must_keep_number(run)) {
-			handle_start_refusal(agent, run, MST_REASON_RUN_USED);
-		} else {
-			run->run_number++;
-			repeat_start(agent, run);
-		}
+		handle_old_run(agent, run);
 		break;
 	case MST_ORDER_NO_ANSWER:
 		mst_agent_tell_uncertain_start(agent, run);
--- a/src/runtime/metrics.c
+++ b/src/runtime/metrics.c
@@ -141,11 +141,10 @@
 	    (double)counters->members_unproven);
 }
 
+/* Adds what became of jobs, and of the records of stored ones. */
 static void
-add_entry_counters(GString *out, const struct mst_entry_counters *counters)
+add_job_counters(GString *out, const struct mst_entry_counters *counters)
 {
-	int i;
-
 	metrics_add_single(out, "jobs_total", "counter", "Jobs accepted.",
 	    (double)counters->jobs);
 	metrics_add_single(out, "jobs_complete_total", "counter",
@@ -174,6 +173,14 @@
 	    (double)counters->store_failures);
 	add_counters_by_reason(out, "jobs_refused_total",
 	    "Jobs refused, not run.", counters->jobs_refused);
+}
+
+/* Adds what became of tasks, and the messages about them. */
+static void
+add_task_counters(GString *out, const struct mst_entry_counters *counters)
+{
+	int i;
+
 	metrics_add_single(out, "tasks_total", "counter", "Tasks accepted.",
 	    (double)counters->tasks);
 	metrics_add_family(
@@ -195,6 +202,13 @@
 	    (double)counters->results_late);
 	metrics_add_sample(out, "wasted_total", "cause", "result-repeated",
 	    (double)counters->results_repeated);
+}
+
+static void
+add_entry_counters(GString *out, const struct mst_entry_counters *counters)
+{
+	add_job_counters(out, counters);
+	add_task_counters(out, counters);
 	add_bound_tasks(out, counters);
 	metrics_add_single(out, "crashed_runs_total", "counter",
 	    "Runs that ended because their worker crashed.",
@@ -363,14 +377,10 @@
 	return out;
 }
 
-GString *
-runtime_agent_metrics(const struct mst_agent_counters *counters,
-    const struct mst_agent_gauges *gauges,
-    const struct mst_bus_counters *bus_counters)
+/* Adds what an agent has done for its entries. */
+static void
+add_dispatch_counters(GString *out, const struct mst_agent_counters *counters)
 {
-	GString *out = g_string_new(NULL);
-	int i;
-
 	metrics_add_single(out, "dispatches_received_total", "counter",
 	    "Tasks received.", (double)counters->dispatches);
 	metrics_add_single(out, "dispatch_duplicates_total", "counter",
@@ -387,6 +397,14 @@
 	    "Results sent again.", (double)counters->results_repeated);
 	metrics_add_single(out, "fences_total", "counter", "Fences asked for.",
 	    (double)counters->fences);
+}
+
+/* Adds the counters of runs and starts at the worker of a leased agent. */
+static void
+add_run_counters(GString *out, const struct mst_agent_counters *counters)
+{
+	int i;
+
 	metrics_add_single(out, "worker_lapses_total", "counter",
 	    "Leases let lapse, so that ends count no more.",
 	    (double)counters->forced_expiries);
@@ -418,6 +436,13 @@
 	metrics_add_single(out, "starts_told_total", "counter",
 	    "Messages to other entries of starts that may be executed.",
 	    (double)counters->starts_told);
+}
+
+static void
+add_order_counters(GString *out, const struct mst_agent_counters *counters)
+{
+	int i;
+
 	metrics_add_single(out, "entry_leases_lapsed_total", "counter",
 	    "Times that an entry's work was ended for its silence.",
 	    (double)counters->leases_expired);
@@ -432,6 +457,11 @@
 	metrics_add_single(out, "offers_total", "counter",
 	    "Free slots reserved for entries whose tasks wait.",
 	    (double)counters->offers);
+}
+
+static void
+add_agent_gauges(GString *out, const struct mst_agent_gauges *gauges)
+{
 	metrics_add_single(out, "drained", "gauge",
 	    "Whether the failure domain is drained.", gauges->drained);
 	metrics_add_single(
@@ -446,6 +476,19 @@
 	    "Memory of acknowledged results.", (double)gauges->retained_bytes);
 	metrics_add_single(out, "config_version", "gauge",
 	    "Configuration in force.", (double)gauges->config_version);
+}
+
+GString *
+runtime_agent_metrics(const struct mst_agent_counters *counters,
+    const struct mst_agent_gauges *gauges,
+    const struct mst_bus_counters *bus_counters)
+{
+	GString *out = g_string_new(NULL);
+
+	add_dispatch_counters(out, counters);
+	add_run_counters(out, counters);
+	add_order_counters(out, counters);
+	add_agent_gauges(out, gauges);
 	add_bus_counters(out, bus_counters);
 	return out;
 }
