--- a/src/runtime/metrics.c
+++ b/src/runtime/metrics.c
@@ -115,7 +115,7 @@
 add_bound_tasks(GString *out, const struct mst_entry_counters *counters)
 {
 	metrics_add_single(out, "starts_confirmed_total", "counter",
-	    "Sent tasks that have started for certain.",
+	    "Starts of sent tasks that their agents have confirmed.",
 	    (double)counters->starts_confirmed);
 	metrics_add_single(out, "tasks_bound_total", "counter",
 	    "Tasks that may run again at one host only.",
@@ -131,13 +131,13 @@
 	metrics_add_sample(out, "bound_waits_total", "end", "unrun",
 	    (double)counters->bound_tasks_unrun);
 	metrics_add_single(out, "starts_told_total", "counter",
-	    "Messages to other entries of starts that may be executed.",
+	    "Messages to other entries about uncertain starts.",
 	    (double)counters->starts_told);
 	metrics_add_single(out, "starts_untold_total", "counter",
-	    "Tasks with such starts that no other entry was told of.",
+	    "Tasks with uncertain starts that others were not told of.",
 	    (double)counters->starts_untold);
 	metrics_add_single(out, "members_unproven_total", "counter",
-	    "Agents heard from beside another incarnation of them.",
+	    "Agents heard from while another one of their name was.",
 	    (double)counters->members_unproven);
 }
 
@@ -406,7 +406,7 @@
 	int i;
 
 	metrics_add_single(out, "worker_lapses_total", "counter",
-	    "Leases let lapse, so that ends count no more.",
+	    "Leases left to expire to make completions void.",
 	    (double)counters->forced_expiries);
 	metrics_add_single(out, "runs_lost_total", "counter",
 	    "Runs that ended without a result.", (double)counters->runs_lost);
@@ -414,7 +414,7 @@
 	    "Crashes of the worker while runs were in progress.",
 	    (double)counters->crashes);
 	metrics_add_single(out, "runs_unknown_total", "counter",
-	    "Runs found on the worker that are nobody's, and stopped.",
+	    "Runs found on the worker that this agent had not started.",
 	    (double)counters->runs_unknown);
 	metrics_add_single(out, "starts_uncertain_total", "counter",
 	    "Runs that ended while a start of them had no answer.",
@@ -425,16 +425,16 @@
 		metrics_add_sample(out, "runs_ended_total", "proof",
 		    mst_run_proof_name(i), (double)counters->runs_ended[i]);
 	metrics_add_single(out, "reports_refused_total", "counter",
-	    "Reports of no present incarnation of the worker.",
+	    "Reports that are not of the worker's present incarnation.",
 	    (double)counters->reports_refused);
 	metrics_add_single(out, "starts_unnamed_total", "counter",
 	    "Orders to start that did not name the worker.",
 	    (double)counters->starts_unnamed);
 	metrics_add_single(out, "starts_confirmed_total", "counter",
-	    "Starts told to their entries as certain.",
+	    "Starts that were confirmed to their entries.",
 	    (double)counters->starts_confirmed);
 	metrics_add_single(out, "starts_told_total", "counter",
-	    "Messages to other entries of starts that may be executed.",
+	    "Messages to other entries about uncertain starts.",
 	    (double)counters->starts_told);
 }
 
