agent: an id is confirmed only by an order that names it

Callers would see: two runs of a task at once. A start is taken for void although the worker has just executed it, and its task goes elsewhere.

Cause: the answer to a start confirmed the id that the agent had by then, if the order was sent at or after the time when that was learnt, not the id that the order named. A start that named the worker's id, a restart under the same id and a report of another sender with the present incarnation and another id, all at one time of the clock, made the answer prove that the start which it answered was void (proof=other-id). With a clock of microseconds that is very unlikely outside of the simulation; the proof should not rest on it.

Why it works: what is compared is the id that the order named. A run whose starts named several ids confirms none, and a renewal keeps the id that it named.

--- a/src/core/worker/identity_confirm.c
+++ b/src/core/worker/identity_confirm.c
@@ -45,3 +45,14 @@
 	}
 	g_list_free(runs);
 }
+
+void
+mst_identity_handle_done(struct mst_agent *agent,
+    const struct mst_order_answer *answer, uint64_t named_id)
+{
+	const struct worker *worker = &agent->worker;
+
+	if (named_id != 0 && named_id == worker->id_hash &&
+	    answer->sent_us >= worker->id_us)
+		mst_identity_confirm(agent);
+}
--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -201,7 +201,7 @@
 	size_t i;
 
 	for (i = 0; i < WORKER_RENEWS_MAX; i++) {
-		if (worker->renewals[i].id != 0 && worker->renewals[i].is_named)
+		if (worker->renewals[i].id != 0 && worker->renewals[i].named_id != 0)
 			return false;
 	}
 	return mst_identity_must_confirm(worker);
@@ -252,7 +252,7 @@
 
 	*renewal = (struct renewal){.id = ++agent->next_handle,
 	    .fence = worker->fence,
-	    .is_named = worker->id != NULL};
+	    .named_id = worker->id_hash};
 	order = mst_worker_emit_order(agent, MST_ORDER_RENEW, renewal->id);
 	if (!worker->lease_expiring &&
 	    !mst_unknown_completions_are_pending(worker))
@@ -410,8 +410,7 @@
 	renewal->id = 0;
 	switch (answer->status) {
 	case MST_ORDER_DONE:
-		if (renewal->is_named && answer->sent_us >= worker->id_us)
-			mst_identity_confirm(agent);
+		mst_identity_handle_done(agent, answer, renewal->named_id);
 		handle_renew_success(agent, answer, renewal->fence);
 		break;
 	case MST_ORDER_FENCED:
--- a/src/core/worker/worker.c
+++ b/src/core/worker/worker.c
@@ -60,14 +60,13 @@
 		return;
 	}
 	mst_candidate_handle_refusal(agent, answer);
-	if (answer->kind == MST_ORDER_START &&
-	    answer->status == MST_ORDER_DONE &&
-	    answer->sent_us >= agent->worker.id_us)
-		mst_identity_confirm(agent);
 	run =
 	    g_hash_table_lookup(agent->active, mst_u64_to_pointer(answer->id));
 	if (run == NULL)
 		return;
+	if (answer->kind == MST_ORDER_START &&
+	    answer->status == MST_ORDER_DONE && !run->start_workers_differ)
+		mst_identity_handle_done(agent, answer, run->start_worker);
 	if (answer->kind == MST_ORDER_START)
 		count_start_answer(run, answer->status);
 	if (answer->kind == MST_ORDER_START &&
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -34,7 +34,7 @@
 struct renewal {
 	uint64_t id; /* 0: none */
 	uint64_t fence;
-	bool is_named; /* it names the worker's id */
+	uint64_t named_id; /* hash of the id that it names; 0: none */
 };
 
 /* Id that orders with a lease have named. */
--- a/src/core/worker/worker_internal.h
+++ b/src/core/worker/worker_internal.h
@@ -87,6 +87,10 @@
  * Orders that name another id can no longer be executed, so the runs that only
  * they could start end, and no long lease is expected. */
 void mst_identity_confirm(struct mst_agent *agent);
+/* Handles that an order was executed that names an id, by its hash. It confirms
+ * the id only if that is the present one, whatever was learnt meanwhile. */
+void mst_identity_handle_done(struct mst_agent *agent,
+    const struct mst_order_answer *answer, uint64_t named_id);
 
 /* report.c */
 /* Applies a report of the worker's present incarnation. */
