--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -201,7 +201,8 @@
 	size_t i;
 
 	for (i = 0; i < WORKER_RENEWS_MAX; i++) {
-		if (worker->renewals[i].id != 0 && worker->renewals[i].named_id != 0)
+		if (worker->renewals[i].id != 0 &&
+		    worker->renewals[i].named_id != 0)
 			return false;
 	}
 	return mst_identity_must_confirm(worker);
--- a/tests/test_bound_tasks.c
+++ b/tests/test_bound_tasks.c
@@ -128,7 +128,8 @@
 
 /* Another process tells of a start of a job's task. */
 static void
-tell_run(struct fixture *f, uint64_t from, const struct mst_uncertain_item *item)
+tell_run(
+    struct fixture *f, uint64_t from, const struct mst_uncertain_item *item)
 {
 	struct mst_msg msg = {.type = MST_MSG_UNCERTAIN_STARTS,
 	    .uncertain_starts = {.count = 1, .items = item}};
