net: a call that was given long ago is not sent any more

Callers would see: two runs of a task at once, after an agent was frozen for longer than the time for which orders are known to be held up (14 s), just as it had ordered a start, and its worker was restarted under the same id meanwhile. The start leaves the host when the process goes on; nobody counts with it any more.

Cause: a call is given to libcurl in one step of the loop and sent in a later one, and libcurl counts its timeout from when it begins with it, not from when it was given. What was given before a freeze was sent after it, however long that was, and also over a connection that was open already.

Ruled out: calls that wait for a connection, whose timeout libcurl does count (http-client/unsent).

Why it works: the check is made in the step that writes the request. The time is that of the call, 1 s at least, so a process that is merely slow sends as before, and it is within the margin of 2 s that the time for held-up orders has.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -5,8 +5,15 @@
 #include <stdbool.h>
 #include <string.h>
 
+#include "base/clock.h"
+
 #define IDLE_HANDLES_MAX       16  /* idle CURL handles */
 #define CACHED_CONNECTIONS_MAX 64L /* open connections in libcurl's cache */
+/* Least time after which a call is not sent any more. libcurl counts the
+ * timeout from when it begins with a call, which is later if the process was
+ * frozen. It is less than the margin for orders that are held up on their way.
+ */
+#define SEND_TIME_MIN_MS 1000
 /* A longer response counts as none. */
 #define RESPONSE_MAX_BYTES (16 << 20)
 
@@ -19,7 +26,8 @@
 	mst_http_call_cb on_done;
 	void *ctx;
 	bool counts_sends;
-	unsigned sends; /* times that the request was about to be sent */
+	int64_t send_by_us; /* the request is not sent later */
+	unsigned sends;     /* times that the request was about to be sent */
 };
 
 /* The poll handle of one of libcurl's sockets. */
@@ -250,15 +258,17 @@
 	return easy;
 }
 
-/* Called before a request is sent. libcurl sends it again by itself if a reused
- * connection closes without an answer; the first one may have been executed, so
- * the call ends without a response instead. */
+/* Called before a request is sent. One that is too old is not. libcurl sends it
+ * again by itself if a reused connection closes without an answer; the first
+ * one may have been executed, so the call ends without a response instead. */
 static int
 on_curl_request(
     void *ctx, char *remote, char *local, int remote_port, int local_port)
 {
 	struct transfer *transfer = ctx;
 
+	if (mst_clock_us() > transfer->send_by_us)
+		return CURL_PREREQFUNC_ABORT;
 	return transfer->sends++ == 0 ? CURL_PREREQFUNC_OK
 				      : CURL_PREREQFUNC_ABORT;
 }
@@ -273,6 +283,8 @@
 
 	transfer->client = client;
 	transfer->easy = easy;
+	transfer->send_by_us = mst_clock_us() +
+	    (int64_t)MAX(call->timeout_ms, SEND_TIME_MIN_MS) * 1000;
 	transfer->body = g_byte_array_new();
 	transfer->on_done = call->on_done;
 	transfer->ctx = call->ctx;
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -10,7 +10,8 @@
 #define TIMEOUT_MS   2000
 #define SILENT_MS    100 /* timeout of a call that is not answered */
 #define WAITING_PATH "waiting"
-#define SHORT_MS     50 /* timeout of a call that waits for that one */
+#define SHORT_MS     50   /* timeout of a call that waits for that one */
+#define FROZEN_MS    1200 /* of this process */
 
 /* Answers the first request of the first connection and closes connections at
  * every further one. */
@@ -32,7 +33,8 @@
 	int statuses[CALLS];
 	unsigned done;
 	bool closes_listener; /* before the second call */
-	int waiting_status;   /* of a call that waits for a connection */
+	bool ends_after_first;
+	int waiting_status; /* of a call that waits for a connection */
 };
 
 static void
@@ -113,7 +115,7 @@
 	struct fixture *fixture = ctx;
 
 	fixture->statuses[fixture->done++] = status;
-	if (fixture->done == CALLS) {
+	if (fixture->done == CALLS || fixture->ends_after_first) {
 		uv_stop(&fixture->loop);
 		return;
 	}
@@ -201,6 +203,29 @@
 	fixture_clear(&fixture);
 }
 
+/* Guards against an order that leaves this host long after it was given,
+ * because the process was frozen in between: its time is over, and whoever has
+ * given it up must be sure that it is not executed. */
+static void
+http_client__request_is_not_sent_after_its_time(gconstpointer is_reused)
+{
+	struct fixture fixture = {0};
+
+	fixture_init(&fixture);
+	if (GPOINTER_TO_INT(is_reused)) {
+		fixture.ends_after_first = true;
+		send_call(&fixture);
+		uv_run(&fixture.loop, UV_RUN_DEFAULT);
+		g_assert_cmpint(fixture.statuses[0], ==, 200);
+	}
+	send_waiting_call(&fixture);
+	g_usleep(FROZEN_MS * 1000);
+	uv_run(&fixture.loop, UV_RUN_DEFAULT);
+	g_assert_cmpint(fixture.waiting_status, ==, MST_HTTP_NOT_SENT);
+	g_assert_cmpuint(fixture.server.waiting_requests, ==, 0);
+	fixture_clear(&fixture);
+}
+
 /* Guards against a request that is sent twice as if it were one: its first copy
  * may have been executed, whatever becomes of the second. */
 static void
@@ -228,5 +253,10 @@
 	    GINT_TO_POINTER(true), http_client__request_is_sent_once);
 	g_test_add_func(
 	    "/http-client/unsent", http_client__unsent_request_is_told);
+	g_test_add_data_func("/http-client/frozen", GINT_TO_POINTER(false),
+	    http_client__request_is_not_sent_after_its_time);
+	g_test_add_data_func("/http-client/frozen-connected",
+	    GINT_TO_POINTER(true),
+	    http_client__request_is_not_sent_after_its_time);
 	return g_test_run();
 }
