platform: an answer of the server's side that no page names proves nothing

Callers would see: two runs of a task at once, if a start is executed and answered with 500, 502, 504 or a success other than 200.

Cause: every status without a meaning of its own counted as a refusal, so the start had done nothing, its task was given up as certain, and it ran elsewhere. The pages say of 429 and 503 alone that nothing was done.

Evidence: test_platform /worker/orders: 201, 500, 502 and 504 counted as refused (invalid), and count as no answer now; what such an answer says of the clock is not used. 400, 404 and a conflict with an unknown reason stay refusals.

Why it works: an order without an answer is uncertain until a list, a stop or a lease shows more, as for a connection that breaks.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -32,7 +32,10 @@
 	    {409, "{\"clockMs\":5,\"reason\":\"else\"}", MST_ORDER_INVALID},
 	    {421, "", MST_ORDER_OTHER_INCARNATION},
 	    {429, "", MST_ORDER_UNHEALTHY}, {503, "", MST_ORDER_UNHEALTHY},
-	    {400, "", MST_ORDER_INVALID},
+	    {400, "", MST_ORDER_INVALID}, {404, "", MST_ORDER_INVALID},
+	    {201, "{\"clockMs\":5}", MST_ORDER_NO_ANSWER},
+	    {500, "", MST_ORDER_NO_ANSWER}, {502, "", MST_ORDER_NO_ANSWER},
+	    {504, "{\"clockMs\":5}", MST_ORDER_NO_ANSWER},
 	    {200, "\xff not json", MST_ORDER_NO_ANSWER},
 	    {0, "", MST_ORDER_NO_ANSWER}};
 	const struct mst_order order = {.kind = MST_ORDER_START,
@@ -52,6 +55,8 @@
 		platform_worker.order(worker, &order);
 		peer_wait(peer);
 		g_assert_cmpint(peer->answer.status, ==, cases[i].expected);
+		if (cases[i].expected == MST_ORDER_NO_ANSWER)
+			g_assert_cmpint(peer->answer.clock_ms, ==, 0);
 		g_assert_cmpuint(peer->answer.id, ==, 42);
 		g_assert_cmpstr(peer->request_path, ==, "/v1/run-start");
 		g_assert_cmpstr(peer->expected_instance, ==, "i-7f3a");
