--- a/tests/standins/runner.c
+++ b/tests/standins/runner.c
@@ -8,21 +8,14 @@
  * time of the monotonic clock in microseconds, which runners share. A run that
  * lapses ends at that time, also if this process notices it later.
  *
- * PUT /faults injects faults, which last until they are set again:
- * {"late_share": x} leaves this share of the orders without an answer and
- * carries them out LATE_MIN_MS to LATE_MAX_MS later, also in the runner's next
- * incarnation, unless they name another id; {"lost_share": x} carries orders
- * out and does not answer;
- * {"fail_share": x} lets runs fail; {"unhealthy": true} refuses all orders;
+ * PUT /faults sets the fields of struct runner_faults (see runner_faults.h)
+ * that it names. Orders are carried out LATE_MIN_MS to LATE_MAX_MS late, also
+ * in the runner's next incarnation, unless they name another id. It may also
+ * have:
  * {"crash_ms": n} crashes the runner for that long; meanwhile it refuses
- * orders, or leaves them unanswered with {"hangs": true}, or refuses
- * connections with
- * {"refuses": true}. {"new_id": true} gives the next incarnations ids of their
- * own; {"wall_offset_ms": n} sets its time of day, which dates them.
- * {"odd_report": KIND} sends one report of another writer: "id" (of another
- * runner), "future" or "endless" (when it was born), "seq" (as high as can be),
- * "fields" (of other types, or missing), "service" (that nobody knows) or
- * "delete" (the end of this runner). {"seed": n} seeds what is drawn.
+ * orders, unless a fault changes that.
+ * {"odd_report": KIND} sends one report of another writer; see runner_report.h.
+ * {"seed": n} seeds what is drawn.
  *
  * Usage: standin-runner LISTEN REPORT ID SLOTS [CLOCK_RATE]
  */
@@ -35,17 +28,15 @@
 
 #include "net/http_client.h"
 #include "net/httpd.h"
+#include "runner_faults.h"
+#include "runner_report.h"
 
 #define REPORT_MS     300
 #define LEASE_MAX_MS  1000
 #define CRASH_DOWN_MS 600
-#define TASK_MC       1000 /* capacity of a slot, in thousandths of a core */
-#define TASK_MB       1024
-#define CALL_MS       500
 #define LATE_MIN_MS   1000
 #define LATE_MAX_MS   6000
 #define LATE_AFTER_MS 1000 /* most, from the end of a crash to a late order */
-#define ODD_BORN_MS   3600000    /* from a runner's start to an odd one */
 #define NO_REQUEST    UINT64_MAX /* of an order that gets no answer */
 
 struct run {
@@ -68,21 +59,10 @@
 	char *expected; /* id that it names; empty: none */
 };
 
-struct faults {
-	double late_share;
-	double lost_share;
-	double fail_share;
-	bool unhealthy;
-	bool hangs;
-	bool refuses;
-	bool new_id;
-	double wall_offset_ms;
-};
-
 static struct mst_httpd_options httpd_options;
 static struct mst_httpd *httpd; /* a new one after connections were refused */
 static struct mst_http_client *client;
-static struct faults faults;
+static struct runner_faults faults;
 static GRand *faults_rand;
 static const char *report_to; /* address */
 static const char *first_id;
@@ -329,85 +309,34 @@
 	uv_timer_start(timer, on_up, down_ms, 0);
 }
 
-static void
-on_reported(int status, const char *body, size_t len, void *ctx)
-{
-}
-
-/* Sends a report about a runner with an id. */
-static void
-send_report(const char *method, const char *about, const char *body)
-{
-	static const char *const headers[] = {
-	    "Content-Type: application/json", NULL};
-	char *url =
-	    g_strdup_printf("http://%s/v1/instances/%s", report_to, about);
-	const struct mst_http_call call = {.url = url,
-	    .method = method,
-	    .headers = headers,
-	    .body = body,
-	    .timeout_ms = CALL_MS,
-	    .on_done = on_reported};
-
-	mst_http_client_send(client, &call);
-	g_free(url);
-}
-
-/* Returns a report as JSON; the texts of numbers may be no numbers. */
-static char *
-write_report(
-    const char *service, const char *born, const char *report_seq, unsigned mc)
+/* Returns what a report with a number says. */
+static struct runner_report
+get_report(uint64_t number)
 {
-	return g_strdup_printf(
-	    "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z\","
-	    "\"version\":\"v1\",\"slots\":%u,\"state\":\"ready\","
-	    "\"coldRemainingMs\":0,\"capacity\":{\"cpu\":%u,\"memMb\":%u},"
-	    "\"labels\":[\"a\",\"r1\"],\"clockMs\":%" G_GINT64_FORMAT
-	    ",\"born\":%s,\"seq\":%s}",
-	    service, httpd_options.listen, slots, mc, slots * TASK_MB,
-	    clock_ms(), born, report_seq);
+	return (struct runner_report){.to = report_to,
+	    .address = httpd_options.listen,
+	    .id = id,
+	    .slots = slots,
+	    .born_ms = born_ms,
+	    .clock_ms = clock_ms(),
+	    .seq = number};
 }
 
 static void
 on_report_due(uv_timer_t *timer)
 {
-	char *born = g_strdup_printf("%" G_GINT64_FORMAT, born_ms);
-	char *report_seq = g_strdup_printf("%" G_GUINT64_FORMAT, ++seq);
-	char *body = write_report("s", born, report_seq, slots * TASK_MC);
+	const struct runner_report report = get_report(++seq);
 
 	if (!is_down())
-		send_report("PUT", id, body);
-	g_free(body);
-	g_free(report_seq);
-	g_free(born);
+		runner_report_send(client, &report);
 }
 
-/* Sends a report of another writer that is odd in one way. */
 static void
 send_odd_report(const char *kind)
 {
-	char *born = g_strdup_printf("%" G_GINT64_FORMAT, born_ms);
-	char *future =
-	    g_strdup_printf("%" G_GINT64_FORMAT, born_ms + ODD_BORN_MS);
-	const char *about = strcmp(kind, "id") == 0 ? "another" : id;
-	char *body = NULL;
-
-	if (strcmp(kind, "id") == 0)
-		body = write_report("s", born, "1", TASK_MC);
-	else if (strcmp(kind, "future") == 0)
-		body = write_report("s", future, "1", TASK_MC);
-	else if (strcmp(kind, "endless") == 0)
-		body = write_report("s", "18446744073709551615", "1", TASK_MC);
-	else if (strcmp(kind, "seq") == 0)
-		body = write_report("s", born, "1e300", TASK_MC);
-	else if (strcmp(kind, "fields") == 0)
-		body = write_report("s", "\"now\"", "null", TASK_MC);
-	else if (strcmp(kind, "service") == 0)
-		body = write_report("unknown", born, "1", TASK_MC);
-	send_report(body != NULL ? "PUT" : "DELETE", about, body);
-	g_free(body);
-	g_free(future);
-	g_free(born);
+	const struct runner_report report = get_report(seq);
+
+	runner_report_send_odd(client, &report, kind);
 }
 
 /* Sends reports from a time on. */
@@ -661,36 +590,10 @@
 	    0);
 }
 
-/* Sets a share or rate if the JSON has it. */
-static void
-read_number(double *value, const cJSON *json, const char *name)
-{
-	const cJSON *item = cJSON_GetObjectItemCaseSensitive(json, name);
-
-	if (cJSON_IsNumber(item))
-		*value = item->valuedouble;
-}
-
-static void
-read_flag(bool *flag, const cJSON *json, const char *name)
-{
-	const cJSON *item = cJSON_GetObjectItemCaseSensitive(json, name);
-
-	if (cJSON_IsBool(item))
-		*flag = cJSON_IsTrue(item);
-}
-
 static void
 set_faults(uint64_t request, const cJSON *json)
 {
-	read_number(&faults.late_share, json, "late_share");
-	read_number(&faults.lost_share, json, "lost_share");
-	read_number(&faults.fail_share, json, "fail_share");
-	read_flag(&faults.unhealthy, json, "unhealthy");
-	read_flag(&faults.hangs, json, "hangs");
-	read_flag(&faults.refuses, json, "refuses");
-	read_flag(&faults.new_id, json, "new_id");
-	read_number(&faults.wall_offset_ms, json, "wall_offset_ms");
+	runner_faults_set(&faults, json);
 	if (cJSON_HasObjectItem(json, "seed"))
 		g_rand_set_seed(faults_rand, get_number(json, "seed"));
 	mst_http_respond(httpd, request, 204, NULL, 0, "", 0);
