--- a/tests/test_entry_echo.c
+++ b/tests/test_entry_echo.c
@@ -7,6 +7,8 @@
 
 #include <masticstall.h>
 
+#include "support/leased_entry.h"
+
 #define MS      INT64_C(1000)
 #define ENTRY   7
 #define MEMBER  100
@@ -106,23 +108,9 @@
 static void
 submit(struct fixture *f)
 {
-	const struct mst_task_spec task = {
-	    .path = mst_bytes_from_str("00000000000000aa.0.0.0"),
-	    .flags = MST_TASK_RESTARTABLE,
-	    .declared_us = 50 * MS,
-	    .needs = {.millicores = 1000}};
-	const struct mst_job_spec spec = {.key = "00000000000000aa",
-	    .team = "queue",
-	    .service = "service",
-	    .timeout_ms = JOB_TIMEOUT_S * 1000,
-	    .caller_deadline_ms = JOB_TIMEOUT_S * 1000,
-	    .restartable = true,
-	    .attempts = 2,
-	    .stretch = 100,
-	    .count = 1,
-	    .tasks = &task};
-	struct mst_entry_event event = {
-	    .type = MST_ENTRY_EV_SUBMIT, .request = 1, .spec = &spec};
+	struct leased_entry_job job;
+	struct mst_entry_event event =
+	    leased_entry_submission(&job, 50 * MS, JOB_TIMEOUT_S * 1000);
 
 	step(f, &event);
 }
@@ -131,18 +119,10 @@
 fixture_new(void)
 {
 	struct fixture *f = g_new0(struct fixture, 1);
-	struct mst_entry_options options = MST_ENTRY_OPTIONS_INIT;
-	struct mst_entry_event config = {.type = MST_ENTRY_EV_CONFIG,
-	    .document = "{\"policy\":{\"eject_share_max\":1}}"};
-	struct mst_lease_times times;
-
-	mst_lease_times(&times, 1300, 1000);
-	mst_entry_options_set_leases(&options, &times);
-	options.incarnation = ENTRY;
-	mst_entry_new(&f->entry, &options);
+	struct mst_entry_event config = leased_entry_configuration();
+
+	f->entry = leased_entry_new(ENTRY);
 	f->now_us = G_USEC_PER_SEC;
-	g_assert_cmpint(
-	    mst_config_parse(&config.config, config.document, 1, NULL), ==, 0);
 	step(f, &config);
 	return f;
 }
--- a/tests/test_probation.c
+++ b/tests/test_probation.c
@@ -7,12 +7,12 @@
 
 #include <masticstall.h>
 
+#include "support/leased_entry.h"
+
 #define MS            INT64_C(1000)
 #define ENTRY         7
 #define AGENT         100
 #define SLOTS         4
-#define KEY           "00000000000000aa"
-#define TASK          KEY ".0.0.0"
 #define STEP_MS       1   /* round trip between entry and agent */
 #define NOT_READY_MS  400 /* for which the agent grants nothing */
 #define JOB_TIMEOUT_S 20
@@ -130,22 +130,9 @@
 static void
 submit(struct fixture *fixture)
 {
-	const struct mst_task_spec task = {.path = mst_bytes_from_str(TASK),
-	    .flags = MST_TASK_RESTARTABLE,
-	    .declared_us = 50 * MS,
-	    .needs = {.millicores = 1000}};
-	const struct mst_job_spec spec = {.key = KEY,
-	    .team = "queue",
-	    .service = "service",
-	    .timeout_ms = JOB_TIMEOUT_S * 1000,
-	    .caller_deadline_ms = JOB_TIMEOUT_S * 1000,
-	    .restartable = true,
-	    .attempts = 2,
-	    .stretch = 100,
-	    .count = 1,
-	    .tasks = &task};
-	struct mst_entry_event event = {
-	    .type = MST_ENTRY_EV_SUBMIT, .request = 1, .spec = &spec};
+	struct leased_entry_job job;
+	struct mst_entry_event event =
+	    leased_entry_submission(&job, 50 * MS, JOB_TIMEOUT_S * 1000);
 
 	step(fixture, &event);
 }
@@ -154,19 +141,11 @@
 fixture_new(void)
 {
 	struct fixture *fixture = g_new0(struct fixture, 1);
-	struct mst_entry_options options = MST_ENTRY_OPTIONS_INIT;
-	struct mst_entry_event config = {.type = MST_ENTRY_EV_CONFIG,
-	    .document = "{\"policy\":{\"eject_share_max\":1}}"};
-	struct mst_lease_times times;
-
-	mst_lease_times(&times, 1300, 1000);
-	mst_entry_options_set_leases(&options, &times);
-	options.incarnation = ENTRY;
-	mst_entry_new(&fixture->entry, &options);
+	struct mst_entry_event config = leased_entry_configuration();
+
+	fixture->entry = leased_entry_new(ENTRY);
 	fixture->now_us = G_USEC_PER_SEC;
 	fixture->grant = SLOTS;
-	g_assert_cmpint(
-	    mst_config_parse(&config.config, config.document, 1, NULL), ==, 0);
 	step(fixture, &config);
 	announce(fixture);
 	return fixture;
