--- a/tests/test_bound_tasks.c
+++ b/tests/test_bound_tasks.c
@@ -706,7 +706,7 @@
 	struct fixture *f = fixture_new();
 	struct mst_uncertain_item item = {.agent = 99,
 	    .host = mst_bytes_from_str("a"),
-	    .job = mst_bytes_from_str(KEY)};
+	    .job = mst_bytes_from_str(LEASED_ENTRY_KEY)};
 
 	for (item.run = 1; item.run <= 2; item.run++)
 		tell_run(f, 99, &item);
