agent: a restarted agent counts with a long lease of a young worker

Callers would see: two runs of a task at once. A host loses power; its worker is back under its id, and an order of the earlier agent, held up, reaches it before the next agent's fence. It names a time on the earlier worker's clock, which is far ahead, so the worker takes the longest lease (1 s), which nothing shortens. The next agent starts a task and is cut off from its worker: it takes the run for over after its own lease (0.65 s), and the task runs elsewhere for up to 0.35 s beside it.

Cause: such a lease is allowed for where an agent sees the restart of its worker. An agent that was restarted as well does not see it.

Evidence: worker/young_worker: the run ended (proof=lapsed) at 1,740 ms, while the lease may last to 2,010 ms and the clock's drift; now at 2,090. Ruled out: earlier agents whose worker stayed (their orders name times of its own clock), and orders after the fence is in force.

Why it works: until a worker is 14 s old, an order to its earlier incarnation may arrive before the first fence. The agent's estimate of the lease's end is raised to that of the longest one; starts are not delayed, since entries and callers wait for 1.3 s from a time after that.

--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -343,6 +343,8 @@
 	 * earlier incarnation. */
 	if (!worker->synced && fence != worker->fence)
 		return;
+	if (!worker->was_synced)
+		mst_worker_allow_long_lease(agent);
 	unknown_runs = process_lists(agent, answer);
 	record_unknown_runs(agent, answer, unknown_runs);
 	worker->renew_failures = 0;
--- a/src/core/worker/state.c
+++ b/src/core/worker/state.c
@@ -20,6 +20,9 @@
 #define WORKER_CLOCK_DRIFT      0.04 /* clocks differ by up to 2 % */
 #define WORKER_LEASE_MARGIN_US  (30 * 1000)
 #define WORKER_FENCE_MAX        ((UINT64_C(1) << 53) - 1) /* in JSON */
+/* Age of a worker up to which an order to its earlier incarnation may arrive.
+ */
+#define WORKER_YOUNG_MAX_MS 14000
 
 static const char *const status_names[] = {[MST_ORDER_DONE] = "done",
     [MST_ORDER_NO_ANSWER] = "no-answer",
@@ -285,6 +288,17 @@
 	worker->expects_long_lease = true;
 }
 
+void
+mst_worker_allow_long_lease(struct mst_agent *agent)
+{
+	const struct mst_lease_times *leases = &agent->options.leases;
+	struct worker *worker = &agent->worker;
+
+	if (mst_worker_clock_ms(agent) < WORKER_YOUNG_MAX_MS)
+		worker->lease_end_us = MAX(worker->lease_end_us,
+		    lease_end_us(agent, leases->run_lease_max_us));
+}
+
 void
 mst_worker_exclude_long_lease(struct mst_agent *agent)
 {
--- a/src/core/worker/worker_internal.h
+++ b/src/core/worker/worker_internal.h
@@ -48,6 +48,9 @@
 void mst_worker_expect_long_lease(struct mst_agent *agent);
 /* Takes that back: no order that may be held up gives the worker a lease. */
 void mst_worker_exclude_long_lease(struct mst_agent *agent);
+/* Counts with such a lease of a worker that may have been restarted while no
+ * agent was there to see it. What is started then is given up later. */
+void mst_worker_allow_long_lease(struct mst_agent *agent);
 /* Sets the new end of the lease in an order. */
 void mst_worker_order_set_lease(
     struct mst_agent *agent, struct mst_order *order);
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -684,7 +684,7 @@
 	    "fence_same", "ended_with_open_copy", "starts_told",
 	    "two_runs_withdrawn", "crash_unanswered", "crash_once",
 	    "crash_repeated_start", "seq_far_ahead", "other_id",
-	    "renew_other_id", "run_number_used", "id_of_order"};
+	    "renew_other_id", "run_number_used", "id_of_order", "young_worker"};
 
 	g_test_init(&argc, &argv, NULL);
 	add_scripts("/worker/", scripts, G_N_ELEMENTS(scripts));
