agent: a start that was not sent says nothing of the worker

Cause: an agent has four connections to its worker, and an order without an answer keeps one for 50 ms. While many orders get no answer, others wait for a connection and are not sent in time. Since such orders are told apart from those without an answer, a start that was not sent counted like a refused connection. The entry backs off from the member for 0.1 to 1.3 s and counts a failure towards its ejection. A run of which another copy had been sent was stopped, although that copy could still be answered or executed, and its task was bound to the host.

Now a start that was not sent goes back as one for which there is no room. If another copy was sent, the start is repeated with the same number once no copy is open, as after an order without an answer. Silence of the worker is counted as before, so an agent whose worker can't be reached grants nothing. What lets a task go is unchanged: all copies of its start were refused or not sent.

--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -326,6 +326,18 @@
 	}
 }
 
+/* Handles a start that never left this host, because all connections to the
+ * worker were in use or none was made in time. It says nothing about the
+ * worker. A run of which another copy was sent is not given up for it. */
+static void
+handle_unsent_start(struct mst_agent *agent, struct run *run)
+{
+	if (!mst_worker_start_is_uncertain(run))
+		handle_start_refusal(agent, run, MST_REASON_BUSY);
+	else if (run->starts_open == 0)
+		repeat_start(agent, run);
+}
+
 void
 mst_worker_handle_start_answer(struct mst_agent *agent, struct run *run,
     const struct mst_order_answer *answer)
@@ -358,8 +370,10 @@
 	case MST_ORDER_NO_ROOM:
 		handle_start_refusal(agent, run, MST_REASON_BUSY);
 		break;
-	case MST_ORDER_OTHER_INCARNATION:
 	case MST_ORDER_NOT_SENT:
+		handle_unsent_start(agent, run);
+		break;
+	case MST_ORDER_OTHER_INCARNATION:
 	case MST_ORDER_UNHEALTHY:
 		handle_start_refusal(agent, run, MST_REASON_UPSTREAM_DOWN);
 		break;
--- a/tests/sim/worker.c
+++ b/tests/sim/worker.c
@@ -93,6 +93,7 @@
 	worker->runs = g_ptr_array_new_with_free_func(run_free);
 	worker->completions = g_ptr_array_new_with_free_func(completion_free);
 	worker->orders = g_ptr_array_new_with_free_func(order_free);
+	worker->unsent = g_ptr_array_new_with_free_func(order_free);
 	worker->waits = g_array_new(FALSE, FALSE, sizeof(struct sim_wait));
 	worker->last_run_numbers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -107,6 +108,7 @@
 	g_ptr_array_unref(worker->runs);
 	g_ptr_array_unref(worker->completions);
 	g_ptr_array_unref(worker->orders);
+	g_ptr_array_unref(worker->unsent);
 	g_array_unref(worker->waits);
 	g_hash_table_unref(worker->last_run_numbers);
 	g_free(worker->id);
@@ -285,12 +287,14 @@
 		else
 			i++;
 	}
+	sim_worker_send_held_orders(worker);
 }
 
 void
 sim_worker_forget_agent(struct sim_worker *worker)
 {
 	g_array_set_size(worker->waits, 0);
+	g_ptr_array_set_size(worker->unsent, 0);
 }
 
 void
@@ -319,6 +323,12 @@
 	worker->late_probability = late_probability;
 }
 
+void
+sim_worker_set_connections(struct sim_worker *worker, unsigned connections)
+{
+	worker->connections = connections;
+}
+
 void
 sim_worker_set_new_id_probability(struct sim_worker *worker, double probability)
 {
--- a/tests/sim/worker.h
+++ b/tests/sim/worker.h
@@ -110,6 +110,14 @@
 void sim_worker_set_late_probability(
     struct sim_worker *worker, double late_probability);
 
+/*
+ * Sets the number of orders that the agent can send before it has to wait for
+ * the end of one of them; 0: any number. An order whose turn does not come
+ * within its timeout is not sent.
+ */
+void sim_worker_set_connections(
+    struct sim_worker *worker, unsigned connections);
+
 /*
  * Makes the worker report that it is cold for a time, as after a start. stuck:
  * the reported time never decreases.
--- a/tests/sim/worker_internal.h
+++ b/tests/sim/worker_internal.h
@@ -34,6 +34,7 @@
 	int64_t sent_us;
 	int64_t arrival_us;
 	int64_t wait_end_us;  /* RENEW: when the wait ends; 0: not waiting */
+	int64_t send_by_us;   /* while it waits for a connection */
 	uint64_t incarnation; /* of the worker when the order was sent */
 	uint64_t number;      /* of the order, unique */
 	bool answer_lost;
@@ -71,6 +72,8 @@
 	int64_t cold_us;         /* reported at cold_from_us; 0: warm */
 	int64_t cold_from_us;    /* 0: the reported time does not decrease */
 	double late_probability; /* probability that an order is late */
+	unsigned connections;    /* 0: any number */
+	GPtrArray *unsent;       /* struct sim_order, without a connection */
 	GPtrArray *runs;         /* struct sim_run */
 	GPtrArray *completions;  /* struct sim_completion */
 	GPtrArray *orders;       /* struct sim_order */
@@ -104,6 +107,9 @@
  * carried out. */
 void sim_worker_send_answer(struct sim_worker *worker,
     const struct sim_order *pending, enum mst_order_status status);
+/* Gives up the orders that have waited too long for a connection, and sends the
+ * first of the others on free ones. */
+void sim_worker_send_held_orders(struct sim_worker *worker);
 /* Reports the orders that have timed out to the agent. */
 void sim_worker_end_expired_waits(struct sim_worker *worker);
 
--- a/tests/sim/worker_link.c
+++ b/tests/sim/worker_link.c
@@ -145,26 +145,24 @@
 	    worker->callbacks.agent_node_id, &answer, draw_arrival_us(worker));
 }
 
-void
-sim_worker_send_order(struct sim_worker *worker, const struct mst_order *order)
+static struct sim_order *
+order_copy_new(const struct mst_order *order)
 {
-	struct sim_order *pending;
-	bool delayed;
+	struct sim_order *copy = g_new0(struct sim_order, 1);
+
+	copy->order = *order;
+	copy->order.task.data = mst_bytes_to_str(order->task);
+	copy->order.spec.data = mst_bytes_to_str(order->spec);
+	copy->order.worker_id.data = mst_bytes_to_str(order->worker_id);
+	return copy;
+}
+
+/* Sends an order to the worker and waits for its answer. */
+static void
+transmit_order(struct sim_worker *worker, struct sim_order *pending)
+{
+	bool delayed = sim_worker_draw(worker, worker->late_probability);
 
-	if (worker->down_until_us > 0) {
-		answer_with_fault(worker, order, MST_ORDER_DOWN);
-		return;
-	}
-	if (worker->order_fault != MST_ORDER_DONE) {
-		answer_with_fault(worker, order, worker->order_fault);
-		return;
-	}
-	pending = g_new0(struct sim_order, 1);
-	delayed = sim_worker_draw(worker, worker->late_probability);
-	pending->order = *order;
-	pending->order.task.data = mst_bytes_to_str(order->task);
-	pending->order.spec.data = mst_bytes_to_str(order->spec);
-	pending->order.worker_id.data = mst_bytes_to_str(order->worker_id);
 	pending->sent_us = sim_worker_now_us(worker);
 	pending->arrival_us = pending->sent_us + WORKER_LATENCY_US;
 	pending->incarnation = worker->incarnation;
@@ -174,8 +172,77 @@
 		    sim_worker_draw_time_us(worker, ORDER_DELAY_SPREAD_US);
 	}
 	pending->number = ++worker->last_order_number;
-	add_wait(worker, order, pending->number);
+	add_wait(worker, &pending->order, pending->number);
 	g_ptr_array_add(worker->orders, pending);
 	worker->callbacks.schedule_timer_at(worker->callbacks.ctx,
 	    worker->callbacks.agent_node_id, pending->arrival_us);
 }
+
+static bool
+has_free_connection(const struct sim_worker *worker)
+{
+	return worker->connections == 0 ||
+	    worker->waits->len < worker->connections;
+}
+
+/* Keeps an order until a connection is free or its time is over. */
+static void
+hold_order(struct sim_worker *worker, struct sim_order *pending)
+{
+	pending->sent_us = sim_worker_now_us(worker);
+	pending->send_by_us = sim_worker_now_us(worker) +
+	    (int64_t)pending->order.timeout_ms * 1000;
+	g_ptr_array_add(worker->unsent, pending);
+	worker->callbacks.schedule_timer_at(worker->callbacks.ctx,
+	    worker->callbacks.agent_node_id, pending->send_by_us);
+}
+
+static void
+report_unsent(struct sim_worker *worker, const struct sim_order *pending)
+{
+	struct mst_order_answer answer = {.kind = pending->order.kind,
+	    .id = pending->order.id,
+	    .status = MST_ORDER_NOT_SENT,
+	    .sent_us = pending->sent_us};
+
+	worker->callbacks.deliver_answer(worker->callbacks.ctx,
+	    worker->callbacks.agent_node_id, &answer,
+	    sim_worker_now_us(worker));
+}
+
+void
+sim_worker_send_held_orders(struct sim_worker *worker)
+{
+	guint i = 0;
+
+	while (i < worker->unsent->len) {
+		struct sim_order *pending = worker->unsent->pdata[i];
+
+		if (worker->down_until_us > 0) {
+			answer_with_fault(
+			    worker, &pending->order, MST_ORDER_DOWN);
+			g_ptr_array_remove_index(worker->unsent, i);
+		} else if (pending->send_by_us <= sim_worker_now_us(worker)) {
+			report_unsent(worker, pending);
+			g_ptr_array_remove_index(worker->unsent, i);
+		} else if (has_free_connection(worker)) {
+			transmit_order(
+			    worker, g_ptr_array_steal_index(worker->unsent, i));
+		} else {
+			i++;
+		}
+	}
+}
+
+void
+sim_worker_send_order(struct sim_worker *worker, const struct mst_order *order)
+{
+	if (worker->down_until_us > 0)
+		answer_with_fault(worker, order, MST_ORDER_DOWN);
+	else if (worker->order_fault != MST_ORDER_DONE)
+		answer_with_fault(worker, order, worker->order_fault);
+	else if (has_free_connection(worker))
+		transmit_order(worker, order_copy_new(order));
+	else
+		hold_order(worker, order_copy_new(order));
+}
--- a/tests/test_load_faults.c
+++ b/tests/test_load_faults.c
@@ -8,6 +8,7 @@
 #include <masticstall.h>
 
 #include "sim/load.h"
+#include "sim/worker.h"
 
 #define SEEDS 4
 /* Orders without an answer after which an agent starts nothing more. One worker
@@ -28,6 +29,11 @@
 /* Least share of the submitted jobs that end in time. */
 #define IN_TIME_MIN 0.95
 
+/* Orders that an agent can send before it has to wait for an answer, and the
+ * share of them that gets none. */
+#define FEW_CONNECTIONS  2
+#define UNANSWERED_SHARE 0.2
+
 #define LOST_AGENTS 2
 /* After the loss, until the entries know of it. */
 #define LOST_KNOWN_MS 700
@@ -165,6 +171,63 @@
 	    counts.in_time, >=, IN_TIME_MIN * (double)counts.submitted);
 }
 
+static void
+occupy_connections(struct load *load)
+{
+	int i;
+
+	for (i = 0; i < load->cluster.agent_count; i++) {
+		struct sim_worker *worker =
+		    sim_get_worker(load->sim, load->cluster.agents[i]);
+
+		sim_worker_set_connections(worker, FEW_CONNECTIONS);
+		sim_worker_set_late_probability(worker, UNANSWERED_SHARE);
+	}
+}
+
+static void
+free_connections(struct load *load)
+{
+	cluster_clear_worker_faults(&load->cluster);
+}
+
+/* Orders without an answer occupy the connections of the agents, so that others
+ * are not sent in time. This must not keep callers without a result who wait
+ * for seconds. */
+static void
+load_faults__unsent_orders_fail_nobody(void)
+{
+	static const struct load_fault fault = {.name = "connections-occupied",
+	    .begin = occupy_connections,
+	    .end = free_connections};
+	struct load_counts total = {0};
+	uint32_t seed;
+
+	for (seed = 1; seed <= SEEDS; seed++) {
+		const struct load_options options = {
+		    .seed = seed, .paired = true, .fault = &fault};
+		struct load *load = load_new(&patient_shape, &options);
+		struct load_counts counts;
+
+		load_run(load);
+		counts = load_count(load, LOAD_PEAK_START_MS, LOAD_PEAK_END_MS);
+		total.submitted += counts.submitted;
+		total.in_time += counts.in_time;
+		total.late += counts.late;
+		total.refused += counts.refused;
+		total.failed += counts.failed;
+		total.lost += counts.lost;
+		load_free(load);
+	}
+	g_test_message("%u jobs, %u in time, %u late, %u refused, %u failed, "
+		       "%u without an answer",
+	    total.submitted, total.in_time, total.late, total.refused,
+	    total.failed, total.lost);
+	g_assert_cmpuint(total.failed, ==, 0);
+	g_assert_cmpfloat(
+	    total.refused + total.lost, <=, REFUSED_MAX * total.submitted);
+}
+
 /* Plays a load with stragglers. Returns the starts of tasks. */
 static uint64_t
 play_stragglers(struct load_counts *total, uint32_t seed, bool keep_long_tasks)
@@ -338,6 +401,8 @@
 	    load_faults__no_job_fails_with_unreachable_workers);
 	g_test_add_func("/load-faults/unanswered-orders",
 	    load_faults__unanswered_orders_delay_few_jobs);
+	g_test_add_func("/load-faults/unsent-orders",
+	    load_faults__unsent_orders_fail_nobody);
 	g_test_add_func("/load-faults/stragglers",
 	    load_faults__stragglers_are_not_repeated);
 	g_test_add_func("/load-faults/waiting-by-choice",
