agent: a run is not over because a list has no room for its completion

Callers would see: a task of a stored job runs again after it has ended well, and that end is acknowledged later. Tasks of best-effort jobs would run again without need.

Cause: a worker lists 500 completions at a time, the first that are not acknowledged. While the store is slow or away, those of stored jobs are not. A run whose completion is behind them is in neither list, and counted as ended without one (proof=unlisted).

Evidence: worker/more_completions: the run ended as lost before, is done now; test_platform /worker/orders tells a full list from one of 499.

Why it works: only a list that is not full shows that nothing else has ended. A run ends with a later list, or with the lease.

--- a/include/masticstall/worker.h
+++ b/include/masticstall/worker.h
@@ -100,6 +100,7 @@
 	const struct mst_worker_run *running;
 	uint32_t completion_count;
 	const struct mst_worker_completion *completions;
+	bool has_more_completions; /* than it lists */
 };
 
 /** Status report of a worker. */
--- a/src/core/worker/renew.c
+++ b/src/core/worker/renew.c
@@ -165,7 +165,9 @@
 			mst_worker_send_stop(agent, run);
 		}
 	}
-	end_unlisted_runs(agent, answer, unlisted);
+	/* Others may have ended with a completion that is listed later. */
+	if (!answer->has_more_completions)
+		end_unlisted_runs(agent, answer, unlisted);
 	g_list_free(unlisted);
 	return unknown_runs;
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -17,6 +17,8 @@
 #include "runtime/loop.h"
 #include "support/peer.h"
 
+#define LISTED_MAX 500 /* completions in one answer */
+
 static void
 check_order_answers(struct peer *peer, void *worker)
 {
@@ -101,6 +103,35 @@
 	g_assert_cmpuint(peer->answer.completion_count, ==, 0);
 }
 
+/* Guards against a run counting as ended without a completion, because the
+ * worker lists only the first ones at a time. */
+static void
+check_long_lists(struct peer *peer, void *worker)
+{
+	const struct mst_order order = {
+	    .kind = MST_ORDER_RENEW, .fence = 7, .timeout_ms = 500};
+	unsigned count;
+
+	for (count = LISTED_MAX - 1; count <= LISTED_MAX; count++) {
+		GString *body = g_string_new("{\"clockMs\":5,\"ended\":[");
+		unsigned i;
+
+		for (i = 1; i <= count; i++)
+			g_string_append_printf(body,
+			    "%s[%u,\"5c0e7a21d94b36f8.0.1.%u\",1,\"done\"]",
+			    i > 1 ? "," : "", i, i);
+		g_string_append(body, "]}");
+		peer->status = 200;
+		peer->body = body->str;
+		platform_worker.order(worker, &order);
+		peer_wait(peer);
+		g_assert_cmpuint(peer->answer.completion_count, ==, count);
+		g_assert_cmpint(
+		    peer->answer.has_more_completions, ==, count == LISTED_MAX);
+		g_string_free(body, TRUE);
+	}
+}
+
 /*
  * Guards against numbers whose conversion is undefined, and against a list with
  * a row that can't be read counting as the list of all runs: a run that is not
@@ -195,6 +226,7 @@
 
 	check_order_answers(peer, worker);
 	check_renew_answers(peer, worker);
+	check_long_lists(peer, worker);
 	check_odd_answers(peer, worker);
 	check_odd_completions(peer, worker);
 	platform_worker.close(worker);
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -28,9 +28,10 @@
  *   withdraw E SEQ                entry E withdraws a task
  *   start STATUS                  answers the oldest pending START order
  *   stop STATUS                   answers the oldest pending STOP order
- *   list INCARNATION CLOCK_MS [TASK/RUN...] [SEQ/TASK/RUN/STATUS...]
+ *   list INCARNATION CLOCK_MS [TASK/RUN...] [SEQ/TASK/RUN/STATUS...] [more]
  *                                 answers the oldest pending RENEW order with
- *                                 the running and the completed runs
+ *                                 the running and the completed runs, of which
+ *                                 the worker may have more
  *   renew STATUS                  answers the oldest pending RENEW order
  *                                 without lists
  *   record FOUND                  answers the oldest operation on a record:
@@ -475,7 +476,9 @@
 	harness->clock_offset_ms = answer.clock_ms - harness->now_us / 1000;
 	for (i = 3; i < word_count; i++) {
 		fields[i] = g_strsplit(words[i], "/", 4);
-		if (g_strv_length(fields[i]) == 2)
+		if (strcmp(words[i], "more") == 0)
+			answer.has_more_completions = true;
+		else if (g_strv_length(fields[i]) == 2)
 			running[answer.running_count++] =
 			    (struct mst_worker_run){
 				.task = mst_bytes_from_str(fields[i][0]),
@@ -684,7 +687,8 @@
 	    "fence_same", "ended_with_open_copy", "starts_told",
 	    "two_runs_withdrawn", "crash_unanswered", "crash_once",
 	    "crash_repeated_start", "seq_far_ahead", "other_id",
-	    "renew_other_id", "run_number_used", "id_of_order", "young_worker"};
+	    "renew_other_id", "run_number_used", "id_of_order", "young_worker",
+	    "more_completions"};
 
 	g_test_init(&argc, &argv, NULL);
 	add_scripts("/worker/", scripts, G_N_ELEMENTS(scripts));
