entry: a task that was returned as stale is not sent there again before the next tick

Cause: an entry that was paused reads announcements that have waited as if their clocks were of now. It takes the member's clock for older, and its echo for younger, than it is, so mst_member_has_valid_echo() accepts a member that refuses the dispatch as stale. The result carries no clock, so the entry sends the task there again at once, and so on as fast as messages travel, until a tick settles a newer echo (no two runs of the task followed). Restartable tasks have no limit of such attempts. In the path below the entry took a clock of 140 ms before for the present one: it counted the echo as 400 ms old, the member as 540 ms, and the limit is 500.5 ms.

Found by lease-search-links/frozen-entries with 20,000 states at: pass 60, pass 1,320, freeze the entry, pass 620, thaw it (its timers first), pass 60; the exchange has no end while no time passes. The search ran out of memory (17 GB with 3,000 states, ended by the kernel) in place of failing, because only events that are not explored had a limit; events that are explored have one now, too, with which that path fails as "an exchange without an end".

Ruled out: a member that counts as usable without an echo, and ticks that are missed (the exchange takes place between two ticks).

Before: test_entry_echo /refused fails (a second dispatch without a tick); the search fails at 3,000 states.

Not done: echoes are not part of the search's hash of a state.

--- a/src/core/job/result.c
+++ b/src/core/job/result.c
@@ -252,6 +252,8 @@
 			mst_member_update_health(entry, member, true);
 			mst_member_back_off(entry, member);
 		}
+		if (result->reason == MST_REASON_STALE)
+			mst_member_refuse_echo(member);
 		handle_task_not_run(entry, job, index, result->reason);
 		break;
 	case MST_OUTCOME_UNKNOWN:
--- a/src/core/member/echo.c
+++ b/src/core/member/echo.c
@@ -31,6 +31,12 @@
 		entry->ticks_behind = INPUT_TICKS;
 }
 
+void
+mst_member_refuse_echo(struct member *member)
+{
+	member->echo.is_refused = true;
+}
+
 bool
 mst_member_has_valid_echo(
     const struct mst_entry *entry, const struct member *member)
@@ -40,7 +46,7 @@
 
 	if (!entry->options.leased)
 		return true;
-	return member->echo.settled_us > 0 &&
+	return member->echo.settled_us > 0 && !member->echo.is_refused &&
 	    clock_us - member->echo.settled_us <= entry->options.suspect_us;
 }
 
@@ -58,6 +64,7 @@
 
 		member->echo.settled_us = member->echo.waiting_us;
 		member->echo.waiting_us = member->clock_us;
+		member->echo.is_refused = false;
 		became_valid |=
 		    !was_valid && mst_member_has_valid_echo(entry, member);
 	}
--- a/src/core/member/member.h
+++ b/src/core/member/member.h
@@ -22,6 +22,7 @@
 struct echo {
 	int64_t settled_us; /* clock that may be echoed; 0: none yet */
 	int64_t waiting_us; /* clock heard before the last tick */
+	bool is_refused;    /* a task was returned as too old since then */
 };
 
 struct member {
@@ -108,6 +109,10 @@
     struct mst_entry *entry, struct member *member, int64_t clock_us);
 /* Records a gap between two events, which may leave input waiting. */
 void mst_entry_note_gap(struct mst_entry *entry, int64_t gap_us);
+/* Notes that a member has returned a task because its dispatch was too old. The
+ * entry takes clocks that waited while it was paused for present ones, and the
+ * same would come back at once; nothing is sent there before the next tick. */
+void mst_member_refuse_echo(struct member *member);
 /* Returns true if a member accepts tasks that are sent with the present echo. A
  * leased one refuses those with an older one than this entry's lease lasts. */
 bool mst_member_has_valid_echo(
--- a/tests/search/apply.c
+++ b/tests/search/apply.c
@@ -32,13 +32,19 @@
 static void
 deliver_all_pending(struct model *m)
 {
+	unsigned count = 0;
 	guint i = 0;
 
 	while (i < m->pending->len) {
-		if (((struct model_event *)m->pending->pdata[i])->is_held)
+		if (((struct model_event *)m->pending->pdata[i])->is_held) {
 			i++;
-		else
-			deliver_pending(m, i);
+			continue;
+		}
+		if (++count > MODEL_PENDING_MAX) {
+			model_fail(m, "an exchange without an end");
+			return;
+		}
+		deliver_pending(m, i);
 	}
 }
 
--- a/tests/search/model.h
+++ b/tests/search/model.h
@@ -20,6 +20,7 @@
 #define MODEL_RESEND_US   (1300 * 1000) /* caller: until it sends again */
 #define MODEL_CALLER_US   (4000 * 1000) /* caller: longest wait for an answer */
 #define MODEL_TRAFFIC_MAX 20000         /* events at one time; more is a loop */
+#define MODEL_PENDING_MAX 1000 /* the same, of those that moves explore */
 
 enum model_event_type {
 	MODEL_TICK,
--- a/tests/test_entry_echo.c
+++ b/tests/test_entry_echo.c
@@ -24,6 +24,7 @@
 	unsigned dispatches;
 	unsigned withdrawals;
 	int64_t dispatch_echo_us; /* of the last dispatch */
+	uint64_t dispatch_seq;    /* of its first task */
 	int64_t heartbeat_echo_us;
 };
 
@@ -33,6 +34,7 @@
 	if (msg->type == MST_MSG_DISPATCH) {
 		f->dispatches++;
 		f->dispatch_echo_us = (int64_t)msg->dispatch.echo_us;
+		f->dispatch_seq = msg->dispatch.items[0].seq;
 	}
 	if (msg->type == MST_MSG_HEARTBEAT)
 		f->heartbeat_echo_us = (int64_t)msg->heartbeat.echo_us;
@@ -191,6 +193,49 @@
 	fixture_free(f);
 }
 
+/* Returns the last task that was sent, as one that has arrived too late. */
+static void
+return_as_stale(struct fixture *f)
+{
+	const struct mst_result_item item = {.seq = f->dispatch_seq,
+	    .outcome = MST_OUTCOME_NOT_RUN,
+	    .reason = MST_REASON_STALE};
+	struct mst_msg msg = {.type = MST_MSG_RESULT,
+	    .from = MEMBER,
+	    .to = ENTRY,
+	    .results = {.grant = SLOTS,
+		.free_slots = SLOTS,
+		.items = &item,
+		.count = 1}};
+	struct mst_entry_event event = {
+	    .type = MST_ENTRY_EV_MESSAGE, .msg = &msg};
+
+	step(f, &event);
+	flush(f);
+}
+
+/* Guards against an exchange of tasks and refusals as fast as messages travel:
+ * an entry that was paused takes clocks that have waited for present ones. */
+static void
+echo__is_refused(void)
+{
+	struct fixture *f = fixture_new();
+
+	announce(f, SLOTS);
+	run_ms(f, 200, SLOTS);
+	submit(f);
+	flush(f);
+	g_assert_cmpuint(f->dispatches, ==, 1);
+	return_as_stale(f);
+	flush(f);
+	g_assert_cmpuint(f->dispatches, ==, 1);
+	run_ms(f, STEP_MS, SLOTS);
+	g_assert_cmpuint(f->dispatches, ==, 2);
+	return_as_stale(f);
+	g_assert_cmpuint(f->dispatches, ==, 2);
+	fixture_free(f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -198,5 +243,6 @@
 	g_test_add_func("/echo/after-a-pause", echo__after_a_pause);
 	g_test_add_func("/echo/follows-the-member", echo__follows_the_member);
 	g_test_add_func("/echo/new-member", echo__of_a_new_member);
+	g_test_add_func("/echo/refused", echo__is_refused);
 	return g_test_run();
 }
