--- a/tests/support/leased_entry.c
+++ b/tests/support/leased_entry.c
@@ -50,3 +50,19 @@
 	return (struct mst_entry_event){
 	    .type = MST_ENTRY_EV_SUBMIT, .request = 1, .spec = &job->spec};
 }
+
+void
+leased_entry_step(struct mst_entry *entry, struct mst_entry_event *event,
+    void (*on_message)(void *ctx, const struct mst_msg *msg), void *ctx)
+{
+	const GArray *effects = mst_entry_step(entry, event);
+	guint i;
+
+	for (i = 0; i < effects->len; i++) {
+		const struct mst_entry_effect *effect =
+		    &g_array_index(effects, struct mst_entry_effect, i);
+
+		if (effect->type == MST_ENTRY_FX_SEND)
+			on_message(ctx, &effect->msg);
+	}
+}
--- a/tests/support/leased_entry.h
+++ b/tests/support/leased_entry.h
@@ -29,4 +29,8 @@
 struct mst_entry_event leased_entry_submission(
     struct leased_entry_job *job, uint32_t declared_us, uint32_t timeout_ms);
 
+/* Hands an event to an entry, and each message that it sends to the test. */
+void leased_entry_step(struct mst_entry *entry, struct mst_entry_event *event,
+    void (*on_message)(void *ctx, const struct mst_msg *msg), void *ctx);
+
 #endif
--- a/tests/test_backup.c
+++ b/tests/test_backup.c
@@ -8,6 +8,8 @@
 #include <masticstall.h>
 #include <string.h>
 
+#include "support/leased_entry.h"
+
 #define MS            INT64_C(1000)
 #define ENTRY         7
 #define SENDER        8 /* an entry, whose backup is ENTRY */
@@ -79,8 +81,10 @@
 }
 
 static void
-note_message(struct fixture *f, const struct mst_msg *msg)
+note_message(void *ctx, const struct mst_msg *msg)
 {
+	struct fixture *f = ctx;
+
 	if (msg->type == MST_MSG_BACKUP_STARTS)
 		note_backup(f, msg->to, &msg->backup_starts);
 	else if (msg->type == MST_MSG_DISPATCH)
@@ -94,18 +98,8 @@
 static void
 step(struct fixture *f, struct mst_entry_event *event)
 {
-	const GArray *effects;
-	guint i;
-
 	event->now_us = f->now_us;
-	effects = mst_entry_step(f->entry, event);
-	for (i = 0; i < effects->len; i++) {
-		const struct mst_entry_effect *effect =
-		    &g_array_index(effects, struct mst_entry_effect, i);
-
-		if (effect->type == MST_ENTRY_FX_SEND)
-			note_message(f, &effect->msg);
-	}
+	leased_entry_step(f->entry, event, note_message, f);
 }
 
 static void
@@ -223,8 +217,7 @@
 {
 	struct fixture *f = g_new0(struct fixture, 1);
 	struct mst_entry_options options = MST_ENTRY_OPTIONS_INIT;
-	struct mst_entry_event config = {.type = MST_ENTRY_EV_CONFIG,
-	    .document = "{\"policy\":{\"eject_share_max\":1}}"};
+	struct mst_entry_event config = leased_entry_configuration();
 	struct mst_lease_times times;
 
 	mst_lease_times(&times, RETURN_MS, 1000);
@@ -236,8 +229,6 @@
 	f->now_us = G_USEC_PER_SEC;
 	f->agent_features = f->peer_features = MST_FEATURES;
 	f->peer_domain = f->other_peer_domain = "";
-	g_assert_cmpint(
-	    mst_config_parse(&config.config, config.document, 1, NULL), ==, 0);
 	step(f, &config);
 	return f;
 }
--- a/tests/test_bound_tasks.c
+++ b/tests/test_bound_tasks.c
@@ -34,8 +34,10 @@
 };
 
 static void
-note_message(struct fixture *f, const struct mst_msg *msg)
+note_message(void *ctx, const struct mst_msg *msg)
 {
+	struct fixture *f = ctx;
+
 	if (msg->type == MST_MSG_UNCERTAIN_STARTS && msg->to == PEER)
 		f->told += msg->uncertain_starts.count;
 	if (msg->type != MST_MSG_DISPATCH)
@@ -49,18 +51,8 @@
 static void
 step(struct fixture *f, struct mst_entry_event *event)
 {
-	const GArray *effects;
-	guint i;
-
 	event->now_us = f->now_us;
-	effects = mst_entry_step(f->entry, event);
-	for (i = 0; i < effects->len; i++) {
-		const struct mst_entry_effect *effect =
-		    &g_array_index(effects, struct mst_entry_effect, i);
-
-		if (effect->type == MST_ENTRY_FX_SEND)
-			note_message(f, &effect->msg);
-	}
+	leased_entry_step(f->entry, event, note_message, f);
 }
 
 static void
--- a/tests/test_entry_echo.c
+++ b/tests/test_entry_echo.c
@@ -29,8 +29,10 @@
 };
 
 static void
-record(struct fixture *f, const struct mst_msg *msg)
+record(void *ctx, const struct mst_msg *msg)
 {
+	struct fixture *f = ctx;
+
 	if (msg->type == MST_MSG_DISPATCH) {
 		f->dispatches++;
 		f->dispatch_echo_us = (int64_t)msg->dispatch.echo_us;
@@ -45,18 +47,8 @@
 static void
 step(struct fixture *f, struct mst_entry_event *event)
 {
-	const GArray *effects;
-	guint i;
-
 	event->now_us = f->now_us;
-	effects = mst_entry_step(f->entry, event);
-	for (i = 0; i < effects->len; i++) {
-		const struct mst_entry_effect *effect =
-		    &g_array_index(effects, struct mst_entry_effect, i);
-
-		if (effect->type == MST_ENTRY_FX_SEND)
-			record(f, &effect->msg);
-	}
+	leased_entry_step(f->entry, event, record, f);
 }
 
 static void
