tests: ports of the drained domains' systems are reserved; one wait in place of a pause

Causes, read off the scripts, not replayed: the ports were chosen by the operating system at the beginning, among those that it gives to outgoing connections, and entry 3 is started late, so a connection of another program may have its port (the port in the message, 58595, is such a one); and the check of the second looked once, 0.5 s after the client was started, which is a verdict on the machine.

Now the ports are of the block that script/lib.sh reserves, as in all other scripts, so standin-ports goes; and the running task is waited for, up to 10 s as elsewhere, while the tasks take 1.5 s each. The condition is the same.

--- a/script/domain_system.sh
+++ b/script/domain_system.sh
@@ -1,11 +1,11 @@
 # Functions that start two entries and, in the failure domains fd1 and fd2, one
-# agent and upstream each, on free ports chosen by the operating system. Sourced
-# by tests after script/lib.sh, whose functions for fixed ports don't apply.
+# agent and upstream each, on the ports that script/lib.sh has reserved, whose
+# functions for the ports of the examples don't apply. Sourced by tests after it.
 
 TOKEN_SHA256=$(tr -d '\n' <"$EXAMPLES/operator.token" | sha256sum | cut -d' ' -f1)
 OPERATORS='"operators":[{"name":"op","token_sha256":"'$TOKEN_SHA256'"}]'
 read -r TABLE HTTP1 HTTP2 HTTP3 BUS1 BUS2 BUS3 UP1 UP2 AGENT1 AGENT2 FRONT \
-    READY STORE < <("$BUILD/standin-ports" 14)
+    READY STORE < <(seq -s ' ' "$PORT_BASE" $((PORT_BASE + 13)))
 HTTP=(0 "$HTTP1" "$HTTP2" "$HTTP3")
 UPSTREAM=(0 "$UP1" "$UP2")
 
--- a/tests/domain_drain.sh
+++ b/tests/domain_drain.sh
@@ -45,9 +45,12 @@
     fail "a domain got no tasks before the drain"
 masticstall 2 --json submit "$RUN/long.json" >"$RUN/long.answer" &
 client=$!
-sleep 0.5
-[ "$(metric 2 'domain_running{domain="fd1"}')" -gt 0 ] ||
-    fail "no task runs in fd1 before the drain"
+for tries in $(seq 100); do
+	running=$(metric 2 'domain_running{domain="fd1"}')
+	[ "${running:-0}" -gt 0 ] && break
+	[ "$tries" -lt 100 ] || fail "no task runs in fd1 before the drain"
+	sleep 0.1
+done
 
 # A drain through entry 1 reaches entry 2 and the domain's agent.
 expect_exit 0 masticstall 1 domains drain fd1 --reason "power work"
