--- a/tests/test_lease_search.c
+++ b/tests/test_lease_search.c
@@ -384,7 +384,7 @@
 	.states = 1000},
     /* Agent and entry are lost together, before the order has been overdue, so
        that only the entry's backup knows of it. */
-    {.name = "lease-search-late/lost-together",
+    {.name = "lease-search-lost/together",
 	.options = {.clock_rate = 0.98, .explore_orders = true},
 	.limits = {.budgets = {[MOVE_PASS] = MOVE_UNLIMITED,
 		       [MOVE_RELEASE] = MOVE_UNLIMITED,
