--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -227,6 +227,7 @@
         self.born = time.monotonic()
         self.until_ms = self.fence = self.end_count = self.seq = 0
         self.runs, self.ended, self.highest = {}, [], {}
+        self.lapses = []  # times at which the lease has lapsed
         self.ended_event = asyncio.Event()
 
     def clock_ms(self):
@@ -267,11 +268,15 @@
             await asyncio.sleep(pause)
 
     async def watch_lease(self):
+        held = False
         while True:
             await asyncio.sleep(0.005)
-            if self.runs and self.clock_ms() >= self.until_ms:
-                for run in list(self.runs.values()):
-                    self.end(run, 'lapsed')
+            lapsed = self.clock_ms() >= self.until_ms
+            if lapsed and held:
+                self.lapses.append(time.monotonic())
+            held = not lapsed
+            for run in list(self.runs.values()) if lapsed else []:
+                self.end(run, 'lapsed')
 
     def end(self, run, how):
         run.timer.cancel()
