--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -599,8 +599,14 @@
 
 async def play(case, folder):
     world = None
+
+    def stop():
+        world.close()
+        os._exit(2)
     try:
         world = World(folder)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, stop)
         broken = await asyncio.wait_for(case(world), 115)
         verdict, code = ('broken: ' + '; '.join(broken), 1) if broken else ('held', 0)
     except (CannotRun, asyncio.TimeoutError, OSError) as error:
