metrics: waiting tasks that a rule keeps from members with room

masticstall_tasks_withheld{by} counts, at the time of the request, the first 64 waiting tasks of each queue that no member may start only because of such a rule.

--- a/include/masticstall/entry.h
+++ b/include/masticstall/entry.h
@@ -353,6 +353,19 @@
 	uint64_t incarnations;
 };
 
+/**
+ * Preferences that may exclude a member that could take a task, the weakest
+ * first.
+ */
+enum mst_preference {
+	MST_PREFER_NONE = 0, /**< no preference excludes it */
+	MST_PREFER_WARM,     /**< a cold member has as many tasks as it may */
+	MST_PREFER_OTHER,    /**< the task's last run there had no success */
+	MST_PREFER_HEALTHY,  /**< the member is ejected */
+	MST_PREFER_APART,    /**< one of job and member is quarantined */
+	MST_PREFERENCE_MAX
+};
+
 struct mst_entry_gauges {
 	uint64_t incarnation;
 	uint32_t jobs_open;
@@ -485,6 +498,25 @@
 /** Returns the present values of the gauges. */
 struct mst_entry_gauges mst_entry_gauges(const struct mst_entry *entry);
 
+/**
+ * Counts the waiting tasks by the preference that keeps them from every member
+ * that could start them now. Only the first tasks of each team are counted.
+ *
+ * @param counts number of tasks for each enum mst_preference; MST_PREFER_NONE
+ *     counts those that wait for a member or for room
+ * @param entry the entry
+ */
+void mst_entry_count_withheld(
+    uint32_t counts[MST_PREFERENCE_MAX], const struct mst_entry *entry);
+
+/**
+ * Returns the name of a preference, as used in metrics.
+ *
+ * @param preference less than MST_PREFERENCE_MAX
+ * @return a static string
+ */
+const char *mst_preference_name(enum mst_preference preference);
+
 /**
  * Checks whether another entry has been heard from recently.
  *
--- /dev/null
+++ b/src/core/place/constraint.h
@@ -0,0 +1,32 @@
+#ifndef MST_CONSTRAINT_H
+#define MST_CONSTRAINT_H
+
+/*
+ * What keeps a task from a member. A member that does not meet the requirements
+ * never gets the task. One that does may still be excluded by a preference, see
+ * enum mst_preference.
+ */
+
+#include <masticstall/entry.h>
+
+struct job;
+struct member;
+struct task;
+
+/* Returns true if a member meets the requirements of a task now: it is up and
+ * reachable, has the service, the resources and the label, is below the step's
+ * limit of tasks per member, and no start elsewhere binds the task. It need not
+ * have room. */
+bool mst_member_could_take(const struct mst_entry *entry,
+    const struct member *member, const struct job *job,
+    const struct task *task);
+/* Returns the strongest preference that excludes a member for a task. */
+enum mst_preference mst_member_excluded_by(const struct mst_entry *entry,
+    const struct member *member, const struct job *job,
+    const struct task *task);
+/* Returns true if a task may be sent to a member now. */
+bool mst_member_is_candidate(const struct mst_entry *entry,
+    const struct member *member, const struct job *job,
+    const struct task *task);
+
+#endif
--- a/src/core/place/fit.c
+++ b/src/core/place/fit.c
@@ -105,38 +105,33 @@
 			      : MIN(member->slots, member->grant);
 }
 
-/* Returns the number of tasks that this entry may have at a cold member. */
-static uint32_t
-slow_start_limit(const struct mst_entry *entry, const struct member *member)
+bool
+mst_member_is_slow_start_full(
+    const struct mst_entry *entry, const struct member *member)
 {
-	if (!member->is_cold || !entry->options.tuning.slow_start)
-		return UINT32_MAX;
-	return mst_slow_start_limit(
-	    member->slots, member->cold_shown, entry->mostly_warm);
+	return member->is_cold && entry->options.tuning.slow_start &&
+	    member->outstanding >= mst_slow_start_limit(member->slots,
+				       member->cold_shown, entry->mostly_warm);
 }
 
 bool
-mst_member_has_room(const struct mst_entry *entry, const struct member *member)
+mst_member_has_free_grant(
+    const struct mst_entry *entry, const struct member *member)
 {
-	if (!mst_member_is_usable(entry, member))
-		return false;
 	if (!mst_member_has_valid_echo(entry, member))
 		return false;
-	if (member->probing || member->overdue)
+	if (member->probing || member->overdue ||
+	    entry->now_us < member->ejected_until_us)
 		return member->outstanding == 0 && member->grant > 0;
-	return member->outstanding <
-	    MIN(member->grant, slow_start_limit(entry, member));
+	return member->outstanding < member->grant;
 }
 
-static uint32_t
-count_usable_members(const struct mst_entry *entry)
+bool
+mst_member_has_room(const struct mst_entry *entry, const struct member *member)
 {
-	uint32_t usable = 0;
-	guint i;
-
-	for (i = 0; i < entry->members->len; i++)
-		usable += mst_member_is_usable(entry, entry->members->pdata[i]);
-	return usable;
+	return mst_member_is_usable(entry, member) &&
+	    mst_member_has_free_grant(entry, member) &&
+	    !mst_member_is_slow_start_full(entry, member);
 }
 
 static bool
@@ -246,23 +241,6 @@
 	return service_us * entry->options.remote_factor;
 }
 
-bool
-mst_member_is_candidate(const struct mst_entry *entry,
-    const struct member *member, const struct job *job, const struct task *task)
-{
-	bool is_quarantined = mst_job_is_quarantined(job);
-
-	if (member->quarantined != is_quarantined ||
-	    !mst_task_may_run_at(entry, task, member) ||
-	    !mst_member_has_service(member, job) ||
-	    !mst_member_has_room(entry, member) ||
-	    !mst_member_has_resources(member, task) ||
-	    !mst_member_matches_step(member, job, task))
-		return false;
-	return task->avoid_member != member->incarnation || is_quarantined ||
-	    mst_task_is_bound(entry, task) || count_usable_members(entry) < 2;
-}
-
 struct member_sample
 mst_member_sample_all(const struct mst_entry *entry)
 {
--- a/src/core/place/fit.h
+++ b/src/core/place/fit.h
@@ -43,14 +43,16 @@
     const struct mst_entry *entry, const struct member *member);
 /* Returns the number of slots of a member that this entry may use. */
 uint32_t mst_member_slots(const struct member *member);
+/* Returns true if this entry has as many tasks at a cold member as it may. */
+bool mst_member_is_slow_start_full(
+    const struct mst_entry *entry, const struct member *member);
+/* Returns true if a member grants this entry one more task now. One that is
+ * ejected, probed or overdue gets one at a time. */
+bool mst_member_has_free_grant(
+    const struct mst_entry *entry, const struct member *member);
 /* Returns true if a member may be sent one more task now. */
 bool mst_member_has_room(
     const struct mst_entry *entry, const struct member *member);
-/* Returns true if a task may be sent to a member now. A member that has failed
- * the task before is excluded while other members are usable. */
-bool mst_member_is_candidate(const struct mst_entry *entry,
-    const struct member *member, const struct job *job,
-    const struct task *task);
 /* Returns true if a member has the label that the task's step requires and is
  * below the step's limit of tasks per member. */
 bool mst_member_matches_step(const struct member *member, const struct job *job,
--- a/src/core/place/place.c
+++ b/src/core/place/place.c
@@ -4,6 +4,7 @@
 #include "core/id.h"
 #include "core/job/job.h"
 #include "core/member/member.h"
+#include "core/place/constraint.h"
 #include "core/place/fit.h"
 #include "core/place/place.h"
 
--- a/src/core/place/place_leased.c
+++ b/src/core/place/place_leased.c
@@ -7,6 +7,7 @@
 #include "core/entry/entry_internal.h"
 #include "core/job/job.h"
 #include "core/member/member.h"
+#include "core/place/constraint.h"
 #include "core/place/fit.h"
 #include "core/place/place.h"
 #include "core/place/slow_start.h"
--- a/src/runtime/entry_http.c
+++ b/src/runtime/entry_http.c
@@ -424,17 +424,21 @@
 	    .entries_failures = rt->entries_watch.failures,
 	    .config_age_s = config_age_s(rt)};
 	GArray *domains = runtime_domains(rt);
+	uint32_t tasks_withheld[MST_PREFERENCE_MAX];
 	const struct entry_figures figures = {
 	    .counters = mst_entry_counters(rt->entry),
 	    .gauges = &gauges,
+	    .tasks_withheld = tasks_withheld,
 	    .domains = domains,
 	    .bus = mst_bus_counters(rt->bus),
 	    .loop_lag = &rt->loop.lag,
 	    .frontend = rt->frontend_httpd != NULL ? &frontend : NULL,
 	    .table = rt->table != NULL ? mst_table_counters(rt->table) : NULL};
-	GString *text = metrics_format_entry(&figures);
+	GString *text;
 	GArray *builds = mst_entry_builds(rt->entry);
 
+	mst_entry_count_withheld(tasks_withheld, rt->entry);
+	text = metrics_format_entry(&figures);
 	builds_add_metrics(text, builds);
 
 	runtime_respond_text(rt, request->id, 200,
--- a/src/runtime/metrics.c
+++ b/src/runtime/metrics.c
@@ -271,6 +271,18 @@
 	    "Configuration in force.", (double)gauges->config_version);
 }
 
+static void
+add_withheld_tasks(GString *out, const uint32_t *counts)
+{
+	int i;
+
+	metrics_add_family(out, "tasks_withheld", "gauge",
+	    "Waiting tasks kept from members that could start them.");
+	for (i = MST_PREFER_NONE + 1; i < MST_PREFERENCE_MAX; i++)
+		metrics_add_sample(out, "tasks_withheld", "by",
+		    mst_preference_name(i), counts[i]);
+}
+
 /* Adds a sample of a domain, whose name agents choose. */
 static void
 add_domain_sample(
@@ -378,6 +390,7 @@
 
 	add_entry_counters(out, figures->counters);
 	add_entry_gauges(out, figures->gauges);
+	add_withheld_tasks(out, figures->tasks_withheld);
 	add_domains(out, figures->domains);
 	add_bus_counters(out, figures->bus);
 	metrics_add_process(out, figures->loop_lag);
--- a/src/runtime/metrics.h
+++ b/src/runtime/metrics.h
@@ -31,7 +31,8 @@
 struct entry_figures {
 	const struct mst_entry_counters *counters;
 	const struct mst_entry_gauges *gauges;
-	const GArray *domains; /* struct domain_figures */
+	const uint32_t *tasks_withheld; /* by enum mst_preference */
+	const GArray *domains;          /* struct domain_figures */
 	const struct mst_bus_counters *bus;
 	const struct mst_histogram *loop_lag;
 	const struct frontend_figures *frontend; /* NULL: it has none */
--- a/tests/test_metrics.c
+++ b/tests/test_metrics.c
@@ -19,6 +19,8 @@
 	    .jobs = 11, .jobs_complete = 7, .withdrawals = 3};
 	const struct mst_entry_gauges gauges = {
 	    .members = 5, .members_active = 4};
+	const uint32_t tasks_withheld[MST_PREFERENCE_MAX] = {
+	    [MST_PREFER_OTHER] = 9};
 	const struct mst_bus_counters bus = {.bytes_sent = 1000};
 	const struct mst_histogram lag = {.count = 2};
 	const struct domain_figures domain = {.name = (char *)"east",
@@ -28,6 +30,7 @@
 	GArray *domains = g_array_new(FALSE, FALSE, sizeof(domain));
 	const struct entry_figures figures = {.counters = &counters,
 	    .gauges = &gauges,
+	    .tasks_withheld = tasks_withheld,
 	    .domains = domains,
 	    .bus = &bus,
 	    .loop_lag = &lag,
@@ -62,6 +65,8 @@
 	assert_has_sample(text, "wasted_total{cause=\"withdrawal\"} 3");
 	assert_has_sample(text, "members 5");
 	assert_has_sample(text, "members_active 4");
+	assert_has_sample(text, "tasks_withheld{by=\"failed-there\"} 9");
+	assert_has_sample(text, "tasks_withheld{by=\"ejected\"} 0");
 	assert_has_sample(text, "domain_drained{domain=\"east\"} 1");
 	assert_has_sample(text, "domain_running{domain=\"east\"} 6");
 	assert_has_sample(text, "message_bytes_sent_total 1000");
