placement: a task avoids a member only while another one could take it

Cause: a task that comes back without success avoids its member while at least two members are usable, whatever they can run. A label isn't the only way: the new tests fail alike for resources and for the limit of tasks per member.

Change: each member that meets a task's requirements is excluded by its strongest preference; if that is so for all of them, the weakest exclusion is lifted (mst_preferences_to_lift()). The question is asked only when no member was found, and in one place for all policies. For now it lifts the avoiding alone. Bound tasks and quarantined jobs need no exception any more or keep theirs.

--- a/src/core/place/constraint.c
+++ b/src/core/place/constraint.c
@@ -46,30 +46,40 @@
 	return MST_PREFER_NONE;
 }
 
-static uint32_t
-count_usable_members(const struct mst_entry *entry)
+/* Returns the weakest preference that excludes one of the members that could
+ * take a task, or MST_PREFERENCE_MAX if no member could. */
+static enum mst_preference
+find_weakest_exclusion(const struct mst_entry *entry, const struct job *job,
+    const struct task *task)
 {
-	uint32_t usable = 0;
+	enum mst_preference weakest = MST_PREFERENCE_MAX;
 	guint i;
 
-	for (i = 0; i < entry->members->len; i++)
-		usable += mst_member_is_usable(entry, entry->members->pdata[i]);
-	return usable;
+	for (i = 0; i < entry->members->len && weakest > MST_PREFER_NONE; i++) {
+		const struct member *member = entry->members->pdata[i];
+
+		if (mst_member_could_take(entry, member, job, task))
+			weakest = MIN(weakest,
+			    mst_member_excluded_by(entry, member, job, task));
+	}
+	return weakest;
+}
+
+enum mst_preference
+mst_preferences_to_lift(const struct mst_entry *entry, const struct job *job,
+    const struct task *task)
+{
+	enum mst_preference weakest = find_weakest_exclusion(entry, job, task);
+
+	return weakest == MST_PREFER_OTHER ? weakest : MST_PREFER_NONE;
 }
 
 bool
 mst_member_is_candidate(const struct mst_entry *entry,
-    const struct member *member, const struct job *job, const struct task *task)
+    const struct member *member, const struct job *job, const struct task *task,
+    enum mst_preference lifted)
 {
-	enum mst_preference excluded_by;
-
-	if (!mst_member_could_take(entry, member, job, task) ||
-	    !mst_member_has_free_grant(entry, member))
-		return false;
-	excluded_by = mst_member_excluded_by(entry, member, job, task);
-	return excluded_by == MST_PREFER_NONE ||
-	    (excluded_by == MST_PREFER_OTHER &&
-		mst_member_has_room(entry, member) &&
-		(mst_task_is_bound(entry, task) ||
-		    count_usable_members(entry) < 2));
+	return mst_member_could_take(entry, member, job, task) &&
+	    mst_member_has_free_grant(entry, member) &&
+	    mst_member_excluded_by(entry, member, job, task) <= lifted;
 }
--- a/src/core/place/constraint.h
+++ b/src/core/place/constraint.h
@@ -4,7 +4,7 @@
 /*
  * What keeps a task from a member. A member that does not meet the requirements
  * never gets the task. One that does may still be excluded by a preference, see
- * enum mst_preference.
+ * enum mst_preference, while another member could take the task.
  */
 
 #include <masticstall/entry.h>
@@ -24,9 +24,15 @@
 enum mst_preference mst_member_excluded_by(const struct mst_entry *entry,
     const struct member *member, const struct job *job,
     const struct task *task);
-/* Returns true if a task may be sent to a member now. */
+/* Returns the strongest preference that no longer holds for a task, because
+ * each member that could take the task is excluded by it or by a stronger one.
+ * Weaker ones do not hold either. MST_PREFER_NONE: all hold. */
+enum mst_preference mst_preferences_to_lift(const struct mst_entry *entry,
+    const struct job *job, const struct task *task);
+/* Returns true if a task may be sent to a member now, given the preferences
+ * that are lifted. */
 bool mst_member_is_candidate(const struct mst_entry *entry,
-    const struct member *member, const struct job *job,
-    const struct task *task);
+    const struct member *member, const struct job *job, const struct task *task,
+    enum mst_preference lifted);
 
 #endif
--- a/src/core/place/place.c
+++ b/src/core/place/place.c
@@ -84,7 +84,8 @@
  */
 static struct member *
 choose_by_finish_time(struct mst_entry *entry, const struct job *job,
-    const struct task *task, double service_us, double queued_us)
+    const struct task *task, enum mst_preference lifted, double service_us,
+    double queued_us)
 {
 	double slack_us =
 	    job_slack_us(entry, job) * PLACE_SLACK_SHARE * entry->utilization;
@@ -97,7 +98,7 @@
 		struct member *member = entry->members->pdata[i];
 		double finish_us;
 
-		if (!mst_member_is_candidate(entry, member, job, task))
+		if (!mst_member_is_candidate(entry, member, job, task, lifted))
 			continue;
 		finish_us = expected_finish_us(member, service_us);
 		if (finish_us <= slack_us && finish_us > latest_us) {
@@ -118,8 +119,8 @@
 }
 
 static struct member *
-choose_random(
-    struct mst_entry *entry, const struct job *job, const struct task *task)
+choose_random(struct mst_entry *entry, const struct job *job,
+    const struct task *task, enum mst_preference lifted)
 {
 	struct member *chosen = NULL;
 	gint32 candidates = 0;
@@ -128,7 +129,7 @@
 	for (i = 0; i < entry->members->len; i++) {
 		struct member *member = entry->members->pdata[i];
 
-		if (!mst_member_is_candidate(entry, member, job, task))
+		if (!mst_member_is_candidate(entry, member, job, task, lifted))
 			continue;
 		candidates++;
 		if (g_rand_int_range(entry->rand, 0, candidates) == 0)
@@ -138,8 +139,8 @@
 }
 
 static struct member *
-choose_round_robin(
-    struct mst_entry *entry, const struct job *job, const struct task *task)
+choose_round_robin(struct mst_entry *entry, const struct job *job,
+    const struct task *task, enum mst_preference lifted)
 {
 	guint member_count = entry->members->len;
 	guint i;
@@ -148,7 +149,7 @@
 		guint index = (entry->round_robin + i) % member_count;
 		struct member *member = entry->members->pdata[index];
 
-		if (!mst_member_is_candidate(entry, member, job, task))
+		if (!mst_member_is_candidate(entry, member, job, task, lifted))
 			continue;
 		entry->round_robin = index + 1;
 		return member;
@@ -157,8 +158,8 @@
 }
 
 static struct member *
-choose_least_outstanding(
-    struct mst_entry *entry, const struct job *job, const struct task *task)
+choose_least_outstanding(struct mst_entry *entry, const struct job *job,
+    const struct task *task, enum mst_preference lifted)
 {
 	struct member *best = NULL;
 	guint i;
@@ -166,7 +167,7 @@
 	for (i = 0; i < entry->members->len; i++) {
 		struct member *member = entry->members->pdata[i];
 
-		if (!mst_member_is_candidate(entry, member, job, task))
+		if (!mst_member_is_candidate(entry, member, job, task, lifted))
 			continue;
 		if (best == NULL || member->outstanding < best->outstanding)
 			best = member;
@@ -175,24 +176,44 @@
 }
 
 static struct member *
-choose_member(struct mst_entry *entry, const struct job *job,
-    const struct task *task, double service_us, double queued_us)
+choose_by_policy(struct mst_entry *entry, const struct job *job,
+    const struct task *task, enum mst_preference lifted, double service_us,
+    double queued_us)
 {
 	if (mst_job_is_isolated(job))
 		return mst_quarantine_choose_isolated(entry, job, task);
 	switch (entry->config->policy.placement) {
 	case MST_PLACEMENT_RANDOM:
-		return choose_random(entry, job, task);
+		return choose_random(entry, job, task, lifted);
 	case MST_PLACEMENT_ROUND_ROBIN:
-		return choose_round_robin(entry, job, task);
+		return choose_round_robin(entry, job, task, lifted);
 	case MST_PLACEMENT_LEAST_OUTSTANDING:
-		return choose_least_outstanding(entry, job, task);
+		return choose_least_outstanding(entry, job, task, lifted);
 	case MST_PLACEMENT_FINISH:
 		break;
 	}
 	if (entry->options.leased)
-		return mst_choose_leased_member(entry, job, task);
-	return choose_by_finish_time(entry, job, task, service_us, queued_us);
+		return mst_choose_leased_member(entry, job, task, lifted);
+	return choose_by_finish_time(
+	    entry, job, task, lifted, service_us, queued_us);
+}
+
+/* Returns a member for a task or, if it should wait, NULL. */
+static struct member *
+choose_member(struct mst_entry *entry, const struct job *job,
+    const struct task *task, double service_us, double queued_us)
+{
+	struct member *member = choose_by_policy(
+	    entry, job, task, MST_PREFER_NONE, service_us, queued_us);
+	enum mst_preference lifted;
+
+	if (member != NULL)
+		return member;
+	lifted = mst_preferences_to_lift(entry, job, task);
+	if (lifted == MST_PREFER_NONE)
+		return NULL;
+	return choose_by_policy(
+	    entry, job, task, lifted, service_us, queued_us);
 }
 
 /* Sets the number of a task's run, which repeated dispatches keep, whatever is
--- a/src/core/place/place.h
+++ b/src/core/place/place.h
@@ -102,8 +102,8 @@
 GArray *mst_candidates_new(void);
 /* Returns the member that a task should be sent to, or NULL if none has room or
  * the task should wait for a better one. */
-struct member *mst_choose_leased_member(
-    struct mst_entry *entry, const struct job *job, const struct task *task);
+struct member *mst_choose_leased_member(struct mst_entry *entry,
+    const struct job *job, const struct task *task, enum mst_preference lifted);
 
 /* overdue.c */
 /* Marks the members with many overdue tasks and withdraws overdue tasks that
--- a/src/core/place/place_leased.c
+++ b/src/core/place/place_leased.c
@@ -40,6 +40,7 @@
 	struct mst_entry *entry;
 	const struct job *job;
 	const struct task *task;
+	enum mst_preference lifted;  /* this and the weaker ones */
 	struct member_sample sample; /* members that are considered */
 	/* Avoid members with a task of another job that was present at a crash
 	 * as well. If this one crashes, it is known which task is the cause. */
@@ -233,7 +234,7 @@
 			mst_member_sample_get(entry, &placement->sample, i)};
 
 		if (!mst_member_is_candidate(entry, candidate.member,
-			placement->job, placement->task) ||
+			placement->job, placement->task, placement->lifted) ||
 		    (placement->separate &&
 			has_other_crashed_task(
 			    entry, candidate.member, placement->job)))
@@ -323,13 +324,14 @@
 }
 
 struct member *
-mst_choose_leased_member(
-    struct mst_entry *entry, const struct job *job, const struct task *task)
+mst_choose_leased_member(struct mst_entry *entry, const struct job *job,
+    const struct task *task, enum mst_preference lifted)
 {
 	const struct mst_tuning *tuning = &entry->options.tuning;
 	struct placement placement = {.entry = entry,
 	    .job = job,
 	    .task = task,
+	    .lifted = lifted,
 	    .sample = mst_member_sample(entry),
 	    .separate = task->crashes.total > 0};
 	const GArray *candidates = collect_candidates(&placement);
--- /dev/null
+++ b/tests/test_constraints.c
@@ -0,0 +1,108 @@
+/*
+ * Rules that keep a task from a member hold only while another member could
+ * take this task: one that has its service, its label and its resources, is
+ * below the step's limit of tasks per member, and is alive.
+ */
+
+#include "support/placement_fixture.h"
+
+/* Time in which a task is started again at a worker that could take it, the
+ * restart of a worker that has crashed included. */
+#define RESTART_MAX_MS 4500
+#define RUN_MS         500
+#define LONG_MS        20000
+
+/* One worker has the label b, one is larger than the others. */
+static const struct placement_worker fleet[] = {{"r1", "b,r1", 8000},
+    {"r1", "a,r1", 8000}, {"r2", "a,r2", 8000}, {"r2", "a,r2", 16000}};
+
+/* Plays a job and asserts that it completes in time after one run without
+ * success. */
+static void
+play(struct placement_job job)
+{
+	struct placement_fixture *fixture =
+	    placement_new(fleet, G_N_ELEMENTS(fleet));
+
+	placement_submit(fixture, &job);
+	placement_run_for_ms(fixture, RESTART_MAX_MS + 2 * RUN_MS);
+	g_assert_cmpuint(job.runs[job.end_index], ==, 2);
+	placement_assert_complete(fixture, &job);
+	placement_free(fixture);
+}
+
+static struct placement_job
+labelled_job(enum placement_end end, bool stored)
+{
+	return (struct placement_job){.key = "00000000000000aa",
+	    .label = "b",
+	    .count = 1,
+	    .millicores = 1000,
+	    .attempts = 3,
+	    .run_ms = RUN_MS,
+	    .end = end,
+	    .stored = stored};
+}
+
+/* Guards against LOST: a task that avoids the only member with its label after
+ * a crash there, while others are usable. */
+static void
+constraints__label_after_crash(void)
+{
+	play(labelled_job(PLACEMENT_CRASH_FIRST, true));
+	play(labelled_job(PLACEMENT_CRASH_FIRST, false));
+}
+
+/* Guards against the same after a failed run. */
+static void
+constraints__label_after_failure(void)
+{
+	play(labelled_job(PLACEMENT_FAIL_FIRST, true));
+	play(labelled_job(PLACEMENT_FAIL_FIRST, false));
+}
+
+/* Guards against the same for a task that only one worker is large enough for.
+ */
+static void
+constraints__resources_after_failure(void)
+{
+	struct placement_job job = labelled_job(PLACEMENT_FAIL_FIRST, true);
+
+	job.label = NULL;
+	job.millicores = 12000;
+	play(job);
+}
+
+/* Guards against the same for a step whose other members are at its limit of
+ * tasks per member. */
+static void
+constraints__member_limit_after_failure(void)
+{
+	struct placement_fixture *fixture =
+	    placement_new(fleet, G_N_ELEMENTS(fleet));
+	struct placement_job job = labelled_job(PLACEMENT_FAIL_FIRST, true);
+
+	job.label = "a";
+	job.count = 3;
+	job.per_member_max = 1;
+	job.run_ms = LONG_MS;
+	placement_submit(fixture, &job);
+	placement_run_for_ms(fixture, RESTART_MAX_MS);
+	g_assert_cmpuint(job.runs[job.end_index], ==, 2);
+	placement_free(fixture);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func(
+	    "/constraints/label-after-crash", constraints__label_after_crash);
+	g_test_add_func("/constraints/label-after-failure",
+	    constraints__label_after_failure);
+	g_test_add_func("/constraints/resources-after-failure",
+	    constraints__resources_after_failure);
+	g_test_add_func("/constraints/member-limit-after-failure",
+	    constraints__member_limit_after_failure);
+	return g_test_run();
+}
