placement: a task avoids an idle member for a second at most

Seen by callers (test): a stored task that failed once waits for as long as the only other member with its label is full, 20 s in the test, while the one it avoids is idle.

Cause: a preference for members that could take a task says nothing of when they can. What the task waits for may take any time.

Change: mst_task_avoid() notes when a run without success ended, in place of three copies of the assignment; a task that has been ready for PREFERRED_WAIT_MAX_US takes any member that is healthy and on its side of the quarantine. Tasks that come back unrun keep their time, as they come back each 50 ms from the queue of a full member.

--- a/src/core/job/job.h
+++ b/src/core/job/job.h
@@ -105,6 +105,10 @@
  * last open one; otherwise the steps that this unblocks are queued. */
 void mst_task_close(struct mst_entry *entry, struct job *job, uint32_t index,
     enum mst_outcome outcome, enum mst_reason reason);
+/* Notes that a run of a task at a member had no success, so that the task
+ * prefers other members. */
+void mst_task_avoid(const struct mst_entry *entry, struct task *task,
+    const struct member *member);
 /* Makes a task wait for a member again. */
 void mst_task_requeue(struct mst_entry *entry, struct job *job, uint32_t index);
 /* Adds the waiting tasks of all steps to the team's queue. */
--- a/src/core/job/progress.c
+++ b/src/core/job/progress.c
@@ -35,6 +35,7 @@
 
 		if (job->tasks[i].state != TASK_WAITING)
 			continue;
+		job->tasks[i].ready_us = entry->now_us;
 		g_array_append_val(job->waiting_tasks, index);
 		mst_team_count_waiting(
 		    entry, job, 1, mst_task_expected_us(job, &job->tasks[i]));
@@ -53,6 +54,14 @@
 		queue_step(entry, job, &job->steps[s]);
 }
 
+void
+mst_task_avoid(const struct mst_entry *entry, struct task *task,
+    const struct member *member)
+{
+	task->avoid_member = member != NULL ? member->incarnation : 0;
+	task->ready_us = entry->now_us;
+}
+
 void
 mst_task_requeue(struct mst_entry *entry, struct job *job, uint32_t index)
 {
--- a/src/core/job/result.c
+++ b/src/core/job/result.c
@@ -48,7 +48,7 @@
 
 	entry->counters.retries++;
 	task->may_have_run = true;
-	task->avoid_member = task->member->incarnation;
+	mst_task_avoid(entry, task, task->member);
 	task->member = NULL;
 	task->state = TASK_DELAYED;
 	retry.due_us = entry->now_us +
@@ -88,8 +88,7 @@
 	schedule_retry(entry, job, index);
 }
 
-/* Queues a restartable task again after a run without success; it avoids this
- * member if others are usable. */
+/* Queues a restartable task again after a run without success. */
 static void
 requeue_after_run(struct mst_entry *entry, struct job *job, uint32_t index,
     struct member *member)
@@ -97,7 +96,7 @@
 	struct task *task = &job->tasks[index];
 
 	task->may_have_run = true;
-	task->avoid_member = member->incarnation;
+	mst_task_avoid(entry, task, member);
 	entry->counters.retries++;
 	mst_task_requeue(entry, job, index);
 }
--- a/src/core/job/task.h
+++ b/src/core/job/task.h
@@ -54,6 +54,9 @@
 	struct member *member; /* set while sent */
 	uint64_t last_member;  /* member incarnation; 0: never sent */
 	uint64_t avoid_member; /* incarnation that failed the task, or 0 */
+	/* Since when it could have been at a member: it was queued, or its last
+	 * run ended without success. */
+	int64_t ready_us;
 	struct uncertain_start *starts; /* see uncertain.h */
 	uint64_t seq;
 	uint32_t run; /* number of the run that was sent last */
--- a/src/core/place/constraint.c
+++ b/src/core/place/constraint.c
@@ -9,6 +9,11 @@
 #include "core/place/place.h"
 #include "core/place/quarantine.h"
 
+/* Time for which a task waits for room at the members that it prefers. Longer
+ * than a short task takes, and shorter than callers accept that nothing runs.
+ */
+#define PREFERRED_WAIT_MAX_US (INT64_C(1) * G_USEC_PER_SEC)
+
 bool
 mst_member_could_take(const struct mst_entry *entry,
     const struct member *member, const struct job *job, const struct task *task)
@@ -74,6 +79,15 @@
 	return weakest == MST_PREFER_OTHER ? weakest : MST_PREFER_NONE;
 }
 
+enum mst_preference
+mst_preferences_outwaited(
+    const struct mst_entry *entry, const struct task *task)
+{
+	return entry->now_us - task->ready_us >= PREFERRED_WAIT_MAX_US
+	    ? MST_PREFER_OTHER
+	    : MST_PREFER_NONE;
+}
+
 bool
 mst_member_is_candidate(const struct mst_entry *entry,
     const struct member *member, const struct job *job, const struct task *task,
--- a/src/core/place/constraint.h
+++ b/src/core/place/constraint.h
@@ -4,7 +4,8 @@
 /*
  * What keeps a task from a member. A member that does not meet the requirements
  * never gets the task. One that does may still be excluded by a preference, see
- * enum mst_preference, while another member could take the task.
+ * enum mst_preference, while another member could take the task. The weaker
+ * preferences hold for a limited time even then.
  */
 
 #include <masticstall/entry.h>
@@ -29,6 +30,10 @@
  * Weaker ones do not hold either. MST_PREFER_NONE: all hold. */
 enum mst_preference mst_preferences_to_lift(const struct mst_entry *entry,
     const struct job *job, const struct task *task);
+/* Returns the strongest preference that no longer holds for a task, because it
+ * has waited too long for room at the members that it prefers. */
+enum mst_preference mst_preferences_outwaited(
+    const struct mst_entry *entry, const struct task *task);
 /* Returns true if a task may be sent to a member now, given the preferences
  * that are lifted. */
 bool mst_member_is_candidate(const struct mst_entry *entry,
--- a/src/core/stored/stored.c
+++ b/src/core/stored/stored.c
@@ -42,7 +42,7 @@
 
 	task->state = TASK_BLOCKED;
 	task->may_have_run = true;
-	task->avoid_member = task->member ? task->member->incarnation : 0;
+	mst_task_avoid(entry, task, task->member);
 	task->member = NULL;
 	/* One increment is enough for all runs that one write abandons. */
 	if (stored->abandoned->len == 0 ||
--- a/tests/test_constraints.c
+++ b/tests/test_constraints.c
@@ -9,8 +9,10 @@
 /* Time in which a task is started again at a worker that could take it, the
  * restart of a worker that has crashed included. */
 #define RESTART_MAX_MS 4500
-#define RUN_MS         500
-#define LONG_MS        20000
+/* Time for which nothing of a job runs although a member has room for it. */
+#define WAIT_MAX_MS 3000
+#define RUN_MS      500
+#define LONG_MS     20000
 
 /* One worker has the label b, one is larger than the others. */
 static const struct placement_worker fleet[] = {{"r1", "b,r1", 8000},
@@ -92,6 +94,29 @@
 	placement_free(fixture);
 }
 
+/* Guards against LOST: a task that avoids an idle member for as long as the
+ * only other one with its label is full. */
+static void
+constraints__preferred_member_is_full(void)
+{
+	static const struct placement_worker two[] = {{"r1", "b,r1", 8000},
+	    {"r1", "b,r1", 8000}, {"r2", "a,r2", 8000}, {"r2", "a,r2", 8000}};
+	struct placement_fixture *fixture =
+	    placement_new(two, G_N_ELEMENTS(two));
+	struct placement_job filler = labelled_job(PLACEMENT_DONE, true);
+	struct placement_job job = labelled_job(PLACEMENT_FAIL_FIRST, true);
+
+	filler.key = "00000000000000ff";
+	filler.millicores = 8000;
+	filler.run_ms = LONG_MS;
+	placement_submit(fixture, &filler);
+	placement_run_for_ms(fixture, 100);
+	placement_submit(fixture, &job);
+	placement_run_for_ms(fixture, WAIT_MAX_MS);
+	g_assert_cmpuint(job.runs[0], ==, 2);
+	placement_free(fixture);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -104,5 +129,7 @@
 	    constraints__resources_after_failure);
 	g_test_add_func("/constraints/member-limit-after-failure",
 	    constraints__member_limit_after_failure);
+	g_test_add_func("/constraints/preferred-member-is-full",
+	    constraints__preferred_member_is_full);
 	return g_test_run();
 }
