placement: a task crosses the quarantine if its own side can't run it

Cause: quarantined members are chosen by the hash of their names, and a task may only run at members of its side, whatever they can run.

Change: the side is a preference like the others, the strongest. It is lifted if every member that could take the task is on the other side. While a member of its own side that is right for the task is down, it waits 5 s for the restart: crashes would else reach one member after the other. An isolated task that crosses does not wait for this entry's other tasks to leave the member; the agent starts nothing else beside it.

Ruled out: choosing the members by the labels of the suspects. Entries know different jobs, and would put different members at risk.

test_quarantine /suspect-and-label, /others-and-label, /suspect-and-restart and /bound-task-and-host failed before (no dispatch) and pass. 67 tests pass (without searches, soaks, upgrades, fuzzers).

--- a/src/core/place/constraint.c
+++ b/src/core/place/constraint.c
@@ -13,6 +13,19 @@
  * than a short task takes, and shorter than callers accept that nothing runs.
  */
 #define PREFERRED_WAIT_MAX_US (INT64_C(1) * G_USEC_PER_SEC)
+/* Time for which a task waits for members on its side of the quarantine that
+ * are down. Longer than workers take to restart, as crashes would else reach
+ * the other members while these restart. */
+#define RESTART_WAIT_MAX_US (INT64_C(5) * G_USEC_PER_SEC)
+
+static bool
+is_right_for(const struct mst_entry *entry, const struct member *member,
+    const struct job *job, const struct task *task)
+{
+	return mst_member_has_service(member, job) &&
+	    mst_member_matches_step(member, job, task) &&
+	    mst_task_may_run_at(entry, task, member);
+}
 
 bool
 mst_member_could_take(const struct mst_entry *entry,
@@ -20,10 +33,21 @@
 {
 	return mst_member_is_up(entry, member) &&
 	    entry->now_us >= member->down_until_us &&
-	    mst_member_has_service(member, job) &&
 	    mst_member_has_resources(member, task) &&
-	    mst_member_matches_step(member, job, task) &&
-	    mst_task_may_run_at(entry, task, member);
+	    is_right_for(entry, member, job, task);
+}
+
+/* Returns true if a member that is down or lost is likely to be back soon and
+ * could take a task then. A lost one is quarantined for a while only. */
+static bool
+could_take_after_restart(const struct mst_entry *entry,
+    const struct member *member, const struct job *job, const struct task *task)
+{
+	return member->state != MEMBER_LEAVING &&
+	    (member->state != MEMBER_GONE || member->quarantined) &&
+	    !mst_drains_contains(&entry->drains, member->failure_domain) &&
+	    mst_member_may_have_resources(member, task) &&
+	    is_right_for(entry, member, job, task);
 }
 
 /* A member that has failed a task is avoided by it, but not by quarantined
@@ -70,13 +94,42 @@
 	return weakest;
 }
 
+/* Returns true if a task should wait for a member on its side of the quarantine
+ * that is down. */
+static bool
+waits_for_restart(const struct mst_entry *entry, const struct job *job,
+    const struct task *task)
+{
+	guint i;
+
+	if (entry->now_us - task->ready_us >= RESTART_WAIT_MAX_US)
+		return false;
+	for (i = 0; i < entry->members->len; i++) {
+		const struct member *member = entry->members->pdata[i];
+
+		if (mst_member_excluded_by(entry, member, job, task) <
+			MST_PREFER_APART &&
+		    could_take_after_restart(entry, member, job, task))
+			return true;
+	}
+	return false;
+}
+
 enum mst_preference
 mst_preferences_to_lift(const struct mst_entry *entry, const struct job *job,
     const struct task *task)
 {
 	enum mst_preference weakest = find_weakest_exclusion(entry, job, task);
 
-	return weakest == MST_PREFER_OTHER ? weakest : MST_PREFER_NONE;
+	switch (weakest) {
+	case MST_PREFER_OTHER:
+		return weakest;
+	case MST_PREFER_APART:
+		return waits_for_restart(entry, job, task) ? MST_PREFER_NONE
+							   : weakest;
+	default:
+		return MST_PREFER_NONE;
+	}
 }
 
 enum mst_preference
--- a/src/core/place/place.c
+++ b/src/core/place/place.c
@@ -181,7 +181,7 @@
     double queued_us)
 {
 	if (mst_job_is_isolated(job))
-		return mst_quarantine_choose_isolated(entry, job, task);
+		return mst_quarantine_choose_isolated(entry, job, task, lifted);
 	switch (entry->config->policy.placement) {
 	case MST_PLACEMENT_RANDOM:
 		return choose_random(entry, job, task, lifted);
--- a/src/core/place/quarantine.h
+++ b/src/core/place/quarantine.h
@@ -40,9 +40,10 @@
 bool mst_job_is_quarantined(const struct job *job);
 /* Returns true if a job must run without other jobs beside it. */
 bool mst_job_is_isolated(const struct job *job);
-/* Returns the member for a task of an isolated job, or NULL. */
+/* Returns the member for a task of an isolated job, or NULL, given the
+ * preferences that are lifted. */
 struct member *mst_quarantine_choose_isolated(const struct mst_entry *entry,
-    const struct job *job, const struct task *task);
+    const struct job *job, const struct task *task, enum mst_preference lifted);
 /* Returns true if a new job of a quarantined team is expected to wait longer
  * than it can. Stores the expected wait. */
 bool mst_quarantine_would_be_late(const struct mst_entry *entry,
--- a/src/core/place/quarantine_place.c
+++ b/src/core/place/quarantine_place.c
@@ -3,6 +3,7 @@
 #include "core/entry/entry_internal.h"
 #include "core/job/job.h"
 #include "core/member/member.h"
+#include "core/place/constraint.h"
 #include "core/place/fit.h"
 #include "core/place/place.h"
 #include "core/place/quarantine.h"
@@ -33,22 +34,21 @@
 
 /* Returns true if an isolated job may send a task to a member: all its tasks go
  * to one member, where this entry has no others. The agent makes them wait for
- * those of other entries. */
+ * those of other entries. A member outside the quarantine also has others of
+ * this entry. Cold members get as many as others. */
 static bool
 can_isolate_at(const struct mst_entry *entry, const struct member *member,
-    const struct job *job, const struct task *task)
+    const struct job *job, const struct task *task, enum mst_preference lifted)
 {
 	uint32_t sent_there = count_sent(job, member);
 
-	return member->quarantined && mst_member_is_usable(entry, member) &&
-	    mst_member_has_valid_echo(entry, member) &&
-	    mst_task_may_run_at(entry, task, member) && member->grant > 0 &&
-	    member->outstanding == sent_there &&
+	return mst_member_could_take(entry, member, job, task) &&
+	    mst_member_has_valid_echo(entry, member) && member->grant > 0 &&
+	    mst_member_excluded_by(entry, member, job, task) <=
+	    MAX(lifted, MST_PREFER_WARM) &&
+	    (member->outstanding == sent_there || !member->quarantined) &&
 	    count_sent(job, NULL) == sent_there &&
-	    sent_there < member->slots * ISOLATED_TASKS_PER_SLOT &&
-	    mst_member_has_service(member, job) &&
-	    mst_member_has_resources(member, task) &&
-	    mst_member_matches_step(member, job, task);
+	    sent_there < member->slots * ISOLATED_TASKS_PER_SLOT;
 }
 
 /* Returns the work at a member as last reported, relative to its speed. */
@@ -63,7 +63,7 @@
 
 struct member *
 mst_quarantine_choose_isolated(const struct mst_entry *entry,
-    const struct job *job, const struct task *task)
+    const struct job *job, const struct task *task, enum mst_preference lifted)
 {
 	struct member *best = NULL;
 	guint i;
@@ -71,7 +71,7 @@
 	for (i = 0; i < entry->members->len; i++) {
 		struct member *member = entry->members->pdata[i];
 
-		if (!can_isolate_at(entry, member, job, task))
+		if (!can_isolate_at(entry, member, job, task, lifted))
 			continue;
 		if (best == NULL || relative_load(member) < relative_load(best))
 			best = member;
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -27,6 +27,14 @@
  * leaves to others, but not for all. */
 #define WAITING_JOBS 190
 
+/* Label that few members have, see give_label() */
+#define LABEL "rare"
+/* Timeout of a labelled job, and the time that a suspect waits for quarantined
+ * members to restart, with a second for its placement. */
+#define LABELLED_TIMEOUT_MS 20000
+#define RESTART_WAIT_MS     6000
+#define BUSY_MS             1500 /* until the quarantine has its least size */
+
 /* What an entry has emitted. */
 struct outcome {
 	uint64_t dispatched_to; /* incarnation; 0: no dispatch */
@@ -40,6 +48,11 @@
 struct fixture {
 	struct mst_entry *entry;
 	int64_t now_us;
+	bool labelled[MEMBERS];
+	bool down[MEMBERS];
+	/* Members without the label have no free slots, so that no more members
+	 * are quarantined. */
+	bool is_busy;
 };
 
 static struct outcome
@@ -91,7 +104,9 @@
 			     .features = MST_FEATURES},
 		.failure_domain = mst_bytes_from_str("domain"),
 		.service = mst_bytes_from_str("service"),
-		.description_version = 1,
+		.description_version = 1 + fixture->labelled[member],
+		.labels =
+		    mst_bytes_from_str(fixture->labelled[member] ? LABEL : ""),
 		.clock_us = (uint64_t)fixture->now_us,
 		.slots = slots,
 		.resources = {.millicores = SLOTS * 1000, .memory_mb = 1024},
@@ -181,7 +196,8 @@
 }
 
 static struct outcome
-submit(struct fixture *fixture, const char *key, const char *team)
+submit_step(struct fixture *fixture, const char *key, const char *team,
+    const struct mst_step_spec *step_spec, uint32_t timeout_ms)
 {
 	char name[32];
 	const struct mst_task_spec task = {.path = {name, strlen(key) + 6},
@@ -191,13 +207,15 @@
 	const struct mst_job_spec spec = {.key = key,
 	    .team = team,
 	    .service = "service",
-	    .timeout_ms = 1500,
+	    .timeout_ms = timeout_ms,
 	    .restartable = true,
 	    .attempts = 2,
 	    .stretch = 1.6,
-	    .target_ms = 1000,
+	    .target_ms = timeout_ms * 2 / 3,
 	    .count = 1,
-	    .tasks = &task};
+	    .tasks = &task,
+	    .step_count = step_spec != NULL ? 1 : 0,
+	    .steps = step_spec};
 	struct mst_entry_event event = {
 	    .type = MST_ENTRY_EV_SUBMIT, .request = 1, .spec = &spec};
 	struct mst_entry_event flush = {.type = MST_ENTRY_EV_FLUSH};
@@ -209,6 +227,22 @@
 						   : step(fixture, &flush);
 }
 
+static struct outcome
+submit(struct fixture *fixture, const char *key, const char *team)
+{
+	return submit_step(fixture, key, team, NULL, 1500);
+}
+
+/* Submits a job that requires the label. */
+static struct outcome
+submit_labelled(struct fixture *fixture, const char *key, const char *team)
+{
+	const struct mst_step_spec step_spec = {
+	    .count = 1, .required_label = mst_bytes_from_str(LABEL)};
+
+	return submit_step(fixture, key, team, &step_spec, LABELLED_TIMEOUT_MS);
+}
+
 static bool
 is_quarantined(const struct fixture *fixture, uint64_t incarnation)
 {
@@ -370,6 +404,15 @@
 	fixture_free(fixture);
 }
 
+static void
+announce_as_is(struct fixture *fixture, unsigned member)
+{
+	uint32_t slots = fixture->down[member] ? 0 : SLOTS;
+	bool is_full = fixture->is_busy && !fixture->labelled[member];
+
+	announce_free(fixture, member, slots, is_full ? 0 : slots);
+}
+
 /* Lets time pass in which all members announce themselves, but for a silent
  * one. Returns the last dispatch. */
 static struct outcome
@@ -387,7 +430,7 @@
 		fixture->now_us += TICK_MS * MS;
 		for (i = 0; i < MEMBERS; i++) {
 			if (AGENT + i != silent)
-				announce(fixture, i, SLOTS);
+				announce_as_is(fixture, i);
 		}
 		outcome = step(fixture, &flush);
 		if (outcome.dispatched_to != 0)
@@ -440,6 +483,120 @@
 	fixture_free(fixture);
 }
 
+/* Returns the last member on one side of the quarantine. */
+static unsigned
+find_member(const struct fixture *fixture, bool quarantined)
+{
+	unsigned i = MEMBERS;
+
+	while (i-- > 0) {
+		if (is_quarantined(fixture, AGENT + i) == quarantined)
+			return i;
+	}
+	g_assert_not_reached();
+}
+
+static void
+give_label(struct fixture *fixture, unsigned member, bool down)
+{
+	fixture->labelled[member] = true;
+	fixture->down[member] = down;
+	announce_as_is(fixture, member);
+}
+
+/* Guards against a bound task of a quarantined team that waits for a
+ * quarantined member, although it may run at its host alone. */
+static void
+quarantine__bound_task_runs_at_its_host(void)
+{
+	struct fixture *fixture = fixture_new();
+	struct mst_result_item item = {.outcome = MST_OUTCOME_UNKNOWN,
+	    .reason = MST_REASON_RUN_LOST,
+	    .start_uncertain = true};
+	struct mst_msg msg = {
+	    .type = MST_MSG_RESULT, .results = {.count = 1, .items = &item}};
+	struct outcome first, again;
+	unsigned host = MEMBERS - 1;
+	unsigned i;
+
+	for (i = 0; i < MEMBERS; i++)
+		announce_free(fixture, i, SLOTS, i == host ? SLOTS : 0);
+	submit(fixture, GOOD_JOB, GOOD_TEAM);
+	first = submit(fixture, "00000000000000cc", BAD_TEAM);
+	g_assert_cmpuint(first.dispatched_to, ==, AGENT + host);
+	report_crashes(fixture, 2);
+	g_assert_false(is_quarantined(fixture, AGENT + host));
+	announce(fixture, host, 0);
+	item.seq = first.seq;
+	deliver(fixture, host, &msg);
+	again = run_without(fixture, 0, SILENCE_MS / 2);
+	g_assert_cmpuint(again.dispatched_to, ==, AGENT + host);
+	fixture_free(fixture);
+}
+
+/* Guards against LOST: a suspect whose label no quarantined member has waits
+ * for one of them. */
+static void
+quarantine__suspect_runs_where_its_label_is(void)
+{
+	struct fixture *fixture = fixture_new();
+	struct outcome outcome;
+	unsigned member;
+
+	announce_all(fixture, false);
+	report_crashes(fixture, 2);
+	submit(fixture, "00000000000000cc", BAD_TEAM);
+	member = find_member(fixture, false);
+	give_label(fixture, member, false);
+	outcome = submit_labelled(fixture, BAD_JOB, BAD_TEAM);
+	g_assert_cmpuint(outcome.dispatched_to, ==, AGENT + member);
+	g_assert_true(outcome.flags & MST_TASK_ISOLATED);
+	fixture_free(fixture);
+}
+
+/* Guards against the same for a job of another team whose label only a
+ * quarantined member has. */
+static void
+quarantine__others_run_where_their_label_is(void)
+{
+	struct fixture *fixture = fixture_new();
+	struct outcome outcome;
+	unsigned member;
+
+	announce_all(fixture, false);
+	report_crashes(fixture, 2);
+	submit(fixture, "00000000000000cc", BAD_TEAM);
+	member = find_member(fixture, true);
+	give_label(fixture, member, false);
+	outcome = submit_labelled(fixture, GOOD_JOB, GOOD_TEAM);
+	g_assert_cmpuint(outcome.dispatched_to, ==, AGENT + member);
+	fixture_free(fixture);
+}
+
+/* Guards against a suspect that reaches further members while the quarantined
+ * one that has its label restarts, and against LOST if that one stays down. */
+static void
+quarantine__suspect_waits_for_restart(void)
+{
+	struct fixture *fixture = fixture_new();
+	struct outcome outcome;
+	unsigned other;
+
+	announce_all(fixture, false);
+	report_crashes(fixture, 2);
+	fixture->is_busy = true;
+	submit_labelled(fixture, BAD_JOB, BAD_TEAM);
+	run_without(fixture, 0, BUSY_MS);
+	give_label(fixture, find_member(fixture, true), true);
+	other = find_member(fixture, false);
+	give_label(fixture, other, false);
+	outcome = run_without(fixture, 0, RESTART_WAIT_MS / 2 - BUSY_MS);
+	g_assert_cmpuint(outcome.dispatched_to, ==, 0);
+	outcome = run_without(fixture, 0, RESTART_WAIT_MS / 2);
+	g_assert_cmpuint(outcome.dispatched_to, ==, AGENT + other);
+	fixture_free(fixture);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -462,5 +619,13 @@
 	    "/quarantine/bound-task", quarantine__isolated_task_is_bound);
 	g_test_add_func("/quarantine/bound-task-of-lost-member",
 	    quarantine__isolated_task_of_lost_member_is_bound);
+	g_test_add_func("/quarantine/bound-task-and-host",
+	    quarantine__bound_task_runs_at_its_host);
+	g_test_add_func("/quarantine/suspect-and-label",
+	    quarantine__suspect_runs_where_its_label_is);
+	g_test_add_func("/quarantine/others-and-label",
+	    quarantine__others_run_where_their_label_is);
+	g_test_add_func("/quarantine/suspect-and-restart",
+	    quarantine__suspect_waits_for_restart);
 	return g_test_run();
 }
