placement: a task waits 2 s at most for the only member that could take it to be readmitted

Seen by callers (test): a stored job waits for up to 32 s for the only member with its label, which is ejected because another job's runs fail there.

Cause: an ejected member is no candidate for any task. Ejections double, up to 32 times eject_ms, on the ground that other members serve the tasks meanwhile.

Change: being ejected is a preference. A task that only ejected members could take goes to one after 2 s, one task at a time as with a probed member. The pass over the queues begins if a member grants anything, not only if one is free of exclusions.

Ruled out: lifting it at once. Each of several failing tasks would be ordered again without a pause, which is what ejections are for.

test_constraints /label-at-ejected-member failed before (no run within 3 s) and passes. 67 tests pass (without searches, soaks, upgrades, fuzzers).

--- a/src/core/place/constraint.c
+++ b/src/core/place/constraint.c
@@ -13,6 +13,9 @@
  * than a short task takes, and shorter than callers accept that nothing runs.
  */
 #define PREFERRED_WAIT_MAX_US (INT64_C(1) * G_USEC_PER_SEC)
+/* Time for which a task waits for the end of a member's ejection. Ejections
+ * grow far longer than that. */
+#define EJECTED_WAIT_MAX_US (INT64_C(2) * G_USEC_PER_SEC)
 /* Time for which a task waits for members on its side of the quarantine that
  * are down. Longer than workers take to restart, as crashes would else reach
  * the other members while these restart. */
@@ -120,10 +123,14 @@
     const struct task *task)
 {
 	enum mst_preference weakest = find_weakest_exclusion(entry, job, task);
+	int64_t waited_us = entry->now_us - task->ready_us;
 
 	switch (weakest) {
 	case MST_PREFER_OTHER:
 		return weakest;
+	case MST_PREFER_HEALTHY:
+		return waited_us >= EJECTED_WAIT_MAX_US ? weakest
+							: MST_PREFER_OTHER;
 	case MST_PREFER_APART:
 		return waits_for_restart(entry, job, task) ? MST_PREFER_NONE
 							   : weakest;
--- a/src/core/place/place.c
+++ b/src/core/place/place.c
@@ -330,13 +330,19 @@
 	return false;
 }
 
+/* Returns true if some member may get a task, if need be against preferences.
+ */
 static bool
-has_member_with_room(const struct mst_entry *entry)
+has_available_member(const struct mst_entry *entry)
 {
 	guint i;
 
 	for (i = 0; i < entry->members->len; i++) {
-		if (mst_member_has_room(entry, entry->members->pdata[i]))
+		const struct member *member = entry->members->pdata[i];
+
+		if (mst_member_is_up(entry, member) &&
+		    entry->now_us >= member->down_until_us &&
+		    mst_member_has_free_grant(entry, member))
 			return true;
 	}
 	return false;
@@ -350,7 +356,7 @@
 	if (entry->config == NULL)
 		return;
 	entry->place_round++;
-	while (entry->tasks_waiting > 0 && has_member_with_room(entry) &&
+	while (entry->tasks_waiting > 0 && has_available_member(entry) &&
 	    (team = mst_team_next(entry)) != NULL) {
 		entry->utilization = entry->options.leased
 		    ? mst_leased_utilization(entry)
--- a/tests/support/placement_fixture.c
+++ b/tests/support/placement_fixture.c
@@ -34,12 +34,12 @@
 	struct sim_task_result service = {.duration_us = job->run_ms * MS,
 	    .outcome = MST_OUTCOME_DONE,
 	    .status = 200};
+	bool is_first = job->runs[index]++ == 0;
 
 	job->agents[index] = agent;
 	job->began_us[index] = now_us;
-	if (job->runs[index]++ > 0 || index != job->end_index)
-		return service;
-	if (job->end == PLACEMENT_DONE)
+	if (index != job->end_index || job->end == PLACEMENT_DONE ||
+	    (!is_first && job->end != PLACEMENT_FAIL_ALL))
 		return service;
 	service.duration_us = END_AFTER_MS * MS;
 	service.crashes = job->end == PLACEMENT_CRASH_FIRST;
@@ -141,6 +141,13 @@
 	sim_run_until(fixture->sim, sim_now(fixture->sim) + ms * MS);
 }
 
+const struct mst_entry_counters *
+placement_counters(const struct placement_fixture *fixture)
+{
+	return mst_entry_counters(
+	    sim_get_entry(fixture->sim, fixture->cluster.entries[0]));
+}
+
 static void
 assert_stored_complete(
     struct placement_fixture *fixture, const struct placement_job *job)
--- a/tests/support/placement_fixture.h
+++ b/tests/support/placement_fixture.h
@@ -18,7 +18,8 @@
 enum placement_end {
 	PLACEMENT_DONE = 0,
 	PLACEMENT_CRASH_FIRST, /* the first run crashes its worker */
-	PLACEMENT_FAIL_FIRST   /* the first run fails */
+	PLACEMENT_FAIL_FIRST,  /* the first run fails */
+	PLACEMENT_FAIL_ALL
 };
 
 struct placement_worker {
@@ -65,6 +66,9 @@
 void placement_submit(
     struct placement_fixture *fixture, struct placement_job *job);
 void placement_run_for_ms(struct placement_fixture *fixture, int64_t ms);
+/* Returns the counters of the entry. */
+const struct mst_entry_counters *placement_counters(
+    const struct placement_fixture *fixture);
 /* Asserts that a job has completed. */
 void placement_assert_complete(
     struct placement_fixture *fixture, const struct placement_job *job);
--- a/tests/test_constraints.c
+++ b/tests/test_constraints.c
@@ -117,6 +117,27 @@
 	placement_free(fixture);
 }
 
+/* Guards against LOST: a job that waits for the only member with its label for
+ * as long as that is ejected because of another job. */
+static void
+constraints__label_at_ejected_member(void)
+{
+	struct placement_fixture *fixture =
+	    placement_new(fleet, G_N_ELEMENTS(fleet));
+	struct placement_job failing = labelled_job(PLACEMENT_FAIL_ALL, true);
+	struct placement_job job = labelled_job(PLACEMENT_DONE, true);
+
+	failing.key = "00000000000000ff";
+	failing.attempts = 100;
+	placement_submit(fixture, &failing);
+	placement_run_for_ms(fixture, LONG_MS);
+	g_assert_cmpuint(placement_counters(fixture)->ejections, >, 2);
+	placement_submit(fixture, &job);
+	placement_run_for_ms(fixture, WAIT_MAX_MS);
+	g_assert_cmpuint(job.runs[0], ==, 1);
+	placement_free(fixture);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -131,5 +152,7 @@
 	    constraints__member_limit_after_failure);
 	g_test_add_func("/constraints/preferred-member-is-full",
 	    constraints__preferred_member_is_full);
+	g_test_add_func("/constraints/label-at-ejected-member",
+	    constraints__label_at_ejected_member);
 	return g_test_run();
 }
