placement: a cold member is filled if no warm one could take the tasks

Cause: while three quarters of the slots are warm, a cold member gets one task, and one more for each that it has ended, on the ground that warm members take the others. Whether they could take these was not asked.

Change: the limit is a preference, the weakest, and is lifted if every member that could take the task is excluded by it or by a stronger one. Where a warm member could take the task, it holds as before, for the second that all weak preferences do.

test_constraints /label-at-cold-member failed before (0 runs of the second job within 0.5 s) and passes.

--- a/src/core/place/constraint.c
+++ b/src/core/place/constraint.c
@@ -126,6 +126,7 @@
 	int64_t waited_us = entry->now_us - task->ready_us;
 
 	switch (weakest) {
+	case MST_PREFER_WARM:
 	case MST_PREFER_OTHER:
 		return weakest;
 	case MST_PREFER_HEALTHY:
--- a/tests/test_constraints.c
+++ b/tests/test_constraints.c
@@ -9,6 +9,8 @@
 /* Time in which a task is started again at a worker that could take it, the
  * restart of a worker that has crashed included. */
 #define RESTART_MAX_MS 4500
+/* The same at a member that is not excluded by anything but its start. */
+#define WAIT_COLD_MS 500
 /* Time for which nothing of a job runs although a member has room for it. */
 #define WAIT_MAX_MS 3000
 #define RUN_MS      500
@@ -138,6 +140,38 @@
 	placement_free(fixture);
 }
 
+/* Guards against LOST: jobs that wait while the only member with their label is
+ * cold, one after the other, as the warm members can't take them. */
+static void
+constraints__label_at_cold_member(void)
+{
+	static const struct placement_worker mostly_warm[] = {
+	    {"r1", "b,r1", 8000}, {"r1", "a,r1", 8000}, {"r1", "a,r1", 8000},
+	    {"r1", "a,r1", 8000}, {"r2", "a,r2", 8000}, {"r2", "a,r2", 8000},
+	    {"r2", "a,r2", 8000}, {"r2", "a,r2", 8000}};
+	struct placement_fixture *fixture =
+	    placement_new(mostly_warm, G_N_ELEMENTS(mostly_warm));
+	struct placement_job jobs[3];
+	char keys[G_N_ELEMENTS(jobs)][20];
+	guint i;
+
+	sim_worker_set_cold(
+	    sim_get_worker(fixture->sim, fixture->cluster.agents[0]),
+	    LONG_MS * 1000, false);
+	placement_run_for_ms(fixture, WAIT_MAX_MS);
+	for (i = 0; i < G_N_ELEMENTS(jobs); i++) {
+		jobs[i] = labelled_job(PLACEMENT_DONE, true);
+		jobs[i].key = keys[i];
+		jobs[i].run_ms = LONG_MS;
+		g_snprintf(keys[i], sizeof(keys[i]), "%016x", i + 1);
+		placement_submit(fixture, &jobs[i]);
+	}
+	placement_run_for_ms(fixture, WAIT_COLD_MS);
+	for (i = 0; i < G_N_ELEMENTS(jobs); i++)
+		g_assert_cmpuint(jobs[i].runs[0], ==, 1);
+	placement_free(fixture);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -154,5 +188,7 @@
 	    constraints__preferred_member_is_full);
 	g_test_add_func("/constraints/label-at-ejected-member",
 	    constraints__label_at_ejected_member);
+	g_test_add_func("/constraints/label-at-cold-member",
+	    constraints__label_at_cold_member);
 	return g_test_run();
 }
