placement: a task waits a second at most for full members near its data

Cause: with long tasks and no result yet, the wait for a slot is reckoned from a default of 150 ms, so the full members look better again and again; nothing bounds the wait.

Change: a task that has been ready for a second takes a member with a free slot, if one is left to it, and waits for no better one.

test_constraints /wait-for-data failed before (19,601 ms; 3,000 allowed) and passes.

--- a/src/core/place/constraint.c
+++ b/src/core/place/constraint.c
@@ -140,13 +140,10 @@
 	}
 }
 
-enum mst_preference
-mst_preferences_outwaited(
-    const struct mst_entry *entry, const struct task *task)
+bool
+mst_task_has_waited_long(const struct mst_entry *entry, const struct task *task)
 {
-	return entry->now_us - task->ready_us >= PREFERRED_WAIT_MAX_US
-	    ? MST_PREFER_OTHER
-	    : MST_PREFER_NONE;
+	return entry->now_us - task->ready_us >= PREFERRED_WAIT_MAX_US;
 }
 
 bool
--- a/src/core/place/constraint.h
+++ b/src/core/place/constraint.h
@@ -30,9 +30,9 @@
  * Weaker ones do not hold either. MST_PREFER_NONE: all hold. */
 enum mst_preference mst_preferences_to_lift(const struct mst_entry *entry,
     const struct job *job, const struct task *task);
-/* Returns the strongest preference that no longer holds for a task, because it
- * has waited too long for room at the members that it prefers. */
-enum mst_preference mst_preferences_outwaited(
+/* Returns true if a task has waited so long for a better member that it should
+ * take any that has a free slot. */
+bool mst_task_has_waited_long(
     const struct mst_entry *entry, const struct task *task);
 /* Returns true if a task may be sent to a member now, given the preferences
  * that are lifted. */
--- a/src/core/place/place.c
+++ b/src/core/place/place.c
@@ -203,15 +203,17 @@
 choose_member(struct mst_entry *entry, const struct job *job,
     const struct task *task, double service_us, double queued_us)
 {
-	enum mst_preference outwaited = mst_preferences_outwaited(entry, task);
-	struct member *member = choose_by_policy(
-	    entry, job, task, outwaited, service_us, queued_us);
+	enum mst_preference first = mst_task_has_waited_long(entry, task)
+	    ? MST_PREFER_OTHER
+	    : MST_PREFER_NONE;
+	struct member *member =
+	    choose_by_policy(entry, job, task, first, service_us, queued_us);
 	enum mst_preference lifted;
 
 	if (member != NULL)
 		return member;
 	lifted = mst_preferences_to_lift(entry, job, task);
-	if (lifted <= outwaited)
+	if (lifted <= first)
 		return NULL;
 	return choose_by_policy(
 	    entry, job, task, lifted, service_us, queued_us);
--- a/src/core/place/place_leased.c
+++ b/src/core/place/place_leased.c
@@ -45,6 +45,9 @@
 	/* Avoid members with a task of another job that was present at a crash
 	 * as well. If this one crashes, it is known which task is the cause. */
 	bool separate;
+	/* The task has waited long: avoid members without a free slot, and wait
+	 * for none. */
+	bool at_once;
 };
 
 /* Returns true if a member has a task of another job that was present at a
@@ -236,6 +239,7 @@
 
 		if (!mst_member_is_candidate(entry, candidate.member,
 			placement->job, placement->task, placement->lifted) ||
+		    (placement->at_once && candidate.member->free_slots == 0) ||
 		    (placement->separate &&
 			has_other_crashed_task(
 			    entry, candidate.member, placement->job)))
@@ -334,14 +338,15 @@
 	    .task = task,
 	    .lifted = lifted,
 	    .sample = mst_member_sample(entry),
-	    .separate = task->crashes.total > 0};
+	    .separate = task->crashes.total > 0,
+	    .at_once = mst_task_has_waited_long(entry, task)};
 	const GArray *candidates = collect_candidates(&placement);
 	const struct candidate *first = find_first_to_finish(candidates);
 	const struct candidate *last;
 	struct member *cold;
 
-	if (first == NULL && placement.separate) {
-		placement.separate = false;
+	if (first == NULL && (placement.separate || placement.at_once)) {
+		placement.separate = placement.at_once = false;
 		candidates = collect_candidates(&placement);
 		first = find_first_to_finish(candidates);
 	}
@@ -356,7 +361,7 @@
 	cold = find_idle_cold_member(&placement, candidates);
 	if (cold != NULL)
 		return cold;
-	if (tuning->wait_for_better &&
+	if (tuning->wait_for_better && !placement.at_once &&
 	    !can_end_in_time(&placement, first->member) &&
 	    earliest_finish_when_full_us(&placement) <
 		expected_finish_us(&placement, first->member, 1))
--- a/tests/test_constraints.c
+++ b/tests/test_constraints.c
@@ -214,6 +214,14 @@
 	g_assert_cmpint(wait_away_from_data_ms("b"), <=, START_MAX_MS);
 }
 
+/* Guards against LOST: a job that waits without a bound for full members near
+ * its data, while another one is idle. */
+static void
+constraints__wait_for_data_is_bounded(void)
+{
+	g_assert_cmpint(wait_away_from_data_ms(NULL), <=, WAIT_MAX_MS);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -234,5 +242,7 @@
 	    constraints__label_at_cold_member);
 	g_test_add_func("/constraints/label-away-from-data",
 	    constraints__label_away_from_data);
+	g_test_add_func("/constraints/wait-for-data",
+	    constraints__wait_for_data_is_bounded);
 	return g_test_run();
 }
