placement: a task is withdrawn from a straggler only if an idle member could take it

Seen in the log of the test before: tasks that wait at a full member, because only full ones have their label, are withdrawn and sent back each 50 ms while a member without the label is idle; 114 withdrawals of two tasks in 3 s, and four messages each.

Cause: any other member with a free slot was reason enough.

Change: a task is withdrawn only if some idle member is a candidate for it.

--- a/src/core/place/straggler.c
+++ b/src/core/place/straggler.c
@@ -4,6 +4,7 @@
 #include "core/id.h"
 #include "core/job/job.h"
 #include "core/member/member.h"
+#include "core/place/constraint.h"
 #include "core/place/fit.h"
 #include "core/place/place.h"
 
@@ -14,23 +15,28 @@
 #define STRAGGLER_FACTOR 2.0
 #define STRAGGLER_MIN_US (20 * 1000)
 
-/* Returns true if a member other than the excluded one has a free slot. */
+/* Returns true if a member other than the one that has a task has a free slot
+ * for it. */
 static bool
-has_idle_member(const struct mst_entry *entry, const struct member *excluded)
+has_idle_member(const struct mst_entry *entry, const struct job *job,
+    const struct task *task)
 {
 	guint i;
 
 	for (i = 0; i < entry->members->len; i++) {
 		const struct member *member = entry->members->pdata[i];
 
-		if (member != excluded && mst_member_has_room(entry, member) &&
-		    member->outstanding < mst_member_slots(member))
+		if (member != task->member &&
+		    member->outstanding < mst_member_slots(member) &&
+		    mst_member_is_candidate(
+			entry, member, job, task, MST_PREFER_NONE))
 			return true;
 	}
 	return false;
 }
 
-/* Withdraws the tasks that a member has beyond its slots, newest first. */
+/* Withdraws the tasks that a member has beyond its slots, newest first, as far
+ * as others have a free slot for them. */
 static void
 withdraw_newest_tasks(struct mst_entry *entry, struct member *member)
 {
@@ -47,7 +53,8 @@
 			continue;
 		excess--;
 		task = mst_find_sent_task(entry, member, seq, tag, &job);
-		if (task == NULL || task->withdrawing)
+		if (task == NULL || task->withdrawing ||
+		    !has_idle_member(entry, job, task))
 			continue;
 		mst_task_withdraw(entry, task);
 	}
@@ -67,8 +74,7 @@
 			STRAGGLER_MIN_US);
 
 		if (member->outstanding > mst_member_slots(member) &&
-		    entry->now_us - member->last_progress_us > limit_us &&
-		    has_idle_member(entry, member))
+		    entry->now_us - member->last_progress_us > limit_us)
 			withdraw_newest_tasks(entry, member);
 	}
 }
--- a/tests/test_constraints.c
+++ b/tests/test_constraints.c
@@ -222,6 +222,25 @@
 	g_assert_cmpint(wait_away_from_data_ms(NULL), <=, WAIT_MAX_MS);
 }
 
+/* Guards against withdrawing, each 50 ms, tasks that wait at a full member
+ * because others are idle that have not their label. */
+static void
+constraints__idle_members_without_label(void)
+{
+	struct placement_fixture *fixture =
+	    placement_new(two_racks, G_N_ELEMENTS(two_racks));
+	struct placement_job job = labelled_job(PLACEMENT_DONE, true);
+
+	job.label = "a";
+	job.count = 4;
+	job.millicores = 8000;
+	job.run_ms = LONG_MS;
+	placement_submit(fixture, &job);
+	placement_run_for_ms(fixture, WAIT_MAX_MS);
+	g_assert_cmpuint(placement_counters(fixture)->withdrawals, ==, 0);
+	placement_free(fixture);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -244,5 +263,7 @@
 	    constraints__label_away_from_data);
 	g_test_add_func("/constraints/wait-for-data",
 	    constraints__wait_for_data_is_bounded);
+	g_test_add_func("/constraints/idle-members-without-label",
+	    constraints__idle_members_without_label);
 	return g_test_run();
 }
