entry: a job is answered at once if all members that could take it are drained

Seen by callers (test): a best-effort job whose label only a member of a drained domain has waits for its whole deadline, 60 s in the test; it could be told at once that it has not run.

Cause: jobs are answered at once if the domains of all members are drained, also of those that could not take the job.

Change: the members that could take the job's next task are asked, by service, label, limit and the resources that they may have. Drained domains themselves stay a requirement: no task goes there.

--- a/src/core/job/expire.c
+++ b/src/core/job/expire.c
@@ -3,22 +3,32 @@
 #include "core/entry/entry_internal.h"
 #include "core/job/job.h"
 #include "core/member/member.h"
+#include "core/place/constraint.h"
 #include "core/place/fit.h"
 #include "core/place/place.h"
 
+/* Returns the task of a job that is sent next, or NULL if none waits. */
+static const struct task *
+next_task(const struct job *job)
+{
+	uint32_t waiting = job->waiting_tasks->len;
+
+	return waiting == 0 ? NULL
+			    : &job->tasks[g_array_index(
+				  job->waiting_tasks, uint16_t, waiting - 1)];
+}
+
 /* Returns true if some members serve the job, but none of them has the
  * resources for its next task. */
 static bool
 has_no_fitting_member(const struct mst_entry *entry, const struct job *job)
 {
+	const struct task *task = next_task(job);
 	bool is_served = false;
-	uint16_t index;
 	guint i;
 
-	if (job->waiting_tasks->len == 0)
+	if (task == NULL)
 		return false;
-	index = g_array_index(
-	    job->waiting_tasks, uint16_t, job->waiting_tasks->len - 1);
 	for (i = 0; i < entry->members->len; i++) {
 		const struct member *member = entry->members->pdata[i];
 
@@ -27,7 +37,7 @@
 		if (!mst_member_has_service(member, job))
 			continue;
 		is_served = true;
-		if (mst_member_may_have_resources(member, &job->tasks[index]))
+		if (mst_member_may_have_resources(member, task))
 			return false;
 	}
 	return is_served;
@@ -38,14 +48,12 @@
 static bool
 is_certain_to_expire(const struct mst_entry *entry, const struct job *job)
 {
-	uint16_t longest;
+	const struct task *longest = next_task(job);
 	double service_us;
 
-	if (job->started > 0 || job->waiting_tasks->len == 0)
+	if (job->started > 0 || longest == NULL)
 		return false;
-	longest = g_array_index(
-	    job->waiting_tasks, uint16_t, job->waiting_tasks->len - 1);
-	service_us = mst_task_expected_us(job, &job->tasks[longest]);
+	service_us = mst_task_expected_us(job, longest);
 	return entry->now_us + (int64_t)(service_us * entry->min_slowness) >
 	    job->expiry_us;
 }
@@ -59,15 +67,18 @@
 	    entry->now_us >= entry->stop_us;
 }
 
-/* Returns true if a job must be answered now because all failure domains are
- * drained. A job of which some task may have run stays open until its deadline,
- * because its running tasks end and a domain may be restored. */
+/* Returns true if a job must be answered now because the failure domains of all
+ * members that could take its next task are drained. A job of which some task
+ * may have run stays open until its deadline, because its running tasks end and
+ * a domain may be restored. */
 static bool
 is_cut_by_drains(const struct mst_entry *entry, const struct job *job)
 {
+	const struct task *task = next_task(job);
+
 	/* Members of other domains may not have announced themselves yet. */
 	return entry->now_us - entry->started_us > ENTRY_WARM_UP_US &&
-	    mst_members_are_drained(entry) && job->waiting_tasks->len > 0 &&
+	    task != NULL && mst_task_is_drained(entry, job, task) &&
 	    !job->may_have_run && !mst_job_may_have_run(job);
 }
 
--- a/src/core/place/constraint.c
+++ b/src/core/place/constraint.c
@@ -21,11 +21,14 @@
  * the other members while these restart. */
 #define RESTART_WAIT_MAX_US (INT64_C(5) * G_USEC_PER_SEC)
 
+/* Returns true if a member could take a task at some time. */
 static bool
 is_right_for(const struct mst_entry *entry, const struct member *member,
     const struct job *job, const struct task *task)
 {
 	return mst_member_has_service(member, job) &&
+	    (mst_member_has_resources(member, task) ||
+		mst_member_may_have_resources(member, task)) &&
 	    mst_member_matches_step(member, job, task) &&
 	    mst_task_may_run_at(entry, task, member);
 }
@@ -49,10 +52,30 @@
 	return member->state != MEMBER_LEAVING &&
 	    (member->state != MEMBER_GONE || member->quarantined) &&
 	    !mst_drains_contains(&entry->drains, member->failure_domain) &&
-	    mst_member_may_have_resources(member, task) &&
 	    is_right_for(entry, member, job, task);
 }
 
+bool
+mst_task_is_drained(const struct mst_entry *entry, const struct job *job,
+    const struct task *task)
+{
+	bool has_drained = false;
+	guint i;
+
+	for (i = 0; i < entry->members->len; i++) {
+		const struct member *member = entry->members->pdata[i];
+
+		if (member->state == MEMBER_GONE ||
+		    !is_right_for(entry, member, job, task))
+			continue;
+		if (!mst_drains_contains(
+			&entry->drains, member->failure_domain))
+			return false;
+		has_drained = true;
+	}
+	return has_drained;
+}
+
 /* A member that has failed a task is avoided by it, but not by quarantined
  * jobs, which may run at few members. */
 static bool
--- a/src/core/place/constraint.h
+++ b/src/core/place/constraint.h
@@ -21,6 +21,10 @@
 bool mst_member_could_take(const struct mst_entry *entry,
     const struct member *member, const struct job *job,
     const struct task *task);
+/* Returns true if there are members that could take a task, now or when they
+ * have room, and the failure domains of all of them are drained. */
+bool mst_task_is_drained(const struct mst_entry *entry, const struct job *job,
+    const struct task *task);
 /* Returns the strongest preference that excludes a member for a task. */
 enum mst_preference mst_member_excluded_by(const struct mst_entry *entry,
     const struct member *member, const struct job *job,
--- a/src/core/place/fit.c
+++ b/src/core/place/fit.c
@@ -69,25 +69,6 @@
 	return mst_member_is_active(entry, member) && member->slots > 0;
 }
 
-bool
-mst_members_are_drained(const struct mst_entry *entry)
-{
-	bool has_drained = false;
-	guint i;
-
-	for (i = 0; i < entry->members->len; i++) {
-		const struct member *member = entry->members->pdata[i];
-
-		if (member->state == MEMBER_GONE)
-			continue;
-		if (!mst_drains_contains(
-			&entry->drains, member->failure_domain))
-			return false;
-		has_drained = true;
-	}
-	return has_drained;
-}
-
 bool
 mst_member_is_usable(const struct mst_entry *entry, const struct member *member)
 {
--- a/src/core/place/fit.h
+++ b/src/core/place/fit.h
@@ -35,9 +35,6 @@
  * worker is down. */
 bool mst_member_is_up(
     const struct mst_entry *entry, const struct member *member);
-/* Returns true if members are known that are not lost, and the failure domains
- * of all of them are drained. */
-bool mst_members_are_drained(const struct mst_entry *entry);
 /* Returns true if a member is up, not ejected and its upstream not down. */
 bool mst_member_is_usable(
     const struct mst_entry *entry, const struct member *member);
--- a/tests/test_constraints.c
+++ b/tests/test_constraints.c
@@ -241,6 +241,30 @@
 	placement_free(fixture);
 }
 
+/* Guards against a job that waits until its deadline because only the domain of
+ * the one member with its label is drained, not all domains. */
+static void
+constraints__label_in_drained_domain(void)
+{
+	struct placement_fixture *fixture =
+	    placement_new(fleet, G_N_ELEMENTS(fleet));
+	struct placement_job job = labelled_job(PLACEMENT_DONE, false);
+	const struct sim_request *request;
+
+	sim_set_failure_domain(
+	    fixture->sim, fixture->cluster.agents[0], "drained");
+	placement_run_for_ms(fixture, RESTART_MAX_MS);
+	sim_set_drains(fixture->sim, fixture->cluster.entries[0], 2, "drained");
+	placement_run_for_ms(fixture, WAIT_MAX_MS);
+	placement_submit(fixture, &job);
+	placement_run_for_ms(fixture, START_MAX_MS);
+	request = sim_get_request(fixture->sim, job.request);
+	g_assert_cmpint(request->answered_us, >, 0);
+	g_assert_cmpint(request->reason, ==, MST_REASON_NO_MEMBERS);
+	g_assert_false(request->may_have_run);
+	placement_free(fixture);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -265,5 +289,7 @@
 	    constraints__wait_for_data_is_bounded);
 	g_test_add_func("/constraints/idle-members-without-label",
 	    constraints__idle_members_without_label);
+	g_test_add_func("/constraints/label-in-drained-domain",
+	    constraints__label_in_drained_domain);
 	return g_test_run();
 }
