placement: a call waits only for faster upstreams that could take it

Seen by callers (test, the product's own interface): a call that needs an accelerator waits until its timeout, 20 s, beside the idle upstream that has one, because another upstream without one is ten times as fast.

Cause: a task waits if the capacity of all faster members promises an earlier end, whatever they can run.

Change: it waits only if one of the faster members could take it (constraint.c).

test_constraints /accelerator-of-slow-upstream failed before (still open after 3 s) and passes.

--- a/src/core/place/constraint.c
+++ b/src/core/place/constraint.c
@@ -174,7 +174,7 @@
     const struct member *member, const struct job *job, const struct task *task,
     enum mst_preference lifted)
 {
-	return mst_member_could_take(entry, member, job, task) &&
-	    mst_member_has_free_grant(entry, member) &&
+	return mst_member_has_free_grant(entry, member) &&
+	    mst_member_could_take(entry, member, job, task) &&
 	    mst_member_excluded_by(entry, member, job, task) <= lifted;
 }
--- a/src/core/place/place.c
+++ b/src/core/place/place.c
@@ -45,15 +45,36 @@
 	return MAX(slack_us, longest_us * entry->min_slowness);
 }
 
+/* Returns true if some member that is faster than the chosen one could take a
+ * task. */
+static bool
+has_faster_member(const struct mst_entry *entry, const struct member *chosen,
+    const struct job *job, const struct task *task)
+{
+	guint i;
+
+	for (i = 0; i < entry->ranked->len; i++) {
+		const struct member *member = entry->ranked->pdata[i];
+
+		if (member->slowness >= chosen->slowness)
+			break;
+		if (mst_member_could_take(entry, member, job, task))
+			return true;
+	}
+	return false;
+}
+
 /* Returns true if a task is expected to finish sooner by waiting for a slot of
  * a faster member than at the chosen member. */
 static bool
 is_faster_member_sooner(const struct mst_entry *entry,
-    const struct member *chosen, double service_us, double queued_us)
+    const struct member *chosen, const struct job *job, const struct task *task,
+    double service_us, double queued_us)
 {
 	double wait_us;
 
-	if (chosen->faster_capacity <= 0)
+	if (chosen->faster_capacity <= 0 ||
+	    !has_faster_member(entry, chosen, job, task))
 		return false;
 	wait_us = (queued_us + service_us) / chosen->faster_capacity;
 	return chosen->slowness * service_us >
@@ -113,7 +134,8 @@
 	if (latest_in_time != NULL)
 		return latest_in_time;
 	if (earliest != NULL &&
-	    is_faster_member_sooner(entry, earliest, service_us, queued_us))
+	    is_faster_member_sooner(
+		entry, earliest, job, task, service_us, queued_us))
 		return NULL;
 	return earliest;
 }
--- a/tests/test_constraints.c
+++ b/tests/test_constraints.c
@@ -1,7 +1,8 @@
 /*
  * Rules that keep a task from a member hold only while another member could
  * take this task: one that has its service, its label and its resources, is
- * below the step's limit of tasks per member, and is alive.
+ * below the step's limit of tasks per member, and is alive. The entries are
+ * leased, but for the last test.
  */
 
 #include "support/placement_fixture.h"
@@ -12,9 +13,11 @@
 /* Time in which a task starts that no other member could take. */
 #define START_MAX_MS 500
 /* Time for which nothing of a job runs although a member has room for it. */
-#define WAIT_MAX_MS 3000
-#define RUN_MS      500
-#define LONG_MS     20000
+#define WAIT_MAX_MS    3000
+#define RUN_MS         500
+#define LONG_MS        20000
+#define FAST_CALL_MS   20
+#define LEARNING_CALLS 10 /* until the speed of the upstreams is known */
 
 /* One worker has the label b, one is larger than the others. */
 static const struct placement_worker fleet[] = {{"r1", "b,r1", 8000},
@@ -265,6 +268,70 @@
 	placement_free(fixture);
 }
 
+/* Node id of the agent of the slow upstream. */
+struct slow_upstream {
+	int agent;
+};
+
+static struct sim_task_result
+serve_call(
+    void *ctx, int agent, const struct mst_dispatch_item *task, int64_t now_us)
+{
+	const struct slow_upstream *slow = ctx;
+
+	return (struct sim_task_result){.outcome = MST_OUTCOME_DONE,
+	    .status = 200,
+	    .duration_us =
+		(agent == slow->agent ? 10 * FAST_CALL_MS : FAST_CALL_MS) *
+		1000};
+}
+
+static uint64_t
+submit_call(struct sim *sim, int entry, uint32_t accelerators)
+{
+	const struct mst_task_spec task = {.path = mst_bytes_from_str("/"),
+	    .declared_us = FAST_CALL_MS * 1000,
+	    .needs = {.accelerators = accelerators}};
+	const struct mst_job_spec spec = {
+	    .team = "queue", .timeout_ms = LONG_MS, .count = 1, .tasks = &task};
+
+	return sim_submit(sim, entry, &spec);
+}
+
+/* Guards against a call that waits until its timeout for faster upstreams, none
+ * of which has the accelerator that it needs. */
+static void
+constraints__accelerator_of_slow_upstream(void)
+{
+	struct slow_upstream slow = {0};
+	const struct sim_options options = {.seed = 5,
+	    .latency_us = 500,
+	    .get_task_result = serve_call,
+	    .ctx = &slow};
+	struct mst_agent_options agent = MST_AGENT_OPTIONS_INIT;
+	struct sim *sim = sim_new(&options);
+	int entry = sim_add_entry(sim, "entry");
+	uint64_t request;
+	int i;
+
+	sim_configure(sim, entry, 1, "{}");
+	agent.slots = 2;
+	sim_add_agent(sim, "fast", &agent);
+	agent.resources.accelerators = 1;
+	slow.agent = sim_add_agent(sim, "slow", &agent);
+	sim_run_until(sim, 5 * G_USEC_PER_SEC);
+	for (i = 0; i < LEARNING_CALLS; i++) {
+		submit_call(sim, entry, 0);
+		submit_call(sim, entry, 1);
+		sim_run_until(sim, sim_now(sim) + 2 * 10 * FAST_CALL_MS * 1000);
+	}
+	request = submit_call(sim, entry, 1);
+	sim_run_until(sim, sim_now(sim) + WAIT_MAX_MS * 1000);
+	g_assert_cmpint(
+	    sim_get_request(sim, request)->state, ==, MST_JOB_COMPLETE);
+	sim_free(sim);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -291,5 +358,7 @@
 	    constraints__idle_members_without_label);
 	g_test_add_func("/constraints/label-in-drained-domain",
 	    constraints__label_in_drained_domain);
+	g_test_add_func("/constraints/accelerator-of-slow-upstream",
+	    constraints__accelerator_of_slow_upstream);
 	return g_test_run();
 }
