placement: one question for what a task may wait for; waits count from when a task could go

Read again: a non-leased task that avoids a faster member waited for it, as only its requirements were asked; a retry that is delayed by over a second, and a stored run whose abandonment is recorded late, came back as having waited long, so that the avoiding had no effect. mst_member_may_be_awaited() serves the three callers that wait for room; ready_us is set when a delayed retry is due and when the record of an abandoned run is written. The metric looks at 1,024 tasks in all, so that a request for it stays cheap with many queues.

No test shows these three by itself.

--- a/src/core/job/result.c
+++ b/src/core/job/result.c
@@ -74,8 +74,10 @@
 		}
 		g_array_remove_index_fast(entry->retries, i);
 		if (job != NULL && job->state == MST_JOB_OPEN &&
-		    job->tasks[index].state == TASK_DELAYED)
+		    job->tasks[index].state == TASK_DELAYED) {
+			job->tasks[index].ready_us = entry->now_us;
 			mst_task_requeue(entry, job, index);
+		}
 	}
 }
 
--- a/src/core/place/constraint.c
+++ b/src/core/place/constraint.c
@@ -169,6 +169,16 @@
 	return entry->now_us - task->ready_us >= PREFERRED_WAIT_MAX_US;
 }
 
+bool
+mst_member_may_be_awaited(const struct mst_entry *entry,
+    const struct member *member, const struct job *job, const struct task *task,
+    enum mst_preference lifted)
+{
+	return mst_member_could_take(entry, member, job, task) &&
+	    mst_member_excluded_by(entry, member, job, task) <=
+	    MAX(lifted, MST_PREFER_WARM);
+}
+
 bool
 mst_member_is_candidate(const struct mst_entry *entry,
     const struct member *member, const struct job *job, const struct task *task,
--- a/src/core/place/constraint.h
+++ b/src/core/place/constraint.h
@@ -38,6 +38,11 @@
  * take any that has a free slot. */
 bool mst_task_has_waited_long(
     const struct mst_entry *entry, const struct task *task);
+/* Returns true if a task may wait for room at a member, given the preferences
+ * that are lifted. A cold member has room again soon. */
+bool mst_member_may_be_awaited(const struct mst_entry *entry,
+    const struct member *member, const struct job *job, const struct task *task,
+    enum mst_preference lifted);
 /* Returns true if a task may be sent to a member now, given the preferences
  * that are lifted. */
 bool mst_member_is_candidate(const struct mst_entry *entry,
--- a/src/core/place/place.c
+++ b/src/core/place/place.c
@@ -45,11 +45,11 @@
 	return MAX(slack_us, longest_us * entry->min_slowness);
 }
 
-/* Returns true if some member that is faster than the chosen one could take a
- * task. */
+/* Returns true if a task may wait for some member that is faster than the
+ * chosen one. */
 static bool
 has_faster_member(const struct mst_entry *entry, const struct member *chosen,
-    const struct job *job, const struct task *task)
+    const struct job *job, const struct task *task, enum mst_preference lifted)
 {
 	guint i;
 
@@ -58,7 +58,7 @@
 
 		if (member->slowness >= chosen->slowness)
 			break;
-		if (mst_member_could_take(entry, member, job, task))
+		if (mst_member_may_be_awaited(entry, member, job, task, lifted))
 			return true;
 	}
 	return false;
@@ -69,12 +69,12 @@
 static bool
 is_faster_member_sooner(const struct mst_entry *entry,
     const struct member *chosen, const struct job *job, const struct task *task,
-    double service_us, double queued_us)
+    enum mst_preference lifted, double service_us, double queued_us)
 {
 	double wait_us;
 
 	if (chosen->faster_capacity <= 0 ||
-	    !has_faster_member(entry, chosen, job, task))
+	    !has_faster_member(entry, chosen, job, task, lifted))
 		return false;
 	wait_us = (queued_us + service_us) / chosen->faster_capacity;
 	return chosen->slowness * service_us >
@@ -135,7 +135,7 @@
 		return latest_in_time;
 	if (earliest != NULL &&
 	    is_faster_member_sooner(
-		entry, earliest, job, task, service_us, queued_us))
+		entry, earliest, job, task, lifted, service_us, queued_us))
 		return NULL;
 	return earliest;
 }
--- a/src/core/place/place_leased.c
+++ b/src/core/place/place_leased.c
@@ -114,11 +114,8 @@
 		const struct member *member =
 		    mst_member_sample_get(entry, &placement->sample, i);
 
-		if (!mst_member_could_take(
-			entry, member, placement->job, placement->task) ||
-		    mst_member_excluded_by(
-			entry, member, placement->job, placement->task) >
-			MAX(placement->lifted, MST_PREFER_WARM) ||
+		if (!mst_member_may_be_awaited(entry, member, placement->job,
+			placement->task, placement->lifted) ||
 		    mst_member_has_room(entry, member))
 			continue;
 		earliest_us = MIN(earliest_us,
--- a/src/core/place/quarantine_place.c
+++ b/src/core/place/quarantine_place.c
@@ -42,10 +42,8 @@
 {
 	uint32_t sent_there = count_sent(job, member);
 
-	return mst_member_could_take(entry, member, job, task) &&
+	return mst_member_may_be_awaited(entry, member, job, task, lifted) &&
 	    mst_member_has_valid_echo(entry, member) && member->grant > 0 &&
-	    mst_member_excluded_by(entry, member, job, task) <=
-	    MAX(lifted, MST_PREFER_WARM) &&
 	    (member->outstanding == sent_there || !member->quarantined) &&
 	    count_sent(job, NULL) == sent_there &&
 	    sent_there < member->slots * ISOLATED_TASKS_PER_SLOT;
--- a/src/core/place/withheld.c
+++ b/src/core/place/withheld.c
@@ -9,8 +9,9 @@
 
 #include <string.h>
 
-/* Waiting tasks of a team that are looked at. */
+/* Waiting tasks that are looked at, of one team and in all. */
 #define TEAM_TASKS_MAX 64
+#define TASKS_MAX      1024
 
 const char *
 mst_preference_name(enum mst_preference preference)
@@ -59,22 +60,32 @@
 	}
 }
 
+/* Counts up to tasks_max tasks. Returns the number of tasks counted. */
+static unsigned
+count_tasks_of_team(const struct mst_entry *entry, const struct team *team,
+    uint32_t counts[MST_PREFERENCE_MAX], unsigned tasks_max)
+{
+	GSequenceIter *iter = g_sequence_get_begin_iter(team->jobs);
+	unsigned tasks_left = tasks_max;
+
+	while (tasks_left > 0 && !g_sequence_iter_is_end(iter)) {
+		count_tasks_of_job(
+		    entry, g_sequence_get(iter), counts, &tasks_left);
+		iter = g_sequence_iter_next(iter);
+	}
+	return tasks_max - tasks_left;
+}
+
 void
 mst_entry_count_withheld(
     uint32_t counts[MST_PREFERENCE_MAX], const struct mst_entry *entry)
 {
+	unsigned tasks_left = TASKS_MAX;
 	guint i;
 
 	memset(counts, 0, MST_PREFERENCE_MAX * sizeof(counts[0]));
-	for (i = 0; i < entry->active_teams->len; i++) {
-		const struct team *team = entry->active_teams->pdata[i];
-		GSequenceIter *iter = g_sequence_get_begin_iter(team->jobs);
-		unsigned tasks_left = TEAM_TASKS_MAX;
-
-		while (tasks_left > 0 && !g_sequence_iter_is_end(iter)) {
-			count_tasks_of_job(
-			    entry, g_sequence_get(iter), counts, &tasks_left);
-			iter = g_sequence_iter_next(iter);
-		}
-	}
+	for (i = 0; i < entry->active_teams->len && tasks_left > 0; i++)
+		tasks_left -=
+		    count_tasks_of_team(entry, entry->active_teams->pdata[i],
+			counts, MIN(tasks_left, TEAM_TASKS_MAX));
 }
--- a/src/core/stored/record.c
+++ b/src/core/stored/record.c
@@ -46,8 +46,10 @@
 	for (i = 0; i < abandoned_runs->len; i++) {
 		uint16_t index = g_array_index(abandoned_runs, uint16_t, i);
 
-		if (job->tasks[index].state == TASK_BLOCKED)
+		if (job->tasks[index].state == TASK_BLOCKED) {
+			job->tasks[index].ready_us = entry->now_us;
 			mst_task_requeue(entry, job, index);
+		}
 	}
 	g_array_set_size(abandoned_runs, 0);
 }
