placement: a run is not withdrawn as overdue from the only member that could take it

Its work is thrown away.

Cause: an overdue run is withdrawn so that another member may end it in time. Whether one could take it was not asked. A task that hangs may still be better off if it starts anew.

Change: while no other member could take the task, be it against a weak preference, its run gets three times the limit and double that with each attempt, up to 32 times.

Ruled out: never withdrawing it (a run that hangs would never end); counting only members that the task prefers (a task in the queue of a full member stayed there while the one that it avoids was idle; /preferred-member-is-full failed).

Eight tests of placement and load pass.

--- a/src/core/place/overdue.c
+++ b/src/core/place/overdue.c
@@ -9,6 +9,7 @@
 #include "core/entry/entry_internal.h"
 #include "core/job/job.h"
 #include "core/member/member.h"
+#include "core/place/constraint.h"
 #include "core/place/fit.h"
 #include "core/place/place.h"
 
@@ -17,6 +18,8 @@
 #define OVERDUE_SLACK_US (INT64_C(60) * 1000)
 /* Multiple of that time after which a task is moved in any case. */
 #define KEEP_LIMITS_MAX 3
+/* Doublings of that time for a task that no other member could take. */
+#define STAY_DOUBLINGS_MAX 5
 /* A member is marked as overdue if it has at least this share and number of
  * overdue tasks. */
 #define OVERDUE_SHARE     0.5
@@ -57,6 +60,39 @@
 	    progress->elapsed_us < progress->limit_us * KEEP_LIMITS_MAX;
 }
 
+/* Returns true if a member other than the one that has a task could take it, if
+ * need be after a wait. */
+static bool
+has_other_member(const struct mst_entry *entry, const struct job *job,
+    const struct task *task)
+{
+	guint i;
+
+	for (i = 0; i < entry->members->len; i++) {
+		const struct member *member = entry->members->pdata[i];
+
+		if (member != task->member &&
+		    mst_member_may_be_awaited(
+			entry, member, job, task, MST_PREFER_OTHER))
+			return true;
+	}
+	return false;
+}
+
+/* Returns true if a task that no other member could take should be left to its
+ * member. It would start there anew, so it gets more time with each attempt. */
+static bool
+should_stay(const struct mst_entry *entry, const struct job *job,
+    const struct task *task, const struct progress *progress)
+{
+	unsigned doublings = MIN(task->attempts, STAY_DOUBLINGS_MAX);
+	double limit_us =
+	    progress->limit_us * KEEP_LIMITS_MAX * (double)(1u << doublings);
+
+	return progress->elapsed_us < limit_us &&
+	    !has_other_member(entry, job, task);
+}
+
 /* Returns true if a task may be moved and the fastest member could still finish
  * it before the job expires. */
 static bool
@@ -95,7 +131,8 @@
 		overdue_count++;
 		if (tuning->withdraw_overdue &&
 		    is_worth_moving(entry, job, task) &&
-		    !is_probably_long(entry, member, task, &progress))
+		    !is_probably_long(entry, member, task, &progress) &&
+		    !should_stay(entry, job, task, &progress))
 			mst_task_withdraw(entry, task);
 	}
 	member->overdue = tuning->limit_overdue &&
--- a/tests/support/placement_fixture.c
+++ b/tests/support/placement_fixture.c
@@ -103,6 +103,8 @@
 void
 placement_submit(struct placement_fixture *fixture, struct placement_job *job)
 {
+	int64_t declared_ms =
+	    job->declared_ms > 0 ? job->declared_ms : job->run_ms;
 	uint32_t i;
 
 	for (i = 0; i < job->count; i++) {
@@ -111,7 +113,7 @@
 		job->tasks[i] = (struct mst_task_spec){
 		    .path = mst_bytes_from_str(job->names[i]),
 		    .flags = MST_TASK_RESTARTABLE,
-		    .declared_us = (uint32_t)(job->run_ms * MS),
+		    .declared_us = (uint32_t)(declared_ms * MS),
 		    .needs = {.millicores = job->millicores}};
 	}
 	job->step = (struct mst_step_spec){.count = job->count,
--- a/tests/support/placement_fixture.h
+++ b/tests/support/placement_fixture.h
@@ -39,6 +39,7 @@
 	uint32_t attempts;
 	double stretch; /* of the objective; 0: long */
 	int64_t run_ms;
+	int64_t declared_ms; /* 0: as long as it runs */
 	enum placement_end end;
 	unsigned end_index; /* the task that ends so; the others succeed */
 	bool stored;
--- a/tests/test_constraints.c
+++ b/tests/test_constraints.c
@@ -16,6 +16,7 @@
 #define WAIT_MAX_MS    3000
 #define RUN_MS         500
 #define LONG_MS        20000
+#define OVERDUE_FACTOR 14 /* by which a task may be longer than declared */
 #define FAST_CALL_MS   20
 #define LEARNING_CALLS 10 /* until the speed of the upstreams is known */
 
@@ -175,6 +176,24 @@
 	placement_free(fixture);
 }
 
+/* Guards against LOST: a task that takes much longer than declared is stopped
+ * and started anew, again and again, at the only member with its label. */
+static void
+constraints__long_task_stays_at_its_member(void)
+{
+	struct placement_fixture *fixture =
+	    placement_new(fleet, G_N_ELEMENTS(fleet));
+	struct placement_job job = labelled_job(PLACEMENT_DONE, true);
+
+	job.run_ms = OVERDUE_FACTOR * RUN_MS;
+	job.declared_ms = RUN_MS;
+	placement_submit(fixture, &job);
+	placement_run_for_ms(fixture, job.run_ms + START_MAX_MS);
+	g_assert_cmpuint(job.runs[0], ==, 1);
+	placement_assert_complete(fixture, &job);
+	placement_free(fixture);
+}
+
 /* Member b is away from the data of the jobs below, and a are full. */
 static const struct placement_worker two_racks[] = {
     {"r1", "b,r1", 8000}, {"r2", "a,r2", 8000}, {"r2", "a,r2", 8000}};
@@ -360,5 +379,7 @@
 	    constraints__label_in_drained_domain);
 	g_test_add_func("/constraints/accelerator-of-slow-upstream",
 	    constraints__accelerator_of_slow_upstream);
+	g_test_add_func("/constraints/long-task-stays",
+	    constraints__long_task_stays_at_its_member);
 	return g_test_run();
 }
