placement: a task waits 2 s at most for the only member that is probed or overdue

Seen by callers (test): a stored job waits for as long as two other tasks at the only member with its label take longer than expected, 20 s in the test, though that member has free slots.

Cause: a member that is probed, or that has many overdue tasks, gets one task at a time, on the ground that others take the rest. It was part of the question whether it has room, so it was no exclusion that could be lifted; the metric did not count it either.

Change: it counts like an ejection, under the name unhealthy, and ends for the task after 2 s if no other member could take it. What excludes a member whatever tasks it has, and what its tasks add, are told apart, as a task may wait for a member that has only the latter.

--- a/include/masticstall/entry.h
+++ b/include/masticstall/entry.h
@@ -361,8 +361,9 @@
 	MST_PREFER_NONE = 0, /**< no preference excludes it */
 	MST_PREFER_WARM,     /**< a cold member has as many tasks as it may */
 	MST_PREFER_OTHER,    /**< the task's last run there had no success */
-	MST_PREFER_HEALTHY,  /**< the member is ejected */
-	MST_PREFER_APART,    /**< one of job and member is quarantined */
+	/** the member is ejected, or it is probed or overdue and has a task */
+	MST_PREFER_HEALTHY,
+	MST_PREFER_APART, /**< one of job and member is quarantined */
 	MST_PREFERENCE_MAX
 };
 
--- a/src/core/place/constraint.c
+++ b/src/core/place/constraint.c
@@ -13,9 +13,9 @@
  * than a short task takes, and shorter than callers accept that nothing runs.
  */
 #define PREFERRED_WAIT_MAX_US (INT64_C(1) * G_USEC_PER_SEC)
-/* Time for which a task waits for the end of a member's ejection. Ejections
- * grow far longer than that. */
-#define EJECTED_WAIT_MAX_US (INT64_C(2) * G_USEC_PER_SEC)
+/* Time for which a task waits for members that are ejected, probed or overdue.
+ * Ejections and overdue tasks last far longer than that. */
+#define UNHEALTHY_WAIT_MAX_US (INT64_C(2) * G_USEC_PER_SEC)
 /* Time for which a task waits for members on its side of the quarantine that
  * are down. Longer than workers take to restart, as crashes would else reach
  * the other members while these restart. */
@@ -86,19 +86,32 @@
 	    !mst_job_is_quarantined(job);
 }
 
-enum mst_preference
-mst_member_excluded_by(const struct mst_entry *entry,
+/* Returns the strongest preference that excludes a member, whatever tasks it
+ * has. */
+static enum mst_preference
+find_lasting_exclusion(const struct mst_entry *entry,
     const struct member *member, const struct job *job, const struct task *task)
 {
 	if (member->quarantined != mst_job_is_quarantined(job))
 		return MST_PREFER_APART;
 	if (entry->now_us < member->ejected_until_us)
 		return MST_PREFER_HEALTHY;
-	if (is_avoided(member, job, task))
-		return MST_PREFER_OTHER;
+	return is_avoided(member, job, task) ? MST_PREFER_OTHER
+					     : MST_PREFER_NONE;
+}
+
+enum mst_preference
+mst_member_excluded_by(const struct mst_entry *entry,
+    const struct member *member, const struct job *job, const struct task *task)
+{
+	enum mst_preference lasting =
+	    find_lasting_exclusion(entry, member, job, task);
+
+	if (mst_member_is_suspended(member))
+		return MAX(lasting, MST_PREFER_HEALTHY);
 	if (mst_member_is_slow_start_full(entry, member))
-		return MST_PREFER_WARM;
-	return MST_PREFER_NONE;
+		return MAX(lasting, MST_PREFER_WARM);
+	return lasting;
 }
 
 /* Returns the weakest preference that excludes one of the members that could
@@ -153,8 +166,8 @@
 	case MST_PREFER_OTHER:
 		return weakest;
 	case MST_PREFER_HEALTHY:
-		return waited_us >= EJECTED_WAIT_MAX_US ? weakest
-							: MST_PREFER_OTHER;
+		return waited_us >= UNHEALTHY_WAIT_MAX_US ? weakest
+							  : MST_PREFER_OTHER;
 	case MST_PREFER_APART:
 		return waits_for_restart(entry, job, task) ? MST_PREFER_NONE
 							   : weakest;
@@ -175,8 +188,7 @@
     enum mst_preference lifted)
 {
 	return mst_member_could_take(entry, member, job, task) &&
-	    mst_member_excluded_by(entry, member, job, task) <=
-	    MAX(lifted, MST_PREFER_WARM);
+	    find_lasting_exclusion(entry, member, job, task) <= lifted;
 }
 
 bool
--- a/src/core/place/constraint.h
+++ b/src/core/place/constraint.h
@@ -39,7 +39,8 @@
 bool mst_task_has_waited_long(
     const struct mst_entry *entry, const struct task *task);
 /* Returns true if a task may wait for room at a member, given the preferences
- * that are lifted. A cold member has room again soon. */
+ * that are lifted. Those that depend on the tasks that the member has do not
+ * count. */
 bool mst_member_may_be_awaited(const struct mst_entry *entry,
     const struct member *member, const struct job *job, const struct task *task,
     enum mst_preference lifted);
--- a/src/core/place/fit.c
+++ b/src/core/place/fit.c
@@ -99,12 +99,14 @@
 mst_member_has_free_grant(
     const struct mst_entry *entry, const struct member *member)
 {
-	if (!mst_member_has_valid_echo(entry, member))
-		return false;
-	if (member->probing || member->overdue ||
-	    entry->now_us < member->ejected_until_us)
-		return member->outstanding == 0 && member->grant > 0;
-	return member->outstanding < member->grant;
+	return mst_member_has_valid_echo(entry, member) &&
+	    member->outstanding < member->grant;
+}
+
+bool
+mst_member_is_suspended(const struct member *member)
+{
+	return (member->probing || member->overdue) && member->outstanding > 0;
 }
 
 bool
@@ -112,6 +114,7 @@
 {
 	return mst_member_is_usable(entry, member) &&
 	    mst_member_has_free_grant(entry, member) &&
+	    !mst_member_is_suspended(member) &&
 	    !mst_member_is_slow_start_full(entry, member);
 }
 
--- a/src/core/place/fit.h
+++ b/src/core/place/fit.h
@@ -43,8 +43,10 @@
 /* Returns true if this entry has as many tasks at a cold member as it may. */
 bool mst_member_is_slow_start_full(
     const struct mst_entry *entry, const struct member *member);
-/* Returns true if a member grants this entry one more task now. One that is
- * ejected, probed or overdue gets one at a time. */
+/* Returns true if this entry sends no further task to a member that is probed
+ * or overdue until the one that is there has ended. */
+bool mst_member_is_suspended(const struct member *member);
+/* Returns true if a member grants this entry one more task now. */
 bool mst_member_has_free_grant(
     const struct mst_entry *entry, const struct member *member);
 /* Returns true if a member may be sent one more task now. */
--- a/src/core/place/withheld.c
+++ b/src/core/place/withheld.c
@@ -19,7 +19,7 @@
 	static const char *const names[] = {[MST_PREFER_NONE] = "none",
 	    [MST_PREFER_WARM] = "slow-start",
 	    [MST_PREFER_OTHER] = "failed-there",
-	    [MST_PREFER_HEALTHY] = "ejected",
+	    [MST_PREFER_HEALTHY] = "unhealthy",
 	    [MST_PREFER_APART] = "quarantine"};
 
 	return names[preference];
--- a/tests/test_constraints.c
+++ b/tests/test_constraints.c
@@ -16,7 +16,8 @@
 #define WAIT_MAX_MS    3000
 #define RUN_MS         500
 #define LONG_MS        20000
-#define OVERDUE_FACTOR 14 /* by which a task may be longer than declared */
+#define OVERDUE_FACTOR 14   /* by which a task may be longer than declared */
+#define OVERDUE_MS     5000 /* until tasks of RUN_MS count as overdue */
 #define FAST_CALL_MS   20
 #define LEARNING_CALLS 10 /* until the speed of the upstreams is known */
 
@@ -144,6 +145,28 @@
 	placement_free(fixture);
 }
 
+/* Guards against LOST: a job that waits for the only member with its label for
+ * as long as other tasks there take longer than expected. */
+static void
+constraints__label_at_overdue_member(void)
+{
+	struct placement_fixture *fixture =
+	    placement_new(fleet, G_N_ELEMENTS(fleet));
+	struct placement_job overdue = labelled_job(PLACEMENT_DONE, true);
+	struct placement_job job = labelled_job(PLACEMENT_DONE, true);
+
+	overdue.key = "00000000000000ff";
+	overdue.count = 2;
+	overdue.run_ms = LONG_MS;
+	overdue.declared_ms = RUN_MS;
+	placement_submit(fixture, &overdue);
+	placement_run_for_ms(fixture, OVERDUE_MS);
+	placement_submit(fixture, &job);
+	placement_run_for_ms(fixture, WAIT_MAX_MS);
+	g_assert_cmpuint(job.runs[0], ==, 1);
+	placement_free(fixture);
+}
+
 /* Guards against LOST: jobs that wait while the only member with their label is
  * cold, one after the other, as the warm members can't take them. */
 static void
@@ -381,5 +404,7 @@
 	    constraints__accelerator_of_slow_upstream);
 	g_test_add_func("/constraints/long-task-stays",
 	    constraints__long_task_stays_at_its_member);
+	g_test_add_func("/constraints/label-at-overdue-member",
+	    constraints__label_at_overdue_member);
 	return g_test_run();
 }
--- a/tests/test_metrics.c
+++ b/tests/test_metrics.c
@@ -66,7 +66,7 @@
 	assert_has_sample(text, "members 5");
 	assert_has_sample(text, "members_active 4");
 	assert_has_sample(text, "tasks_withheld{by=\"failed-there\"} 9");
-	assert_has_sample(text, "tasks_withheld{by=\"ejected\"} 0");
+	assert_has_sample(text, "tasks_withheld{by=\"unhealthy\"} 0");
 	assert_has_sample(text, "domain_drained{domain=\"east\"} 1");
 	assert_has_sample(text, "domain_running{domain=\"east\"} 6");
 	assert_has_sample(text, "message_bytes_sent_total 1000");
