agent: a job of many tasks costs in proportion to them

Callers of an agent's entries got 503 (no-members): after one best-effort job of 4 KB with 4,096 tasks the agent was busy with itself and sent no heartbeats.

Cause: the runs of a job are a list in one direction, and each run that is released was searched in it from the start; with tens of thousands of runs of one job (refused as busy and sent again) that is the square of their number. Each run also kept the job's text of 4 KB, which retained_bytes_max did not count, until it was released 60 s later: 220 MB after three such jobs, where the machine has 128.

The list has both directions now, so a run is taken out in constant time; a run that was never ordered frees the body at once and the others when their result is acknowledged (a body is needed by a start order alone); the rest is counted.

--- a/src/core/agent/agent_internal.h
+++ b/src/core/agent/agent_internal.h
@@ -43,8 +43,9 @@
 	int64_t started_us;
 	/* Time when its result was last sent or, if acked, acknowledged. */
 	int64_t sent_us;
-	/* Owns its strings; they are freed when the run finishes, or with the
-	 * run if the agent is leased. */
+	/* Owns its strings; they are freed when the run finishes. If the agent
+	 * is leased, the body is freed once it is not needed any more, the
+	 * others with the run. */
 	struct mst_dispatch_item task;
 	struct mst_result_item result; /* owns its strings */
 	uint32_t run_number;           /* leased: run number */
@@ -76,6 +77,7 @@
 	int64_t confirmed_us; /* time of the worker's last confirmation */
 	int64_t seen_us; /* when an answer last showed that it was started */
 	GList link;      /* link in queue, unacked or retained */
+	struct run *previous_in_job; /* NULL: the first one */
 	struct run *next_in_job;
 };
 
--- a/src/core/agent/run.c
+++ b/src/core/agent/run.c
@@ -39,11 +39,24 @@
 	g_free(run);
 }
 
+/* Frees what only the start of a task needs. */
+static void
+release_body(struct run *run)
+{
+	g_free((char *)run->task.body.data);
+	run->task.body = (struct mst_bytes){0};
+}
+
+/* Returns the memory that an acknowledged run takes, in bytes. */
 static uint64_t
 run_size(const struct run *run)
 {
-	return sizeof(*run) + run->result.content_type.len +
-	    run->result.body.len;
+	const struct mst_dispatch_item *task = &run->task;
+	const struct mst_result_item *result = &run->result;
+
+	return sizeof(*run) + task->method.len + task->path.len +
+	    task->content_type.len + task->traceparent.len + task->record.len +
+	    result->content_type.len + result->body.len;
 }
 
 static struct run *
@@ -70,31 +83,35 @@
 
 	if (run->task.job.issuer == 0)
 		return;
-	if (head != NULL) {
-		run->next_in_job = head->next_in_job;
-		head->next_in_job = run;
-	} else {
+	if (head == NULL) {
 		g_hash_table_insert(run->session->jobs, &run->task.job, run);
+		return;
 	}
+	run->previous_in_job = head;
+	run->next_in_job = head->next_in_job;
+	if (run->next_in_job != NULL)
+		run->next_in_job->previous_in_job = run;
+	head->next_in_job = run;
 }
 
 static void
 unindex_run_by_job(struct run *run)
 {
 	GHashTable *jobs = run->session->jobs;
-	struct run *previous = g_hash_table_lookup(jobs, &run->task.job);
+	struct run *next = run->next_in_job;
 
-	if (previous == run) {
-		g_hash_table_remove(jobs, &run->task.job);
-		if (run->next_in_job != NULL)
-			g_hash_table_insert(jobs, &run->next_in_job->task.job,
-			    run->next_in_job);
+	if (run->task.job.issuer == 0)
+		return;
+	if (next != NULL)
+		next->previous_in_job = run->previous_in_job;
+	if (run->previous_in_job != NULL) {
+		run->previous_in_job->next_in_job = next;
 		return;
 	}
-	while (previous != NULL && previous->next_in_job != run)
-		previous = previous->next_in_job;
-	if (previous != NULL)
-		previous->next_in_job = run->next_in_job;
+	/* The key is part of the first run. */
+	g_hash_table_remove(jobs, &run->task.job);
+	if (next != NULL)
+		g_hash_table_insert(jobs, &next->task.job, next);
 }
 
 static void
@@ -140,6 +157,8 @@
 	 * task. */
 	if (!agent->options.leased)
 		release_task(&run->task);
+	else if (run->proof == MST_PROOF_UNSENT)
+		release_body(run);
 	if (result->outcome == MST_OUTCOME_NOT_RUN)
 		agent->counters.refused[result->reason]++;
 	if (run->result.start_uncertain)
@@ -515,6 +534,7 @@
 	g_queue_unlink(&run->session->unacked, &run->link);
 	run->acked = true;
 	run->sent_us = agent->now_us;
+	release_body(run);
 	agent->retained_bytes += run_size(run);
 	g_queue_push_tail_link(&agent->retained, &run->link);
 }
