entry: the text of a job is kept once, not for each task

Callers of an entry lost it: 2,000 stored jobs of 4 KB with 60 tasks each, all inside the limits, took 414 MB on machines of 160 to 512 MB.

Cause: each task of a job has the job's text as its body, and the job's arena had a copy for each of them, so a request of 4 KB took 240 KB (and one of 4.1 KB with 4,096 tasks 16 MB). A task whose body is that of the task before shares it now; the arena's size, which counts against the memory for jobs, follows.

--- a/src/core/job/job.c
+++ b/src/core/job/job.c
@@ -26,6 +26,18 @@
 	return span;
 }
 
+/* Returns whether a task has the body of the task before it. Such a body is
+ * kept once, so that the memory of a job does not grow faster than its request.
+ */
+static bool
+shares_body(const struct mst_job_spec *spec, uint32_t index)
+{
+	const struct mst_task_spec *task = &spec->tasks[index];
+
+	return index > 0 && task->body.data == task[-1].body.data &&
+	    task->body.len == task[-1].body.len;
+}
+
 /* Returns the arena size that a job with this specification needs. */
 static size_t
 spec_arena_size(const struct mst_job_spec *spec)
@@ -40,8 +52,10 @@
 	for (i = 0; i < spec->count; i++) {
 		const struct mst_task_spec *task = &spec->tasks[i];
 
-		total += task->method.len + task->path.len +
-		    task->content_type.len + task->body.len;
+		total +=
+		    task->method.len + task->path.len + task->content_type.len;
+		if (!shares_body(spec, i))
+			total += task->body.len;
 	}
 	return total;
 }
@@ -113,8 +127,9 @@
 }
 
 static void
-init_task(struct job *job, uint32_t index, const struct mst_task_spec *spec)
+init_task(struct job *job, const struct mst_job_spec *job_spec, uint32_t index)
 {
+	const struct mst_task_spec *spec = &job_spec->tasks[index];
 	struct task *task = &job->tasks[index];
 
 	*task = (struct task){.state = TASK_WAITING,
@@ -125,7 +140,9 @@
 	    .method = arena_append(job, spec->method),
 	    .path = arena_append(job, spec->path),
 	    .content_type = arena_append(job, spec->content_type),
-	    .body = arena_append(job, spec->body)};
+	    .body = shares_body(job_spec, index)
+		? job->tasks[index - 1].body
+		: arena_append(job, spec->body)};
 }
 
 static void
@@ -196,7 +213,7 @@
 	job->traceparent = arena_append(job, spec->traceparent);
 	set_scheduling_options(entry, job, spec);
 	for (i = 0; i < spec->count; i++)
-		init_task(job, i, &spec->tasks[i]);
+		init_task(job, spec, i);
 	mst_job_set_steps(job, spec, arena_append);
 	mst_job_set_objective(entry, job);
 	job->bytes = sizeof(*job) + arena_size +
