settings: what clients may take is a share of the machine's memory

Callers of an entry lost it to others' stored jobs: jobs were accepted up to limits.memory_max_mb, 1,024 by default, on machines of 160 to 512 MB; the agents kept results up to 16 MB on 128.

Jobs take a quarter of it (stored ones three quarters of that, so that they leave room for jobs whose callers wait), kept results an eighth. A new job counts before it is admitted, with its entries in tables and, until it is stored, its text's copies; closed jobs give way to it at once. Jobs of a lost entry are taken over only while there is room.

--- a/include/masticstall/settings.h
+++ b/include/masticstall/settings.h
@@ -35,10 +35,29 @@
 	const char *otlp_endpoint;
 };
 
+/** Machine that a daemon runs on. */
+struct mst_machine_settings {
+	uint32_t memory_mb; /* that the daemon may take */
+	uint32_t
+	    descriptors; /* that it may have open; 0: the process's limit */
+};
+
+/**
+ * Most that clients can make a daemon hold at a time, as shares of its machine.
+ * The rest is for the daemon itself, its peers and the store.
+ */
+struct mst_shares {
+	uint64_t jobs_bytes;   /* jobs, with their answers */
+	uint64_t input_bytes;  /* requests and responses under way */
+	uint64_t body_bytes;   /* of one request */
+	uint64_t result_bytes; /* agent: results that are kept */
+	uint32_t connections;
+};
+
 struct mst_limit_settings {
 	uint32_t body_max_bytes; /* largest body of a request */
 	uint32_t jobs_max;
-	uint32_t memory_max_mb; /* memory for all jobs */
+	uint32_t memory_max_mb; /* for all jobs, besides the machine's share */
 };
 
 struct mst_upstream_settings {
@@ -93,6 +112,7 @@
 	GArray *operators; /* struct mst_operator_settings */
 	struct mst_curve_keys curve;
 	struct mst_trace_settings trace;
+	struct mst_machine_settings machine;
 	struct mst_limit_settings limits;
 	struct mst_upstream_settings upstream;
 	struct mst_resources resources;
@@ -155,6 +175,14 @@
 struct mst_lease_times mst_settings_lease_times(
     const struct mst_settings *settings);
 
+/**
+ * Derives from the machine's size what clients can make a daemon hold.
+ *
+ * @param settings validated settings
+ * @return the shares, no greater than the limits that the settings set
+ */
+struct mst_shares mst_settings_shares(const struct mst_settings *settings);
+
 /** Releases settings; NULL is allowed. */
 void mst_settings_free(struct mst_settings *settings);
 
--- a/src/core/job/expire.c
+++ b/src/core/job/expire.c
@@ -112,10 +112,35 @@
 		mst_job_close(entry, job, MST_JOB_FAILED, MST_REASON_NO_FIT);
 }
 
+static void
+free_oldest_closed(struct mst_entry *entry)
+{
+	GList *link = entry->closed_jobs.head;
+
+	g_queue_unlink(&entry->closed_jobs, link);
+	mst_job_free(entry, link->data);
+}
+
+bool
+mst_entry_make_room(struct mst_entry *entry, uint64_t bytes, uint64_t bytes_max)
+{
+	const struct job *oldest;
+
+	while (entry->bytes + bytes > bytes_max) {
+		oldest = g_queue_peek_head(&entry->closed_jobs);
+		/* Its last answer may not have been written yet. */
+		if (oldest == NULL ||
+		    entry->now_us - oldest->closed_us < ENTRY_SCAN_US)
+			return false;
+		free_oldest_closed(entry);
+	}
+	return true;
+}
+
 void
 mst_entry_expire_jobs(struct mst_entry *entry)
 {
-	GList *link;
+	const struct job *oldest;
 	guint i;
 
 	for (i = 0; i < entry->jobs->len && entry->jobs_open > 0; i++) {
@@ -125,14 +150,9 @@
 			job_tick(entry, job);
 	}
 	mst_uncertain_expire(entry);
-	while ((link = entry->closed_jobs.head) != NULL) {
-		struct job *job = link->data;
-
-		if (entry->now_us - job->closed_us <
-			entry->options.answer_retention_us &&
-		    entry->bytes <= entry->options.bytes_max)
-			break;
-		g_queue_unlink(&entry->closed_jobs, link);
-		mst_job_free(entry, job);
-	}
+	while ((oldest = g_queue_peek_head(&entry->closed_jobs)) != NULL &&
+	    (entry->now_us - oldest->closed_us >=
+		    entry->options.answer_retention_us ||
+		entry->bytes > entry->options.bytes_max))
+		free_oldest_closed(entry);
 }
--- a/src/core/job/job.c
+++ b/src/core/job/job.c
@@ -12,6 +12,12 @@
 /* A handle has 24 bits for the slot and 24 for its generation, so that it fits
  * into a tag together with the 16-bit task index. */
 #define JOB_SLOT_BITS 24
+/* A job's entries in the tables, its key, its lists and, if it is stored, the
+ * state of its record. */
+#define JOB_OVERHEAD_BYTES 768
+/* Copies of a stored job's text: its own, that of the write, and its encoding
+ * in the request to the store. */
+#define STORED_TEXT_COPIES 3
 
 /* Copies bytes to the end of a job's arena, which must have enough room. */
 static struct span
@@ -60,6 +66,34 @@
 	return total;
 }
 
+/* Returns the memory for a job's text until it is stored; NULL: none. */
+static uint64_t
+text_bytes(const char *serialized_job)
+{
+	return serialized_job != NULL
+	    ? strlen(serialized_job) * STORED_TEXT_COPIES
+	    : 0;
+}
+
+void
+mst_job_release_text(struct mst_entry *entry, struct job *job, char **text)
+{
+	uint64_t bytes = text_bytes(*text);
+
+	g_clear_pointer(text, g_free);
+	job->bytes -= bytes;
+	entry->bytes -= bytes;
+}
+
+uint64_t
+mst_spec_bytes(const struct mst_job_spec *spec)
+{
+	return sizeof(struct job) + JOB_OVERHEAD_BYTES + spec_arena_size(spec) +
+	    text_bytes(spec->serialized_job) +
+	    spec->count * (sizeof(struct task) + sizeof(uint16_t)) +
+	    MAX(spec->step_count, 1) * sizeof(struct step);
+}
+
 /* Stores a job in a free slot and returns its handle: the slot's number and,
  * above it, the slot's generation, so that a stale handle finds no job. */
 static uint64_t
@@ -216,9 +250,7 @@
 		init_task(job, spec, i);
 	mst_job_set_steps(job, spec, arena_append);
 	mst_job_set_objective(entry, job);
-	job->bytes = sizeof(*job) + arena_size +
-	    spec->count * (sizeof(struct task) + sizeof(uint16_t)) +
-	    job->step_count * sizeof(struct step);
+	job->bytes = mst_spec_bytes(spec);
 	entry->bytes += job->bytes;
 	g_hash_table_insert(entry->jobs_by_id, &job->ticket.job, job);
 	return job;
--- a/src/core/job/job.h
+++ b/src/core/job/job.h
@@ -84,6 +84,12 @@
 /* Creates an open job. Its tasks are not queued yet. */
 struct job *mst_job_new(struct mst_entry *entry,
     const struct mst_job_spec *spec, struct team *team);
+/* Returns the memory that a job takes, in bytes, without its results. */
+uint64_t mst_spec_bytes(const struct mst_job_spec *spec);
+/* Frees the text of a stored job, which has been stored, and sets it to NULL.
+ */
+void mst_job_release_text(
+    struct mst_entry *entry, struct job *job, char **text);
 /* Returns the job with a handle, or NULL if it has been freed. */
 struct job *mst_job_find(const struct mst_entry *entry, uint64_t handle);
 /* Returns false only if it is certain that no task has started. */
@@ -133,6 +139,10 @@
 /* Checks the time limits of open jobs and frees closed ones after the retention
  * time. */
 void mst_entry_expire_jobs(struct mst_entry *entry);
+/* Returns whether there is memory for a job of a size in bytes, within a limit
+ * for all jobs. Frees the oldest closed jobs if there is none otherwise. */
+bool mst_entry_make_room(
+    struct mst_entry *entry, uint64_t bytes, uint64_t bytes_max);
 
 /* step.c */
 /* Creates a job's steps from its specification, or a single step with all tasks
--- a/src/core/job/submit.c
+++ b/src/core/job/submit.c
@@ -35,7 +35,7 @@
 /* Returns the reason to refuse a new job now, or MST_REASON_NONE. Stores the
  * time after which the caller should retry. */
 static enum mst_reason
-check_admission(const struct mst_entry *entry, const struct mst_job_spec *spec,
+check_admission(struct mst_entry *entry, const struct mst_job_spec *spec,
     const struct team *team, uint32_t *retry_ms)
 {
 	const struct mst_policy *policy = &entry->config->policy;
@@ -45,7 +45,8 @@
 
 	*retry_ms = clamp_retry_after_ms(wait_us);
 	if (entry->jobs_open >= entry->options.jobs_max ||
-	    entry->bytes > entry->options.bytes_max ||
+	    !mst_entry_make_room(
+		entry, mst_spec_bytes(spec), entry->options.bytes_max) ||
 	    entry->tasks_waiting + spec->count > policy->queue_tasks_max)
 		return MST_REASON_OVERLOAD;
 	if (team->tasks_open + spec->count > quota)
--- a/src/core/stored/record.c
+++ b/src/core/stored/record.c
@@ -83,7 +83,7 @@
 		entry->counters.jobs_taken_over++;
 	stored->phase = STORED_OWNED;
 	stored->claimed_from = 0;
-	g_clear_pointer(&stored->serialized_job, g_free);
+	mst_job_release_text(entry, job, &stored->serialized_job);
 	mst_stored_answer_requests(
 	    entry, job, job->requests, MST_STORED_ACCEPTED);
 	if (stored->state == MST_RECORD_OPEN)
--- a/src/core/stored/stored.c
+++ b/src/core/stored/stored.c
@@ -19,6 +19,9 @@
 /* Delay of a write that records completions, to batch several of them. */
 #define STORED_BATCH_US       (INT64_C(20) * 1000)
 #define STORED_RETRY_AFTER_MS 1000
+/* Of the memory for jobs and of the tasks that may wait. Stored jobs may wait
+ * for long; the rest is kept for jobs whose callers wait for the answer. */
+#define STORED_JOBS_SHARE 0.75
 
 void
 mst_stored_defer_ack(struct mst_entry *entry, struct job *job,
@@ -167,16 +170,18 @@
 }
 
 static enum mst_reason
-refusal_reason(const struct mst_entry *entry, const struct mst_job_spec *spec)
+refusal_reason(struct mst_entry *entry, const struct mst_job_spec *spec)
 {
 	if (entry->draining)
 		return MST_REASON_STOPPING;
 	if (entry->config == NULL)
 		return MST_REASON_NO_CONFIG;
 	if (entry->jobs_open >= entry->options.jobs_max ||
-	    entry->bytes > entry->options.bytes_max ||
+	    !mst_entry_make_room(entry, mst_spec_bytes(spec),
+		(uint64_t)((double)entry->options.bytes_max *
+		    STORED_JOBS_SHARE)) ||
 	    entry->tasks_waiting + spec->count >
-		entry->config->policy.queue_tasks_max)
+		entry->config->policy.queue_tasks_max * STORED_JOBS_SHARE)
 		return MST_REASON_OVERLOAD;
 	return MST_REASON_NONE;
 }
@@ -248,6 +253,10 @@
 
 	if (team == NULL || strlen(stored_record->record.tasks) != spec->count)
 		return;
+	/* A later sweep finds it again, or another entry's. */
+	if (!mst_entry_make_room(
+		entry, mst_spec_bytes(spec), entry->options.bytes_max))
+		return;
 	job = mst_stored_new(entry, spec, team, STORED_CLAIMED);
 	job->stored->claimed_from = stored_record->record.owner;
 	job->stored->version = stored_record->version;
--- a/src/runtime/agent_runtime.c
+++ b/src/runtime/agent_runtime.c
@@ -646,6 +646,7 @@
 	options.slots = settings->upstream.slots;
 	options.connections = settings->upstream.connections;
 	options.resources = settings->resources;
+	options.retained_bytes_max = mst_settings_shares(settings).result_bytes;
 	if (settings->worker.address != NULL) {
 		options_set_leases(&options, settings);
 		bus_options.announce_idle_us = options.leases.entry_silence_us;
--- a/src/runtime/entry_runtime.c
+++ b/src/runtime/entry_runtime.c
@@ -378,6 +378,7 @@
 {
 	const struct mst_settings *settings = rt->settings;
 	struct mst_entry_options options = MST_ENTRY_OPTIONS_INIT;
+	const struct mst_shares shares = mst_settings_shares(settings);
 	struct mst_bus_options bus_options = {.loop = &rt->loop.uv,
 	    .listen = settings->members_listen,
 	    .self_address = settings->advertise,
@@ -398,7 +399,7 @@
 	options.address = settings->advertise;
 	options.failure_domain = settings->failure_domain;
 	options.jobs_max = settings->limits.jobs_max;
-	options.bytes_max = (uint64_t)settings->limits.memory_max_mb << 20;
+	options.bytes_max = shares.jobs_bytes;
 	if (settings->frontend.listen != NULL)
 		options_set_leases(&options, settings);
 	mst_entry_new(&rt->entry, &options);
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -153,6 +153,13 @@
 	STRING_LEN_MAX, false),
     {0}};
 
+static const struct schema_field machine_fields[] = {
+    SCHEMA_UINT_FIELD(
+	"memory_mb", struct mst_machine_settings, memory_mb, 32, 1 << 24),
+    SCHEMA_UINT_FIELD(
+	"descriptors", struct mst_machine_settings, descriptors, 64, 1 << 24),
+    {0}};
+
 static const struct schema_field limits_fields[] = {
     SCHEMA_UINT_FIELD("body_max_bytes", struct mst_limit_settings,
 	body_max_bytes, 1024, 1 << 30),
@@ -226,6 +233,10 @@
 		.kind = SCHEMA_CUSTOM,                                         \
 		.offset = offsetof(struct mst_settings, entries),              \
 		.custom = read_addresses},                                     \
+	    {.name = "machine",                                                \
+		.kind = SCHEMA_OBJECT,                                         \
+		.offset = offsetof(struct mst_settings, machine),              \
+		.fields = machine_fields},                                     \
 	    {.name = "operators",                                              \
 		.kind = SCHEMA_CUSTOM,                                         \
 		.offset = offsetof(struct mst_settings, operators),            \
@@ -307,6 +318,7 @@
 	settings->table.access_key = "masticstall";
 	settings->table.secret_key = "masticstall";
 	settings->table.timeout_ms = 2000;
+	settings->machine.memory_mb = 1024;
 	settings->limits =
 	    (struct mst_limit_settings){.body_max_bytes = 64u << 20,
 		.jobs_max = 100000,
