httpd: HTTP/2 is not served

No document promises HTTP/2; the platform speaks HTTP/1.1. The switch for both ways, preface and upgrade, is off; the preface is answered as a malformed request, and the connection is closed.

--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -219,6 +219,8 @@
 	h2o_config_init(&httpd->config);
 	httpd->config.max_request_entity_size = options->body_max_bytes;
 	httpd->config.http1.req_timeout = HTTPD_REQ_TIMEOUT_MS;
+	/* Only HTTP/1.1 is promised. */
+	httpd->config.http1.upgrade_to_http2 = 0;
 	httpd->config.server_name = h2o_iovec_init(H2O_STRLIT("masticstall"));
 	host = h2o_config_register_host(
 	    &httpd->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
