httpd: what clients send and leave unread is bounded

Callers of an entry lost it to unfinished bodies: 600 bodies of 256,000 bytes that stop 100 bytes short took 171 MB, 40 MB of it for good; 400 of 1,000,000 bytes took 413 MB; 6 of 60 MB at the own interface 190 MB.

Cause: h2o reads a request into one buffer until it is whole, for as many connections as there are, for 10 s; nothing counts the bytes.

A guard (net/http_guard) stands between h2o and its sockets, for all servers of a process: its read callback calls that of h2o. A request over 8 KB first reserves room for the length that it announces; without room its connection is not read from, so the rest stays in its socket (64 KB) and with its sender. While some wait, connections that keep room and stand still for a second, or bring less than 64 KB/s, are cut. Room is an eighth of the machine's memory. Answers that are not read count too. h2o's limit of 10 s for a whole request gives way to limits for a header, an idle connection, and a body or answer that stands still. Large blocks go back to the system when they are freed, and the heap after a crowd.

Tried before: budgets on what is held, reading on while there is room and two connections at a time without. All 600 came to hold 32 KB each, none could end, and they went at two in 1.5 s; room for a whole request lets 32 of them in at a time.

--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -7,11 +7,24 @@
 #include <sys/socket.h>
 
 #include "base/address.h"
+#include "net/http_guard.h"
 
 G_DEFINE_QUARK(mst_httpd_error, mst_httpd_error)
 
-#define HTTPD_BACKLOG        1024
-#define HTTPD_REQ_TIMEOUT_MS 10000
+#define HTTPD_BACKLOG 1024
+/* h2o's own limit for a request; those of the guard are lower. */
+#define HTTPD_REQ_TIMEOUT_MS (3600 * 1000)
+/* Buffer for input of a connection's socket. What is not read waits there and
+ * at the sender. */
+#define HTTPD_RECEIVE_BYTES (64 * 1024)
+/* A body that is longer than allowed by no more than this is read to its end,
+ * so that its sender gets the answer. */
+#define HTTPD_BODY_EXCESS_BYTES (64 * 1024)
+/* Bounds of a server without a guard. */
+#define HTTPD_INPUT_MAX_BYTES (UINT64_C(1) << 30)
+#define HTTPD_CONNECTIONS_MAX 65536
+/* Limit for idle connections once a server is shut down. */
+#define HTTPD_SHUTDOWN_IDLE_MS 10000
 /* Interval of the checks for disconnected callers. */
 #define HTTPD_DISCONNECT_CHECK_MS 20
 
@@ -39,6 +52,7 @@
 struct exchange {
 	struct mst_http_request request;
 	struct mst_httpd *httpd;
+	struct http_conn *conn;
 	h2o_req_t *req;
 	bool responded;
 };
@@ -50,6 +64,7 @@
 	struct exchange *exchange = data;
 	struct mst_httpd *httpd = exchange->httpd;
 
+	http_conn_end(exchange->conn);
 	if (exchange->responded)
 		return;
 	g_hash_table_remove(httpd->pending, (gpointer)exchange->request.id);
@@ -70,7 +85,11 @@
 	    &req->pool, sizeof(*exchange), exchange_dispose);
 	struct mst_http_request *request = &exchange->request;
 
-	*exchange = (struct exchange){.httpd = httpd, .req = req};
+	*exchange = (struct exchange){.httpd = httpd,
+	    .conn = http_conn_from_socket(
+		req->conn->callbacks->get_socket(req->conn)),
+	    .req = req};
+	http_conn_begin(exchange->conn);
 	request->id = ++httpd->next_id;
 	request->internal = exchange;
 	request->method = iovec_to_bytes(req->method);
@@ -84,7 +103,10 @@
 	}
 	request->body = iovec_to_bytes(req->entity);
 	g_hash_table_insert(httpd->pending, (gpointer)request->id, exchange);
-	httpd->options.on_request(request, httpd->options.ctx);
+	if (request->body.len > httpd->options.body_max_bytes)
+		mst_http_respond(httpd, request->id, 413, NULL, 0, "", 0);
+	else
+		httpd->options.on_request(request, httpd->options.ctx);
 	return 0;
 }
 
@@ -105,13 +127,16 @@
 		return;
 	client = g_new0(uv_tcp_t, 1);
 	uv_tcp_init(listener->loop, client);
-	if (uv_accept(listener, (uv_stream_t *)client) != 0) {
+	if (uv_accept(listener, (uv_stream_t *)client) != 0 ||
+	    !http_guard_make_room(httpd->options.guard)) {
 		uv_close((uv_handle_t *)client, on_client_closed);
 		return;
 	}
 	uv_tcp_nodelay(client, 1);
 	sock = h2o_uv_socket_create((uv_stream_t *)client, (uv_close_cb)g_free);
 	h2o_accept(&httpd->accept, sock);
+	http_guard_watch(httpd->options.guard, sock, (uv_stream_t *)client,
+	    httpd->options.body_max_bytes);
 }
 
 /* Polls the connections of all pending requests. Returns whether any has input
@@ -163,6 +188,7 @@
 	struct mst_httpd *httpd = timer->data;
 	guint i;
 
+	http_guard_tick(httpd->options.guard);
 	if (!poll_connections(httpd))
 		return;
 	for (i = 0; i < httpd->polled->len; i++) {
@@ -182,6 +208,7 @@
 httpd_listen(struct mst_httpd *httpd, GError **error)
 {
 	const char *text = httpd->options.listen;
+	int receive_bytes = HTTPD_RECEIVE_BYTES;
 	struct sockaddr_in address;
 	int rc;
 
@@ -194,6 +221,10 @@
 	httpd->listener.data = httpd;
 	rc =
 	    uv_tcp_bind(&httpd->listener, (const struct sockaddr *)&address, 0);
+	/* The connections inherit it. */
+	if (rc == 0)
+		uv_recv_buffer_size(
+		    (uv_handle_t *)&httpd->listener, &receive_bytes);
 	if (rc == 0)
 		rc = uv_listen((uv_stream_t *)&httpd->listener, HTTPD_BACKLOG,
 		    on_connection);
@@ -203,6 +234,13 @@
 	return rc == 0 ? 0 : -1;
 }
 
+void
+mst_httpd_set_body_max(struct mst_httpd *httpd, size_t bytes)
+{
+	httpd->options.body_max_bytes = bytes;
+	httpd->config.max_request_entity_size = bytes + HTTPD_BODY_EXCESS_BYTES;
+}
+
 int
 mst_httpd_new(struct mst_httpd **out, const struct mst_httpd_options *options,
     GError **error)
@@ -211,13 +249,18 @@
 	h2o_hostconf_t *host;
 	h2o_pathconf_t *path;
 	struct handler *handler;
+	const struct http_guard_options guard_options = {.loop = options->loop,
+	    .bytes_max = HTTPD_INPUT_MAX_BYTES,
+	    .connections_max = HTTPD_CONNECTIONS_MAX};
 
 	httpd->options = *options;
+	if (options->guard == NULL)
+		httpd->options.guard = http_guard_new(&guard_options);
 	httpd->pending = g_hash_table_new(g_direct_hash, g_direct_equal);
 	httpd->polled = g_array_new(FALSE, FALSE, sizeof(struct pollfd));
 	httpd->polled_ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	h2o_config_init(&httpd->config);
-	httpd->config.max_request_entity_size = options->body_max_bytes;
+	mst_httpd_set_body_max(httpd, options->body_max_bytes);
 	httpd->config.http1.req_timeout = HTTPD_REQ_TIMEOUT_MS;
 	/* Only HTTP/1.1 is promised. */
 	httpd->config.http1.upgrade_to_http2 = 0;
@@ -265,6 +308,7 @@
 		return false;
 	req = exchange->req;
 	exchange->responded = true;
+	http_conn_answer(exchange->conn, len);
 	g_hash_table_remove(httpd->pending, (gpointer)id);
 	req->res.status = status;
 	req->res.reason = "";
@@ -292,5 +336,7 @@
 	httpd->closed = true;
 	uv_close((uv_handle_t *)&httpd->listener, NULL);
 	uv_unref((uv_handle_t *)&httpd->disconnect_timer);
+	http_guard_set_times(httpd->options.guard, HTTPD_SHUTDOWN_IDLE_MS,
+	    HTTPD_SHUTDOWN_IDLE_MS);
 	h2o_context_request_shutdown(&httpd->context);
 }
--- a/src/net/httpd.h
+++ b/src/net/httpd.h
@@ -7,6 +7,7 @@
 #include <masticstall/message.h>
 #include <uv.h>
 
+struct http_guard;
 struct mst_httpd;
 
 /* A request; valid until its response is sent or its caller disconnects. */
@@ -28,6 +29,9 @@
 	uv_loop_t *loop;
 	const char *listen;    /* ip:port */
 	size_t body_max_bytes; /* limit for the body of a request */
+	/* Bounds what the clients of all servers that share it make the process
+	 * hold; NULL: the server has one of its own, with wide bounds. */
+	struct http_guard *guard;
 	mst_http_request_cb on_request;
 	/* Called if a caller disconnects before it gets a response, within
 	 * 20 ms. */
@@ -58,6 +62,10 @@
 int mst_httpd_new(struct mst_httpd **out,
     const struct mst_httpd_options *options, GError **error);
 
+/* Sets the limit for the body of a request, in bytes. Longer ones are answered
+ * with 413. */
+void mst_httpd_set_body_max(struct mst_httpd *httpd, size_t bytes);
+
 /* Returns the value of a request's header; empty if absent. The name must be in
  * lower case. */
 struct mst_bytes mst_http_header(
--- a/src/runtime/agent_runtime.c
+++ b/src/runtime/agent_runtime.c
@@ -13,6 +13,7 @@
 #include "base/random.h"
 #include "core/id.h"
 #include "net/bus.h"
+#include "net/http_guard.h"
 #include "net/httpd.h"
 #include "net/upstream.h"
 #include "runtime/builds.h"
@@ -46,6 +47,7 @@
 	struct mst_bus *bus;
 	struct entry_links *entry_links;
 	uint32_t ticks;
+	struct http_guard *http_guard; /* of all HTTP servers */
 	struct mst_httpd *httpd;
 	struct mst_upstream *upstream;
 	bool stepping;         /* an event is being applied */
@@ -425,6 +427,7 @@
 		text = runtime_agent_metrics(mst_agent_counters(rt->agent),
 		    &gauges, mst_bus_counters(rt->bus));
 		metrics_add_process(text, &rt->loop.lag);
+		metrics_add_clients(text, rt->http_guard);
 		metrics_add_loop(text, &rt->loop.load);
 		builds = mst_agent_builds(rt->agent);
 		builds_add_metrics(text, builds);
@@ -576,6 +579,7 @@
 	struct mst_httpd_options report_options = {.loop = &rt->loop.uv,
 	    .listen = settings->report_listen,
 	    .body_max_bytes = AGENT_REPORT_BODY_MAX_BYTES,
+	    .guard = rt->http_guard,
 	    .on_request = on_worker_report,
 	    .on_disconnect = on_disconnect,
 	    .ctx = rt};
@@ -619,6 +623,10 @@
 {
 	const struct mst_settings *settings = rt->settings;
 	struct mst_agent_options options = MST_AGENT_OPTIONS_INIT;
+	const struct mst_shares shares = mst_settings_shares(settings);
+	const struct http_guard_options guard_options = {.loop = &rt->loop.uv,
+	    .bytes_max = shares.input_bytes,
+	    .connections_max = shares.connections};
 	struct mst_bus_options bus_options = {.loop = &rt->loop.uv,
 	    .curve = settings->curve,
 	    .on_message = on_message,
@@ -646,7 +654,9 @@
 	options.slots = settings->upstream.slots;
 	options.connections = settings->upstream.connections;
 	options.resources = settings->resources;
-	options.retained_bytes_max = mst_settings_shares(settings).result_bytes;
+	options.retained_bytes_max = shares.result_bytes;
+	rt->http_guard = http_guard_new(&guard_options);
+	http_options.guard = rt->http_guard;
 	if (settings->worker.address != NULL) {
 		options_set_leases(&options, settings);
 		bus_options.announce_idle_us = options.leases.entry_silence_us;
--- a/src/runtime/daemon_main.c
+++ b/src/runtime/daemon_main.c
@@ -1,6 +1,7 @@
 /* Command line shared by both daemons. */
 
 #include <getopt.h>
+#include <malloc.h>
 #include <masticstall/daemon.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -50,6 +51,18 @@
 	return mst_settings_load_known(out, unknown, path, role, error);
 }
 
+/* Large blocks, which input of clients makes, are returned to the system when
+ * they are freed. Without this the C library moves both bounds up by itself. */
+#define LARGE_BLOCK_BYTES (128 * 1024)
+#define FREE_TOP_BYTES    (1024 * 1024)
+
+static void
+set_up_memory(void)
+{
+	mallopt(M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES);
+	mallopt(M_TRIM_THRESHOLD, FREE_TOP_BYTES);
+}
+
 static int
 load_and_run(const char *path, bool check, const char *program,
     enum mst_settings_role role, mst_daemon_run_cb run,
@@ -67,6 +80,7 @@
 		g_free(unknown);
 		return 2;
 	}
+	set_up_memory();
 	mst_log_open(program, (enum mst_log_level)settings->log_level);
 	if (unknown != NULL)
 		mst_log(MST_LOG_WARNING, "settings-unknown", "names=%s",
--- a/src/runtime/entry_frontend.c
+++ b/src/runtime/entry_frontend.c
@@ -489,12 +489,14 @@
 	struct mst_httpd_options frontend_options = {.loop = &rt->loop.uv,
 	    .listen = settings->listen,
 	    .body_max_bytes = FRONTEND_BODY_MAX_BYTES,
+	    .guard = rt->http_guard,
 	    .on_request = on_frontend_request,
 	    .on_disconnect = on_frontend_disconnect,
 	    .ctx = rt};
 	struct mst_httpd_options ready_options = {.loop = &rt->loop.uv,
 	    .listen = settings->ready_listen,
 	    .body_max_bytes = FRONTEND_BODY_MAX_BYTES,
+	    .guard = rt->http_guard,
 	    .on_request = on_ready_request,
 	    .on_disconnect = on_ready_disconnect,
 	    .ctx = rt};
--- a/src/runtime/entry_http.c
+++ b/src/runtime/entry_http.c
@@ -432,6 +432,7 @@
 	    .domains = domains,
 	    .bus = mst_bus_counters(rt->bus),
 	    .loop_lag = &rt->loop.lag,
+	    .http_guard = rt->http_guard,
 	    .loop_load = &rt->loop.load,
 	    .event_us = rt->event_us,
 	    .frontend = rt->frontend_httpd != NULL ? &frontend : NULL,
--- a/src/runtime/entry_runtime.c
+++ b/src/runtime/entry_runtime.c
@@ -386,9 +386,12 @@
 	    .on_message = on_message,
 	    .on_connected = on_connected,
 	    .ctx = rt};
+	struct http_guard_options guard_options = {.loop = &rt->loop.uv,
+	    .bytes_max = shares.input_bytes,
+	    .connections_max = shares.connections};
 	struct mst_httpd_options http_options = {.loop = &rt->loop.uv,
 	    .listen = settings->http_listen,
-	    .body_max_bytes = settings->limits.body_max_bytes,
+	    .body_max_bytes = shares.body_bytes,
 	    .on_request = runtime_on_request,
 	    .on_disconnect = runtime_on_disconnect,
 	    .ctx = rt};
@@ -403,6 +406,8 @@
 	if (settings->frontend.listen != NULL)
 		options_set_leases(&options, settings);
 	mst_entry_new(&rt->entry, &options);
+	rt->http_guard = http_guard_new(&guard_options);
+	http_options.guard = rt->http_guard;
 	rt->http_client = mst_http_client_new(&rt->loop.uv, 0);
 	if (settings->table.endpoint != NULL)
 		rt->table = mst_table_new(rt->http_client, &settings->table);
--- a/src/runtime/entry_runtime.h
+++ b/src/runtime/entry_runtime.h
@@ -14,6 +14,7 @@
 #include "net/bus.h"
 #include "runtime/entry_links.h"
 #include "net/http_client.h"
+#include "net/http_guard.h"
 #include "net/httpd.h"
 #include "net/dynamodb_table.h"
 #include "runtime/loop.h"
@@ -53,6 +54,7 @@
 	struct mst_entry *entry;
 	struct mst_bus *bus;
 	struct entry_links *entry_links;
+	struct http_guard *http_guard; /* of all HTTP servers */
 	struct mst_httpd *httpd;
 	struct mst_http_client *http_client;
 	struct mst_table *table;
--- a/src/runtime/metrics.c
+++ b/src/runtime/metrics.c
@@ -96,6 +96,36 @@
 	add_input_faults(out);
 }
 
+void
+metrics_add_clients(GString *out, const struct http_guard *guard)
+{
+	const struct http_guard_counters *counters = http_guard_counters(guard);
+	struct http_guard_gauges gauges = http_guard_gauges(guard);
+	int i;
+
+	metrics_add_single(out, "client_connections", "gauge",
+	    "Connections to the HTTP servers.", gauges.connections);
+	metrics_add_single(out, "client_connections_paused", "gauge",
+	    "Of these, connections not read from for want of room.",
+	    gauges.paused);
+	metrics_add_single(out, "client_bytes", "gauge",
+	    "Memory of requests and responses under way.",
+	    (double)gauges.bytes);
+	metrics_add_single(out, "client_connections_total", "counter",
+	    "Connections accepted.", (double)counters->accepted);
+	metrics_add_single(out, "client_connections_refused_total", "counter",
+	    "Connections closed at once: all others have requests.",
+	    (double)counters->refused);
+	metrics_add_single(out, "client_pauses_total", "counter",
+	    "Times that a connection was not read from for want of room.",
+	    (double)counters->pauses);
+	metrics_add_family(out, "client_connections_cut_total", "counter",
+	    "Connections closed because of what their clients did.");
+	for (i = 1; i < HTTP_CUT_MAX; i++)
+		metrics_add_sample(out, "client_connections_cut_total",
+		    "reason", http_cut_name(i), (double)counters->cut[i]);
+}
+
 void
 metrics_add_loop(GString *out, const struct runtime_loop_load *load)
 {
@@ -432,6 +462,8 @@
 	add_domains(out, figures->domains);
 	add_bus_counters(out, figures->bus);
 	metrics_add_process(out, figures->loop_lag);
+	if (figures->http_guard != NULL)
+		metrics_add_clients(out, figures->http_guard);
 	if (figures->loop_load != NULL)
 		metrics_add_loop(out, figures->loop_load);
 	if (figures->event_us != NULL)
--- a/src/runtime/metrics.h
+++ b/src/runtime/metrics.h
@@ -10,6 +10,7 @@
 #include "base/histogram.h"
 #include "net/bus.h"
 #include "net/dynamodb_table.h"
+#include "net/http_guard.h"
 #include "runtime/loop.h"
 
 /* Figures of an entry's frontend and store. */
@@ -36,6 +37,7 @@
 	const GArray *domains;          /* struct domain_figures */
 	const struct mst_bus_counters *bus;
 	const struct mst_histogram *loop_lag;
+	const struct http_guard *http_guard;       /* NULL: not measured */
 	const struct runtime_loop_load *loop_load; /* NULL: not measured */
 	const int64_t *event_us; /* by enum mst_entry_event_type, or NULL */
 	const struct frontend_figures *frontend; /* NULL: it has none */
@@ -60,6 +62,9 @@
 
 /* Writes the event loop's lag and the log's counters, for either daemon. */
 void metrics_add_process(GString *out, const struct mst_histogram *lag);
+/* Writes what the clients of the process's HTTP servers make it hold, and what
+ * was done to them for it. */
+void metrics_add_clients(GString *out, const struct http_guard *guard);
 
 /* Writes what the event loop has done, for either daemon. */
 void metrics_add_loop(GString *out, const struct runtime_loop_load *load);
--- a/src/settings/shares.c
+++ b/src/settings/shares.c
@@ -16,7 +16,7 @@
 #define RESULT_MAX_BYTES (16 * BYTES_PER_MB)
 /* Memory for the connections themselves, and of each. */
 #define CONNECTIONS_DIVISOR 8
-#define CONNECTION_BYTES    8192
+#define CONNECTION_BYTES    16384
 /* Of the descriptors. The others are for peers, the store and files. */
 #define DESCRIPTORS_FOR_CLIENTS 0.75
 /* Descriptors of a process without a limit. */
