entry: the configuration's limits for clients are in force

Callers inside the limits that their operator sets were cut: a body of 262,144 bytes in pieces of 2 s at 10 s, a connection after 10 s without a request, where 15 are allowed; and a body of 262,145 bytes, one too many, was taken.

Cause: the limits were dropped when the configuration was translated; h2o's own were in force.

--- a/include/masticstall/config.h
+++ b/include/masticstall/config.h
@@ -53,8 +53,22 @@
 	uint32_t target_ms;
 };
 
+/** Limits for the clients of the entries. 0: the entry's own. */
+struct mst_client_limits {
+	uint32_t body_bytes; /* longest body of a request */
+	uint32_t header_ms;  /* for the header of a request */
+	uint32_t idle_ms;    /* for a connection on which nothing happens */
+};
+
+/** Bounds of these limits. */
+#define MST_CLIENT_BODY_MIN_BYTES 1024
+#define MST_CLIENT_BODY_MAX_BYTES (1 << 30)
+#define MST_CLIENT_TIME_MIN_MS    100
+#define MST_CLIENT_TIME_MAX_MS    3600000
+
 struct mst_config {
 	uint64_t version;
+	struct mst_client_limits clients;
 	GArray *queues; /* struct mst_queue_config */
 	void *json;     /* parsed document; owns the strings of the queues */
 	struct mst_policy policy;
--- a/src/runtime/entry_frontend.c
+++ b/src/runtime/entry_frontend.c
@@ -7,11 +7,10 @@
 #include "base/log.h"
 #include "runtime/entry_runtime.h"
 
-#define FRONTEND_BODY_MAX_BYTES (1 << 20)
-#define STORE_WAIT_SHARE        0.5 /* a watch waits this share of config_ms */
-#define STORE_WAIT_MAX_MS       1500
-#define STORE_CALL_TIMEOUT_MS   700
-#define PUBLISH_RETRY_MS        500
+#define STORE_WAIT_SHARE      0.5 /* a watch waits this share of config_ms */
+#define STORE_WAIT_MAX_MS     1500
+#define STORE_CALL_TIMEOUT_MS 700
+#define PUBLISH_RETRY_MS      500
 /*
  * Share of the grace period in which jobs are still accepted, because the load
  * balancer takes a while to send new connections elsewhere.
@@ -488,14 +487,14 @@
 	const struct mst_frontend_settings *settings = &rt->settings->frontend;
 	struct mst_httpd_options frontend_options = {.loop = &rt->loop.uv,
 	    .listen = settings->listen,
-	    .body_max_bytes = FRONTEND_BODY_MAX_BYTES,
+	    .body_max_bytes = runtime_limits_body_max(rt),
 	    .guard = rt->http_guard,
 	    .on_request = on_frontend_request,
 	    .on_disconnect = on_frontend_disconnect,
 	    .ctx = rt};
 	struct mst_httpd_options ready_options = {.loop = &rt->loop.uv,
 	    .listen = settings->ready_listen,
-	    .body_max_bytes = FRONTEND_BODY_MAX_BYTES,
+	    .body_max_bytes = runtime_limits_body_max(rt),
 	    .guard = rt->http_guard,
 	    .on_request = on_ready_request,
 	    .on_disconnect = on_ready_disconnect,
--- a/src/runtime/entry_runtime.c
+++ b/src/runtime/entry_runtime.c
@@ -288,6 +288,7 @@
 	struct mst_entry_event event = {.type = MST_ENTRY_EV_TICK};
 
 	rt->step(rt, &event);
+	runtime_limits_update(rt);
 	if (rt->ticks % RUNTIME_LINKS_TICKS == 0)
 		entry_links_update(rt->entry_links);
 	if (++rt->ticks % 10 == 0)
@@ -386,9 +387,8 @@
 	    .on_message = on_message,
 	    .on_connected = on_connected,
 	    .ctx = rt};
-	struct http_guard_options guard_options = {.loop = &rt->loop.uv,
-	    .bytes_max = shares.input_bytes,
-	    .connections_max = shares.connections};
+	const struct http_guard_options guard_options =
+	    runtime_limits_options(rt);
 	struct mst_httpd_options http_options = {.loop = &rt->loop.uv,
 	    .listen = settings->http_listen,
 	    .body_max_bytes = shares.body_bytes,
--- a/src/runtime/entry_runtime.h
+++ b/src/runtime/entry_runtime.h
@@ -81,6 +81,7 @@
 	uv_timer_t publish_timer;
 	bool shutting_down;        /* not ready, but still serving requests */
 	int64_t config_applied_us; /* time of the last configuration change */
+	uint64_t limits_version;   /* configuration whose limits are in force */
 	struct mst_histogram job_times[FRONTEND_OUTCOME_MAX]; /* by outcome */
 };
 
@@ -115,6 +116,14 @@
 void runtime_respond_problem(
     struct entry_runtime *rt, uint64_t id, const struct mst_problem *problem);
 
+/* entry_limits.c */
+/* Returns how the entry's HTTP servers bound what clients make it hold. */
+struct http_guard_options runtime_limits_options(struct entry_runtime *rt);
+/* Puts the limits for clients of a new configuration in force. */
+void runtime_limits_update(struct entry_runtime *rt);
+/* Returns the longest body that the frontend takes, in bytes. */
+size_t runtime_limits_body_max(const struct entry_runtime *rt);
+
 /* entry_http.c */
 /* Routes a request; a callback of the HTTP server. */
 void runtime_on_request(struct mst_http_request *request, void *ctx);
--- a/src/settings/config.c
+++ b/src/settings/config.c
@@ -209,7 +209,20 @@
 	}
 }
 
+static const struct schema_field client_fields[] = {
+    SCHEMA_UINT_FIELD("body_bytes", struct mst_client_limits, body_bytes,
+	MST_CLIENT_BODY_MIN_BYTES, MST_CLIENT_BODY_MAX_BYTES),
+    SCHEMA_UINT_FIELD("header_ms", struct mst_client_limits, header_ms,
+	MST_CLIENT_TIME_MIN_MS, MST_CLIENT_TIME_MAX_MS),
+    SCHEMA_UINT_FIELD("idle_ms", struct mst_client_limits, idle_ms,
+	MST_CLIENT_TIME_MIN_MS, MST_CLIENT_TIME_MAX_MS),
+    {0}};
+
 static const struct schema_field document_fields[] = {
+    {.name = "clients",
+	.kind = SCHEMA_OBJECT,
+	.offset = offsetof(struct mst_config, clients),
+	.fields = client_fields},
     {.name = "policy",
 	.kind = SCHEMA_OBJECT,
 	.offset = offsetof(struct mst_config, policy),
