httpd: a header may have any number of fields

Callers with a header of 118 lines, 16 KB in all and inside the limits, got 400.

Cause: h2o refuses headers of more than 100 fields, a constant of the library. Once a header has 64 fields, new ones that neither HTTP nor the server reads are dropped before h2o parses them; what it has seen stays where it is, as it parses on from there. Each server names the fields that it reads.

--- a/src/net/http_guard.c
+++ b/src/net/http_guard.c
@@ -30,6 +30,8 @@
 #define ENDED_PER_TICK 32
 /* Share of it below which memory is returned to the system. */
 #define RETURN_SHARE 0.25
+/* Less input can't have more fields than h2o takes. */
+#define MANY_FIELDS_MIN_BYTES 400
 /* Until the configuration sets the limits. */
 #define DEFAULT_HEADER_MS 10000
 #define DEFAULT_IDLE_MS   15000
@@ -46,6 +48,7 @@
 	struct http_guard *guard;
 	h2o_socket_t *sock; /* NULL: closed */
 	uv_stream_t *stream;
+	const struct http_guard_server *server;
 	h2o_socket_cb read; /* of h2o */
 	enum phase phase;
 	bool in_read;      /* h2o handles input now */
@@ -54,7 +57,6 @@
 	bool ended;        /* the client sends no more than is in the buffer */
 	bool served;       /* has had an answer */
 	size_t input;      /* bytes in the buffer when h2o last handled it */
-	size_t body_max;   /* longest body, in bytes */
 	size_t reserved;   /* bytes of room for its request; 0: a small one */
 	size_t answer;     /* bytes of room for its answer */
 	size_t unsent;     /* bytes of the answer, at the last check */
@@ -228,10 +230,10 @@
 	uint64_t announced;
 
 	if (conn->reserved > 0)
-		return conn->body_max + SMALL_INPUT_BYTES;
+		return conn->server->body_max + SMALL_INPUT_BYTES;
 	if (!http_header_length(&announced, input->bytes, input->size))
 		announced = UNANNOUNCED_BYTES;
-	return MIN(announced, conn->body_max) + SMALL_INPUT_BYTES;
+	return MIN(announced, conn->server->body_max) + SMALL_INPUT_BYTES;
 }
 
 /* Reserves room for a request that is no longer a small one. Returns false if
@@ -258,7 +260,21 @@
 	return conn->input > allowed && !conn->ended && !reserve_room(conn);
 }
 
-/* Replaces the read callback of h2o, which on_input() calls. */
+/* Makes a header of very many fields fit what h2o takes. */
+static void
+compact_header(struct http_conn *conn)
+{
+	h2o_buffer_t *input = conn->sock->input;
+
+	if (conn->server->header_names == NULL ||
+	    input->size < MANY_FIELDS_MIN_BYTES ||
+	    (conn->phase != PHASE_IDLE && conn->phase != PHASE_HEADER))
+		return;
+	input->size = http_header_compact(
+	    input->bytes, input->size, conn->input, conn->server->header_names);
+}
+
+/* Replaces the read callback of h2o, which it calls. */
 static void
 on_input(h2o_socket_t *sock, const char *err)
 {
@@ -267,6 +283,7 @@
 	if (err == NULL) {
 		conn->received += sock->input->size - conn->input;
 		note_progress(conn);
+		compact_header(conn);
 	}
 	conn->in_read = true;
 	conn->read(sock, err);
@@ -555,14 +572,14 @@
 
 void
 http_guard_watch(struct http_guard *guard, h2o_socket_t *sock,
-    uv_stream_t *stream, size_t body_max)
+    uv_stream_t *stream, const struct http_guard_server *server)
 {
 	struct http_conn *conn = g_new0(struct http_conn, 1);
 
 	conn->guard = guard;
 	conn->sock = sock;
 	conn->stream = stream;
-	conn->body_max = body_max;
+	conn->server = server;
 	conn->read = sock->_cb.read;
 	conn->link.data = conn->wait_link.data = conn;
 	conn->moved_ms = now_ms(guard);
--- a/src/net/http_guard.h
+++ b/src/net/http_guard.h
@@ -31,6 +31,14 @@
 	HTTP_CUT_MAX
 };
 
+/** What a server takes. Its connections refer to it. */
+struct http_guard_server {
+	size_t body_max; /* longest body, in bytes */
+	/* Names of the fields that are read from requests, in lower case; ends
+	 * with NULL. NULL: any may be. */
+	const char *const *header_names;
+};
+
 struct http_guard_options {
 	uv_loop_t *loop;
 	uint64_t bytes_max; /* for large requests and answers under way */
@@ -82,10 +90,10 @@
  *
  * @param sock socket that h2o has accepted, which reads from it
  * @param stream the socket's stream
- * @param body_max longest body that the server takes, in bytes
+ * @param server what the server takes
  */
 void http_guard_watch(struct http_guard *guard, h2o_socket_t *sock,
-    uv_stream_t *stream, size_t body_max);
+    uv_stream_t *stream, const struct http_guard_server *server);
 
 /* Returns the connection of a watched socket. */
 struct http_conn *http_conn_from_socket(h2o_socket_t *sock);
--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -36,6 +36,7 @@
 
 struct mst_httpd {
 	struct mst_httpd_options options;
+	struct http_guard_server server;
 	h2o_globalconf_t config;
 	h2o_context_t context;
 	h2o_accept_ctx_t accept;
@@ -103,7 +104,7 @@
 	}
 	request->body = iovec_to_bytes(req->entity);
 	g_hash_table_insert(httpd->pending, (gpointer)request->id, exchange);
-	if (request->body.len > httpd->options.body_max_bytes)
+	if (request->body.len > httpd->server.body_max)
 		mst_http_respond(httpd, request->id, 413, NULL, 0, "", 0);
 	else
 		httpd->options.on_request(request, httpd->options.ctx);
@@ -135,8 +136,8 @@
 	uv_tcp_nodelay(client, 1);
 	sock = h2o_uv_socket_create((uv_stream_t *)client, (uv_close_cb)g_free);
 	h2o_accept(&httpd->accept, sock);
-	http_guard_watch(httpd->options.guard, sock, (uv_stream_t *)client,
-	    httpd->options.body_max_bytes);
+	http_guard_watch(
+	    httpd->options.guard, sock, (uv_stream_t *)client, &httpd->server);
 }
 
 /* Polls the connections of all pending requests. Returns whether any has input
@@ -237,7 +238,7 @@
 void
 mst_httpd_set_body_max(struct mst_httpd *httpd, size_t bytes)
 {
-	httpd->options.body_max_bytes = bytes;
+	httpd->server.body_max = bytes;
 	httpd->config.max_request_entity_size = bytes + HTTPD_BODY_EXCESS_BYTES;
 }
 
@@ -260,6 +261,7 @@
 	httpd->polled = g_array_new(FALSE, FALSE, sizeof(struct pollfd));
 	httpd->polled_ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	h2o_config_init(&httpd->config);
+	httpd->server.header_names = options->header_names;
 	mst_httpd_set_body_max(httpd, options->body_max_bytes);
 	httpd->config.http1.req_timeout = HTTPD_REQ_TIMEOUT_MS;
 	/* Only HTTP/1.1 is promised. */
--- a/src/net/httpd.h
+++ b/src/net/httpd.h
@@ -32,6 +32,10 @@
 	/* Bounds what the clients of all servers that share it make the process
 	 * hold; NULL: the server has one of its own, with wide bounds. */
 	struct http_guard *guard;
+	/* Names of the fields that on_request looks up, in lower case, ending
+	 * with NULL. Others may be dropped from requests with very many. NULL:
+	 * none is dropped. */
+	const char *const *header_names;
 	mst_http_request_cb on_request;
 	/* Called if a caller disconnects before it gets a response, within
 	 * 20 ms. */
--- a/src/runtime/drivers.h
+++ b/src/runtime/drivers.h
@@ -102,6 +102,9 @@
 	void (*read_stored)(struct frontend_request *out, const char *key,
 	    const char *body, const struct mst_queue_config *queue);
 	void (*release)(struct frontend_request *request);
+	/* Names of the header fields that read() looks up, in lower case; ends
+	 * with NULL. */
+	const char *const *header_names;
 	/* Formats the outcome of a request as an HTTP response. */
 	void (*write)(struct frontend_response *out,
 	    const struct frontend_result *result);
--- a/src/runtime/entry_frontend.c
+++ b/src/runtime/entry_frontend.c
@@ -489,6 +489,7 @@
 	    .listen = settings->listen,
 	    .body_max_bytes = runtime_limits_body_max(rt),
 	    .guard = rt->http_guard,
+	    .header_names = rt->drivers->frontend->header_names,
 	    .on_request = on_frontend_request,
 	    .on_disconnect = on_frontend_disconnect,
 	    .ctx = rt};
