json: a body's values are counted before it is parsed

Callers of an entry lost it to one body: 60 MB of {"steps":[0,0,0,... made it take 2.4 GB, forty times the body, as each value of two bytes takes 64 and more in the parser's tree.

--- a/src/api/job_json.c
+++ b/src/api/job_json.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "api/json_size.h"
 #include "settings/resources.h"
 #include "settings/schema.h"
 
@@ -15,6 +16,8 @@
 #define JOB_CONTENT_TYPE_MAX_BYTES 255
 #define JOB_TIMEOUT_MAX_MS         3600000
 #define JOB_DECLARED_MAX_MS        3600000
+/* Of a job and its tasks, whose fields are fewer than 16 each. */
+#define JOB_VALUES_MAX (MST_JOB_TASKS_MAX * 16)
 
 struct task_fields {
 	const char *method;
@@ -222,9 +225,14 @@
 	*out = NULL;
 	if (!g_utf8_validate(text.data, (gssize)text.len, NULL))
 		schema_add_error(&errors, "", "is not valid UTF-8");
+	else if (!json_has_at_most(text.data, text.len, JOB_VALUES_MAX))
+		schema_add_error(
+		    &errors, "", "holds more than %d values", JOB_VALUES_MAX);
 	else
 		request->json = cJSON_ParseWithLength(text.data, text.len);
-	if (request->json == NULL) {
+	if (errors.count > 0) {
+		code = MST_JOB_JSON_ERROR_SYNTAX;
+	} else if (request->json == NULL) {
 		schema_add_error(&errors, "", "is not valid JSON");
 		code = MST_JOB_JSON_ERROR_SYNTAX;
 	} else {
--- a/src/runtime/entry_config.c
+++ b/src/runtime/entry_config.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "api/json_size.h"
 #include "api/problem.h"
 #include "base/log.h"
 #include "base/random.h"
@@ -18,6 +19,7 @@
 #define CONFIG_POLL_JITTER_MS       500
 #define CONFIG_PATCH_TIMEOUT_US     (20 * G_USEC_PER_SEC)
 #define CONFIG_HISTORY_MAX_VERSIONS 50
+#define PATCH_VALUES_MAX            262144 /* in all operations of a patch */
 #define CONFIG_DOCUMENT_MAX_BYTES   (256 * 1024)
 
 static const struct mst_retry_bounds patch_bounds_ms = {
@@ -488,6 +490,8 @@
 		    "Masticstall-Reason must say why", NULL, 0);
 	else if (!is_valid_patch_id(patch->patch_id) ||
 	    !g_utf8_validate(patch->operations, -1, NULL) ||
+	    !json_has_at_most(patch->operations, strlen(patch->operations),
+		PATCH_VALUES_MAX) ||
 	    !g_utf8_validate(patch->reason, -1, NULL))
 		patch_respond_problem(patch, 400, "bad-request",
 		    "The patch or its id is malformed", NULL, 0);
--- a/tests/test_json.c
+++ b/tests/test_json.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "api/job_json.h"
+#include "api/json_size.h"
 #include "settings/drain_patch.h"
 #include "settings/json_patch.h"
 
@@ -362,6 +363,27 @@
 	g_free(trusted);
 }
 
+static void
+size__counts_values_outside_strings(void)
+{
+	static const struct {
+		const char *text;
+		size_t values;
+	} cases[] = {{"0", 1}, {"{\"a\":0}", 2}, {"[0,0,0]", 4},
+	    {"[\"a,[b\",{\"c,\":\"\\\",[\"}]", 4}, {"[[[[", 5}, {",,", 3},
+	    {"\"a,b", 1}, {"\"a\\", 1}, {"", 1}};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const char *text = cases[i].text;
+		size_t values = cases[i].values;
+
+		g_assert_true(json_has_at_most(text, strlen(text), values));
+		g_assert_false(
+		    json_has_at_most(text, strlen(text), values - 1));
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -379,5 +401,6 @@
 	g_test_add_func("/json/settings-of-newer-build",
 	    json__settings_of_newer_build_are_read);
 	g_test_add_func("/json/hosts-need-keys", test_hosts_need_keys);
+	g_test_add_func("/json/size", size__counts_values_outside_strings);
 	return g_test_run();
 }
