placement: count a member's tasks of a step among the fewer ones

Callers of an entry waited while it placed a job of few bytes: a step of 4,096 tasks with a limit a member had all its tasks walked for each member and each task that is placed, again in each pass. The count looks at the tasks that the member was sent instead, if they are fewer than the step's.

--- a/src/core/place/fit.c
+++ b/src/core/place/fit.c
@@ -180,7 +180,40 @@
 	return false;
 }
 
-/* Returns the number of a step's tasks that are at a member now. */
+static bool
+is_at_member(const struct task *task, const struct member *member)
+{
+	return task->state == TASK_SENT && task->member == member;
+}
+
+/* Returns how many of the tasks that were sent to a member are of a step, and
+ * are there now. */
+static uint32_t
+count_sent_of_step(
+    const struct job *job, const struct step *step, const struct member *member)
+{
+	GHashTableIter iter;
+	gpointer seq, tag;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, member->sent_tasks);
+	while (g_hash_table_iter_next(&iter, &seq, &tag)) {
+		uint64_t index =
+		    (uint64_t)(uintptr_t)tag - mst_task_tag(job, step->first);
+		const struct task *task;
+
+		/* A tag of another job is further away than any index. */
+		if (index >= step->count)
+			continue;
+		task = &job->tasks[step->first + index];
+		count += is_at_member(task, member) &&
+		    task->seq == (uint64_t)(uintptr_t)seq;
+	}
+	return count;
+}
+
+/* Returns the number of a step's tasks that are at a member now. Looks at the
+ * step's tasks or at the member's, whichever are fewer. */
 static uint32_t
 count_tasks_at_member(
     const struct job *job, const struct step *step, const struct member *member)
@@ -188,10 +221,12 @@
 	uint32_t count = 0;
 	uint32_t i;
 
+	if (step->count > g_hash_table_size(member->sent_tasks))
+		return count_sent_of_step(job, step, member);
 	for (i = step->first; i < step->first + step->count; i++) {
 		const struct task *task = &job->tasks[i];
 
-		count += task->state == TASK_SENT && task->member == member;
+		count += is_at_member(task, member);
 	}
 	return count;
 }
