agent: a worker that had no room counts as full for a moment

One best-effort job of 4,096 tasks kept an agent at 100 % of a core: its worker had room for fewer tasks than their needs say, each start that it refused ("room") came back to the entry as busy and was sent again at once: 91,000 refused starts and 171,000 busy results in 6 s.

After such a refusal tasks that need as much are neither started nor offered room for, until a run ends at the worker or 50 ms have passed. Smaller ones are.

Golden script no_room, which failed before.

--- a/src/core/worker/order.c
+++ b/src/core/worker/order.c
@@ -172,6 +172,8 @@
 	struct mst_result_item told = *result;
 
 	run->proof = (uint8_t)proof;
+	if (proof != MST_PROOF_REFUSED)
+		mst_worker_note_end(agent);
 	/* Also of a run that is listed as ended: another copy of its start may
 	 * be executed by the worker's next incarnation. */
 	told.start_uncertain = mst_worker_start_is_uncertain(run);
@@ -368,6 +370,7 @@
 		mst_worker_handle_down(agent, answer);
 		break;
 	case MST_ORDER_NO_ROOM:
+		mst_worker_note_full(agent, &run->task.needs);
 		handle_start_refusal(agent, run, MST_REASON_BUSY);
 		break;
 	case MST_ORDER_NOT_SENT:
--- a/src/core/worker/worker.h
+++ b/src/core/worker/worker.h
@@ -123,6 +123,8 @@
 	struct unseen_task unseen_tasks[WORKER_UNSEEN_TASKS_MAX];
 	unsigned unseen_next; /* index of the oldest of them */
 	struct mst_resources used_resources;
+	int64_t full_until_us; /* until then it has no room for a task ... */
+	struct mst_resources full_for;     /* ... that needs as much */
 	struct mst_resources capacity_max; /* most that it has reported */
 	struct mst_slowness slowness_avg; /* slowness as an average over runs */
 	bool is_cold;
--- a/src/core/worker/worker_internal.h
+++ b/src/core/worker/worker_internal.h
@@ -137,6 +137,12 @@
 void mst_worker_adjust_used(
     struct mst_resources *used, const struct mst_resources *needs, int sign);
 
+/* Notes that the worker had no room for a start that its resources allow, and
+ * that a run has ended there since. */
+void mst_worker_note_full(
+    struct mst_agent *agent, const struct mst_resources *needs);
+void mst_worker_note_end(struct mst_agent *agent);
+
 /* speed.c */
 /* Adds the service time of a completed run to the average slowness. */
 void mst_worker_update_slowness(struct mst_agent *agent, const struct run *run);
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -688,7 +688,7 @@
 	    "two_runs_withdrawn", "crash_unanswered", "crash_once",
 	    "crash_repeated_start", "seq_far_ahead", "other_id",
 	    "renew_other_id", "run_number_used", "id_of_order", "young_worker",
-	    "more_completions"};
+	    "more_completions", "no_room"};
 
 	g_test_init(&argc, &argv, NULL);
 	add_scripts("/worker/", scripts, G_N_ELEMENTS(scripts));
