entry: a forwarded request keeps no body while it waits

Bodies that callers send to one entry for a ticket of another are copied there and were kept until the job ends, in no account: each other entry could make it hold an eighth of its own memory. The job has a copy of what it needs once it is submitted, so the body is borrowed until then. Found by reading; soak_short and upgrade_tickets pass.

--- a/src/runtime/entry_http.c
+++ b/src/runtime/entry_http.c
@@ -507,6 +507,17 @@
 	mst_bus_send(rt->bus, &msg);
 }
 
+/* Forgets the body of a request that may still wait: the job has a copy. */
+static void
+forget_body(struct entry_runtime *rt, uint64_t id)
+{
+	struct pending_request *pending =
+	    g_hash_table_lookup(rt->pending_requests, (gpointer)id);
+
+	if (pending != NULL)
+		pending->body = (struct mst_bytes){0};
+}
+
 void
 runtime_on_forward(struct entry_runtime *rt, const struct mst_msg *msg)
 {
@@ -525,11 +536,10 @@
 	pending->forward_kind = forward->kind;
 	pending->ticket = mst_bytes_to_str(forward->ticket);
 	pending->traceparent = mst_bytes_to_str(forward->traceparent);
-	pending->body = (struct mst_bytes){
-	    .data = g_memdup2(forward->body.data, forward->body.len),
-	    .len = forward->body.len};
+	pending->body = forward->body;
 	if (forward->kind == MST_FORWARD_SUBMIT) {
 		parse_and_submit_job(rt, pending, false);
+		forget_body(rt, id);
 		return;
 	}
 	event.job = ticket.job;
--- a/src/runtime/entry_requests.c
+++ b/src/runtime/entry_requests.c
@@ -7,8 +7,6 @@
 void
 pending_request_free(struct pending_request *pending)
 {
-	if (pending->origin_entry != 0)
-		g_free((char *)pending->body.data);
 	g_free(pending->ticket);
 	g_free(pending->job_key);
 	g_free(pending->traceparent);
--- a/src/runtime/entry_runtime.h
+++ b/src/runtime/entry_runtime.h
@@ -37,7 +37,7 @@
 	enum frontend_request_kind request_kind; /* if from_frontend */
 	char *job_key;    /* if from_frontend: the caller's key of the job */
 	bool passthrough; /* responds with the task's own result */
-	struct mst_bytes body;      /* owned only if origin is set */
+	struct mst_bytes body;      /* borrowed until it is submitted */
 	char *ticket;               /* ticket of the job, or NULL */
 	char *traceparent;          /* traceparent of the job, or NULL */
 	uint32_t forward_kind;      /* enum mst_forward_kind */
