httpd: connections that stand still go before requests under way

Callers with a large body were cut for new connections while hundreds of others, whose clients had had one answer and did nothing since, were kept: any connection that had an answer stayed before one that had none yet. Of 200 whole bodies of 250 KB beside 450 such connections (limit 512) 124 got no answer.

The one that has stood still for longest goes first, of those that did so for a second: first one without an answer yet, then one that had one. Connections that wait for room stand still for the guard's sake and go last.

--- a/src/net/http_guard.c
+++ b/src/net/http_guard.c
@@ -19,6 +19,10 @@
 #define SMALL_INPUT_BYTES 8192
 /* Room that is reserved first for a body whose length is not announced. */
 #define UNANNOUNCED_BYTES (256 * 1024)
+/* Time after which a connection without a request may go for a new one, before
+ * those that have moved since. */
+#define STILL_MS       1000
+#define SPARE_RANK_MAX 5
 /* Time for which a connection may keep room that does not suffice for it. */
 #define STUCK_MS 2000
 /* Least input of an unfinished request while others wait for room, and the time
@@ -532,24 +536,39 @@
 		log_cuts(guard);
 }
 
-/* Returns the connection without a whole request that is to go for another one:
- * one that has had no answer yet rather than one that has, and of these the one
- * that has stood still for longest. */
+/* How much a connection can be spared for a new one; the greatest goes first.
+ */
+static unsigned
+rank_spare(const struct http_conn *conn, uint64_t now)
+{
+	if (is_with_server(conn))
+		return 0;
+	/* It stands still for the guard's sake. */
+	if (conn->paused)
+		return 1;
+	if (now - conn->moved_ms < STILL_MS)
+		return conn->served ? 2 : 3;
+	return conn->served ? 4 : SPARE_RANK_MAX;
+}
+
+/* Returns the connection without a whole request that is to go for another one,
+ * or NULL. Of several, the one goes that has stood still for longest. */
 static struct http_conn *
 find_spare(const struct http_guard *guard)
 {
 	struct http_conn *spare = NULL;
+	unsigned spare_rank = 0;
+	uint64_t now = now_ms(guard);
 	GList *link;
 
-	for (link = guard->conns.head; link != NULL; link = link->next) {
-		struct http_conn *conn = link->data;
+	for (link = guard->conns.head;
+	     link != NULL && spare_rank < SPARE_RANK_MAX; link = link->next) {
+		unsigned rank = rank_spare(link->data, now);
 
-		if (is_with_server(conn))
+		if (rank <= spare_rank)
 			continue;
-		if (!conn->served)
-			return conn;
-		if (spare == NULL)
-			spare = conn;
+		spare = link->data;
+		spare_rank = rank;
 	}
 	return spare;
 }
--- a/src/net/http_guard.h
+++ b/src/net/http_guard.h
@@ -27,7 +27,7 @@
 	HTTP_CUT_BODY,        /* a body stood still */
 	HTTP_CUT_UNREAD,      /* an answer was not read */
 	HTTP_CUT_MEMORY,      /* unfinished and slow, its memory is needed */
-	HTTP_CUT_CONNECTIONS, /* no request yet, a new connection needs it */
+	HTTP_CUT_CONNECTIONS, /* without a request, a new one needs it */
 	HTTP_CUT_MAX
 };
 
