--- a/src/net/http_guard.c
+++ b/src/net/http_guard.c
@@ -378,38 +378,50 @@
 	}
 }
 
-/* Reads the rest of paused connections whose clients have closed them, or their
- * direction of them: either the request is complete, or it is given up. */
-static void
-resume_ended(struct http_guard *guard)
+/* Returns the paused connections whose clients have closed them, or their
+ * direction of them. */
+static GPtrArray *
+find_ended(const struct http_guard *guard)
 {
 	GArray *polled = g_array_new(FALSE, FALSE, sizeof(struct pollfd));
+	GPtrArray *conns = g_ptr_array_new();
 	GPtrArray *ended = g_ptr_array_new();
 	GList *link;
 	guint i;
 
 	for (link = guard->paused.head; link != NULL; link = link->next) {
-		const struct http_conn *conn = link->data;
+		struct http_conn *conn = link->data;
 		const struct pollfd item = {
 		    .fd = h2o_socket_get_fd(conn->sock), .events = POLLRDHUP};
 
 		g_array_append_val(polled, item);
+		g_ptr_array_add(conns, conn);
 	}
 	poll((struct pollfd *)polled->data, polled->len, 0);
-	link = guard->paused.head;
-	for (i = 0; i < polled->len && ended->len < ENDED_PER_TICK; i++) {
+	for (i = 0; i < polled->len; i++) {
 		if (g_array_index(polled, struct pollfd, i).revents != 0)
-			g_ptr_array_add(ended, link->data);
-		link = link->next;
+			g_ptr_array_add(ended, conns->pdata[i]);
 	}
-	for (i = 0; i < ended->len; i++) {
+	g_ptr_array_unref(conns);
+	g_array_unref(polled);
+	return ended;
+}
+
+/* Reads the rest of connections whose clients send no more: either the request
+ * is complete, or h2o gives it up. */
+static void
+resume_ended(struct http_guard *guard)
+{
+	GPtrArray *ended = find_ended(guard);
+	guint i;
+
+	for (i = 0; i < MIN(ended->len, ENDED_PER_TICK); i++) {
 		struct http_conn *conn = ended->pdata[i];
 
 		conn->ended = true;
 		resume_reading(conn);
 	}
 	g_ptr_array_unref(ended);
-	g_array_unref(polled);
 }
 
 /* Returns why a connection is over a time limit, or 0. */
