httpd: an answer without room is not sent

Found by reading: large answers that their clients don't take (results of jobs at the product's own interface) counted against the room, but nothing stopped at its end, so some hundred connections that ask for one result of megabytes and don't read it could make an entry hold each copy. An answer over 8 KB without room cuts its connection now, which promises nothing; it can be asked for again. Connections that stand still are then cut too, as while requests wait.

--- a/src/net/http_guard.c
+++ b/src/net/http_guard.c
@@ -77,6 +77,7 @@
 	uint32_t idle_ms;
 	uint64_t bytes;     /* reserved, and of answers */
 	bool has_more_room; /* some was released since it was looked for */
+	bool answer_cut;    /* for want of room, since the last check */
 	GQueue conns;       /* in the order of moved_ms */
 	GQueue unhooked;    /* read callbacks to be looked at */
 	GQueue paused;      /* longest first */
@@ -94,6 +95,7 @@
     [HTTP_CUT_BODY] = "body",
     [HTTP_CUT_UNREAD] = "unread",
     [HTTP_CUT_MEMORY] = "memory",
+    [HTTP_CUT_ANSWER] = "answer",
     [HTTP_CUT_CONNECTIONS] = "connections"};
 
 const char *
@@ -504,12 +506,14 @@
 	if (news > 0)
 		mst_log(MST_LOG_WARNING, "clients-cut",
 		    "header=%" PRIu64 " body=%" PRIu64 " unread=%" PRIu64
-		    " memory=%" PRIu64 " connections=%" PRIu64
-		    " refused=%" PRIu64 " paused=%u open=%u bytes=%" PRIu64,
+		    " memory=%" PRIu64 " answer=%" PRIu64
+		    " connections=%" PRIu64 " refused=%" PRIu64
+		    " paused=%u open=%u bytes=%" PRIu64,
 		    cuts[HTTP_CUT_HEADER], cuts[HTTP_CUT_BODY],
 		    cuts[HTTP_CUT_UNREAD], cuts[HTTP_CUT_MEMORY],
-		    cuts[HTTP_CUT_CONNECTIONS], now->refused - logged->refused,
-		    guard->paused.length, guard->conns.length, guard->bytes);
+		    cuts[HTTP_CUT_ANSWER], cuts[HTTP_CUT_CONNECTIONS],
+		    now->refused - logged->refused, guard->paused.length,
+		    guard->conns.length, guard->bytes);
 	guard->logged = *now;
 	guard->logged_ms = now_ms(guard);
 }
@@ -542,7 +546,10 @@
 	if (guard->paused.length > 0) {
 		resume_ended(guard);
 		cut_slow(guard);
+	} else if (guard->answer_cut) {
+		cut_slow(guard);
 	}
+	guard->answer_cut = false;
 	return_memory(guard);
 	if (now_ms(guard) - guard->logged_ms >= LOG_MS)
 		log_cuts(guard);
@@ -634,15 +641,24 @@
 	set_phase(conn, PHASE_BUSY);
 }
 
-void
+bool
 http_conn_answer(struct http_conn *conn, size_t len)
 {
+	struct http_guard *guard = conn->guard;
+
 	set_phase(conn, PHASE_ANSWER);
 	note_progress(conn);
 	if (len <= SMALL_INPUT_BYTES)
-		return;
+		return true;
+	if (guard->bytes > 0 && guard->bytes + len > guard->options.bytes_max) {
+		guard->answer_cut = true;
+		guard->counters.cut[HTTP_CUT_ANSWER]++;
+		shutdown(h2o_socket_get_fd(conn->sock), SHUT_RDWR);
+		return false;
+	}
 	conn->answer = len;
-	conn->guard->bytes += len;
+	guard->bytes += len;
+	return true;
 }
 
 void
--- a/src/net/http_guard.h
+++ b/src/net/http_guard.h
@@ -27,6 +27,7 @@
 	HTTP_CUT_BODY,        /* a body stood still */
 	HTTP_CUT_UNREAD,      /* an answer was not read */
 	HTTP_CUT_MEMORY,      /* unfinished and slow, its memory is needed */
+	HTTP_CUT_ANSWER,      /* no room for its answer */
 	HTTP_CUT_CONNECTIONS, /* without a request, a new one needs it */
 	HTTP_CUT_MAX
 };
@@ -97,10 +98,13 @@
 
 /* Returns the connection of a watched socket. */
 struct http_conn *http_conn_from_socket(h2o_socket_t *sock);
-/* Notes that a request is complete, that it is answered with a body of a
- * length, and that the answer has been written or given up. */
+/* Notes that a request is complete. */
 void http_conn_begin(struct http_conn *conn);
-void http_conn_answer(struct http_conn *conn, size_t len);
+/* Notes that a request is to be answered with a body of a length. Returns false
+ * if there is no room for it: the connection is cut, which promises nothing,
+ * and the answer must have no body. */
+bool http_conn_answer(struct http_conn *conn, size_t len);
+/* Notes that the answer has been written or given up. */
 void http_conn_end(struct http_conn *conn);
 
 #endif
--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -310,7 +310,10 @@
 		return false;
 	req = exchange->req;
 	exchange->responded = true;
-	http_conn_answer(exchange->conn, len);
+	if (!http_conn_answer(exchange->conn, len)) {
+		count = len = 0;
+		req->http1_is_persistent = 0;
+	}
 	g_hash_table_remove(httpd->pending, (gpointer)id);
 	req->res.status = status;
 	req->res.reason = "";
