--- a/src/runtime/daemon_main.c
+++ b/src/runtime/daemon_main.c
@@ -33,6 +33,8 @@
 	    "  -h, --help           print this help and exit\n"
 	    "\n"
 	    "SIGTERM stops gracefully, without interrupting open requests.\n"
+	    "What clients can make it hold is a share of its machine, whose size\n"
+	    "is machine.memory_mb and machine.descriptors in the settings.\n"
 	    "\n"
 	    "Exit status: 0 stopped or settings valid, 1 failed,\n"
 	    "2 invalid usage or settings.\n",
