httpd: requests that wait for room come first, and their headers don't time out

Found by reading the guard again: a new large request took room before those that wait for it, so that one which needs much could wait for long; a header over 8 KB whose connection is not read from was cut after the time for headers.

--- a/src/net/http_guard.c
+++ b/src/net/http_guard.c
@@ -32,7 +32,7 @@
 /* Paused connections that are read to their end in one check, because their
  * clients send no more. What is left of each is in its socket's buffer. */
 #define ENDED_PER_TICK 32
-/* Share of it below which memory is returned to the system. */
+/* Share of the room below which memory is returned to the system. */
 #define RETURN_SHARE 0.25
 /* Less input can't have more fields than h2o takes. */
 #define MANY_FIELDS_MIN_BYTES 400
@@ -261,9 +261,13 @@
 static bool
 must_pause(struct http_conn *conn)
 {
-	size_t allowed = MAX(conn->reserved, SMALL_INPUT_BYTES);
+	bool first = conn->reserved == 0;
 
-	return conn->input > allowed && !conn->ended && !reserve_room(conn);
+	if (conn->ended ||
+	    conn->input <= MAX(conn->reserved, SMALL_INPUT_BYTES))
+		return false;
+	/* Those that wait already come first. */
+	return (first && conn->guard->paused.length > 0) || !reserve_room(conn);
 }
 
 /* Makes a header of very many fields fit what h2o takes. */
@@ -438,8 +442,9 @@
 	case PHASE_IDLE:
 		return still ? HTTP_CUT_IDLE : 0;
 	case PHASE_HEADER:
-		return now - conn->since_ms > guard->header_ms ? HTTP_CUT_HEADER
-							       : 0;
+		return !conn->paused && now - conn->since_ms > guard->header_ms
+		    ? HTTP_CUT_HEADER
+		    : 0;
 	case PHASE_BODY:
 		return still && !conn->paused ? HTTP_CUT_BODY : 0;
 	case PHASE_ANSWER:
@@ -667,6 +672,7 @@
 	release(conn->guard, &conn->reserved);
 	release(conn->guard, &conn->answer);
 	conn->unsent = 0;
+	conn->ended = false;
 	conn->served = true;
 	set_phase(conn, PHASE_IDLE);
 	note_progress(conn);
