entry: some connections are kept for operators and checks

While all connections of clients have requests, nobody could see why: metrics and the load balancer's checks were refused as well. The frontend leaves 32 to the entry's other servers. test_http_guard /http-guard/other-servers.

--- a/src/net/http_guard.c
+++ b/src/net/http_guard.c
@@ -598,11 +598,15 @@
 }
 
 bool
-http_guard_make_room(struct http_guard *guard)
+http_guard_make_room(
+    struct http_guard *guard, const struct http_guard_server *server)
 {
+	uint32_t kept =
+	    MIN(server->connections_kept, guard->options.connections_max / 2);
+	uint32_t max = guard->options.connections_max - kept;
 	struct http_conn *spare;
 
-	if (guard->conns.length < guard->options.connections_max)
+	if (guard->conns.length < max)
 		return true;
 	spare = find_spare(guard);
 	if (spare == NULL) {
@@ -610,7 +614,7 @@
 		return false;
 	}
 	cut(spare, HTTP_CUT_CONNECTIONS);
-	return guard->conns.length < guard->options.connections_max;
+	return guard->conns.length < max;
 }
 
 void
--- a/src/net/http_guard.h
+++ b/src/net/http_guard.h
@@ -38,6 +38,7 @@
 	/* Names of the fields that are read from requests, in lower case; ends
 	 * with NULL. NULL: any may be. */
 	const char *const *header_names;
+	uint32_t connections_kept; /* that it leaves to the other servers */
 };
 
 struct http_guard_options {
@@ -79,9 +80,10 @@
 /* Returns the name of a reason, used in logs and metrics; static. */
 const char *http_cut_name(enum http_cut reason);
 
-/* Returns whether one more connection may be accepted. If there are as many as
- * allowed, one without a request is cut for it. */
-bool http_guard_make_room(struct http_guard *guard);
+/* Returns whether a server may accept one more connection. If there are as many
+ * as allowed, one without a request is cut for it. */
+bool http_guard_make_room(
+    struct http_guard *guard, const struct http_guard_server *server);
 
 /* Checks the limits of all connections if that is due; called often. */
 void http_guard_tick(struct http_guard *guard);
--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -129,7 +129,7 @@
 	client = g_new0(uv_tcp_t, 1);
 	uv_tcp_init(listener->loop, client);
 	if (uv_accept(listener, (uv_stream_t *)client) != 0 ||
-	    !http_guard_make_room(httpd->options.guard)) {
+	    !http_guard_make_room(httpd->options.guard, &httpd->server)) {
 		uv_close((uv_handle_t *)client, on_client_closed);
 		return;
 	}
@@ -262,6 +262,7 @@
 	httpd->polled_ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	h2o_config_init(&httpd->config);
 	httpd->server.header_names = options->header_names;
+	httpd->server.connections_kept = options->connections_kept;
 	mst_httpd_set_body_max(httpd, options->body_max_bytes);
 	httpd->config.http1.req_timeout = HTTPD_REQ_TIMEOUT_MS;
 	/* Only HTTP/1.1 is promised. */
--- a/src/net/httpd.h
+++ b/src/net/httpd.h
@@ -36,6 +36,8 @@
 	 * with NULL. Others may be dropped from requests with very many. NULL:
 	 * none is dropped. */
 	const char *const *header_names;
+	/* Connections of the guard that this server leaves to the others. */
+	uint32_t connections_kept;
 	mst_http_request_cb on_request;
 	/* Called if a caller disconnects before it gets a response, within
 	 * 20 ms. */
--- a/src/runtime/entry_frontend.c
+++ b/src/runtime/entry_frontend.c
@@ -18,7 +18,9 @@
 #define FRONTEND_SERVE_SHARE 0.65
 /* Time before the end of the grace period at which open jobs are answered. */
 #define FRONTEND_STOP_MARGIN_MS 300
-#define FRONTEND_RETRY_AFTER_MS 1000 /* if there is no better estimate */
+/* Connections kept for operators, metrics and the load balancer's checks. */
+#define FRONTEND_CONNECTIONS_KEPT 32
+#define FRONTEND_RETRY_AFTER_MS   1000 /* if there is no better estimate */
 
 static void
 send_result(struct entry_runtime *rt, struct mst_httpd *httpd, uint64_t id,
@@ -490,6 +492,7 @@
 	    .body_max_bytes = runtime_limits_body_max(rt),
 	    .guard = rt->http_guard,
 	    .header_names = rt->drivers->frontend->header_names,
+	    .connections_kept = FRONTEND_CONNECTIONS_KEPT,
 	    .on_request = on_frontend_request,
 	    .on_disconnect = on_frontend_disconnect,
 	    .ctx = rt};
--- a/tests/test_http_guard.c
+++ b/tests/test_http_guard.c
@@ -26,6 +26,7 @@
 	int clients[CLIENTS];
 	uint64_t requests[CLIENTS]; /* in the order of their arrival */
 	unsigned request_count;
+	uint32_t connections_kept; /* for other servers */
 };
 
 static void
@@ -66,6 +67,7 @@
 	struct mst_httpd_options options = {.loop = &f->loop,
 	    .listen = listen,
 	    .body_max_bytes = ROOM_BYTES,
+	    .connections_kept = f->connections_kept,
 	    .on_request = on_request,
 	    .on_disconnect = on_disconnect,
 	    .ctx = f};
@@ -207,6 +209,23 @@
 	g_assert_cmpuint(f.request_count, ==, 2);
 }
 
+static void
+guard__connections_are_kept_for_other_servers(void)
+{
+	static const char request[] = "GET / HTTP/1.1\r\n\r\n";
+	struct fixture f = {0};
+	struct http_guard_server other = {.body_max = BODY_BYTES};
+	int i;
+
+	f.connections_kept = 1;
+	setup(&f, 3);
+	for (i = 0; i < 3; i++)
+		connect_client(&f, i, request, strlen(request));
+	run(&f);
+	g_assert_cmpuint(f.request_count, ==, 2);
+	g_assert_true(http_guard_make_room(f.guard, &other));
+}
+
 int
 main(int argc, char **argv)
 {
@@ -220,5 +239,7 @@
 	    "/http-guard/small", guard__small_request_is_read_without_room);
 	g_test_add_func(
 	    "/http-guard/kept", guard__connection_with_request_is_kept);
+	g_test_add_func("/http-guard/other-servers",
+	    guard__connections_are_kept_for_other_servers);
 	return g_test_run();
 }
