entry: connections are kept by server

Each server counts its own: the frontend cuts one of its own where its bound ends, any server one of any where the process's bound ends.

--- a/src/net/http_guard.c
+++ b/src/net/http_guard.c
@@ -52,7 +52,7 @@
 	struct http_guard *guard;
 	h2o_socket_t *sock; /* NULL: closed */
 	uv_stream_t *stream;
-	const struct http_guard_server *server;
+	struct http_guard_server *server;
 	h2o_socket_cb read; /* of h2o */
 	enum phase phase;
 	bool in_read;      /* h2o handles input now */
@@ -157,6 +157,7 @@
 	release(guard, &conn->reserved);
 	release(guard, &conn->answer);
 	g_queue_unlink(&guard->conns, &conn->link);
+	conn->server->connections--;
 	conn->sock = NULL;
 	if (!conn->in_read)
 		g_free(conn);
@@ -576,9 +577,11 @@
 }
 
 /* Returns the connection without a whole request that is to go for another one,
- * or NULL. Of several, the one goes that has stood still for longest. */
+ * or NULL: one of a server, or of any if that is NULL. Of several, the one goes
+ * that has stood still for longest. */
 static struct http_conn *
-find_spare(const struct http_guard *guard)
+find_spare(
+    const struct http_guard *guard, const struct http_guard_server *server)
 {
 	struct http_conn *spare = NULL;
 	unsigned spare_rank = 0;
@@ -587,11 +590,13 @@
 
 	for (link = guard->conns.head;
 	     link != NULL && spare_rank < SPARE_RANK_MAX; link = link->next) {
-		unsigned rank = rank_spare(link->data, now);
+		struct http_conn *conn = link->data;
+		unsigned rank = rank_spare(conn, now);
 
-		if (rank <= spare_rank)
+		if (rank <= spare_rank ||
+		    (server != NULL && conn->server != server))
 			continue;
-		spare = link->data;
+		spare = conn;
 		spare_rank = rank;
 	}
 	return spare;
@@ -601,25 +606,25 @@
 http_guard_make_room(
     struct http_guard *guard, const struct http_guard_server *server)
 {
-	uint32_t kept =
-	    MIN(server->connections_kept, guard->options.connections_max / 2);
-	uint32_t max = guard->options.connections_max - kept;
+	uint32_t max = guard->options.connections_max;
+	uint32_t server_max = max - MIN(server->connections_kept, max / 2);
+	bool server_is_full = server->connections >= server_max;
 	struct http_conn *spare;
 
-	if (guard->conns.length < max)
+	if (!server_is_full && guard->conns.length < max)
 		return true;
-	spare = find_spare(guard);
-	if (spare == NULL) {
-		guard->counters.refused++;
-		return false;
-	}
-	cut(spare, HTTP_CUT_CONNECTIONS);
-	return guard->conns.length < max;
+	spare = find_spare(guard, server_is_full ? server : NULL);
+	if (spare != NULL)
+		cut(spare, HTTP_CUT_CONNECTIONS);
+	if (server->connections < server_max && guard->conns.length < max)
+		return true;
+	guard->counters.refused++;
+	return false;
 }
 
 void
 http_guard_watch(struct http_guard *guard, h2o_socket_t *sock,
-    uv_stream_t *stream, const struct http_guard_server *server)
+    uv_stream_t *stream, struct http_guard_server *server)
 {
 	struct http_conn *conn = g_new0(struct http_conn, 1);
 
@@ -632,6 +637,7 @@
 	conn->moved_ms = now_ms(guard);
 	g_queue_push_tail_link(&guard->conns, &conn->link);
 	guard->counters.accepted++;
+	server->connections++;
 	set_phase(conn, PHASE_IDLE);
 	sock->on_close.cb = on_closed;
 	sock->on_close.data = conn;
--- a/src/net/http_guard.h
+++ b/src/net/http_guard.h
@@ -32,13 +32,14 @@
 	HTTP_CUT_MAX
 };
 
-/** What a server takes. Its connections refer to it. */
+/** A server: what it takes, and has. Its connections refer to it. */
 struct http_guard_server {
 	size_t body_max; /* longest body, in bytes */
 	/* Names of the fields that are read from requests, in lower case; ends
 	 * with NULL. NULL: any may be. */
 	const char *const *header_names;
 	uint32_t connections_kept; /* that it leaves to the other servers */
+	uint32_t connections;      /* open ones; counted by the guard */
 };
 
 struct http_guard_options {
@@ -96,7 +97,7 @@
  * @param server what the server takes
  */
 void http_guard_watch(struct http_guard *guard, h2o_socket_t *sock,
-    uv_stream_t *stream, const struct http_guard_server *server);
+    uv_stream_t *stream, struct http_guard_server *server);
 
 /* Returns the connection of a watched socket. */
 struct http_conn *http_conn_from_socket(h2o_socket_t *sock);
