httpd, jobs: the guard in two files, closed jobs in one of their own

Moved, with names for what the parts share; nothing else changes. The guard's checks at intervals are http_guard_tick.c; freeing closed jobs is job/retention.c, so that expire.c and stored.c don't need each other.

--- a/src/core/job/expire.c
+++ b/src/core/job/expire.c
@@ -112,31 +112,6 @@
 		mst_job_close(entry, job, MST_JOB_FAILED, MST_REASON_NO_FIT);
 }
 
-static void
-free_oldest_closed(struct mst_entry *entry)
-{
-	GList *link = entry->closed_jobs.head;
-
-	g_queue_unlink(&entry->closed_jobs, link);
-	mst_job_free(entry, link->data);
-}
-
-bool
-mst_entry_make_room(struct mst_entry *entry, uint64_t bytes, uint64_t bytes_max)
-{
-	const struct job *oldest;
-
-	while (entry->bytes + bytes > bytes_max) {
-		oldest = g_queue_peek_head(&entry->closed_jobs);
-		/* Its last answer may not have been written yet. */
-		if (oldest == NULL ||
-		    entry->now_us - oldest->closed_us < ENTRY_SCAN_US)
-			return false;
-		free_oldest_closed(entry);
-	}
-	return true;
-}
-
 void
 mst_entry_expire_jobs(struct mst_entry *entry)
 {
@@ -154,5 +129,5 @@
 	    (entry->now_us - oldest->closed_us >=
 		    entry->options.answer_retention_us ||
 		entry->bytes > entry->options.bytes_max))
-		free_oldest_closed(entry);
+		mst_job_free_oldest_closed(entry);
 }
--- a/src/core/job/job.h
+++ b/src/core/job/job.h
@@ -139,6 +139,10 @@
 /* Checks the time limits of open jobs and frees closed ones after the retention
  * time. */
 void mst_entry_expire_jobs(struct mst_entry *entry);
+
+/* retention.c */
+/* Frees the job that was closed first; there must be one. */
+void mst_job_free_oldest_closed(struct mst_entry *entry);
 /* Returns whether there is memory for a job of a size in bytes, within a limit
  * for all jobs. Frees the oldest closed jobs if there is none otherwise. */
 bool mst_entry_make_room(
--- a/src/net/http_guard.c
+++ b/src/net/http_guard.c
@@ -1,20 +1,13 @@
-#include "net/http_guard.h"
+/* Connections: what h2o is given to read, room for requests, and new ones. */
+
+#include "net/http_guard_internal.h"
 
 #include <glib.h>
-#include <inttypes.h>
-#include <malloc.h>
-#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 
-#include "base/log.h"
 #include "net/http_header.h"
 
-#define TICK_MS 100
-/* A longer gap between two checks is a pause of this process, for which clients
- * don't answer. */
-#define PAUSE_MIN_MS 500
-#define LOG_MS       1000
 /* Input of a connection that is always read: an ordinary request. */
 #define SMALL_INPUT_BYTES 8192
 /* Room that is reserved first for a body whose length is not announced. */
@@ -23,72 +16,12 @@
  * those that have moved since. */
 #define STILL_MS       1000
 #define SPARE_RANK_MAX 5
-/* Time for which a connection may keep room that does not suffice for it. */
-#define STUCK_MS 2000
-/* Least input of an unfinished request while others wait for room, and the time
- * over which it counts. */
-#define SLOW_BYTES_PER_MS 64
-#define SLOW_MIN_MS       1000
-/* Paused connections that are read to their end in one check, because their
- * clients send no more. What is left of each is in its socket's buffer. */
-#define ENDED_PER_TICK 32
-/* Share of the room below which memory is returned to the system. */
-#define RETURN_SHARE 0.25
 /* Less input can't have more fields than h2o takes. */
 #define MANY_FIELDS_MIN_BYTES 400
 /* Until the configuration sets the limits. */
 #define DEFAULT_HEADER_MS 10000
 #define DEFAULT_IDLE_MS   15000
 
-enum phase {
-	PHASE_IDLE,   /* between requests */
-	PHASE_HEADER, /* a header has begun */
-	PHASE_BODY,   /* the header is complete, the body is not */
-	PHASE_BUSY,   /* the request waits for its answer */
-	PHASE_ANSWER  /* the answer is being written */
-};
-
-struct http_conn {
-	struct http_guard *guard;
-	h2o_socket_t *sock; /* NULL: closed */
-	uv_stream_t *stream;
-	struct http_guard_server *server;
-	h2o_socket_cb read; /* of h2o */
-	enum phase phase;
-	bool in_read;      /* h2o handles input now */
-	bool unhooked;     /* h2o has stopped reading, or started by itself */
-	bool paused;       /* is not read from, for want of room */
-	bool ended;        /* the client sends no more than is in the buffer */
-	bool served;       /* has had an answer */
-	size_t input;      /* bytes in the buffer when h2o last handled it */
-	size_t reserved;   /* bytes of room for its request; 0: a small one */
-	size_t answer;     /* bytes of room for its answer */
-	size_t unsent;     /* bytes of the answer, at the last check */
-	uint64_t since_ms; /* when the phase began, or it was resumed */
-	uint64_t moved_ms; /* when bytes were last received or sent */
-	uint64_t received; /* bytes since since_ms */
-	GList link;        /* in conns */
-	GList wait_link;   /* in unhooked or paused */
-};
-
-struct http_guard {
-	struct http_guard_options options;
-	uint32_t header_ms;
-	uint32_t idle_ms;
-	uint64_t bytes;     /* reserved, and of answers */
-	bool has_more_room; /* some was released since it was looked for */
-	bool answer_cut;    /* for want of room, since the last check */
-	GQueue conns;       /* in the order of moved_ms */
-	GQueue unhooked;    /* read callbacks to be looked at */
-	GQueue paused;      /* longest first */
-	uv_prepare_t prepare;
-	uint64_t tick_ms; /* time of the last check */
-	uint64_t logged_ms;
-	bool was_full; /* some had to wait since memory was last returned */
-	struct http_guard_counters counters;
-	struct http_guard_counters logged;
-};
-
 static const char *const cut_names[HTTP_CUT_MAX] = {
     [HTTP_CUT_HEADER] = "header",
     [HTTP_CUT_IDLE] = "idle",
@@ -104,8 +37,8 @@
 	return cut_names[reason];
 }
 
-static uint64_t
-now_ms(const struct http_guard *guard)
+uint64_t
+http_guard_now_ms(const struct http_guard *guard)
 {
 	return uv_now(guard->options.loop);
 }
@@ -114,14 +47,14 @@
 set_phase(struct http_conn *conn, enum phase phase)
 {
 	conn->phase = phase;
-	conn->since_ms = now_ms(conn->guard);
+	conn->since_ms = http_guard_now_ms(conn->guard);
 	conn->received = 0;
 }
 
-static void
-note_progress(struct http_conn *conn)
+void
+http_conn_note_progress(struct http_conn *conn)
 {
-	conn->moved_ms = now_ms(conn->guard);
+	conn->moved_ms = http_guard_now_ms(conn->guard);
 	g_queue_unlink(&conn->guard->conns, &conn->link);
 	g_queue_push_tail_link(&conn->guard->conns, &conn->link);
 }
@@ -163,10 +96,8 @@
 		g_free(conn);
 }
 
-/* Closes a connection. If h2o reads from it, or would if it was not paused, h2o
- * takes it for closed by the client; otherwise the next write fails. */
-static void
-cut(struct http_conn *conn, enum http_cut reason)
+void
+http_conn_cut(struct http_conn *conn, enum http_cut reason)
 {
 	conn->guard->counters.cut[reason]++;
 	if (conn->paused || h2o_socket_is_reading(conn->sock))
@@ -187,12 +118,12 @@
 	g_queue_push_tail_link(&conn->guard->paused, &conn->wait_link);
 }
 
-static void
-resume_reading(struct http_conn *conn)
+void
+http_conn_resume(struct http_conn *conn)
 {
 	leave_wait_queue(conn);
 	set_phase(conn, conn->phase);
-	note_progress(conn);
+	http_conn_note_progress(conn);
 	h2o_socket_read_start(conn->sock, on_input);
 }
 
@@ -293,7 +224,7 @@
 
 	if (err == NULL) {
 		conn->received += sock->input->size - conn->input;
-		note_progress(conn);
+		http_conn_note_progress(conn);
 		compact_header(conn);
 	}
 	conn->in_read = true;
@@ -324,7 +255,7 @@
 	guard->has_more_room = false;
 	while ((conn = g_queue_peek_head(&guard->paused)) != NULL &&
 	    reserve_room(conn))
-		resume_reading(conn);
+		http_conn_resume(conn);
 }
 
 /* Replaces the read callback again where h2o has set it. It does so after each
@@ -353,214 +284,6 @@
 		resume_paused(guard);
 }
 
-/* Returns whether a connection keeps room and brings little for it. */
-static bool
-is_slow(const struct http_conn *conn, uint64_t now)
-{
-	uint64_t age_ms = now - conn->since_ms;
-
-	if (conn->reserved + conn->answer == 0 || conn->phase == PHASE_BUSY)
-		return false;
-	if (conn->paused)
-		return age_ms >= STUCK_MS;
-	if (now - conn->moved_ms >= SLOW_MIN_MS)
-		return true;
-	return conn->phase != PHASE_ANSWER && age_ms >= SLOW_MIN_MS &&
-	    conn->received < age_ms * SLOW_BYTES_PER_MS;
-}
-
-/* Cuts the connections that bring little for their room, which others wait for.
- */
-static void
-cut_slow(struct http_guard *guard)
-{
-	uint64_t now = now_ms(guard);
-	GList *link = guard->conns.head;
-	GList *next;
-
-	for (; link != NULL; link = next) {
-		next = link->next;
-		if (is_slow(link->data, now))
-			cut(link->data, HTTP_CUT_MEMORY);
-	}
-}
-
-/* Returns the paused connections whose clients have closed them, or their
- * direction of them. */
-static GPtrArray *
-find_ended(const struct http_guard *guard)
-{
-	GArray *polled = g_array_new(FALSE, FALSE, sizeof(struct pollfd));
-	GPtrArray *conns = g_ptr_array_new();
-	GPtrArray *ended = g_ptr_array_new();
-	GList *link;
-	guint i;
-
-	for (link = guard->paused.head; link != NULL; link = link->next) {
-		struct http_conn *conn = link->data;
-		const struct pollfd item = {
-		    .fd = h2o_socket_get_fd(conn->sock), .events = POLLRDHUP};
-
-		g_array_append_val(polled, item);
-		g_ptr_array_add(conns, conn);
-	}
-	poll((struct pollfd *)polled->data, polled->len, 0);
-	for (i = 0; i < polled->len; i++) {
-		if (g_array_index(polled, struct pollfd, i).revents != 0)
-			g_ptr_array_add(ended, conns->pdata[i]);
-	}
-	g_ptr_array_unref(conns);
-	g_array_unref(polled);
-	return ended;
-}
-
-/* Reads the rest of connections whose clients send no more: either the request
- * is complete, or h2o gives it up. */
-static void
-resume_ended(struct http_guard *guard)
-{
-	GPtrArray *ended = find_ended(guard);
-	guint i;
-
-	for (i = 0; i < MIN(ended->len, ENDED_PER_TICK); i++) {
-		struct http_conn *conn = ended->pdata[i];
-
-		conn->ended = true;
-		resume_reading(conn);
-	}
-	g_ptr_array_unref(ended);
-}
-
-/* Returns why a connection is over a time limit, or 0. */
-static enum http_cut
-check_times(struct http_conn *conn, uint64_t now)
-{
-	const struct http_guard *guard = conn->guard;
-	bool still = now - conn->moved_ms > guard->idle_ms;
-	size_t unsent;
-
-	switch (conn->phase) {
-	case PHASE_IDLE:
-		return still ? HTTP_CUT_IDLE : 0;
-	case PHASE_HEADER:
-		return !conn->paused && now - conn->since_ms > guard->header_ms
-		    ? HTTP_CUT_HEADER
-		    : 0;
-	case PHASE_BODY:
-		return still && !conn->paused ? HTTP_CUT_BODY : 0;
-	case PHASE_ANSWER:
-		unsent = uv_stream_get_write_queue_size(conn->stream);
-		if (unsent != conn->unsent)
-			note_progress(conn);
-		conn->unsent = unsent;
-		return still ? HTTP_CUT_UNREAD : 0;
-	case PHASE_BUSY:
-		break;
-	}
-	return 0;
-}
-
-static void
-apply_times(struct http_guard *guard)
-{
-	uint64_t now = now_ms(guard);
-	GList *link = guard->conns.head;
-	GList *last = guard->conns.tail;
-	GList *next;
-
-	/* Those that have moved are put behind the last one. */
-	for (; link != NULL; link = next) {
-		enum http_cut reason;
-
-		next = link != last ? link->next : NULL;
-		reason = check_times(link->data, now);
-		if (reason != 0)
-			cut(link->data, reason);
-	}
-}
-
-/* Moves all times forward by a pause of this process. */
-static void
-skip_pause(struct http_guard *guard, uint64_t pause_ms)
-{
-	uint64_t now = now_ms(guard);
-	GList *link;
-
-	for (link = guard->conns.head; link != NULL; link = link->next) {
-		struct http_conn *conn = link->data;
-
-		conn->since_ms = MIN(conn->since_ms + pause_ms, now);
-		conn->moved_ms = MIN(conn->moved_ms + pause_ms, now);
-	}
-}
-
-/* Logs what was done to clients, in one line a second. */
-static void
-log_cuts(struct http_guard *guard)
-{
-	const struct http_guard_counters *now = &guard->counters;
-	const struct http_guard_counters *logged = &guard->logged;
-	uint64_t news =
-	    now->refused + now->pauses - logged->refused - logged->pauses;
-	uint64_t cuts[HTTP_CUT_MAX];
-	int i;
-
-	for (i = 1; i < HTTP_CUT_MAX; i++) {
-		cuts[i] = now->cut[i] - logged->cut[i];
-		news += i != HTTP_CUT_IDLE ? cuts[i] : 0;
-	}
-	if (news > 0)
-		mst_log(MST_LOG_WARNING, "clients-cut",
-		    "header=%" PRIu64 " body=%" PRIu64 " unread=%" PRIu64
-		    " memory=%" PRIu64 " answer=%" PRIu64
-		    " connections=%" PRIu64 " refused=%" PRIu64
-		    " paused=%u open=%u bytes=%" PRIu64,
-		    cuts[HTTP_CUT_HEADER], cuts[HTTP_CUT_BODY],
-		    cuts[HTTP_CUT_UNREAD], cuts[HTTP_CUT_MEMORY],
-		    cuts[HTTP_CUT_ANSWER], cuts[HTTP_CUT_CONNECTIONS],
-		    now->refused - logged->refused, guard->paused.length,
-		    guard->conns.length, guard->bytes);
-	guard->logged = *now;
-	guard->logged_ms = now_ms(guard);
-}
-
-/* Returns freed memory to the system after there was no room. */
-static void
-return_memory(struct http_guard *guard)
-{
-	if (!guard->was_full || guard->paused.length > 0 ||
-	    (double)guard->bytes >
-		(double)guard->options.bytes_max * RETURN_SHARE)
-		return;
-	malloc_trim(0);
-	guard->was_full = false;
-}
-
-void
-http_guard_tick(struct http_guard *guard)
-{
-	uint64_t gap_ms = now_ms(guard) - guard->tick_ms;
-
-	if (gap_ms < TICK_MS)
-		return;
-	guard->tick_ms = now_ms(guard);
-	if (gap_ms > PAUSE_MIN_MS) {
-		skip_pause(guard, gap_ms);
-		return;
-	}
-	apply_times(guard);
-	if (guard->paused.length > 0) {
-		resume_ended(guard);
-		cut_slow(guard);
-	} else if (guard->answer_cut) {
-		cut_slow(guard);
-	}
-	guard->answer_cut = false;
-	return_memory(guard);
-	if (now_ms(guard) - guard->logged_ms >= LOG_MS)
-		log_cuts(guard);
-}
-
 /* How much a connection can be spared for a new one; the greatest goes first.
  */
 static unsigned
@@ -585,7 +308,7 @@
 {
 	struct http_conn *spare = NULL;
 	unsigned spare_rank = 0;
-	uint64_t now = now_ms(guard);
+	uint64_t now = http_guard_now_ms(guard);
 	GList *link;
 
 	for (link = guard->conns.head;
@@ -615,7 +338,7 @@
 		return true;
 	spare = find_spare(guard, server_is_full ? server : NULL);
 	if (spare != NULL)
-		cut(spare, HTTP_CUT_CONNECTIONS);
+		http_conn_cut(spare, HTTP_CUT_CONNECTIONS);
 	if (server->connections < server_max && guard->conns.length < max)
 		return true;
 	guard->counters.refused++;
@@ -634,7 +357,7 @@
 	conn->server = server;
 	conn->read = sock->_cb.read;
 	conn->link.data = conn->wait_link.data = conn;
-	conn->moved_ms = now_ms(guard);
+	conn->moved_ms = http_guard_now_ms(guard);
 	g_queue_push_tail_link(&guard->conns, &conn->link);
 	guard->counters.accepted++;
 	server->connections++;
@@ -662,7 +385,7 @@
 	struct http_guard *guard = conn->guard;
 
 	set_phase(conn, PHASE_ANSWER);
-	note_progress(conn);
+	http_conn_note_progress(conn);
 	if (len <= SMALL_INPUT_BYTES)
 		return true;
 	if (guard->bytes > 0 && guard->bytes + len > guard->options.bytes_max) {
@@ -685,7 +408,7 @@
 	conn->ended = false;
 	conn->served = true;
 	set_phase(conn, PHASE_IDLE);
-	note_progress(conn);
+	http_conn_note_progress(conn);
 	unhook(conn);
 }
 
