--- a/src/net/http_guard.c
+++ b/src/net/http_guard.c
@@ -18,9 +18,6 @@
 #define SPARE_RANK_MAX 5
 /* Less input can't have more fields than h2o takes. */
 #define MANY_FIELDS_MIN_BYTES 400
-/* Until the configuration sets the limits. */
-#define DEFAULT_HEADER_MS 10000
-#define DEFAULT_IDLE_MS   15000
 
 static const char *const cut_names[HTTP_CUT_MAX] = {
     [HTTP_CUT_HEADER] = "header",
@@ -441,7 +438,7 @@
 
 	guard->options = *options;
 	guard->tick_ms = guard->logged_ms = uv_now(options->loop);
-	http_guard_set_times(guard, DEFAULT_HEADER_MS, DEFAULT_IDLE_MS);
+	http_guard_set_times(guard, HTTP_GUARD_HEADER_MS, HTTP_GUARD_IDLE_MS);
 	/* h2o would keep large input in files, which machines without a disk
 	 * keep in memory. */
 	h2o_socket_buffer_mmap_settings.threshold = SIZE_MAX;
--- a/src/net/http_guard.h
+++ b/src/net/http_guard.h
@@ -17,6 +17,10 @@
 #include <stdint.h>
 #include <uv.h>
 
+/* Time limits of connections until others are set. */
+#define HTTP_GUARD_HEADER_MS 10000
+#define HTTP_GUARD_IDLE_MS   15000
+
 struct http_conn;
 struct http_guard;
 
--- a/src/runtime/entry_limits.c
+++ b/src/runtime/entry_limits.c
@@ -3,10 +3,8 @@
 
 #include "runtime/entry_runtime.h"
 
-/* Without a limit in the configuration. */
+/* Longest body without a limit in the configuration. */
 #define BODY_MAX_BYTES (1 << 20)
-#define HEADER_MS      10000
-#define IDLE_MS        15000
 
 static struct mst_client_limits
 configured_limits(const struct entry_runtime *rt)
@@ -47,8 +45,8 @@
 		return;
 	rt->limits_version = config->version;
 	http_guard_set_times(rt->http_guard,
-	    limits.header_ms > 0 ? limits.header_ms : HEADER_MS,
-	    limits.idle_ms > 0 ? limits.idle_ms : IDLE_MS);
+	    limits.header_ms > 0 ? limits.header_ms : HTTP_GUARD_HEADER_MS,
+	    limits.idle_ms > 0 ? limits.idle_ms : HTTP_GUARD_IDLE_MS);
 	if (rt->frontend_httpd != NULL)
 		mst_httpd_set_body_max(
 		    rt->frontend_httpd, runtime_limits_body_max(rt));
