tests: the descriptors of a limited system are set in one place

Two tests with clients set the limit of the processes' descriptors in the same three lines, as duplicates showed. Moved to script/clients.sh as start_limited_system; crowd, machine and checks are as before.

--- a/script/clients.sh
+++ b/script/clients.sh
@@ -46,6 +46,14 @@
 	wait_serving 1 || fail "the entry does not serve at the start"
 }
 
+# start_limited_system: the same, where the processes can't open more descriptors
+# than they are told.
+start_limited_system() {
+	ulimit -S -n "$DESCRIPTORS"
+	start_small_system
+	ulimit -S -n "$(ulimit -H -n)"
+}
+
 # start_crowd NAME KIND CONNECTIONS BYTES ADDRESS HOST PATH: starts clients and
 # waits until none of them makes progress.
 start_crowd() {
--- a/tests/clients_idle_connections.sh
+++ b/tests/clients_idle_connections.sh
@@ -9,9 +9,7 @@
 DESCRIPTORS=400
 . script/clients.sh
 
-ulimit -S -n "$DESCRIPTORS"
-start_small_system
-ulimit -S -n "$(ulimit -H -n)"
+start_limited_system
 start_crowd idle idle 700 0 "$FRONT" a.example /p/00000000000000a1
 check_daemons "with idle connections"
 curl -sS -m 4 -o /dev/null -H 'Host: a.example' \
--- a/tests/clients_unread_answers.sh
+++ b/tests/clients_unread_answers.sh
@@ -9,9 +9,7 @@
 DESCRIPTORS=400
 . script/clients.sh
 
-ulimit -S -n "$DESCRIPTORS"
-start_small_system
-ulimit -S -n "$(ulimit -H -n)"
+start_limited_system
 start_crowd own unread 400 0 "${ADDRESSES["entry1 http"]}" a.example /metrics
 start_crowd front unread 400 0 "$FRONT" a.example /p/00000000000000a1
 printf '{"spec":"ms=20","bestEffort":true,"steps":[{"count":1,"cpu":1000,"memMb":64,"estimateMs":20}]%*s}' \
