httpd: the ranks of connections that can be spared have names

Plain numbers from 0 to 5 needed a second reading. Wording alone: the object's code is the same before and after (objdump -d of http_guard.c.o compared), five cases of test_http_guard pass, clang-tidy is clean.

--- a/src/net/http_guard.c
+++ b/src/net/http_guard.c
@@ -14,8 +14,7 @@
 #define UNANNOUNCED_BYTES (256 * 1024)
 /* Time after which a connection without a request may go for a new one, before
  * those that have moved since. */
-#define STILL_MS       1000
-#define SPARE_RANK_MAX 5
+#define STILL_MS 1000
 /* Less input can't have more fields than h2o takes. */
 #define MANY_FIELDS_MIN_BYTES 400
 
@@ -283,17 +282,25 @@
 
 /* How much a connection can be spared for a new one; the greatest goes first.
  */
-static unsigned
+enum spare_rank {
+	SPARE_NOT,    /* it has a whole request */
+	SPARE_PAUSED, /* it stands still for the guard's sake */
+	SPARE_SERVED, /* it has had an answer, and has moved just now */
+	SPARE_NEW,    /* it has had none yet, and has moved just now */
+	SPARE_STILL_SERVED,
+	SPARE_STILL_NEW
+};
+
+static enum spare_rank
 rank_spare(const struct http_conn *conn, uint64_t now)
 {
 	if (is_with_server(conn))
-		return 0;
-	/* It stands still for the guard's sake. */
+		return SPARE_NOT;
 	if (conn->paused)
-		return 1;
+		return SPARE_PAUSED;
 	if (now - conn->moved_ms < STILL_MS)
-		return conn->served ? 2 : 3;
-	return conn->served ? 4 : SPARE_RANK_MAX;
+		return conn->served ? SPARE_SERVED : SPARE_NEW;
+	return conn->served ? SPARE_STILL_SERVED : SPARE_STILL_NEW;
 }
 
 /* Returns the connection without a whole request that is to go for another one,
@@ -304,14 +311,14 @@
     const struct http_guard *guard, const struct http_guard_server *server)
 {
 	struct http_conn *spare = NULL;
-	unsigned spare_rank = 0;
+	enum spare_rank spare_rank = SPARE_NOT;
 	uint64_t now = http_guard_now_ms(guard);
 	GList *link;
 
 	for (link = guard->conns.head;
-	     link != NULL && spare_rank < SPARE_RANK_MAX; link = link->next) {
+	     link != NULL && spare_rank < SPARE_STILL_NEW; link = link->next) {
 		struct http_conn *conn = link->data;
-		unsigned rank = rank_spare(conn, now);
+		enum spare_rank rank = rank_spare(conn, now);
 
 		if (rank <= spare_rank ||
 		    (server != NULL && conn->server != server))
